--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"orchidrun/internal/wire"
-	"orchidrun/logic"
+	"brackendale/internal/wire"
+	"brackendale/logic"
 )
 
 func main() {
--- a/cmd/drill/main_test.go
+++ b/cmd/drill/main_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"orchidrun/logic"
+	"brackendale/logic"
 )
 
 const up = `{"Up":{"who":%,"initSeed":9,"setup":{"unknownKey":[1],"tickUs":5000,"replicasOfMe":2,"machineTypes":["k"],` +
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -8,7 +8,7 @@
 	"errors"
 	"fmt"
 
-	"orchidrun/logic"
+	"brackendale/logic"
 )
 
 // Line is one parsed line of a batch.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	"orchidrun/logic"
+	"brackendale/logic"
 )
 
 func TestParseTellsWhatIsMalformed(t *testing.T) {
--- a/logic/example_test.go
+++ b/logic/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"orchidrun/logic"
+	"brackendale/logic"
 )
 
 // Example hands one message to the only endpoint of its destination.
