--- /dev/null
+++ b/internal/app/app.go
@@ -0,0 +1,95 @@
+// Package app puts the parts of the program together behind its command line.
+package app
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"brackendale/internal/config"
+	"brackendale/internal/net/platform"
+	"brackendale/internal/net/reactor"
+	"brackendale/sender"
+
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+)
+
+// Version is the program's version; a release build sets it.
+var Version = "dev"
+
+// Command is the command line.
+func Command() *cli.Command {
+	file := &cli.StringFlag{Name: "config", Usage: "the appliance's TOML `FILE`; the platform needs none"}
+	return &cli.Command{
+		Name: "brackendale", Usage: "a sender that delivers messages to partner systems",
+		Commands: []*cli.Command{
+			{Name: "serve", Usage: "serve until a signal comes", Flags: []cli.Flag{file},
+				Action: func(_ context.Context, c *cli.Command) error { return serve(c.String("config")) }},
+			{Name: "check", Usage: "read and check the configuration", Flags: []cli.Flag{file},
+				Action: func(_ context.Context, c *cli.Command) error {
+					cfg, err := config.Load(os.Getenv, c.String("config"))
+					if err == nil {
+						_, err = fmt.Fprintf(c.Root().Writer, "ok: %s, %d classes, %d endpoints\n", cfg.Name,
+							len(cfg.Settings.Lanes), len(cfg.Known.Hosts))
+					}
+					return err
+				}},
+			{Name: "version", Usage: "print the version",
+				Action: func(_ context.Context, c *cli.Command) error {
+					_, err := fmt.Fprintln(c.Root().Writer, "brackendale", Version)
+					return err
+				}},
+		},
+	}
+}
+
+// From SIGTERM to SIGKILL the platform gives 3.7 s at least: so much of it is used.
+const stopAfter = 3500 * time.Millisecond
+
+func serve(file string) error {
+	cfg, err := config.Load(os.Getenv, file)
+	if err != nil {
+		return err
+	}
+	// The rest of the limit is for what the runtime does not count: stacks, the binary, files in $TMPDIR.
+	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * 0.7 * (1 << 20)))
+	log := zerolog.New(os.Stderr).With().Timestamp().Str("sender", cfg.Name).Logger()
+	core, err := sender.New(sender.Options{Settings: cfg.Settings, Seed: int64(cfg.Seed), Dir: cfg.State,
+		Disk: int64(cfg.Limits.DiskMB * (1 << 20)), Log: log})
+	if err != nil {
+		return err
+	}
+	r, err := reactor.New(core.Post)
+	if err != nil {
+		return err
+	}
+	defer r.Stop()
+	in := platform.NewIngress(core, r, cfg.Discovery)
+	core.AddIngress(platform.Front, in)
+	core.AddEgress(platform.Proto, platform.NewEgress(core, r, cfg.Settings))
+	platform.Watch(core, r, cfg.Discovery, cfg.Known)
+	ln, err := r.Listen("tcp", cfg.Listen, in.Accept)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	term := make(chan os.Signal, 1)
+	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-term
+		core.Post(func() { core.Stop(core.Now() + stopAfter.Microseconds()) })
+		time.Sleep(stopAfter)
+		_ = ln.Close() // nothing more to do with it
+		core.Post(in.CloseIdle)
+		time.Sleep(50 * time.Millisecond)
+		cancel()
+	}()
+	log.Info().Str("listen", cfg.Listen).Int("endpoints", len(cfg.Known.Hosts)).Msg("serving")
+	return core.Run(ctx)
+}
--- /dev/null
+++ b/internal/net/platform/ingress.go
@@ -0,0 +1,216 @@
+package platform
+
+import (
+	"bytes"
+	"strconv"
+
+	"brackendale/internal/net/reactor"
+	"brackendale/internal/net/resp"
+	"brackendale/sender"
+)
+
+// Front is the name of this front in the spool.
+const Front = "platform"
+
+// maxClients bounds the clients' connections, so that descriptors are left for the targets.
+const maxClients = 512
+
+// maxWaiting bounds the commands of one connection that wait for their answers.
+const maxWaiting = 128
+
+// Ingress serves RESP2 clients.
+type Ingress struct {
+	core    *sender.Sender
+	notices *notices
+	clients map[*client]bool
+}
+
+// NewIngress makes the clients' side; ends are told to the registry's agent.
+func NewIngress(core *sender.Sender, r *reactor.Reactor, discovery string) *Ingress {
+	return &Ingress{core: core, clients: map[*client]bool{}, notices: newNotices(core, r, discovery)}
+}
+
+// Accept takes a client's connection.
+func (in *Ingress) Accept(c *reactor.Conn) reactor.Handler {
+	if len(in.clients) >= maxClients {
+		return nil
+	}
+	cl := &client{in: in, conn: c}
+	in.clients[cl] = true
+	return cl
+}
+
+// client is one connection. Answers leave in the order of the commands.
+type client struct {
+	in      *Ingress
+	conn    *reactor.Conn
+	buf     []byte
+	words   [][]byte
+	waiting []*reply
+	closing bool
+}
+
+type reply struct {
+	text []byte // nil: not known yet
+	x    *sender.Exchange
+}
+
+// Up is not used: clients dial.
+func (cl *client) Up(*reactor.Conn) {}
+
+// Data handles the commands that are whole.
+func (cl *client) Data(c *reactor.Conn, b []byte) {
+	if cl.closing {
+		return
+	}
+	if len(cl.buf) > 0 {
+		b = append(cl.buf, b...)
+	}
+	for len(b) > 0 && !cl.closing {
+		words, n, err := resp.Parse(b, cl.words)
+		if err == nil && len(cl.waiting) >= maxWaiting {
+			err = resp.ErrTooLong
+		}
+		if err != nil {
+			cl.say([]byte("-"+err.Error()+"\r\n"), true)
+			break
+		}
+		if n == 0 {
+			break
+		}
+		cl.words = words
+		cl.command(words)
+		b = b[n:]
+	}
+	if cl.buf = nil; !cl.closing {
+		cl.buf = b
+	}
+	cl.flush()
+}
+
+// Down forgets the client; what it waits for in this round was not taken on.
+func (cl *client) Down(*reactor.Conn, error) {
+	delete(cl.in.clients, cl)
+	for _, r := range cl.waiting {
+		if r.text == nil {
+			cl.in.core.Withdraw(r.x)
+		}
+	}
+	cl.waiting = nil
+}
+
+func (cl *client) say(text []byte, last bool) {
+	cl.waiting = append(cl.waiting, &reply{text: text})
+	cl.closing = cl.closing || last
+}
+
+func (cl *client) command(words [][]byte) {
+	switch {
+	case bytes.EqualFold(words[0], []byte("PING")) && len(words) == 1:
+		cl.say([]byte("+PONG\r\n"), false)
+	case bytes.EqualFold(words[0], []byte("PING")) && len(words) == 2:
+		cl.say([]byte("$"+strconv.Itoa(len(words[1]))+"\r\n"+string(words[1])+"\r\n"), false)
+	case bytes.EqualFold(words[0], []byte("SUBMIT")):
+		x, fault := cl.in.exchange(words[1:])
+		if fault != "" {
+			cl.say([]byte("-ERR "+fault+"\r\n"), false)
+			return
+		}
+		r := &reply{x: x}
+		x.Ref = func(text []byte) { r.text = text; cl.flush() }
+		cl.waiting = append(cl.waiting, r)
+		cl.in.core.Offer(x)
+	default:
+		cl.say([]byte("-ERR unknown command\r\n"), false)
+	}
+}
+
+// flush writes the answers that are due, in one gathered write.
+func (cl *client) flush() {
+	var out [][]byte
+	for len(cl.waiting) > 0 && cl.waiting[0].text != nil {
+		out = append(out, cl.waiting[0].text)
+		cl.waiting = cl.waiting[1:]
+	}
+	if len(out) > 0 && cl.conn.Write(out...) != nil || cl.closing && len(cl.waiting) == 0 {
+		cl.conn.Close()
+	}
+}
+
+// exchange reads the words behind SUBMIT: the key (zeros), the id, names and values, and the body.
+func (in *Ingress) exchange(words [][]byte) (*sender.Exchange, string) {
+	if len(words) != 4 {
+		return nil, "wrong number of arguments for SUBMIT"
+	}
+	id := string(words[1])
+	if id == "" || len(id) > 64 || bytes.ContainsAny(words[1], " \r\n\"\\") {
+		return nil, "bad id"
+	}
+	x := &sender.Exchange{ID: id, Front: Front, Body: bytes.Clone(words[3])}
+	limit, dest := int64(-1), false
+	for rest := words[2]; len(rest) > 0; {
+		var pair []byte
+		pair, rest, _ = bytes.Cut(rest, []byte{','})
+		name, value, _ := bytes.Cut(pair, []byte{'='})
+		v := string(value)
+		switch string(name) {
+		case "c":
+			x.Class = v
+		case "t":
+			x.Tenant = v
+		case "k":
+			x.Key = v
+		case "d":
+			if n, err := strconv.ParseInt(v, 10, 64); err == nil && n >= 0 && n < 1<<40 {
+				limit = n
+			}
+		case "dest":
+			n, err := strconv.ParseInt(v, 10, 64)
+			x.Dest, dest = n, err == nil
+		}
+	}
+	switch {
+	case !in.core.Knows(x.Class):
+		return nil, "unknown class c"
+	case limit < 0:
+		return nil, "bad or missing d"
+	case !dest || !in.core.Serves(x.Dest):
+		return nil, "unknown destination dest"
+	case in.core.Lane(x.Class).Effect == "by_key" && x.Key == "":
+		return nil, "missing key k"
+	case len(x.Key) > 64 || len(x.Tenant) > 64 || bytes.ContainsAny([]byte(x.Key), " \r\n"):
+		return nil, "bad key k or tenant t"
+	}
+	x.Deadline = in.core.Now() + limit*1000
+	return x, ""
+}
+
+// Answer tells the client whether its exchange was taken on.
+func (in *Ingress) Answer(x *sender.Exchange, v sender.Verdict, waitMs int64) {
+	text := []byte("+OK\r\n")
+	switch {
+	case v == sender.Busy && waitMs > 0:
+		text = []byte("-BUSY " + strconv.FormatInt(waitMs, 10) + "\r\n")
+	case v == sender.Busy:
+		text = []byte("-BUSY\r\n")
+	case v == sender.Failed:
+		text = []byte("-ERR failed\r\n")
+	}
+	if f, ok := x.Ref.(func([]byte)); ok {
+		f(text)
+	}
+}
+
+// Owes tells that all ends but delivery are told.
+func (in *Ingress) Owes(end string) bool { return end != sender.Delivered }
+
+// Tell queues a notice.
+func (in *Ingress) Tell(id, _, end string, waitMs int64) { in.notices.add(id, end, waitMs) }
+
+// CloseIdle ends the connections on which nothing waits, and those of the others once it is answered.
+func (in *Ingress) CloseIdle() {
+	for cl := range in.clients {
+		cl.closing = true
+		cl.flush()
+	}
+}
--- /dev/null
+++ b/internal/net/platform/notices.go
@@ -0,0 +1,82 @@
+package platform
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"brackendale/internal/net/http1"
+	"brackendale/internal/net/reactor"
+	"brackendale/sender"
+)
+
+// notices tells the platform the ends of what was taken on and not delivered. Each is sent again until
+// the agent has answered 204: only then is it settled.
+type notices struct {
+	core  *sender.Sender
+	r     *reactor.Reactor
+	addr  string
+	queue []notice
+	link  *link
+	busy  bool
+}
+
+type notice struct {
+	id   string
+	line []byte
+}
+
+// atOnce bounds the notices of one request.
+const atOnce = 256
+
+func newNotices(core *sender.Sender, r *reactor.Reactor, addr string) *notices {
+	return &notices{core: core, r: r, addr: addr}
+}
+
+func (n *notices) add(id, end string, waitMs int64) {
+	form := struct {
+		ID      string `json:"id"`
+		State   string `json:"state"`
+		AfterMs int64  `json:"after_ms,omitempty"`
+	}{id, end, waitMs}
+	line, err := json.Marshal(form)
+	if err != nil { // two strings and a number: cannot happen
+		panic(err)
+	}
+	n.queue = append(n.queue, notice{id, append(line, '\n')})
+	n.core.Post(n.push) // what one round ends goes in one request
+}
+
+func (n *notices) push() {
+	if n.busy || len(n.queue) == 0 {
+		return
+	}
+	if n.link == nil || n.link.conn.Dead() {
+		n.link = dial(n.r, n.addr, agentLimit)
+	}
+	batch := n.queue[:min(len(n.queue), atOnce)]
+	pieces, size := [][]byte{nil}, 0
+	for _, x := range batch {
+		pieces = append(pieces, x.line)
+		size += len(x.line)
+	}
+	pieces[0] = []byte("POST /v2/finals HTTP/1.1\r\nHost: " + n.addr + "\r\nContent-Length: " + strconv.Itoa(size) + "\r\n\r\n")
+	l := n.link
+	n.busy = true
+	timer := time.AfterFunc(agentLimit, func() { n.core.Post(l.drop) })
+	l.do(func(a *http1.Response, err error) {
+		timer.Stop()
+		n.busy = false
+		if err == nil && a.Status == 204 {
+			for _, x := range batch {
+				n.core.Settle(x.id)
+			}
+			n.queue = n.queue[len(batch):]
+			n.core.Post(n.push)
+			return
+		}
+		l.conn.Close()
+		n.link = nil
+		time.AfterFunc(againGap, func() { n.core.Post(n.push) })
+	}, pieces...)
+}
--- /dev/null
+++ b/internal/net/reactor/reactor.go
@@ -0,0 +1,267 @@
+// Package reactor runs the program's sockets on one nbio engine. Its callbacks post work to the
+// owner's queue, so handlers run on the owner's goroutine and need no locks.
+package reactor
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+)
+
+// maxUnsent bounds what one connection may hold unwritten: a peer that does not read is cut off.
+const maxUnsent = 512 << 10
+
+// maxUnread bounds what has been read and not yet handled, over all connections.
+const maxUnread = 4 << 20
+
+// Handler is told of one connection's life, always on the owner's goroutine.
+type Handler interface {
+	// Up is called once when a dialled connection is established.
+	Up(c *Conn)
+	// Data hands over bytes; the slice is the handler's to keep.
+	Data(c *Conn, b []byte)
+	// Down is called once when the connection has ended, also by Close.
+	Down(c *Conn, err error)
+}
+
+// Reactor owns the engine.
+type Reactor struct {
+	engine *nbio.Engine
+	post   func(func())
+	unread atomic.Int64
+	room   sync.Cond
+}
+
+// Conn is one connection. Its methods are for the owner's goroutine.
+type Conn struct {
+	r       *Reactor
+	nc      atomic.Pointer[nbio.Conn]
+	h       Handler
+	dead    bool
+	timer   *time.Timer
+	queued  int64
+	written atomic.Int64
+}
+
+// New starts an engine whose handlers run by way of post.
+func New(post func(func())) (*Reactor, error) {
+	logging.SetLevel(logging.LevelNone)
+	r := &Reactor{post: post, room: sync.Cond{L: &sync.Mutex{}}}
+	r.engine = nbio.NewEngine(nbio.Config{NPoller: 1, ReadBufferSize: 32 << 10, MaxWriteBufferSize: maxUnsent})
+	r.engine.OnData(r.data)
+	r.engine.OnClose(func(nc *nbio.Conn, err error) {
+		if c, ok := nc.Session().(*Conn); ok {
+			r.post(func() { c.down(err) })
+		}
+	})
+	r.engine.OnWrittenSize(func(nc *nbio.Conn, _ []byte, n int) {
+		if c, ok := nc.Session().(*Conn); ok {
+			c.written.Add(int64(n))
+		}
+	})
+	if err := r.engine.Start(); err != nil {
+		return nil, fmt.Errorf("starting the socket engine: %w", err)
+	}
+	return r, nil
+}
+
+// data runs on the engine's goroutine; it waits there while too much is unread, which stops reading.
+func (r *Reactor) data(nc *nbio.Conn, b []byte) {
+	c, ok := nc.Session().(*Conn)
+	if !ok {
+		return
+	}
+	own, n := append([]byte(nil), b...), int64(len(b))
+	r.room.L.Lock()
+	for r.unread.Load() > maxUnread {
+		r.room.Wait()
+	}
+	r.room.L.Unlock()
+	r.unread.Add(n)
+	r.post(func() {
+		r.unread.Add(-n)
+		r.room.L.Lock()
+		r.room.Signal()
+		r.room.L.Unlock()
+		if !c.dead {
+			c.h.Data(c, own)
+		}
+	})
+}
+
+// Stop closes the engine and all of its connections.
+func (r *Reactor) Stop() { r.engine.Stop() }
+
+// Listen accepts connections; accept names the handler of each, or nil to turn it away. The accept loop
+// is ours and not the engine's, since the engine's ends for good when descriptors run out for a moment.
+func (r *Reactor) Listen(network, addr string, accept func(*Conn) Handler) (net.Listener, error) {
+	ln, err := net.Listen(network, addr)
+	if err != nil {
+		return nil, fmt.Errorf("listening on %s: %w", addr, err)
+	}
+	go func() {
+		for {
+			sock, err := ln.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err != nil {
+				time.Sleep(20 * time.Millisecond)
+				continue
+			}
+			nc, err := nbio.NBConn(sock)
+			if err != nil {
+				_ = sock.Close() // nbio closes it only once it has taken it over
+				continue
+			}
+			r.post(func() {
+				c := &Conn{r: r}
+				if c.h = accept(c); c.h == nil {
+					_ = nc.Close()
+					return
+				}
+				nc.SetSession(c)
+				c.nc.Store(nc)
+				if _, err := r.engine.AddConn(nc); err != nil {
+					c.down(err)
+				}
+			})
+		}
+	}()
+	return ln, nil
+}
+
+// Dial opens a connection; the handler hears Up or Down, at the latest after the time given.
+func (r *Reactor) Dial(addr string, limit time.Duration, h Handler) *Conn {
+	c := &Conn{r: r, h: h}
+	c.timer = time.AfterFunc(limit, func() {
+		r.post(func() {
+			if c.timer != nil {
+				c.Close()
+				c.down(syscall.ETIMEDOUT)
+			}
+		})
+	})
+	err := r.engine.DialAsyncTimeout("tcp", addr, limit, func(nc *nbio.Conn, err error) {
+		if err == nil {
+			nc.SetSession(c)
+			c.nc.Store(nc)
+			// The engine calls a failed connect established: only the socket itself tells.
+			err = soError(nc)
+		}
+		r.post(func() { c.up(nc, err) })
+	})
+	if err != nil {
+		r.post(func() { c.down(err) })
+	}
+	return c
+}
+
+func soError(nc *nbio.Conn) error {
+	raw, err := nc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var code int
+	var serr error
+	if err := raw.Control(func(fd uintptr) {
+		code, serr = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
+	}); err != nil {
+		return err
+	}
+	if serr == nil && code != 0 {
+		serr = syscall.Errno(code)
+	}
+	return serr
+}
+
+func (c *Conn) up(nc *nbio.Conn, err error) {
+	if c.dead {
+		if nc != nil {
+			_ = nc.Close()
+		}
+		return
+	}
+	if err != nil {
+		c.Close()
+		c.down(err)
+		return
+	}
+	c.timer.Stop()
+	c.timer = nil
+	_ = nc.SetNoDelay(true)
+	c.h.Up(c)
+}
+
+func (c *Conn) down(err error) {
+	if c.dead {
+		return
+	}
+	c.dead = true
+	if c.timer != nil {
+		c.timer.Stop()
+		c.timer = nil
+	}
+	if err == nil {
+		err = io.EOF
+	}
+	c.h.Down(c, err)
+}
+
+// Close ends the connection at once; Down follows.
+func (c *Conn) Close() {
+	if nc := c.nc.Load(); nc != nil {
+		_ = nc.Close()
+	}
+	c.r.post(func() { c.down(net.ErrClosed) })
+}
+
+// Dead tells whether the connection has ended.
+func (c *Conn) Dead() bool { return c.dead }
+
+// Sent tells whether all that was written has left for the socket.
+func (c *Conn) Sent() bool { return c.written.Load() >= c.queued }
+
+// Write hands over the pieces in one gathered write. The engine's own gathered write forgets the pieces
+// behind the one that a partial write ends in, and all of them where the socket was full: those go
+// after it here, one by one, through its buffered write.
+func (c *Conn) Write(pieces ...[]byte) error {
+	nc := c.nc.Load()
+	if nc == nil || c.dead {
+		return net.ErrClosed
+	}
+	total := 0
+	for _, p := range pieces {
+		total += len(p)
+	}
+	c.queued += int64(total)
+	n, err := nc.Writev(pieces)
+	if err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR) {
+		return fmt.Errorf("writing: %w", err)
+	}
+	if len(pieces) == 1 {
+		return nil // the engine buffers what one piece leaves, and counts it
+	}
+	if n == total {
+		c.written.Add(int64(n)) // not counted by the engine when all went out at once
+		return nil
+	}
+	for end, i := 0, 0; i < len(pieces); i++ {
+		start := end
+		if end += len(pieces[i]); start < n || len(pieces[i]) == 0 {
+			continue // sent, or its rest is in the engine's buffer
+		}
+		if _, err := nc.Write(pieces[i]); err != nil {
+			return fmt.Errorf("writing: %w", err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/spool/spool.go
@@ -0,0 +1,370 @@
+// Package spool is the sender's journal in the folder that lasts. What was taken on, what was tried and
+// what ended is appended as checksummed records, one write a round, and read back after a restart.
+// Nothing is synced: a write survives the process, and only the machine's loss loses it.
+package spool
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+)
+
+// Entry is one message as the spool knows it.
+type Entry struct {
+	ID, Class, Tenant, Key string
+	Front, Note            string // who handed it in, and what that front wants back with the end
+	Dest, Deadline         int64  // Deadline: wall clock, in microseconds
+	Body                   []byte
+	Attempts               int
+	FirstRun               int64  // when the first attempt left that may have run; 0: none
+	Zone                   string // of that attempt
+	OpenAt                 int64  // when the attempt left that is still open; 0: none
+	OpenZone               string
+	End                    string // its end, once it has one
+	WaitMs                 int64
+	EndedAt                int64
+	order                  uint64
+}
+
+// ErrFull tells that the disk budget has no room.
+var ErrFull = errors.New("spool: no room in the disk budget")
+
+const (
+	fileName = "spool"
+	magic    = "brackendale spool 1\n"
+	head     = 8 // length and checksum
+	perHop   = 160
+	perMsg   = 8*2*perHop + 512 // what a held message may still need: eight attempts, its end, its notice
+	block    = 512
+	maxRec   = 1 << 20
+)
+
+// The kinds of record.
+const (
+	recTaken = iota + 1
+	recHop
+	recClosed
+	recEnd
+	recGone
+)
+
+var table = crc32.MakeTable(crc32.Castagnoli)
+
+// Spool is the open journal. It belongs to one goroutine.
+type Spool struct {
+	dir   string
+	f     *os.File
+	size  int64 // of the file, as written
+	most  int64 // of the file: half the budget, so that a compaction fits beside it
+	buf   []byte
+	live  map[string]*Entry
+	bytes int64 // what the live entries would take
+	next  uint64
+}
+
+// Open reads the journal in dir, or starts one. What a torn tail holds was never acted upon: it is cut off.
+func Open(dir string, budget int64) (*Spool, error) {
+	s := &Spool{dir: dir, most: budget/2 - 2*block, live: map[string]*Entry{}}
+	if s.most < 4*perMsg {
+		return nil, fmt.Errorf("spool: a disk budget of %d bytes is too small", budget)
+	}
+	if err := os.Remove(s.path() + ".new"); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, fmt.Errorf("spool: %w", err)
+	}
+	f, err := os.OpenFile(s.path(), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("spool: %w", err)
+	}
+	s.f = f
+	raw, err := io.ReadAll(io.LimitReader(f, budget+maxRec))
+	if err != nil {
+		return nil, fmt.Errorf("spool: reading: %w", err)
+	}
+	if s.size = s.replay(raw); s.size == 0 {
+		raw, s.buf = nil, append(s.buf, magic...)
+	}
+	if s.size < int64(len(raw)) || len(raw) == 0 {
+		if err := f.Truncate(s.size); err != nil {
+			return nil, fmt.Errorf("spool: %w", err)
+		}
+	}
+	if _, err := f.Seek(s.size, io.SeekStart); err != nil {
+		return nil, fmt.Errorf("spool: %w", err)
+	}
+	return s, s.Flush()
+}
+
+func (s *Spool) path() string { return filepath.Join(s.dir, fileName) }
+
+// Close gives the file back.
+func (s *Spool) Close() error { return s.f.Close() }
+
+// Entries lists what is live, in the order in which it was taken on.
+func (s *Spool) Entries() []*Entry {
+	var list []*Entry
+	for _, e := range s.live {
+		list = append(list, e)
+	}
+	slices.SortFunc(list, func(a, b *Entry) int { return int(int64(a.order - b.order)) })
+	return list
+}
+
+// Get returns a live entry, or nil.
+func (s *Spool) Get(id string) *Entry { return s.live[id] }
+
+// Room tells whether one more message of that many bytes in all can be taken on, next to those that
+// were promised room already, and still be given attempts, an end and a compaction.
+func (s *Spool) Room(bytes, promised int) bool {
+	return s.bytes+int64(bytes+promised)+2*perMsg+block <= s.most*3/4
+}
+
+// Need is what an entry takes for good, with what it may still need.
+func Need(e *Entry) int {
+	return len(e.Body) + len(e.ID)*2 + len(e.Class) + len(e.Tenant) + len(e.Key) + len(e.Front) + len(e.Note) + perMsg
+}
+
+// Take records a message as taken on.
+func (s *Spool) Take(e *Entry) {
+	s.add(e)
+	s.buf = e.append(s.buf)
+}
+
+// Hop records an attempt before its first byte.
+func (s *Spool) Hop(id, zone string, at int64) {
+	s.change(recHop, id, at, zone)
+}
+
+// Closed records that the open attempt is over, and whether it may have run.
+func (s *Spool) Closed(id string, mayRun bool) {
+	x := int64(0)
+	if mayRun {
+		x = 1
+	}
+	s.change(recClosed, id, x, "")
+}
+
+// End records how a message ended. It stays until it is Gone.
+func (s *Spool) End(id, end string, waitMs, at int64) {
+	s.change(recEnd, id, waitMs, end, uint64(at))
+}
+
+// Gone forgets a message: nothing more is owed.
+func (s *Spool) Gone(id string) { s.change(recGone, id, 0, "") }
+
+func (s *Spool) change(kind byte, id string, n int64, text string, more ...uint64) {
+	if s.live[id] == nil {
+		return
+	}
+	var p []byte
+	p = append(p, kind)
+	p = appendText(p, id)
+	p = binary.AppendVarint(p, n)
+	p = appendText(p, text)
+	for _, x := range more {
+		p = binary.AppendUvarint(p, x)
+	}
+	s.buf = frame(s.buf, p)
+	s.apply(p)
+}
+
+// Flush writes what the round has recorded, in one write.
+func (s *Spool) Flush() error {
+	if len(s.buf) == 0 {
+		return nil
+	}
+	if s.size+int64(len(s.buf)) > s.most {
+		return s.compact()
+	}
+	n, err := s.f.Write(s.buf)
+	if err != nil {
+		// A part of a record would hide all that comes after it.
+		if terr := s.f.Truncate(s.size); terr != nil {
+			return fmt.Errorf("spool: writing: %w", errors.Join(err, terr))
+		}
+		_, serr := s.f.Seek(s.size, io.SeekStart)
+		return fmt.Errorf("spool: writing: %w", errors.Join(err, serr))
+	}
+	s.size += int64(n)
+	s.buf = s.buf[:0]
+	return nil
+}
+
+// compact writes what is live to a new file and puts that in the old one's place. The round's records
+// are in it, since the entries are changed as they are recorded.
+func (s *Spool) compact() error {
+	out := []byte(magic)
+	for _, e := range s.Entries() {
+		out = e.append(out)
+	}
+	if int64(len(out)) > s.most {
+		return ErrFull
+	}
+	name := s.path() + ".new"
+	f, err := os.OpenFile(name, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return fmt.Errorf("spool: %w", err)
+	}
+	if _, err = f.Write(out); err == nil {
+		err = os.Rename(name, s.path())
+	}
+	if err != nil {
+		_ = f.Close() // the old file still stands
+		return fmt.Errorf("spool: compaction: %w", errors.Join(err, os.Remove(name)))
+	}
+	_ = s.f.Close() // its file is gone already
+	s.f, s.size, s.buf = f, int64(len(out)), s.buf[:0]
+	return nil
+}
+
+func (s *Spool) add(e *Entry) {
+	s.next++
+	e.order = s.next
+	s.live[e.ID] = e
+	s.bytes += int64(Need(e))
+}
+
+// replay applies the records and returns how many bytes of the file are sound.
+func (s *Spool) replay(raw []byte) int64 {
+	if len(raw) < len(magic) || string(raw[:len(magic)]) != magic {
+		return 0
+	}
+	at := len(magic)
+	for len(raw)-at >= head {
+		n := int(binary.LittleEndian.Uint32(raw[at:]))
+		sum := binary.LittleEndian.Uint32(raw[at+4:])
+		if n > maxRec || len(raw)-at-head < n {
+			break
+		}
+		p := raw[at+head : at+head+n]
+		if crc32.Checksum(p, table) != sum || !s.apply(p) {
+			break
+		}
+		at += head + n
+	}
+	return int64(at)
+}
+
+// apply changes the entries by one record; false means that it makes no sense.
+func (s *Spool) apply(p []byte) bool {
+	r := reader{b: p}
+	kind := r.byte()
+	if kind == recTaken {
+		e := &Entry{ID: r.text(), Class: r.text(), Tenant: r.text(), Key: r.text(), Front: r.text(),
+			Note: r.text(), Dest: r.int(), Deadline: r.int(), Attempts: int(r.int()), FirstRun: r.int(),
+			Zone: r.text(), OpenAt: r.int(), OpenZone: r.text(), End: r.text(), WaitMs: r.int(), EndedAt: r.int()}
+		e.Body = []byte(r.text())
+		if r.bad || e.Attempts < 0 || s.live[e.ID] != nil {
+			return false
+		}
+		s.add(e)
+		return true
+	}
+	id, n, text := r.text(), r.int(), r.text()
+	if r.bad {
+		return false
+	}
+	e := s.live[id]
+	if e == nil {
+		return false
+	}
+	switch kind {
+	case recHop:
+		e.Attempts++
+		e.OpenAt, e.OpenZone = n, text
+	case recClosed:
+		if n != 0 && e.FirstRun == 0 {
+			e.FirstRun, e.Zone = e.OpenAt, e.OpenZone
+		}
+		e.OpenAt, e.OpenZone = 0, ""
+	case recEnd:
+		s.bytes -= int64(len(e.Body)) // an ended message is never sent again
+		e.End, e.WaitMs, e.EndedAt, e.Body = text, n, int64(r.uint()), nil
+	case recGone:
+		s.bytes -= int64(Need(e))
+		delete(s.live, id)
+	default:
+		return false
+	}
+	return !r.bad
+}
+
+func (e *Entry) append(out []byte) []byte {
+	p := []byte{recTaken}
+	for _, t := range []string{e.ID, e.Class, e.Tenant, e.Key, e.Front, e.Note} {
+		p = appendText(p, t)
+	}
+	for _, n := range []int64{e.Dest, e.Deadline, int64(e.Attempts), e.FirstRun} {
+		p = binary.AppendVarint(p, n)
+	}
+	p = appendText(p, e.Zone)
+	p = binary.AppendVarint(p, e.OpenAt)
+	p = appendText(p, e.OpenZone)
+	p = appendText(p, e.End)
+	p = binary.AppendVarint(p, e.WaitMs)
+	p = binary.AppendVarint(p, e.EndedAt)
+	p = appendText(p, string(e.Body))
+	return frame(out, p)
+}
+
+func frame(out, p []byte) []byte {
+	out = binary.LittleEndian.AppendUint32(out, uint32(len(p)))
+	out = binary.LittleEndian.AppendUint32(out, crc32.Checksum(p, table))
+	return append(out, p...)
+}
+
+func appendText(p []byte, t string) []byte {
+	return append(binary.AppendUvarint(p, uint64(len(t))), t...)
+}
+
+// reader takes a record apart; bad is set once it does not hold what is asked of it.
+type reader struct {
+	b   []byte
+	bad bool
+}
+
+func (r *reader) byte() byte {
+	if len(r.b) == 0 {
+		r.bad = true
+		return 0
+	}
+	x := r.b[0]
+	r.b = r.b[1:]
+	return x
+}
+
+func (r *reader) skip(n int) {
+	if n <= 0 {
+		r.bad, r.b = true, nil
+		return
+	}
+	r.b = r.b[n:]
+}
+
+func (r *reader) int() int64 {
+	x, n := binary.Varint(r.b)
+	r.skip(n)
+	return x
+}
+
+func (r *reader) uint() uint64 {
+	x, n := binary.Uvarint(r.b)
+	r.skip(n)
+	return min(x, math.MaxInt64)
+}
+
+func (r *reader) text() string {
+	n := r.uint()
+	if n > uint64(len(r.b)) {
+		r.bad = true
+		return ""
+	}
+	t := string(r.b[:n])
+	r.b = r.b[n:]
+	return t
+}
--- a/logic/api.go
+++ b/logic/api.go
@@ -88,14 +88,15 @@
 
 // The events that Step takes.
 const (
-	Arrived   EventKind = iota // ID, Class, Tenant, Dest, Deadline, Key, HasKey, WorkUs
-	Reported                   // ID, N, Addr, Reason, RttUs, Finished, HoldMs
-	Streaming                  // ID, N, Addr
-	Left                       // ID
-	Woke                       // a timer fell due
-	Listed                     // How, List
-	Checked                    // Addr, Reason, RttUs
-	Peer                       // not used
+	Arrived EventKind = iota // ID, Class, Tenant, Dest, Deadline, Key, HasKey, WorkUs; after a restart also
+	// Attempts, FirstRunUs and Zone
+	Reported  // ID, N, Addr, Reason, RttUs, Finished, HoldMs
+	Streaming // ID, N, Addr
+	Left      // ID
+	Woke      // a timer fell due
+	Listed    // How, List
+	Checked   // Addr, Reason, RttUs
+	Peer      // not used
 )
 
 // Event is one thing that happened to this relay.
@@ -118,6 +119,12 @@
 	Report   []float64 // as Settings.Report.Fields; empty: none
 	How      string    // patch, whole, stale_copy, broken
 	List     []Endpoint
+
+	// What a sender that restarts knows of a message that it still owes its end. All are zero for
+	// one that is handed in.
+	Attempts   int    // how many have left
+	FirstRunUs int64  // when the first left that may have run; 0: none
+	Zone       string // of that one's endpoint
 }
 
 // ActionKind says which fields of an Action count.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -175,7 +175,8 @@
 		r.acts = append(r.acts, Action{Kind: PushBack, ID: e.ID})
 		return
 	}
-	m := &message{id: e.ID, lane: l, dest: r.dest(e.Dest), worth: l.Worth, deadline: e.Deadline}
+	m := &message{id: e.ID, lane: l, dest: r.dest(e.Dest), worth: l.Worth, deadline: e.Deadline,
+		attempts: e.Attempts, tries: e.Attempts, firstRun: e.FirstRunUs, zone: e.Zone}
 	aim := l.AimUs + int64(l.AimStretch*float64(e.WorkUs))
 	m.aimAt = min(e.Deadline, e.Deadline-l.HardLimitUs+aim)
 	if t := r.tenants[e.Tenant]; t != nil && t.quota > 0 {
@@ -202,7 +203,11 @@
 	d.inAt = r.now
 	m.notBefore = r.now + r.doubt(d)
 	r.enqueue(m)
-	r.remind(m, r.endBy(m))
+	r.remind(m, r.windowEnd(m))
+	if m.attempts > 0 && r.spent(m) { // taken on before a restart
+		r.finish(m)
+		return
+	}
 	m.line.sort() // drawn one by one, the longest wait would hold all of a key
 	if n := r.set.Caps.OpenCap; n > 0 && r.open > n-1-n/24 {
 		r.shed()
@@ -220,6 +225,12 @@
 	return min(r.endBy(m), m.firstRun+m.lane.WindowUs-r.set.TickUs)
 }
 
+// spent: a message may not be sent again, for its class, its time or the attempts that it has had.
+func (r *Relay) spent(m *message) bool {
+	return m.lane.once && m.firstRun != 0 || r.now >= r.windowEnd(m) ||
+		r.set.Caps.MaxAttempts > 0 && m.attempts >= r.set.Caps.MaxAttempts
+}
+
 func (r *Relay) expire(m *message) {
 	r.dues = r.dues[1:]
 	if m.call == nil && r.now >= r.windowEnd(m) || r.now >= r.endBy(m) {
@@ -359,8 +370,7 @@
 		r.close(m)
 		return
 	}
-	if m.begun || m.lane.once && m.firstRun != 0 || r.now >= r.windowEnd(m) ||
-		r.set.Caps.MaxAttempts > 0 && m.attempts >= r.set.Caps.MaxAttempts {
+	if m.begun || r.spent(m) {
 		r.finish(m)
 		return
 	}
--- /dev/null
+++ b/sender/sender.go
@@ -0,0 +1,433 @@
+// Package sender is the embeddable core: it gathers what is ready, hands it to the decision module in
+// one step and carries out what comes back. It deals in exchanges, hops and outcomes and knows no wire.
+//
+// All methods but Post belong to the goroutine that runs Run; Post is the way onto it.
+package sender
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"brackendale/internal/spool"
+	"brackendale/logic"
+
+	"github.com/rs/zerolog"
+)
+
+// Options is what a sender is made of.
+type Options struct {
+	Settings logic.Settings
+	Seed     int64
+	Dir      string // the folder that lasts
+	Disk     int64  // bytes that may lie in it
+	Log      zerolog.Logger
+}
+
+// Sender is one sender. Its goroutine owns all of its state.
+type Sender struct {
+	opt     Options
+	relay   *logic.Relay
+	spool   *spool.Spool
+	log     zerolog.Logger
+	started time.Time
+	tick    time.Duration
+
+	mu   sync.Mutex
+	box  []func()
+	wake chan struct{}
+
+	fronts   map[string]Ingress
+	carriers map[string]Egress
+	routes   map[string]Route
+	dests    map[int64]bool // that a route was ever for
+	lanes    map[string]logic.Lane
+	kinds    map[string]int // messages in one call at most
+
+	events   []logic.Event
+	offers   []*Exchange
+	promised int // bytes of the offers
+	open     int // taken on and not ended
+	tell     []*spool.Entry
+	last     time.Time
+	stopping bool
+	stats    State
+	seen     map[string]*RouteState
+}
+
+// refusedMs is the wait that is told where the module was not asked: its hold, or the disk, is full.
+const refusedMs = 500
+
+// New opens the spool and makes a sender. Fronts are added before Run.
+func New(opt Options) (*Sender, error) {
+	relay, err := logic.New(opt.Settings, opt.Seed)
+	if err != nil {
+		return nil, err
+	}
+	sp, err := spool.Open(opt.Dir, opt.Disk)
+	if err != nil {
+		return nil, err
+	}
+	s := &Sender{opt: opt, relay: relay, spool: sp, log: opt.Log, started: time.Now(),
+		tick: time.Duration(opt.Settings.TickUs) * time.Microsecond, wake: make(chan struct{}, 1),
+		fronts: map[string]Ingress{}, carriers: map[string]Egress{}, routes: map[string]Route{}, dests: map[int64]bool{},
+		lanes: map[string]logic.Lane{}, kinds: map[string]int{}, seen: map[string]*RouteState{}}
+	for _, l := range opt.Settings.Lanes {
+		s.lanes[l.Name] = l
+	}
+	for i, k := range opt.Settings.MachineTypes {
+		if i < len(opt.Settings.Family.PerCall) {
+			s.kinds[k] = opt.Settings.Family.PerCall[i]
+		}
+	}
+	return s, nil
+}
+
+// AddIngress adds a client's side under a name that stays the same over restarts.
+func (s *Sender) AddIngress(name string, in Ingress) { s.fronts[name] = in }
+
+// AddEgress adds the egress for the routes of a protocol.
+func (s *Sender) AddEgress(proto string, out Egress) { s.carriers[proto] = out }
+
+// Post lets f run on the sender's goroutine, after what was posted before. Any goroutine may call it.
+func (s *Sender) Post(f func()) {
+	s.mu.Lock()
+	s.box = append(s.box, f)
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Now is the wall clock in microseconds as read at the start, carried on by the steady clock.
+func (s *Sender) Now() int64 { return s.started.UnixMicro() + time.Since(s.started).Microseconds() }
+
+// Run takes up what the spool holds and serves until ctx ends.
+func (s *Sender) Run(ctx context.Context) error {
+	defer s.spool.Close()
+	s.restore()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.wake:
+		}
+		// What comes within one tick of the last step is handed over together.
+		if rest := s.tick - time.Since(s.last); rest > 0 {
+			time.Sleep(rest)
+		}
+		s.mu.Lock()
+		box := s.box
+		s.box = nil
+		s.mu.Unlock()
+		for _, f := range box {
+			f()
+		}
+		if err := s.round(); err != nil {
+			return err
+		}
+	}
+}
+
+// restore hands the module what was taken on before a restart. An attempt that was open may have run.
+func (s *Sender) restore() {
+	for _, e := range s.spool.Entries() {
+		if e.End != "" {
+			s.tell = append(s.tell, e)
+			continue
+		}
+		if e.OpenAt != 0 {
+			s.spool.Closed(e.ID, true)
+		}
+		s.open++
+		s.events = append(s.events, logic.Event{Kind: logic.Arrived, ID: e.ID, Class: e.Class, Tenant: e.Tenant,
+			Dest: e.Dest, Deadline: e.Deadline, Attempts: e.Attempts, FirstRunUs: e.FirstRun, Zone: e.Zone})
+	}
+	if n := len(s.events); n > 0 || len(s.tell) > 0 {
+		s.log.Info().Int("open", n).Int("owed", len(s.tell)).Msg("taken up from the spool")
+	}
+	s.Post(func() {})
+}
+
+// Offer hands in an exchange; its ingress gets the answer at the end of the round.
+func (s *Sender) Offer(x *Exchange) {
+	if e := s.spool.Get(x.ID); e != nil { // the client did not hear the answer: it is held, or has its end
+		s.answer(x, Taken, 0)
+		if e.End != "" {
+			s.tell = append(s.tell, e)
+		}
+		return
+	}
+	need := spool.Need(entry(x))
+	cap := s.opt.Settings.Caps.OpenCap
+	if cap > 0 && s.open+len(s.offers) >= cap || !s.spool.Room(need, s.promised) || s.stats.Held {
+		s.answer(x, Busy, refusedMs)
+		return
+	}
+	for _, o := range s.offers {
+		if o.ID == x.ID {
+			s.answer(x, Busy, refusedMs)
+			return
+		}
+	}
+	s.promised += need
+	s.offers = append(s.offers, x)
+	s.events = append(s.events, logic.Event{Kind: logic.Arrived, ID: x.ID, Class: x.Class, Tenant: x.Tenant,
+		Dest: x.Dest, Deadline: x.Deadline})
+}
+
+// Knows tells whether a class is one that the settings name.
+func (s *Sender) Knows(class string) bool { _, ok := s.lanes[class]; return ok }
+
+// Lane returns the settings of a class.
+func (s *Sender) Lane(class string) logic.Lane { return s.lanes[class] }
+
+// Serves tells whether the route table has had a target of that destination. Its last one may have left
+// for a moment, until another takes its place.
+func (s *Sender) Serves(dest int64) bool { return s.dests[dest] }
+
+// Withdraw takes back an offer of this round whose client has gone without its answer.
+func (s *Sender) Withdraw(x *Exchange) {
+	for i, o := range s.offers {
+		if o == x {
+			s.offers[i] = &Exchange{ID: x.ID}
+			s.events = append(s.events, logic.Event{Kind: logic.Left, ID: x.ID})
+		}
+	}
+}
+
+// Report books how a hop ended.
+func (s *Sender) Report(o Outcome) {
+	mayRun := o.Reason != Full && o.Reason != NoConn && o.Reason != Moot
+	s.spool.Closed(o.ID, mayRun)
+	if r := s.seen[o.Target]; r != nil {
+		r.Out--
+		r.LastReason = o.Reason
+		if o.Reason == Good {
+			r.Good++
+		} else {
+			r.Lost++
+		}
+	}
+	if e := s.spool.Get(o.ID); e != nil && e.End == "" {
+		if o.Reason == Good {
+			s.end(o.ID, Delivered, 0)
+		} else if o.Over {
+			s.open--
+			s.spool.Gone(o.ID)
+		}
+	}
+	s.events = append(s.events, logic.Event{Kind: logic.Reported, ID: o.ID, N: o.N, Addr: o.Target,
+		Reason: o.Reason, Finished: o.Over || o.Reason == Good, HoldMs: o.HoldMs, Report: o.Load})
+}
+
+// Routes books news of the route table. how is patch, whole or stale_copy.
+func (s *Sender) Routes(how string, list []Route) {
+	e := logic.Event{Kind: logic.Listed, How: how}
+	if how != "patch" {
+		s.routes = map[string]Route{}
+	}
+	by := map[string][]Route{}
+	for _, r := range list {
+		e.List = append(e.List, r.Endpoint)
+		by[r.Proto] = append(by[r.Proto], r)
+		s.routes[r.Addr], s.dests[r.Dest] = r, true
+		if s.seen[r.Addr] == nil {
+			s.seen[r.Addr] = &RouteState{}
+		}
+		s.seen[r.Addr].Route = r
+		if r.State == "dead" {
+			delete(s.routes, r.Addr)
+			delete(s.seen, r.Addr)
+		}
+	}
+	for name := range s.seen {
+		if _, ok := s.routes[name]; !ok {
+			delete(s.seen, name)
+		}
+	}
+	for proto, c := range s.carriers {
+		c.Routes(by[proto])
+	}
+	s.events = append(s.events, e)
+}
+
+// Settle forgets an exchange whose end has arrived.
+func (s *Sender) Settle(id string) {
+	if e := s.spool.Get(id); e != nil && e.End != "" {
+		s.spool.Gone(id)
+	}
+}
+
+// Stop is called once at a planned end: from here only hops start that should end before the time given.
+func (s *Sender) Stop(until int64) {
+	s.stopping = true
+	s.log.Info().Int64("left_ms", (until-s.Now())/1000).Int("open", s.open).Msg("stopping")
+}
+
+func (s *Sender) answer(x *Exchange, v Verdict, waitMs int64) {
+	if v == Taken {
+		s.stats.Taken++
+	} else {
+		s.stats.Refused++
+	}
+	if in := s.fronts[x.Front]; in != nil {
+		in.Answer(x, v, waitMs)
+	}
+}
+
+// end books the end of an exchange that was taken on. It is told once the round is written.
+func (s *Sender) end(id, end string, waitMs int64) {
+	e := s.spool.Get(id)
+	if e == nil || e.End != "" {
+		return
+	}
+	s.open--
+	switch end {
+	case Delivered:
+		s.stats.Delivered++
+	case Returned:
+		s.stats.Back++
+	default:
+		s.stats.Failed++
+	}
+	if in := s.fronts[e.Front]; in != nil && !in.Owes(end) {
+		s.spool.Gone(id)
+		return
+	}
+	s.spool.End(id, end, waitMs, s.Now())
+	s.tell = append(s.tell, e)
+}
+
+func entry(x *Exchange) *spool.Entry {
+	return &spool.Entry{ID: x.ID, Class: x.Class, Tenant: x.Tenant, Key: x.Key, Front: x.Front, Note: x.Note,
+		Dest: x.Dest, Deadline: x.Deadline, Body: x.Body}
+}
+
+// round is one step of the module, its record in the spool, and then its actions.
+func (s *Sender) round() error {
+	events, offers := s.events, s.offers
+	s.events, s.offers, s.promised, s.last = nil, nil, 0, time.Now()
+	acts := s.relay.Step(s.Now(), events)
+
+	// What one round takes and ends at once was never taken on: its client hears that and nothing is kept.
+	type early struct {
+		v    Verdict
+		wait int64
+	}
+	ended := map[string]early{}
+	for _, a := range acts {
+		switch a.Kind {
+		case logic.PushBack:
+			ended[a.ID] = early{Busy, a.WaitUs / 1000}
+		case logic.Abort:
+			ended[a.ID] = early{Failed, 0}
+		}
+	}
+	for _, x := range offers {
+		if _, ok := ended[x.ID]; !ok && x.Front != "" {
+			s.open++
+			s.spool.Take(entry(x))
+		}
+	}
+	calls := s.calls(acts)
+	for _, a := range acts {
+		switch a.Kind {
+		case logic.PushBack:
+			s.end(a.ID, Returned, a.WaitUs/1000)
+		case logic.Abort:
+			s.end(a.ID, Abandoned, 0)
+		}
+	}
+	if err := s.spool.Flush(); err != nil {
+		// Room was kept for all of this: without the record no promise can be kept any more.
+		return fmt.Errorf("the spool cannot be written: %w", err)
+	}
+	for _, x := range offers {
+		if x.Front != "" {
+			e, ok := ended[x.ID]
+			if !ok {
+				e.v = Taken
+			}
+			s.answer(x, e.v, e.wait)
+		}
+	}
+	tell := s.tell
+	s.tell = nil
+	for _, e := range tell {
+		if in := s.fronts[e.Front]; in != nil {
+			in.Tell(e.ID, e.Note, e.End, e.WaitMs)
+		}
+	}
+	for _, a := range acts {
+		s.act(a)
+	}
+	for _, c := range calls {
+		s.carriers[c.to.Proto].Send(c.to, c.hops)
+	}
+	return nil
+}
+
+// call is what travels together.
+type call struct {
+	to   Route
+	hops []Hop
+}
+
+// calls groups the sends of a round by target as the module counted them, and records each hop.
+func (s *Sender) calls(acts []logic.Action) []*call {
+	var list []*call
+	last := map[string]*call{}
+	now := s.Now()
+	for _, a := range acts {
+		if a.Kind != logic.Issue {
+			continue
+		}
+		e, to := s.spool.Get(a.ID), s.routes[a.Addr]
+		if e == nil || e.End != "" || s.carriers[to.Proto] == nil {
+			// Gone from the list in this very round, or over: it never left.
+			id, addr := a.ID, a.Addr
+			n := 0
+			if e != nil {
+				n = e.Attempts
+				s.spool.Hop(id, to.Zone, now)
+			}
+			s.Post(func() { s.Report(Outcome{ID: id, N: n, Target: addr, Reason: NoConn}) })
+			continue
+		}
+		c := last[a.Addr]
+		if c == nil || len(c.hops) >= max(1, s.kinds[to.Kind]) {
+			c = &call{to: to}
+			last[a.Addr] = c
+			list = append(list, c)
+		}
+		c.hops = append(c.hops, Hop{ID: e.ID, Key: e.Key, Class: e.Class, Body: e.Body, N: e.Attempts, LimitUs: a.LimitUs})
+		s.spool.Hop(e.ID, to.Zone, now)
+		s.stats.Sent++
+		if r := s.seen[a.Addr]; r != nil {
+			r.Out++
+		}
+	}
+	return list
+}
+
+func (s *Sender) act(a logic.Action) {
+	switch a.Kind {
+	case logic.Sleep:
+		time.AfterFunc(time.Duration(a.DelayUs)*time.Microsecond, func() {
+			s.Post(func() { s.events = append(s.events, logic.Event{Kind: logic.Woke}) })
+		})
+	case logic.Recall:
+		for _, c := range s.carriers {
+			c.Recall(a.ID, a.N)
+		}
+	case logic.FreeLinks:
+		if to, ok := s.routes[a.Addr]; ok && s.carriers[to.Proto] != nil {
+			s.carriers[to.Proto].Trim(to)
+		}
+	case logic.WriteLog:
+		s.log.Info().Msg(a.Text)
+	}
+}
--- /dev/null
+++ b/sender/types.go
@@ -0,0 +1,115 @@
+package sender
+
+import "brackendale/logic"
+
+// Exchange is one message that a client hands in.
+type Exchange struct {
+	ID, Class, Tenant, Key string
+	Dest                   int64
+	Deadline               int64 // wall clock in microseconds: until then it may be delivered
+	Body                   []byte
+	Front                  string // the name under which its ingress was added
+	Note                   string // what that ingress wants back with the end
+	Ref                    any    // the ingress's own, for the answer; not kept over a restart
+}
+
+// Verdict is the answer to an exchange that was handed in.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Taken  Verdict = iota // the sender owes it its end, also after a restart
+	Busy                  // refused: handing it in again does no harm
+	Failed                // given up at once
+)
+
+// The ends of an exchange that was taken on.
+const (
+	Delivered = "delivered"
+	Returned  = "returned"
+	Abandoned = "failed"
+)
+
+// Ingress is the client's side of one front.
+type Ingress interface {
+	// Answer tells the client of an exchange what became of handing it in.
+	Answer(x *Exchange, v Verdict, waitMs int64)
+	Notices
+}
+
+// Notices tells clients the ends of what was taken on.
+type Notices interface {
+	// Owes tells whether such an end must be told. If not, the exchange is over with it.
+	Owes(end string) bool
+	// Tell passes on an end, once for each life of the sender; Sender.Settle says that it has arrived.
+	Tell(id, note, end string, waitMs int64)
+}
+
+// Hop is one attempt of an exchange.
+type Hop struct {
+	ID, Key, Class string
+	Body           []byte
+	N              int
+	LimitUs        int64 // from now; the egress gives it up then
+}
+
+// Egress carries hops to egress targets of one protocol.
+type Egress interface {
+	// Send starts one call with all of these hops, which share its fate. Sender.Report must hear of
+	// each hop exactly once, and not before Send has returned.
+	Send(to Route, hops []Hop)
+	// Recall gives a hop up.
+	Recall(id string, n int)
+	// Trim closes idle connections to a target.
+	Trim(to Route)
+	// Routes tells of targets that changed.
+	Routes(changed []Route)
+}
+
+// Route is one entry of the route table: an egress target.
+type Route struct {
+	logic.Endpoint        // Addr is its name, the same for every sender
+	Dial           string // where this sender reaches it
+	Proto          string // which egress: the name under which it was added
+}
+
+// The reasons of an outcome. Only NoConn, Full and Moot prove that the hop never ran.
+const (
+	Good   = "GOOD"
+	Bad    = "BAD"
+	Full   = "FULL"
+	Late   = "LATE"
+	NoConn = "NOCONN"
+	Reset  = "RST"
+	Called = "CXL"
+	Moot   = "NOP"
+)
+
+// Outcome is how a hop ended.
+type Outcome struct {
+	ID     string
+	N      int
+	Target string
+	Reason string
+	HoldMs int64 // Full: told to wait so long
+	Over   bool  // nothing more is owed for the exchange
+	Load   []float64
+}
+
+// RouteState is a line of the route table as an operator sees it.
+type RouteState struct {
+	Route
+	Out        int
+	Good, Lost uint64
+	LastReason string
+}
+
+// State is what a running sender shows.
+type State struct {
+	Open, Ended, Owed       int
+	Taken, Refused, Sent    uint64
+	Delivered, Back, Failed uint64
+	Held                    bool
+	HeldTargets             []string
+	Routes                  []RouteState
+}
