Tests for the spool, the parsers and the module's restart; nothing starts that cannot end

Seen: with SIGTERM the sender went on sending up to its own end, which would cut charges off (they then count as run). The module now hears of the planned end and starts only what should be over by then; it also hears of attempts made before a restart. Module tests for both.

--- /dev/null
+++ b/internal/net/http1/http1_test.go
@@ -0,0 +1,73 @@
+package http1
+
+import (
+	"fmt"
+	"math/rand"
+	"strings"
+	"testing"
+)
+
+func TestParse(t *testing.T) {
+	for _, c := range []struct {
+		in     string
+		ended  bool
+		status int
+		body   string
+		closes bool
+		err    error
+	}{
+		{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", false, 200, "hello", false, nil},
+		{"HTTP/1.1 204\r\n\r\n", false, 204, "", false, nil},
+		{"HTTP/1.1 429 No\r\nx-backoff-ms:  250 \r\nConnection: Close\r\ncontent-length: 0\r\n\r\n", false, 429, "", true, nil},
+		{"HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n", false, 200, "", true, nil},
+		{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 500 E\r\nContent-Length: 1\r\n\r\nx", false, 500, "x", false, nil},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n2\r\nde\r\n0\r\nT: 1\r\n\r\n", false, 200, "abcde", false, nil},
+		{"HTTP/1.1 200 OK\r\n\r\nto the end", true, 200, "to the end", true, nil},
+		{"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", false, 0, "", false, ErrBody},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", false, 0, "", false, ErrBody},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", false, 0, "", false, ErrBody},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc", false, 0, "", false, ErrBody},
+		{"HTTP/2 200 OK\r\n\r\n", false, 0, "", false, ErrHead},
+		{"HTTP/1.1 2x0 OK\r\n\r\n", false, 0, "", false, ErrHead},
+		{strings.Repeat("x", maxHead), false, 0, "", false, ErrHead},
+	} {
+		var r Response
+		n, err := r.Parse([]byte(c.in), c.ended)
+		if err != c.err || err == nil && (n != len(c.in) || r.Status != c.status || string(r.Body) != c.body || r.Close != c.closes) {
+			t.Errorf("%.60q: %d used, %+v, %v", c.in, n, r, err)
+		}
+	}
+	var r Response
+	if _, err := r.Parse([]byte("HTTP/1.1 429 No\r\nX-Backoff-Ms: 250\r\nX: 12345678901\r\nY: -4\r\nContent-Length: 0\r\n\r\n"), false); err != nil ||
+		r.Int("x-backoff-ms") != 250 || r.Int("X") != 0 || r.Int("Y") != 0 || r.Int("Z") != 0 {
+		t.Fatal(err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	rng := rand.New(rand.NewSource(3))
+	for i, valid := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nSrv-Load: x0=1,x1=2\r\n\r\nhello",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+	} {
+		for range 20 {
+			f.Add([]byte(valid[:rng.Intn(len(valid)+1)]), i == 0)
+			noise := make([]byte, rng.Intn(40))
+			rng.Read(noise)
+			f.Add(fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%s\r\n\r\n%s", noise, noise), true)
+		}
+	}
+	f.Fuzz(func(t *testing.T, b []byte, ended bool) {
+		var r, s Response
+		n, err := r.Parse(b, ended)
+		if n < 0 || n > len(b) || err != nil && n != 0 || n > 0 && (r.Status < 200 || len(r.Body) > len(b)) {
+			t.Fatal(n, err)
+		}
+		r.Get("Any")
+		if n > 0 && !r.Close { // what was whole is not changed by what follows
+			if m, err := s.Parse(append(append([]byte(nil), b[:n]...), "more"...), false); m != n || err != nil || s.Status != r.Status {
+				t.Fatal(m, n, err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/spool/spool_test.go
@@ -0,0 +1,161 @@
+package spool
+
+import (
+	"errors"
+	"fmt"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+const budget = 3 << 20
+
+func open(t *testing.T, dir string, disk int64) *Spool {
+	t.Helper()
+	s, err := Open(dir, disk)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+func flush(t *testing.T, s *Spool) {
+	t.Helper()
+	if err := s.Flush(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func list(s *Spool) (out string) {
+	for _, e := range s.Entries() {
+		out += fmt.Sprintf("%s/%s/%d/%d/%s/%d/%s/%d;", e.ID, e.Body, e.Attempts, e.FirstRun, e.Zone, e.OpenAt, e.End, e.WaitMs)
+	}
+	return out
+}
+
+// What was recorded is there for the next life, each attempt and end of it.
+func TestReopen(t *testing.T) {
+	dir := t.TempDir()
+	s := open(t, dir, budget)
+	for _, id := range []string{"b", "a", "c", "d"} {
+		s.Take(&Entry{ID: id, Class: "k", Dest: 3, Deadline: 77, Body: []byte("body " + id)})
+	}
+	s.Hop("b", "z1", 10) // turned away: it never ran
+	s.Closed("b", false)
+	s.Hop("b", "z2", 20) // open
+	s.Hop("a", "z1", 11)
+	s.Closed("a", true)
+	s.End("c", "failed", 250, 99)
+	s.End("d", "delivered", 0, 99)
+	s.Gone("d")
+	flush(t, s)
+	want := "b/body b/2/0//20//0;a/body a/1/11/z1/0//0;c//0/0//0/failed/250;"
+	if got := list(open(t, dir, budget)); got != want {
+		t.Fatalf("got  %s\nwant %s", got, want)
+	}
+}
+
+// SIGKILL may tear the last write at any byte: what came whole before it counts, and what is written
+// after the restart is found again.
+func TestTornTail(t *testing.T) {
+	dir := t.TempDir()
+	s := open(t, dir, budget)
+	s.Take(&Entry{ID: "a"})
+	flush(t, s)
+	whole := s.size
+	s.Take(&Entry{ID: "b", Body: []byte("body")})
+	flush(t, s)
+	raw, err := os.ReadFile(filepath.Join(dir, fileName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for cut := 0; cut < len(raw); cut++ {
+		torn := t.TempDir()
+		if err := os.WriteFile(filepath.Join(torn, fileName), raw[:cut], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s := open(t, torn, budget)
+		if _, ok := s.live["a"]; ok != (cut >= int(whole)) || s.Get("b") != nil {
+			t.Fatalf("cut at %d: %s", cut, list(s))
+		}
+		s.Take(&Entry{ID: "z"})
+		flush(t, s)
+		_ = s.Close()
+		if s := open(t, torn, budget); s.Get("z") == nil {
+			t.Fatalf("cut at %d: what came after is lost", cut)
+		}
+	}
+}
+
+// The folder stays inside its budget at every moment, the new file of a compaction included.
+func TestBudget(t *testing.T) {
+	const small = 256 << 10
+	dir := t.TempDir()
+	s := open(t, dir, small)
+	rng := rand.New(rand.NewSource(4))
+	var held []string
+	for i := range 4000 {
+		e := &Entry{ID: fmt.Sprint("m", i), Body: make([]byte, rng.Intn(9000))}
+		if s.Room(Need(e), 0) {
+			s.Take(e)
+			held = append(held, e.ID)
+		} else if len(held) == 0 {
+			t.Fatal("no room in an empty spool")
+		}
+		for len(held) > 0 && (rng.Intn(3) == 0 || i%500 == 0) {
+			k := rng.Intn(len(held))
+			for range 8 {
+				s.Hop(held[k], "zone", 1)
+				s.Closed(held[k], true)
+			}
+			s.End(held[k], "failed", 1, 1)
+			if i%2 == 0 {
+				s.Gone(held[k])
+				held = append(held[:k], held[k+1:]...)
+			}
+		}
+		flush(t, s)
+		if s.size > small/2-2*block {
+			t.Fatalf("the file has %d bytes, too many for a compaction beside it", s.size)
+		}
+	}
+	if got := list(open(t, dir, small)); got != list(s) {
+		t.Fatal("the reopened spool differs")
+	}
+	if _, err := Open(dir, 512); err == nil {
+		t.Fatal("a budget too small to serve was accepted")
+	}
+}
+
+// A write that fails must not be taken for a record.
+func TestWriteFails(t *testing.T) {
+	s := open(t, t.TempDir(), budget)
+	_ = s.f.Close()
+	s.Take(&Entry{ID: "a"})
+	if err := s.Flush(); !errors.Is(err, os.ErrClosed) {
+		t.Fatal(err)
+	}
+}
+
+// Whatever lies in the folder, opening neither panics nor invents a message.
+func FuzzReplay(f *testing.F) {
+	var good []byte
+	good = append(good, magic...)
+	good = (&Entry{ID: "a", Class: "k", Body: []byte("x")}).append(good)
+	rng := rand.New(rand.NewSource(1))
+	for range 40 {
+		b := append([]byte(nil), good[:rng.Intn(len(good)+1)]...)
+		if len(b) > 0 && rng.Intn(2) == 0 {
+			b[rng.Intn(len(b))] ^= byte(1 + rng.Intn(255))
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s := &Spool{live: map[string]*Entry{}}
+		if n := s.replay(b); n < 0 || n > int64(len(b)) {
+			t.Fatal(n)
+		}
+	})
+}
--- a/logic/api.go
+++ b/logic/api.go
@@ -97,6 +97,7 @@
 	Listed    // How, List
 	Checked   // Addr, Reason, RttUs
 	Peer      // not used
+	Stopping  // Deadline: this sender ends then, and knows from its folder what it still owes
 )
 
 // Event is one thing that happened to this relay.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -114,6 +114,8 @@
 			r.close(m)
 		case e.Kind == Listed:
 			r.list(e)
+		case e.Kind == Stopping:
+			r.stopAt = e.Deadline
 		}
 	}
 	for len(r.dues) > 0 && r.dues[0].dueAt <= now {
@@ -837,6 +839,9 @@
 				continue
 			}
 		}
+		if r.stopAt > 0 && r.now+r.lasts(m, rt) > r.stopAt { // cut off by the end, it would count as run
+			continue
+		}
 		cost := ep.fee + r.lotCost(ep) + loadCost*float64(ep.busy) + illCost*rt.ill
 		for _, b := range []blame{ep.blames[0], ep.blames[1], ep.blames[2+m.lane.n]} {
 			cost += strikeCost * float64(min(b.n, 3)) * math.Exp(float64(b.at-r.now)/paceTauUs)
@@ -859,6 +864,14 @@
 	return to
 }
 
+// lasts is how long a call should take at most: with care for an unsafe message, which a cut ends for good.
+func (r *Relay) lasts(m *message, rt *route) int64 {
+	if m.lane.once {
+		return 2 * r.span(rt)
+	}
+	return int64(rt.srtt)
+}
+
 // lotCost spreads many senders over a destination's routes, by each one's own lot and by told weights:
 // by fees alone all would flood the cheapest one, and each sees too little of it to notice.
 func (r *Relay) lotCost(ep *endpoint) float64 {
--- /dev/null
+++ b/logic/restart_test.go
@@ -0,0 +1,76 @@
+package logic
+
+import "testing"
+
+// A sender that restarts owes what it had taken on: what may not go again ends at once, what may goes on
+// with its attempts counted and inside its window.
+func TestArrivalAfterRestart(t *testing.T) {
+	for _, c := range []struct {
+		name, class string
+		attempts    int
+		ran         int64 // how long ago the first attempt left that may have run; 0: none did
+		end         bool
+		kind        ActionKind
+	}{
+		{"a charge that may have run fails", "once", 1, 100 * ms, true, Abort},
+		{"a charge that never ran goes on", "once", 3, 0, false, Issue},
+		{"a keyed one inside its window goes on", "key", 1, 1000 * ms, false, Issue},
+		{"a keyed one past its window fails", "key", 1, 4000 * ms, true, Abort},
+		{"a safe one goes on", "safe", 7, 5000 * ms, false, Issue},
+		{"eight attempts are all", "safe", 8, 5000 * ms, true, PushBack},
+	} {
+		g := newRig(t, site(), ep("a", "plain", "z", 1))
+		e := Event{Kind: Arrived, ID: "m", Class: c.class, Dest: 1, Deadline: g.now + 6000*ms, Attempts: c.attempts, Zone: "z"}
+		if c.ran > 0 {
+			e.FirstRunUs = g.now - c.ran
+		}
+		var got []ActionKind
+		for _, a := range g.step(e) {
+			if a.ID == "m" {
+				got = append(got, a.Kind)
+			}
+		}
+		if len(got) != 1 || got[0] != c.kind {
+			t.Errorf("%s: got %v", c.name, got)
+		}
+		if c.end && (g.r.open != 0 || len(g.r.msgs) != 0) {
+			t.Errorf("%s: still on the books", c.name)
+		}
+	}
+}
+
+// Attempts go on being numbered where the last life left off: an outcome must find its message.
+func TestNumbersGoOnAfterRestart(t *testing.T) {
+	g := newRig(t, site(), ep("a", "plain", "z", 1))
+	g.step(Event{Kind: Arrived, ID: "m", Class: "safe", Dest: 1, Deadline: g.now + 6000*ms, Attempts: 2})
+	g.wait(10*ms, Event{Kind: Reported, ID: "m", N: 2, Addr: "a", Reason: "GOOD", Finished: true})
+	if g.r.busy != 0 || g.r.open != 0 {
+		t.Fatalf("%d slots and %d messages are still taken", g.r.busy, g.r.open)
+	}
+}
+
+// A call that is cut off by the sender's own end may have run, which ends a charge for good: near a
+// planned end only what should be over by then may start.
+func TestNothingStartsThatCannotEnd(t *testing.T) {
+	g := newRig(t, site(), ep("a", "plain", "z", 1))
+	arrive := func(id, class string) []Action {
+		return g.step(Event{Kind: Arrived, ID: id, Class: class, Dest: 1, Deadline: g.now + 9000*ms})
+	}
+	arrive("first", "safe")
+	g.wait(200*ms, Event{Kind: Reported, ID: "first", Addr: "a", Reason: "GOOD", Finished: true})
+	g.step(Event{Kind: Stopping, Deadline: g.now + 400*ms})
+	sent := func(acts []Action) (n int) {
+		for _, a := range acts {
+			n += int(one(a.Kind == Issue))
+		}
+		return n
+	}
+	if sent(arrive("charge", "once")) != 0 || sent(arrive("short", "safe")) != 1 {
+		t.Fatal("a charge of twice 400 ms must wait, a call of 200 ms may start")
+	}
+	g.now += 300 * ms
+	g.step(Event{Kind: Reported, ID: "short", Addr: "a", Reason: "GOOD", Finished: true})
+	if sent(arrive("late", "safe")) != 0 {
+		t.Fatal("a call started that cannot end")
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -140,6 +140,7 @@
 	tempo                  float64    // how slow everything is now, against the usual
 	acts                   []Action
 	armed, asked, askGap   int64
+	stopAt                 int64 // this sender ends then; 0: it goes on
 	keepUs, keepAt         int64 // age at which idle connections are given back, and when it was learned
 	mark                   uint64
 	watching               bool
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -51,7 +51,6 @@
 	open     int // taken on and not ended
 	tell     []*spool.Entry
 	last     time.Time
-	stopping bool
 	stats    State
 	seen     map[string]*RouteState
 }
@@ -263,7 +262,7 @@
 
 // Stop is called once at a planned end: from here only hops start that should end before the time given.
 func (s *Sender) Stop(until int64) {
-	s.stopping = true
+	s.events = append(s.events, logic.Event{Kind: logic.Stopping, Deadline: until})
 	s.log.Info().Int64("left_ms", (until-s.Now())/1000).Int("open", s.open).Msg("stopping")
 }
 
