--- /dev/null
+++ b/internal/net/platform/platform_test.go
@@ -0,0 +1,338 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"brackendale/internal/config"
+	"brackendale/internal/net/reactor"
+	"brackendale/logic"
+	"brackendale/sender"
+
+	"github.com/rs/zerolog"
+)
+
+const long = 20 * time.Second // no test passes or fails by time: this only ends a hang
+
+// world stands in for the agent and the endpoints.
+type world struct {
+	t       *testing.T
+	agent   *httptest.Server
+	target  *httptest.Server
+	finals  chan string
+	calls   chan *http.Request
+	answer  func(w http.ResponseWriter, r *http.Request, body string)
+	mu      sync.Mutex
+	reject  int // finals that are answered with an error first
+	asked   chan string // the watch's versions
+	changes chan string
+	dir     string
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, finals: make(chan string, 100), calls: make(chan *http.Request, 100), asked: make(chan string, 100), changes: make(chan string, 1), dir: t.TempDir()}
+	w.target = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		answer := w.answer // the test may set another once it has seen the call
+		w.calls <- r
+		answer(rw, r, string(body))
+	}))
+	w.agent = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v2/finals" {
+			w.mu.Lock()
+			w.reject--
+			bad := w.reject >= 0
+			w.mu.Unlock()
+			if bad {
+				rw.WriteHeader(http.StatusBadRequest)
+				return
+			}
+			for sc := bufio.NewScanner(r.Body); sc.Scan(); {
+				w.finals <- sc.Text()
+			}
+			rw.WriteHeader(http.StatusNoContent)
+			return
+		}
+		w.asked <- r.URL.Query().Get("index")
+		select {
+		case list := <-w.changes:
+			_, _ = io.WriteString(rw, list)
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(func() { w.agent.CloseClientConnections(); w.target.CloseClientConnections() })
+	return w
+}
+
+func (w *world) hosts(health string) config.List {
+	return config.List{Seq: 1, Whole: true, Hosts: []config.Host{{Host: "e1", Block: 7, Class: "k", Health: health,
+		Dial: w.target.Listener.Addr().String()}}}
+}
+
+func settings() (s logic.Settings) {
+	s.Replicas, s.TickUs, s.Discovery, s.Weights, s.MachineTypes = 1, 1000, "pushed", "silent", []string{"k"}
+	for _, l := range [][2]string{{"safe", "repeatable"}, {"key", "by_key"}, {"once", "once"}} {
+		s.Lanes = append(s.Lanes, logic.Lane{Name: l[0], Effect: l[1], Group: "all", AimUs: 2e6, HardLimitUs: 60e6, WindowUs: 60e6, Worth: 1})
+	}
+	s.Family.OwnLimits, s.Family.PerCall, s.Family.Workers = []bool{false}, []int{3}, 8
+	s.Caps.OpenCap, s.Caps.MaxAttempts, s.Caps.RetryAfter, s.Caps.MaxRetryAfterUs = 100, 8, true, 3e6
+	s.Caps.ConnectTimeoutUs, s.Caps.KeepaliveUs, s.Caps.StreamsPerConn = 1500e3, 5e6, 1
+	s.Rules.FallUs, s.Rules.ColdFrom, s.Rules.FallMultiple, s.Rules.WarmAfterUs = 2e6, 0.2, 2, 1e6
+	return s
+}
+
+// start begins one life of a sender; kill ends it as SIGKILL would, with nothing put in order.
+func (w *world) start() (addr string, kill func()) {
+	w.t.Helper()
+	core, err := sender.New(sender.Options{Settings: settings(), Dir: w.dir, Disk: 1 << 20, Log: zerolog.Nop()})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	r, err := reactor.New(core.Post)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	agent := w.agent.Listener.Addr().String()
+	in := NewIngress(core, r, agent)
+	core.AddIngress(Front, in)
+	core.AddEgress(Proto, NewEgress(core, r, settings()))
+	Watch(core, r, agent, w.hosts("active"))
+	ln, err := r.Listen("tcp", "127.0.0.1:0", in.Accept)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- core.Run(ctx) }()
+	var once sync.Once
+	kill = func() {
+		once.Do(func() {
+			cancel()
+			if err := <-done; err != nil {
+				w.t.Error(err)
+			}
+			_ = ln.Close()
+			r.Stop()
+		})
+	}
+	w.t.Cleanup(kill)
+	return ln.Addr().String(), kill
+}
+
+// client hands one command in and reads one line.
+func (w *world) say(addr string, words ...string) string {
+	w.t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(long))
+	fmt.Fprintf(c, "*%d\r\n", len(words))
+	for _, x := range words {
+		fmt.Fprintf(c, "$%d\r\n%s\r\n", len(x), x)
+	}
+	line, err := bufio.NewReader(c).ReadString('\n')
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return strings.TrimSpace(line)
+}
+
+func wait[T any](t *testing.T, c chan T) (x T) {
+	t.Helper()
+	select {
+	case x = <-c:
+	case <-time.After(long):
+		t.Fatal("nothing came")
+	}
+	return x
+}
+
+func (w *world) submit(addr, id, class, ms string) {
+	w.t.Helper()
+	if got := w.say(addr, "SUBMIT", "0", id, "c="+class+",t=x,k=5c0f,dest=7,d="+ms, "body "+id); got != "+OK" {
+		w.t.Fatal(got)
+	}
+}
+
+func ok(rw http.ResponseWriter, _ *http.Request, _ string) { rw.WriteHeader(http.StatusOK) }
+
+// A message goes out with its id, key, deadline and body unchanged, and nothing is owed after its 200.
+func TestDelivered(t *testing.T) {
+	w := newWorld(t)
+	bodies := make(chan string, 1)
+	w.answer = func(rw http.ResponseWriter, _ *http.Request, b string) { bodies <- b }
+	addr, kill := w.start()
+	w.submit(addr, "m1", "key", "9000")
+	r := wait(t, w.calls)
+	if r.URL.Path != "/events" || r.Header.Get("Req-Id") != "m1" || r.Header.Get("Idempotency-Key") != "5c0f" ||
+		r.Header.Get("Req-Deadline-Ms") == "" || wait(t, bodies) != "body m1" {
+		t.Fatal(r.URL, r.Header)
+	}
+	w.submit(addr, "m1", "key", "9000") // handed in twice: held or over, and never a second call at once
+	kill()
+	_, kill = w.start()
+	kill()
+	if len(w.finals) != 0 {
+		t.Fatal("a delivered message was ended by a notice", <-w.finals)
+	}
+}
+
+// An end stays owed until its notice got 204, over a restart too.
+func TestNoticeUntil204(t *testing.T) {
+	w := newWorld(t)
+	w.reject = 2
+	w.answer = func(rw http.ResponseWriter, _ *http.Request, _ string) { rw.WriteHeader(http.StatusInternalServerError) }
+	addr, _ := w.start()
+	w.submit(addr, "m1", "once", "9000") // answered 500 it may have run: a charge is not repeated
+	var n struct{ ID, State string }
+	if err := json.Unmarshal([]byte(wait(t, w.finals)), &n); err != nil || n.ID != "m1" || n.State != "failed" {
+		t.Fatal(n, err)
+	}
+	if len(w.calls) != 1 {
+		t.Fatal("calls:", len(w.calls))
+	}
+}
+
+// Killed with a call out, the sender comes back: the charge may have run and fails, the keyed message
+// goes again, and neither end is forgotten.
+func TestRestartWithCallsOut(t *testing.T) {
+	w := newWorld(t)
+	hang := make(chan bool)
+	w.answer = func(http.ResponseWriter, *http.Request, string) { <-hang }
+	addr, kill := w.start()
+	w.submit(addr, "charge", "once", "30000")
+	wait(t, w.calls)
+	kill()
+	close(hang)
+	w.answer = ok
+	addr, kill = w.start()
+	if got := wait(t, w.finals); got != `{"id":"charge","state":"failed"}` {
+		t.Fatal(got)
+	}
+	kill()
+	hang = make(chan bool)
+	w.answer = func(http.ResponseWriter, *http.Request, string) { <-hang }
+	addr, kill = w.start()
+	w.submit(addr, "record", "key", "30000")
+	wait(t, w.calls)
+	kill()
+	close(hang)
+	w.answer = ok
+	w.start()
+	if r := wait(t, w.calls); r.Header.Get("Req-Id") != "record" {
+		t.Fatal(r.Header)
+	}
+	for len(w.finals) > 0 { // the charge's notice may come again, if its 204 crossed the kill
+		if got := <-w.finals; !strings.Contains(got, `"charge"`) {
+			t.Fatal(got)
+		}
+	}
+}
+
+// A told wait is heeded: nothing goes to that destination before it is over.
+func TestToldWait(t *testing.T) {
+	w := newWorld(t)
+	var told, next time.Time
+	n := 0
+	w.answer = func(rw http.ResponseWriter, _ *http.Request, _ string) {
+		if n++; n == 1 {
+			rw.Header().Set("X-Backoff-Ms", "300")
+			rw.WriteHeader(http.StatusTooManyRequests)
+			told = time.Now()
+			return
+		}
+		next = time.Now()
+	}
+	addr, _ := w.start()
+	w.submit(addr, "m1", "once", "9000")
+	wait(t, w.calls)
+	wait(t, w.calls)
+	w.target.Close() // waits for the answer
+	if next.Sub(told) < 300*time.Millisecond {
+		t.Fatal("sent after", next.Sub(told))
+	}
+}
+
+// A leaving endpoint gets nothing new: its message waits until the list has one that is active.
+func TestDrain(t *testing.T) {
+	w := newWorld(t)
+	back := make(chan bool)
+	w.answer = func(http.ResponseWriter, *http.Request, string) {
+		select {
+		case <-back:
+		default:
+			t.Error("sent to a leaving endpoint")
+		}
+	}
+	change := func(seq int64, health string) {
+		l := w.hosts(health)
+		l.Seq = seq
+		raw, err := json.Marshal(l)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.changes <- string(raw)
+	}
+	change(2, "leaving")
+	addr, _ := w.start()
+	for wait(t, w.asked) != "2" {
+	}
+	w.submit(addr, "m1", "safe", "9000")
+	close(back)
+	change(3, "active")
+	if r := wait(t, w.calls); r.Header.Get("Req-Id") != "m1" {
+		t.Fatal(r.Header)
+	}
+}
+
+// Whatever a client sends, it gets the protocol's own error.
+func TestBadCommands(t *testing.T) {
+	w := newWorld(t)
+	w.answer = ok
+	addr, _ := w.start()
+	meta := "c=once,t=x,d=9000,dest=7"
+	for _, c := range []struct {
+		want  string
+		words []string
+	}{
+		{"+PONG", []string{"ping"}},
+		{"-ERR unknown command", []string{"GET", "x"}},
+		{"-ERR wrong number", []string{"SUBMIT", "0", "id"}},
+		{"-ERR bad id", []string{"SUBMIT", "0", "a b", meta, ""}},
+		{"-ERR unknown class", []string{"SUBMIT", "0", "m", "d=1,dest=7", ""}},
+		{"-ERR unknown class", []string{"SUBMIT", "0", "m", "c=zzz,d=1,dest=7", ""}},
+		{"-ERR bad or missing d", []string{"SUBMIT", "0", "m", "c=once,d=x,dest=7", ""}},
+		{"-ERR unknown destination", []string{"SUBMIT", "0", "m", "c=once,d=9,dest=8", ""}},
+		{"-ERR missing key", []string{"SUBMIT", "0", "m", "c=key,d=9,dest=7", ""}},
+		{"-ERR Protocol error: too long", []string{"SUBMIT", "0", "m", meta, strings.Repeat("x", 64<<10+1)}},
+	} {
+		if got := w.say(addr, c.words...); !strings.HasPrefix(got, c.want) {
+			t.Errorf("%.60q: %q", c.words, got)
+		}
+	}
+	if len(w.calls) != 0 {
+		t.Error("a bad command was sent on")
+	}
+}
+
+// Each end of a bundle is its own.
+func TestBundleEnds(t *testing.T) {
+	ends := bundleEnds([]byte("a done\r\nb busy\r\nc void\nd used_up\r\nnonsense\r\n"))
+	for id, want := range map[string]string{"a": sender.Good, "b": sender.Full, "c": sender.Moot, "d": sender.Moot, "x": sender.Bad} {
+		if got, _, over := bundleEnd(ends[id], 9); got != want || over != (id == "c") {
+			t.Errorf("%s: %s", id, got)
+		}
+	}
+}
