--- a/internal/net/platform/platform_test.go
+++ b/internal/net/platform/platform_test.go
@@ -33,7 +33,7 @@
 	calls   chan *http.Request
 	answer  func(w http.ResponseWriter, r *http.Request, body string)
 	mu      sync.Mutex
-	reject  int // finals that are answered with an error first
+	reject  int         // finals that are answered with an error first
 	asked   chan string // the watch's versions
 	changes chan string
 	dir     string
@@ -193,7 +193,9 @@
 func TestNoticeUntil204(t *testing.T) {
 	w := newWorld(t)
 	w.reject = 2
-	w.answer = func(rw http.ResponseWriter, _ *http.Request, _ string) { rw.WriteHeader(http.StatusInternalServerError) }
+	w.answer = func(rw http.ResponseWriter, _ *http.Request, _ string) {
+		rw.WriteHeader(http.StatusInternalServerError)
+	}
 	addr, _ := w.start()
 	w.submit(addr, "m1", "once", "9000") // answered 500 it may have run: a charge is not repeated
 	var n struct{ ID, State string }
