--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -11,6 +12,7 @@
 	"time"
 
 	"brackendale/internal/config"
+	"brackendale/internal/net/amqpfront"
 	"brackendale/internal/net/platform"
 	"brackendale/internal/net/reactor"
 	"brackendale/sender"
@@ -59,7 +61,7 @@
 	// The rest of the limit is for what the runtime does not count: stacks, the binary, files in $TMPDIR.
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * 0.7 * (1 << 20)))
 	log := zerolog.New(os.Stderr).With().Timestamp().Str("sender", cfg.Name).Logger()
-	core, err := sender.New(sender.Options{Settings: cfg.Settings, Seed: int64(cfg.Seed), Dir: cfg.State,
+	core, err := sender.New(sender.Options{Name: cfg.Name, Settings: cfg.Settings, Seed: int64(cfg.Seed), Dir: cfg.State,
 		Disk: int64(cfg.Limits.DiskMB * (1 << 20)), Log: log})
 	if err != nil {
 		return err
@@ -69,11 +71,7 @@
 		return err
 	}
 	defer r.Stop()
-	in := platform.NewIngress(core, r, cfg.Discovery)
-	core.AddIngress(platform.Front, in)
-	core.AddEgress(platform.Proto, platform.NewEgress(core, r, cfg.Settings))
-	platform.Watch(core, r, cfg.Discovery, cfg.Known)
-	ln, err := r.Listen("tcp", cfg.Listen, in.Accept)
+	stop, err := fronts(core, r, cfg)
 	if err != nil {
 		return err
 	}
@@ -85,11 +83,50 @@
 		<-term
 		core.Post(func() { core.Stop(core.Now() + stopAfter.Microseconds()) })
 		time.Sleep(stopAfter)
-		_ = ln.Close() // nothing more to do with it
-		core.Post(in.CloseIdle)
+		core.Post(stop)
 		time.Sleep(50 * time.Millisecond)
 		cancel()
 	}()
-	log.Info().Str("listen", cfg.Listen).Int("endpoints", len(cfg.Known.Hosts)).Msg("serving")
+	log.Info().Str("listen", cfg.Listen).Str("amqp", cfg.AMQP.Listen).Int("endpoints", len(cfg.Known.Hosts)).Msg("serving")
 	return core.Run(ctx)
 }
+
+// fronts joins the fronts that the configuration asks for to the core. It returns what ends them.
+func fronts(core *sender.Sender, r *reactor.Reactor, cfg config.Config) (stop func(), err error) {
+	var ends []func()
+	listen := func(network, addr string, accept func(*reactor.Conn) reactor.Handler) {
+		var ln net.Listener
+		if ln, err = r.Listen(network, addr, accept); err == nil {
+			ends = append(ends, func() { _ = ln.Close() })
+		}
+	}
+	core.AddEgress(platform.Proto, platform.NewEgress(core, r, cfg.Settings))
+	core.AddEgress(amqpfront.Proto, amqpfront.NewEgress(core, r, time.Duration(cfg.Settings.Caps.ConnectTimeoutUs)*time.Microsecond))
+	if cfg.Discovery == "" {
+		core.Routes("whole", platform.Routes(cfg.Known))
+	} else {
+		platform.Watch(core, r, cfg.Discovery, cfg.Known)
+	}
+	if cfg.Listen != "" {
+		in := platform.NewIngress(core, r, cfg.Discovery)
+		core.AddIngress(platform.Front, in)
+		if listen("tcp", cfg.Listen, in.Accept); err != nil {
+			return nil, err
+		}
+		ends = append(ends, in.CloseIdle)
+	}
+	if cfg.AMQP.Listen != "" {
+		in := amqpfront.NewIngress(core, amqpfront.Options{User: cfg.AMQP.User, Password: cfg.AMQP.Password,
+			Exchange: cfg.AMQP.Exchange, Heartbeat: time.Duration(cfg.AMQP.HeartbeatS) * time.Second})
+		core.AddIngress(amqpfront.Front, in)
+		if listen("tcp", cfg.AMQP.Listen, in.Accept); err != nil {
+			return nil, err
+		}
+		ends = append(ends, in.Close)
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}, nil
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,7 +8,9 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 
+	"brackendale/internal/net/amqp"
 	"brackendale/logic"
 
 	"github.com/BurntSushi/toml"
@@ -24,25 +26,35 @@
 
 // List is the registry's list of endpoints, whole or what changed.
 type List struct {
-	Seq   int64  `json:"seq" toml:"-"`
-	Whole bool   `json:"whole" toml:"-"`
-	Hosts []Host `json:"hosts" toml:"hosts"`
+	Seq   int64  `json:"seq"`
+	Whole bool   `json:"whole"`
+	Hosts []Host `json:"hosts"`
 }
 
 // Host is one entry of the list.
 type Host struct {
-	Host   string  `json:"host" toml:"host"`
-	Dial   string  `json:"dial" toml:"dial"`
-	Site   string  `json:"site" toml:"site"`
-	Class  string  `json:"class" toml:"class"`
-	Block  int64   `json:"block" toml:"block"`
-	Health string  `json:"health" toml:"health"`
-	Share  float64 `json:"share" toml:"share"`
-	BornMs int64   `json:"born_ms" toml:"-"`
-	// For targets that are no HTTP endpoints, in the appliance's file alone.
-	Proto    string `json:"-" toml:"proto"`
-	Exchange string `json:"-" toml:"exchange"`
-	Key      string `json:"-" toml:"routing_key"`
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int64   `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	Proto  string  `json:"-"` // of the appliance's routes: http or amqp
+}
+
+// AMQP is the AMQP front; it is off without an address to listen on.
+type AMQP struct {
+	Listen     string `toml:"listen"`
+	User       string `toml:"user"`
+	Password   string `toml:"password"`
+	Exchange   string `toml:"exchange"`
+	HeartbeatS int    `toml:"heartbeat_s"`
+}
+
+// Console is the local control socket; it is off without a path.
+type Console struct {
+	Socket string `toml:"socket"`
 }
 
 // Config is everything that a sender is told.
@@ -55,17 +67,16 @@
 	Limits    Limits         `json:"limits"`
 	Known     List           `json:"known"`
 	Settings  logic.Settings `json:"settings"`
+	AMQP      AMQP           `json:"-"`
+	Console   Console        `json:"-"`
 }
 
 // Seed is a seed in hexadecimal.
 type Seed int64
 
-// UnmarshalJSON reads a string of up to sixteen hexadecimal digits, or a number.
+// UnmarshalJSON reads a string of up to sixteen hexadecimal digits.
 func (s *Seed) UnmarshalJSON(b []byte) error {
-	text := string(b)
-	if len(b) > 1 && b[0] == '"' {
-		text = text[1 : len(text)-1]
-	}
+	text := strings.Trim(string(b), `"`)
 	n, err := strconv.ParseUint(text, 16, 64)
 	if err != nil {
 		return fmt.Errorf("not hexadecimal: %q", text)
@@ -89,10 +100,10 @@
 	return &KeyError{key, fmt.Errorf(format, args...)}
 }
 
-// Load reads the environment, the platform's file that LB_CONFIG names, and the appliance's file, if
-// one is given. The environment counts more than the platform's file.
+// Load reads the platform's file that LB_CONFIG names, the appliance's file, if one is given, and the
+// environment. What is read later counts more.
 func Load(env func(string) string, file string) (Config, error) {
-	c := Config{Limits: Limits{Cores: 1, MemoryMB: 192, Sockets: 1024, DiskMB: 3}}
+	c := Config{Name: "brackendale", Limits: Limits{Cores: 1, MemoryMB: 192, Sockets: 1024, DiskMB: 3}}
 	if path := env("LB_CONFIG"); path != "" {
 		raw, err := os.ReadFile(path)
 		if err != nil {
@@ -101,13 +112,13 @@
 		if err := json.Unmarshal(raw, &c); err != nil {
 			var te *json.UnmarshalTypeError
 			if errors.As(err, &te) {
-				return c, fault("LB_CONFIG: "+te.Field, "holds a %s", te.Value)
+				return c, fault("LB_CONFIG: "+te.Field, "cannot be a %s", te.Value)
 			}
 			return c, fault("LB_CONFIG", "%w", err)
 		}
 	}
 	if file != "" {
-		if err := c.appliance(file); err != nil {
+		if err := c.appliance(file, env("LB_CONFIG") == ""); err != nil {
 			return c, err
 		}
 	}
@@ -120,23 +131,17 @@
 	return c, c.check()
 }
 
-func (c *Config) appliance(file string) error {
-	if _, err := toml.DecodeFile(file, c); err != nil {
-		return fault(file, "%w", err)
-	}
-	return nil
-}
-
 func (c *Config) check() error {
-	if c.State == "" {
-		return fault("LB_STATE", "is not set: the folder that lasts")
-	}
-	if st, err := os.Stat(c.State); err != nil || !st.IsDir() {
-		return fault("LB_STATE", "%q is not a folder", c.State)
+	if st, err := os.Stat(c.State); c.State == "" || err != nil || !st.IsDir() {
+		return fault("LB_STATE", "%q is not a folder: the one that lasts must be named", c.State)
 	}
-	for _, a := range []struct{ key, addr string }{{"LB_LISTEN", c.Listen}, {"LB_DISCOVERY", c.Discovery}} {
-		if _, _, err := net.SplitHostPort(a.addr); err != nil {
-			return fault(a.key, "%w", err)
+	for _, a := range []struct {
+		key, addr string
+		must      bool
+	}{{"LB_LISTEN", c.Listen, c.AMQP.Listen == ""}, {"LB_DISCOVERY", c.Discovery, c.Listen != ""},
+		{"amqp.listen", c.AMQP.Listen, false}} {
+		if _, _, err := net.SplitHostPort(a.addr); err != nil && (a.must || a.addr != "") {
+			return fault(a.key, "%q: %w", a.addr, err)
 		}
 	}
 	l := c.Limits
@@ -149,9 +154,8 @@
 		return fault("limits.sockets", "%d is under 32", l.Sockets)
 	case !(l.DiskMB >= 0.25):
 		return fault("limits.disk_mb", "%v is under 0.25", l.DiskMB)
-	}
-	if len(c.Settings.Lanes) == 0 {
-		return fault("settings.lanes", "names no class")
+	case c.AMQP.HeartbeatS < 0 || c.AMQP.HeartbeatS > 3600:
+		return fault("amqp.heartbeat_s", "%d is not from 0 to 3600", c.AMQP.HeartbeatS)
 	}
 	if _, err := logic.New(c.Settings, 0); err != nil {
 		return fault("settings", "%w", err)
@@ -163,3 +167,155 @@
 	}
 	return nil
 }
+
+// file is the appliance's TOML.
+type file struct {
+	Name      string  `toml:"name"`
+	State     string  `toml:"state"`
+	Listen    string  `toml:"listen"`
+	Discovery string  `toml:"discovery"`
+	Limits    Limits  `toml:"limits"`
+	AMQP      AMQP    `toml:"amqp"`
+	Console   Console `toml:"console"`
+	Sender    struct {
+		Slots       int   `toml:"slots"`
+		Hold        int   `toml:"hold"`
+		Attempts    int   `toml:"attempts"`
+		TickMs      int64 `toml:"tick_ms"`
+		ConnectMs   int64 `toml:"connect_ms"`
+		KeepaliveMs int64 `toml:"keepalive_ms"`
+		RetryMs     int64 `toml:"retry_after_max_ms"`
+	} `toml:"sender"`
+	Class []Class `toml:"class"`
+	Kind  []Kind  `toml:"kind"`
+	Route []Route `toml:"route"`
+}
+
+// Class is a class of message in the appliance's file.
+type Class struct {
+	Name       string  `toml:"name"`
+	Effect     string  `toml:"effect"` // repeatable, by_key, once
+	AimMs      int64   `toml:"aim_ms"`
+	DeadlineMs int64   `toml:"deadline_ms"`
+	WindowMs   int64   `toml:"window_ms"`
+	Worth      float64 `toml:"worth"`
+	LateWorth  float64 `toml:"late_worth"`
+}
+
+// Kind is a kind of destination in the appliance's file.
+type Kind struct {
+	Name   string `toml:"name"`
+	Bundle int    `toml:"bundle"` // messages in one call at most
+	Apart  bool   `toml:"apart"`  // its routes have limits of their own
+}
+
+// Route is an egress target in the appliance's file.
+type Route struct {
+	Name  string `toml:"name"`
+	Dest  int64  `toml:"dest"`
+	Kind  string `toml:"kind,omitempty"`
+	Proto string `toml:"proto"` // http or amqp
+	Dial  string `toml:"dial"`
+	Drain bool   `toml:"drain,omitempty"`
+}
+
+// appliance reads the appliance's file; alone tells that it gives the settings too.
+func (c *Config) appliance(path string, alone bool) error {
+	f := file{Name: c.Name, State: c.State, Listen: c.Listen, Discovery: c.Discovery, Limits: c.Limits}
+	f.AMQP.HeartbeatS = 10
+	s := &f.Sender
+	s.Slots, s.Hold, s.Attempts, s.TickMs, s.ConnectMs, s.KeepaliveMs, s.RetryMs = 16, 200, 8, 5, 1500, 5000, 3000
+	md, err := toml.DecodeFile(path, &f)
+	if err != nil {
+		return fault(path, "%w", err)
+	}
+	if bad := md.Undecoded(); len(bad) > 0 {
+		return fault(path+": "+bad[0].String(), "is not known")
+	}
+	c.Name, c.State, c.Listen, c.Discovery, c.Limits = f.Name, f.State, f.Listen, f.Discovery, f.Limits
+	c.AMQP, c.Console = f.AMQP, f.Console
+	if !alone {
+		if len(f.Class)+len(f.Kind)+len(f.Route) > 0 || md.IsDefined("sender") {
+			return fault(path+": class, kind, route, sender", "belong to the platform where LB_CONFIG is set")
+		}
+		return nil
+	}
+	return c.settings(path, &f)
+}
+
+// settings makes the module's settings of the appliance's file.
+func (c *Config) settings(path string, f *file) error {
+	key := func(list string, i int, name string) string { return fmt.Sprintf("%s: %s[%d].%s", path, list, i, name) }
+	s := &c.Settings
+	s.Replicas, s.Discovery, s.Weights, s.OverShare = 1, "pushed", "silent", 1
+	s.TickUs = f.Sender.TickMs * 1000
+	s.Family.Workers, s.Family.Decay = f.Sender.Slots, "halves"
+	s.Caps.OpenCap, s.Caps.MaxAttempts, s.Caps.Cancel, s.Caps.RetryAfter = f.Sender.Hold, f.Sender.Attempts, true, true
+	s.Caps.ConnectTimeoutUs, s.Caps.KeepaliveUs = f.Sender.ConnectMs*1000, f.Sender.KeepaliveMs*1000
+	s.Caps.MaxRetryAfterUs, s.Caps.StreamsPerConn = f.Sender.RetryMs*1000, 1
+	s.Rules.ColdFrom, s.Rules.FallMultiple, s.Rules.FallUs, s.Rules.WarmAfterUs = 0.2, 2, 2_000_000, 13_000_000
+	s.Rules.StopWithinUs = 2_000_000
+	if f.Sender.Slots < 1 || f.Sender.Hold < 1 || f.Sender.Attempts < 1 || s.TickUs < 1000 {
+		return fault(path+": sender", "slots, hold, attempts and tick_ms must be 1 or more")
+	}
+	for i, k := range f.Class {
+		switch {
+		case k.Name == "":
+			return fault(key("class", i, "name"), "is missing")
+		case k.Effect != "repeatable" && k.Effect != "by_key" && k.Effect != "once":
+			return fault(key("class", i, "effect"), "%q is none of repeatable, by_key, once", k.Effect)
+		case k.DeadlineMs <= 0 || k.AimMs <= 0 || k.AimMs > k.DeadlineMs:
+			return fault(key("class", i, "deadline_ms"), "and aim_ms must be above 0, and the aim no later")
+		case k.Effect == "by_key" && k.WindowMs <= 0:
+			return fault(key("class", i, "window_ms"), "is missing: how long a repeat is dropped")
+		case !(k.Worth > 0) || !(k.LateWorth >= 0 && k.LateWorth <= 1):
+			return fault(key("class", i, "worth"), "must be above 0, and late_worth from 0 to 1")
+		}
+		s.Lanes = append(s.Lanes, logic.Lane{Name: k.Name, Effect: k.Effect, Group: "all", AimUs: k.AimMs * 1000,
+			HardLimitUs: k.DeadlineMs * 1000, WindowUs: k.WindowMs * 1000, Worth: k.Worth, LateValue: k.LateWorth})
+	}
+	if len(f.Class) == 0 {
+		return fault(path+": class", "names no class")
+	}
+	kinds := map[string]bool{"": true}
+	for i, k := range append(f.Kind, Kind{Name: "", Bundle: 1}) {
+		if k.Bundle < 0 || k.Bundle > 64 {
+			return fault(key("kind", i, "bundle"), "%d is not from 1 to 64", k.Bundle)
+		}
+		kinds[k.Name] = true
+		s.MachineTypes = append(s.MachineTypes, k.Name)
+		s.Family.PerCall = append(s.Family.PerCall, max(1, k.Bundle))
+		s.Family.OwnLimits = append(s.Family.OwnLimits, k.Apart)
+	}
+	if len(f.Route) > 0 && f.Discovery != "" {
+		return fault(path+": route", "the registry's list would replace it")
+	}
+	names := map[string]bool{}
+	for i, r := range f.Route {
+		_, _, herr := net.SplitHostPort(r.Dial)
+		_, aerr := amqp.ParseURL(r.Dial)
+		switch {
+		case r.Name == "" || names[r.Name]:
+			return fault(key("route", i, "name"), "%q is missing or there twice", r.Name)
+		case !kinds[r.Kind]:
+			return fault(key("route", i, "kind"), "%q is not among the kinds", r.Kind)
+		case r.Proto != "http" && r.Proto != "amqp":
+			return fault(key("route", i, "proto"), "%q is neither http nor amqp", r.Proto)
+		case r.Proto == "http" && herr != nil:
+			return fault(key("route", i, "dial"), "%w", herr)
+		case r.Proto == "amqp" && aerr != nil:
+			return fault(key("route", i, "dial"), "%w", aerr)
+		}
+		names[r.Name] = true
+		health := "active"
+		if r.Drain {
+			health = "leaving"
+		}
+		c.Known.Hosts = append(c.Known.Hosts, Host{Host: r.Name, Dial: r.Dial, Class: r.Kind, Block: r.Dest,
+			Health: health, Share: 1, Proto: r.Proto})
+	}
+	if len(f.Route) == 0 && f.Discovery == "" {
+		return fault(path+": route", "names no egress target")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/net/amqpfront/egress.go
@@ -0,0 +1,426 @@
+package amqpfront
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"brackendale/internal/net/amqp"
+	"brackendale/internal/net/reactor"
+	"brackendale/sender"
+)
+
+// Proto is the protocol of routes that this egress serves.
+const Proto = "amqp"
+
+// maxTargetChannels bounds the channels of one connection to a broker.
+const maxTargetChannels = 64
+
+// brokerBeat is the heartbeat asked of brokers where they want none or a longer one.
+const brokerBeat = 10 * time.Second
+
+// Egress publishes hops to brokers. A hop has a channel of its own while it is out, so that giving it up
+// and a broker's closing of a channel concern that hop alone.
+type Egress struct {
+	core    *sender.Sender
+	r       *reactor.Reactor
+	connect time.Duration
+	links   map[string]*link
+	out     map[string]*pub
+}
+
+// NewEgress makes the brokers' side.
+func NewEgress(core *sender.Sender, r *reactor.Reactor, connect time.Duration) *Egress {
+	if connect <= 0 {
+		connect = 1500 * time.Millisecond
+	}
+	return &Egress{core: core, r: r, connect: connect, links: map[string]*link{}, out: map[string]*pub{}}
+}
+
+// pub is one hop that is out.
+type pub struct {
+	e        *Egress
+	hop      sender.Hop
+	route    string
+	to       amqp.Target
+	link     *link
+	timer    *time.Timer
+	ch       *lane  // nil while it waits for one
+	end      int64  // where its last byte stands in the connection's stream
+	returned uint16 // the code with which the broker gave it back
+}
+
+// Send publishes hops, each by itself.
+func (e *Egress) Send(to sender.Route, hops []sender.Hop) {
+	t, err := amqp.ParseURL(to.Dial)
+	for _, h := range hops {
+		p := &pub{e: e, hop: h, route: to.Addr, to: t}
+		e.out[h.ID] = p
+		if err != nil { // the configuration is checked for this; a registry's list is not
+			e.core.Post(func() { p.report(sender.NoConn, 0) })
+			continue
+		}
+		p.timer = time.AfterFunc(time.Duration(h.LimitUs)*time.Microsecond, func() {
+			e.core.Post(func() { p.giveUp(sender.Late) })
+		})
+		p.link = e.link(t)
+		p.link.waiting = append(p.link.waiting, p)
+	}
+	if err == nil {
+		e.link(t).pump()
+	}
+}
+
+// Recall gives a hop up.
+func (e *Egress) Recall(id string, n int) {
+	if p := e.out[id]; p != nil && p.hop.N == n {
+		p.giveUp(sender.Called)
+	}
+}
+
+// Trim closes the connection to a target if nothing is out on it.
+func (e *Egress) Trim(to sender.Route) {
+	t, err := amqp.ParseURL(to.Dial)
+	if err != nil {
+		return
+	}
+	if l := e.links[t.Addr+t.VHost+t.User]; l != nil && len(l.waiting) == 0 && !slices.ContainsFunc(l.lanes, (*lane).busy) {
+		l.bye(&amqp.Fault{Code: amqp.ReplySuccess, Text: "idle"})
+	}
+}
+
+// Routes closes connections to targets that want nothing new.
+func (e *Egress) Routes(changed []sender.Route) {
+	for _, r := range changed {
+		if r.State != "live" {
+			e.Trim(r)
+		}
+	}
+}
+
+func (e *Egress) link(t amqp.Target) *link {
+	key := t.Addr + t.VHost + t.User
+	l := e.links[key]
+	if l == nil {
+		l = &link{peer: newPeer(e.core.Post), e: e, key: key, to: t}
+		e.links[key] = l
+		l.conn = e.r.Dial(t.Addr, e.connect, l)
+		l.timer = time.AfterFunc(2*e.connect, func() { // of the connect and the handshake
+			e.core.Post(func() {
+				if !l.ready {
+					l.conn.Close()
+				}
+			})
+		})
+	}
+	return l
+}
+
+// report books the end of a hop, once.
+func (p *pub) report(reason string, holdMs int64) {
+	if p.e.out[p.hop.ID] != p {
+		return
+	}
+	delete(p.e.out, p.hop.ID)
+	if p.timer != nil {
+		p.timer.Stop()
+	}
+	if p.ch != nil {
+		p.ch.pub = nil
+	}
+	p.e.core.Report(sender.Outcome{ID: p.hop.ID, N: p.hop.N, Target: p.route, Reason: reason, HoldMs: holdMs})
+}
+
+// sent tells whether the publish's last byte has left.
+func (p *pub) sent() bool { return p.ch != nil && p.link.conn.Sent(p.end) }
+
+// lost reports a hop whose connection or channel ended. Before the publish's last byte the broker had no
+// whole message: proof that nothing ran.
+func (p *pub) lost(reason string) {
+	if !p.sent() {
+		reason = sender.NoConn
+	}
+	p.report(reason, 0)
+}
+
+// giveUp stops waiting for the confirm. The channel is closed with it: no second attempt may start while
+// the broker could still take this one for open.
+func (p *pub) giveUp(reason string) {
+	if p.e.out[p.hop.ID] != p {
+		return
+	}
+	l, ch := p.link, p.ch
+	if ch == nil {
+		l.waiting = slices.DeleteFunc(l.waiting, func(o *pub) bool { return o == p })
+		p.report(sender.NoConn, 0)
+		return
+	}
+	if !p.sent() { // half a message stands in the stream
+		l.conn.Close()
+		p.report(sender.NoConn, 0)
+		return
+	}
+	ch.state = laneClosing
+	p.report(reason, 0)
+	l.method(ch.id, amqp.ChanClose, amqp.ReplySuccess, "given up", 0, 0)
+	time.AfterFunc(p.e.connect, func() { // a broker that does not even close a channel is hung
+		p.e.core.Post(func() {
+			if slices.Contains(l.lanes, ch) {
+				l.conn.Close()
+			}
+		})
+	})
+}
+
+// The states of a channel to a broker.
+const (
+	laneOpening = iota
+	laneFree
+	laneClosing
+)
+
+// lane is one channel to a broker, with one publish out at most.
+type lane struct {
+	id     uint16
+	state  int
+	paused bool   // by channel.flow
+	tag    uint64 // of the last publish
+	pub    *pub
+}
+
+func (c *lane) busy() bool { return c.pub != nil }
+
+// link is one connection to a broker.
+type link struct {
+	peer
+	e       *Egress
+	key     string
+	to      amqp.Target
+	ready   bool
+	blocked bool
+	ending  bool
+	most    int // channels
+	lanes   []*lane
+	waiting []*pub
+}
+
+// Up opens the protocol.
+func (l *link) Up(*reactor.Conn) { l.write([]byte(amqp.Preamble)) }
+
+// Data handles the frames that are whole.
+func (l *link) Data(c *reactor.Conn, b []byte) {
+	if !l.ready && len(l.buf)+len(b) >= 4 && string(append(l.buf, b...)[:4]) == "AMQP" { // another version
+		c.Close()
+		return
+	}
+	if err := l.frames(b, l.frame); err != nil && !l.ending {
+		l.bye(fault(err))
+	}
+}
+
+// bye closes the connection from this side. What is out may have run.
+func (l *link) bye(f *amqp.Fault) {
+	l.ending = true
+	l.method(0, amqp.ConnClose, closeArgs(f)...)
+	l.conn.Close()
+}
+
+// Down ends all that is out or waits.
+func (l *link) Down(*reactor.Conn, error) { l.over(sender.Reset) }
+
+func (l *link) over(reason string) {
+	l.stop()
+	l.ending = true
+	if l.e.links[l.key] == l {
+		delete(l.e.links, l.key)
+	}
+	waiting := l.waiting
+	l.waiting = nil
+	for _, p := range waiting {
+		p.report(sender.NoConn, 0)
+	}
+	for _, ch := range l.lanes {
+		if ch.pub != nil {
+			ch.pub.lost(reason)
+		}
+	}
+}
+
+// lossOf words a close by its reply code: what it names as this side's or the message's fault is an
+// error, what ends the connection or the broker is a reset. Both may have run.
+func lossOf(code uint64) string {
+	if f := (&amqp.Fault{Code: uint16(code)}); f.Soft() {
+		return sender.Bad
+	}
+	return sender.Reset
+}
+
+// refusedBy words a refusal before any publish: it proves that nothing ran.
+func refusedBy(code uint64) string {
+	if code == amqp.ResourceError || code == amqp.ResourceLocked || code == amqp.ConnectionForced {
+		return sender.Full
+	}
+	return sender.NoConn
+}
+
+func (l *link) frame(f amqp.Frame) error {
+	m, err := l.add(f)
+	if err != nil || m == nil || l.ending {
+		return err
+	}
+	if f.Channel == 0 {
+		return l.connection(m)
+	}
+	i := slices.IndexFunc(l.lanes, func(c *lane) bool { return c.id == f.Channel })
+	if i < 0 {
+		return amqp.Errorf(amqp.ChannelError, "channel %d is not open", f.Channel)
+	}
+	return l.channel(i, l.lanes[i], m)
+}
+
+func (l *link) connection(m *amqp.Message) error {
+	switch m.Key {
+	case amqp.ConnStart:
+		if !slices.Contains(strings.Fields(m.Str(3)), "PLAIN") {
+			return amqp.Errorf(amqp.NotAllowed, "no PLAIN among %q", m.Str(3))
+		}
+		caps := amqp.Table{"publisher_confirms": true, "basic.nack": true, "connection.blocked": true}
+		l.method(0, amqp.ConnStartOk, amqp.Table{"product": "brackendale", "capabilities": caps}, "PLAIN",
+			"\x00"+l.to.User+"\x00"+l.to.Password, "en_US")
+	case amqp.ConnTune:
+		l.most = maxTargetChannels
+		if n := int(m.Int(0)); n > 0 {
+			l.most = min(l.most, n)
+		}
+		if n := uint32(m.Int(1)); n > 0 {
+			l.max = max(amqp.FrameMin, min(l.max, n))
+		}
+		beat := time.Duration(m.Int(2)) * time.Second
+		if beat == 0 || beat > brokerBeat {
+			beat = brokerBeat
+		}
+		l.method(0, amqp.ConnTuneOk, l.most, l.max, int(beat/time.Second))
+		l.method(0, amqp.ConnOpen, l.to.VHost, "", false)
+		l.beat = beat
+	case amqp.ConnOpenOk:
+		l.ready = true
+		l.stop()
+		l.keepAlive(l.beat)
+		l.pump()
+	case amqp.ConnBlocked:
+		l.blocked = true
+	case amqp.ConnUnblocked:
+		l.blocked = false
+		l.pump()
+	case amqp.ConnClose:
+		l.method(0, amqp.ConnCloseOk)
+		code := m.Int(0)
+		for _, p := range l.waiting {
+			p.report(refusedBy(code), 0)
+		}
+		l.waiting = nil
+		l.over(lossOf(code))
+		l.conn.Close()
+	default:
+		return &amqp.Fault{Code: amqp.CommandInvalid, Text: "out of place", Method: m.Key}
+	}
+	return nil
+}
+
+// pump gives waiting hops to free channels and opens more where there are too few.
+func (l *link) pump() {
+	if !l.ready || l.blocked || l.ending {
+		return
+	}
+	opening := 0
+	for _, ch := range l.lanes {
+		if ch.state == laneFree && !ch.paused && ch.pub == nil && len(l.waiting) > 0 {
+			p := l.waiting[0]
+			l.waiting = l.waiting[1:]
+			l.publish(ch, p)
+		}
+		if ch.state == laneOpening {
+			opening++
+		}
+	}
+	for ; opening < len(l.waiting) && len(l.lanes) < l.most; opening++ {
+		id := uint16(1)
+		for slices.ContainsFunc(l.lanes, func(c *lane) bool { return c.id == id }) {
+			id++
+		}
+		l.lanes = append(l.lanes, &lane{id: id})
+		l.method(id, amqp.ChanOpen, "")
+	}
+}
+
+func (l *link) publish(ch *lane, p *pub) {
+	ch.tag++
+	ch.pub, p.ch = p, ch
+	left := max(1, (p.hop.Deadline-l.e.core.Now())/1000)
+	props := &amqp.Props{MessageID: p.hop.ID, Type: p.hop.Class, DeliveryMode: 2, Expiration: strconv.FormatInt(left, 10)}
+	if p.hop.Key != "" {
+		props.Headers = amqp.Table{"idempotency-key": p.hop.Key}
+	}
+	pieces := amqp.Content(ch.id, amqp.Publish, []any{0, p.to.Exchange, p.to.RoutingKey, true, false}, props, p.hop.Body, l.max)
+	p.end = l.conn.Mark()
+	for _, x := range pieces {
+		p.end += int64(len(x))
+	}
+	l.write(pieces...)
+}
+
+func (l *link) channel(i int, ch *lane, m *amqp.Message) error {
+	p := ch.pub
+	switch m.Key {
+	case amqp.ChanOpenOk:
+		l.method(ch.id, amqp.ConfirmSelect, false)
+	case amqp.ConfirmOk:
+		if ch.state == laneOpening {
+			ch.state = laneFree
+		}
+	case amqp.ChanFlow:
+		ch.paused = !m.Bool(0)
+		l.method(ch.id, amqp.ChanFlowOk, m.Bool(0))
+	case amqp.Return:
+		if p != nil {
+			p.returned = uint16(m.Int(0))
+		}
+		return nil
+	case amqp.Ack, amqp.Nack:
+		if p == nil || m.Int(0) < ch.tag && !(m.Int(0) == 0 && m.Bool(1)) {
+			return nil
+		}
+		p.confirmed(m.Key)
+	case amqp.ChanClose:
+		l.method(ch.id, amqp.ChanCloseOk)
+		l.lanes = slices.Delete(l.lanes, i, i+1)
+		if p != nil {
+			p.lost(lossOf(m.Int(0)))
+		} else if ch.state == laneOpening && len(l.waiting) > 0 {
+			p := l.waiting[0]
+			l.waiting = l.waiting[1:]
+			p.report(refusedBy(m.Int(0)), 0)
+		}
+	case amqp.ChanCloseOk:
+		l.lanes = slices.Delete(l.lanes, i, i+1)
+	default:
+		return &amqp.Fault{Code: amqp.CommandInvalid, Text: "out of place", Method: m.Key}
+	}
+	l.pump()
+	return nil
+}
+
+// confirmed ends a hop by its confirm. A message that was returned never ran, and its ack is no delivery.
+func (p *pub) confirmed(k amqp.Key) {
+	switch {
+	case p.returned == amqp.NoRoute:
+		p.report(sender.NoConn, 0)
+	case p.returned != 0:
+		p.report(sender.Full, 0)
+	case k == amqp.Ack:
+		p.report(sender.Good, 0)
+	default:
+		p.report(sender.Bad, 0)
+	}
+}
--- /dev/null
+++ b/internal/net/amqpfront/session.go
@@ -0,0 +1,350 @@
+package amqpfront
+
+import (
+	"crypto/subtle"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"brackendale/internal/net/amqp"
+	"brackendale/internal/net/reactor"
+	"brackendale/sender"
+)
+
+// The stages of a client's connection.
+const (
+	greeting = iota
+	starting
+	tuning
+	opening
+	open
+	ending // a close was sent
+)
+
+// session is one client's connection.
+type session struct {
+	peer
+	in    *Ingress
+	stage int
+	chans map[uint16]*channel
+}
+
+// Up is not used: clients dial.
+func (s *session) Up(*reactor.Conn) {}
+
+// Data handles the frames that are whole.
+func (s *session) Data(c *reactor.Conn, b []byte) {
+	if s.stage == greeting {
+		b = append(s.buf, b...)
+		if s.buf = nil; len(b) < len(amqp.Preamble) && strings.HasPrefix(amqp.Preamble, string(b)) {
+			s.buf = b
+			return
+		}
+		if !strings.HasPrefix(string(b), amqp.Preamble) { // the specification's answer to another protocol
+			s.write([]byte(amqp.Preamble))
+			c.Close()
+			return
+		}
+		s.stage = starting
+		b = b[len(amqp.Preamble):]
+		caps := amqp.Table{"publisher_confirms": true, "basic.nack": true, "consumer_cancel_notify": false,
+			"authentication_failure_close": true}
+		s.method(0, amqp.ConnStart, 0, 9, amqp.Table{"product": "brackendale", "capabilities": caps}, "PLAIN", "en_US")
+	}
+	if err := s.frames(b, s.frame); err != nil {
+		s.fail(0, err)
+	}
+}
+
+// Down ends all channels.
+func (s *session) Down(*reactor.Conn, error) {
+	s.stop()
+	delete(s.in.clients, s)
+	for _, ch := range s.chans {
+		ch.drop()
+	}
+}
+
+// fail answers a fault with the close of the channel or of the connection.
+func (s *session) fail(id uint16, err error) {
+	f := fault(err)
+	if s.stage == ending || s.conn.Dead() {
+		return
+	}
+	if ch := s.chans[id]; ch != nil && f.Soft() {
+		ch.drop()
+		ch.closing = true
+		s.method(id, amqp.ChanClose, closeArgs(f)...)
+		return
+	}
+	s.stage = ending
+	for _, ch := range s.chans {
+		ch.drop()
+	}
+	s.method(0, amqp.ConnClose, closeArgs(f)...)
+	s.buf = nil
+	time.AfterFunc(time.Second, func() { s.post(s.conn.Close) })
+}
+
+func (s *session) frame(f amqp.Frame) error {
+	ch := s.chans[f.Channel]
+	if f.Channel != 0 && ch == nil && s.stage == open && f.Kind != amqp.FrameMethod {
+		return amqp.Errorf(amqp.ChannelError, "channel %d is not open", f.Channel)
+	}
+	m, err := s.add(f)
+	if s.stage == ending || ch != nil && ch.closing { // only the answer to the close counts
+		delete(s.asm, f.Channel)
+		if m != nil && m.Key == amqp.ConnCloseOk {
+			s.conn.Close()
+		} else if m != nil && m.Key == amqp.ChanCloseOk && ch != nil {
+			delete(s.chans, f.Channel)
+		}
+		return nil
+	}
+	if err == nil && m != nil {
+		if f.Channel == 0 {
+			err = s.connection(m)
+		} else {
+			err = s.channel(f.Channel, ch, m)
+		}
+	}
+	if err != nil && fault(err).Soft() && ch != nil {
+		s.fail(f.Channel, err)
+		return nil
+	}
+	return err
+}
+
+func (s *session) connection(m *amqp.Message) error {
+	switch {
+	case m.Key == amqp.ConnStartOk && s.stage == starting:
+		if m.Str(1) != "PLAIN" || !s.in.allowed(m.Str(2)) {
+			return &amqp.Fault{Code: amqp.AccessRefused, Text: "login refused", Method: m.Key}
+		}
+		s.stage = tuning
+		s.method(0, amqp.ConnTune, maxChannels, amqp.FrameMax, int(s.in.opt.Heartbeat/time.Second))
+	case m.Key == amqp.ConnTuneOk && s.stage == tuning:
+		most, beat := m.Int(1), time.Duration(m.Int(2))*time.Second
+		if most == 0 {
+			most = amqp.FrameMax
+		}
+		if m.Int(0) > maxChannels || most > amqp.FrameMax || most < amqp.FrameMin {
+			return &amqp.Fault{Code: amqp.NotAllowed, Text: "limits outside of what was offered", Method: m.Key}
+		}
+		s.stop()
+		s.stage, s.max = opening, uint32(most)
+		s.keepAlive(beat)
+	case m.Key == amqp.ConnOpen && s.stage == opening:
+		if v := m.Str(0); v != "/" && v != "" {
+			return &amqp.Fault{Code: amqp.NotAllowed, Text: "no such virtual host", Method: m.Key}
+		}
+		s.stage = open
+		s.method(0, amqp.ConnOpenOk, "")
+	case m.Key == amqp.ConnClose:
+		s.method(0, amqp.ConnCloseOk)
+		s.stage = ending
+		s.conn.Close()
+	case m.Key == amqp.ConnCloseOk: // crossed
+	default:
+		return &amqp.Fault{Code: amqp.CommandInvalid, Text: "out of place", Method: m.Key}
+	}
+	return nil
+}
+
+func (in *Ingress) allowed(login string) bool {
+	if in.opt.User == "" && in.opt.Password == "" {
+		return true
+	}
+	want := "\x00" + in.opt.User + "\x00" + in.opt.Password
+	return subtle.ConstantTimeCompare([]byte(login), []byte(want)) == 1
+}
+
+func (s *session) channel(id uint16, ch *channel, m *amqp.Message) error {
+	bad := func(code uint16, format string, args ...any) error {
+		return &amqp.Fault{Code: code, Text: fmt.Sprintf(format, args...), Method: m.Key}
+	}
+	if s.stage != open {
+		return bad(amqp.CommandInvalid, "the connection is not open")
+	}
+	if m.Key == amqp.ChanOpen {
+		if ch != nil || id > maxChannels {
+			return bad(amqp.ChannelError, "channel %d cannot be opened", id)
+		}
+		s.chans[id] = &channel{s: s, id: id}
+		s.method(id, amqp.ChanOpenOk, "")
+		return nil
+	}
+	if ch == nil {
+		return bad(amqp.ChannelError, "channel %d is not open", id)
+	}
+	switch m.Key {
+	case amqp.ChanClose:
+		ch.drop()
+		delete(s.chans, id)
+		s.method(id, amqp.ChanCloseOk)
+	case amqp.ChanFlow: // answers are held back by prefetch alone
+		return bad(amqp.NotImplemented, "flow; use prefetch")
+	case amqp.ConfirmSelect:
+		if ch.confirm = true; !m.Bool(0) {
+			s.method(id, amqp.ConfirmOk)
+		}
+	case amqp.Qos:
+		ch.prefetch = int(m.Int(1))
+		s.method(id, amqp.QosOk)
+		for _, c := range ch.consumers {
+			c.q.pump()
+		}
+	case amqp.QueueDeclare:
+		return s.declare(id, m, bad)
+	case amqp.Consume:
+		return s.consume(ch, m, bad)
+	case amqp.Cancel:
+		for i, c := range ch.consumers {
+			if c.tag == m.Str(0) {
+				ch.consumers = append(ch.consumers[:i:i], ch.consumers[i+1:]...)
+				c.q.remove(c)
+				s.in.tidy(c.q)
+				break
+			}
+		}
+		if !m.Bool(1) {
+			s.method(id, amqp.CancelOk, m.Str(0))
+		}
+	case amqp.Publish:
+		return s.publish(ch, m, bad)
+	case amqp.Ack:
+		return ch.settle(m.Key, m.Int(0), m.Bool(1), false)
+	case amqp.Reject:
+		return ch.settle(m.Key, m.Int(0), false, m.Bool(1))
+	case amqp.Nack:
+		return ch.settle(m.Key, m.Int(0), m.Bool(1), m.Bool(2))
+	default:
+		return bad(amqp.CommandInvalid, "out of place")
+	}
+	return nil
+}
+
+func (q *queue) remove(c *consumer) {
+	for i, o := range q.consumers {
+		if o == c {
+			q.consumers = append(q.consumers[:i:i], q.consumers[i+1:]...)
+			return
+		}
+	}
+}
+
+type complain func(code uint16, format string, args ...any) error
+
+// declare answers for a queue of answers: any name may be used, and one is made up where none is given.
+func (s *session) declare(id uint16, m *amqp.Message, bad complain) error {
+	name := m.Str(1)
+	if name == "" {
+		s.in.named++
+		name = fmt.Sprintf("answers-%x-%d", s.in.core.Now(), s.in.named)
+	}
+	if len(name) > maxName {
+		return bad(amqp.PreconditionFailed, "the name is too long")
+	}
+	q, count, users := s.in.queues[name], 0, 0
+	if q == nil && m.Bool(2) {
+		return bad(amqp.NotFound, "no queue %q", name)
+	}
+	if q != nil {
+		count, users = len(q.answers), len(q.consumers)
+	}
+	if !m.Bool(6) {
+		s.method(id, amqp.QueueOk, name, count, users)
+	}
+	return nil
+}
+
+func (s *session) consume(ch *channel, m *amqp.Message, bad complain) error {
+	name, tag := m.Str(1), m.Str(2)
+	switch {
+	case name == "" || len(name) > maxName:
+		return bad(amqp.NotFound, "no queue %q", name)
+	case m.Bool(4): // the answer is kept until it is acknowledged
+		return bad(amqp.NotImplemented, "no-ack")
+	case len(ch.consumers) >= maxConsumers || s.in.queues[name] == nil && len(s.in.queues) >= maxQueues:
+		return bad(amqp.ResourceError, "too many consumers or queues")
+	}
+	if tag == "" {
+		tag = fmt.Sprintf("c%d.%d", ch.id, len(ch.consumers))
+	}
+	for _, c := range ch.consumers {
+		if c.tag == tag {
+			return bad(amqp.NotAllowed, "consumer tag %q is in use", tag)
+		}
+	}
+	c := &consumer{ch, tag, s.in.queue(name)}
+	ch.consumers = append(ch.consumers, c)
+	c.q.consumers = append(c.q.consumers, c)
+	if !m.Bool(6) {
+		s.method(ch.id, amqp.ConsumeOk, tag)
+	}
+	c.q.pump()
+	return nil
+}
+
+// publish hands in a message: its routing key is the destination, its message-id the id, its type the
+// class, its app-id the tenant, its expiration the time in milliseconds that it may take.
+func (s *session) publish(ch *channel, m *amqp.Message, bad complain) error {
+	core, p := s.in.core, m.Props
+	if m.Str(1) != s.in.opt.Exchange {
+		return bad(amqp.NotFound, "no exchange %q", m.Str(1))
+	}
+	if !ch.confirm { // without it a client would never hear of a refusal
+		return bad(amqp.PreconditionFailed, "confirm.select must come first")
+	}
+	if m.Bool(4) {
+		return bad(amqp.NotImplemented, "immediate")
+	}
+	ch.published++
+	dest, err := strconv.ParseInt(m.Str(2), 10, 64)
+	if err != nil || !core.Serves(dest) {
+		if !m.Bool(3) {
+			return bad(amqp.NotFound, "no destination %q", m.Str(2))
+		}
+		s.write(amqp.Content(ch.id, amqp.Return, []any{amqp.NoRoute, "NO_ROUTE", m.Str(1), m.Str(2)}, p, m.Body, s.max)...)
+		s.method(ch.id, amqp.Ack, ch.published, false)
+		return nil
+	}
+	lane, key := core.Lane(p.Type), ""
+	if v, ok := p.Headers["idempotency-key"].(string); ok {
+		key = v
+	}
+	limit := lane.HardLimitUs
+	if p.Expiration != "" {
+		ms, err := strconv.ParseUint(p.Expiration, 10, 40)
+		if err != nil {
+			return bad(amqp.PreconditionFailed, "expiration is no time in milliseconds")
+		}
+		limit = min(limit, int64(ms)*1000)
+	}
+	switch {
+	case !core.Knows(p.Type):
+		return bad(amqp.PreconditionFailed, "type names no class: %q", p.Type)
+	case !word(p.MessageID):
+		return bad(amqp.PreconditionFailed, "message-id is missing or no plain word")
+	case p.ReplyTo == "" || len(p.ReplyTo) > maxName:
+		return bad(amqp.PreconditionFailed, "reply-to is missing or too long")
+	case lane.Effect == "by_key" && key == "":
+		return bad(amqp.PreconditionFailed, "header idempotency-key is missing")
+	case key != "" && !word(key) || len(p.AppID) > maxName:
+		return bad(amqp.PreconditionFailed, "idempotency-key or app-id is no plain word")
+	case s.in.queues[p.ReplyTo] == nil && len(s.in.queues) >= maxQueues:
+		return bad(amqp.ResourceError, "too many queues")
+	}
+	x := &sender.Exchange{ID: p.MessageID, Class: p.Type, Tenant: p.AppID, Key: key, Dest: dest,
+		Deadline: core.Now() + limit, Body: m.Body, Front: Front, Note: p.ReplyTo + "\x00" + p.CorrelationID,
+		Ref: &publish{ch, ch.published}}
+	ch.pending = append(ch.pending, x)
+	core.Offer(x)
+	return nil
+}
+
+// word tells whether an id or key can be passed on in any protocol's head.
+func word(s string) bool {
+	return s != "" && len(s) <= maxName && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r >= 0x7f })
+}
--- a/internal/net/platform/client.go
+++ b/internal/net/platform/client.go
@@ -48,7 +48,7 @@
 }
 
 // written tells whether the request's last byte has left.
-func (l *link) written() bool { return l.used && l.conn.Sent() }
+func (l *link) written() bool { return l.used && l.conn.Sent(l.conn.Mark()) }
 
 // drop gives up a request, if one is out, and closes.
 func (l *link) drop() {
--- a/internal/net/platform/ingress.go
+++ b/internal/net/platform/ingress.go
@@ -204,6 +204,9 @@
 // Owes tells that all ends but delivery are told.
 func (in *Ingress) Owes(end string) bool { return end != sender.Delivered }
 
+// Remembers is false: every time a message is handed in here its id is new.
+func (in *Ingress) Remembers() bool { return false }
+
 // Tell queues a notice.
 func (in *Ingress) Tell(id, _, end string, waitMs int64) { in.notices.add(id, end, waitMs) }
 
--- a/internal/net/platform/registry.go
+++ b/internal/net/platform/registry.go
@@ -32,12 +32,13 @@
 // Watch starts with the list that the sender last held and keeps it up to date.
 func Watch(core *sender.Sender, r *reactor.Reactor, addr string, known config.List) *Registry {
 	g := &Registry{core: core, r: r, addr: addr, seq: known.Seq}
-	core.Routes("stale_copy", routes(known))
+	core.Routes("stale_copy", Routes(known))
 	g.ask()
 	return g
 }
 
-func routes(l config.List) []sender.Route {
+// Routes words a list of the registry as the route table's.
+func Routes(l config.List) []sender.Route {
 	states := map[string]string{"active": "live", "leaving": "quiescing", "left": "dead"}
 	var list []sender.Route
 	for _, h := range l.Hosts {
@@ -94,7 +95,7 @@
 		how = "whole"
 	}
 	if l.Whole || len(l.Hosts) > 0 {
-		g.core.Routes(how, routes(l))
+		g.core.Routes(how, Routes(l))
 	}
 	g.seq = l.Seq
 	return nil
--- a/internal/net/reactor/reactor.go
+++ b/internal/net/reactor/reactor.go
@@ -23,6 +23,8 @@
 // maxUnread bounds what has been read and not yet handled, over all connections.
 const maxUnread = 4 << 20
 
+const stopLimit = 300 * time.Millisecond
+
 // Handler is told of one connection's life, always on the owner's goroutine.
 type Handler interface {
 	// Up is called once when a dialled connection is established.
@@ -98,8 +100,13 @@
 	})
 }
 
-// Stop closes the engine and all of its connections.
-func (r *Reactor) Stop() { r.engine.Stop() }
+// Stop closes the engine and all of its connections. It waits for them for a moment only: the engine
+// overlooks one that joins while it stops, and would wait for it without end.
+func (r *Reactor) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	_ = r.engine.Shutdown(ctx) // what is open still ends with the process
+}
 
 // Listen accepts connections; accept names the handler of each, or nil to turn it away. The accept loop
 // is ours and not the engine's, since the engine's ends for good when descriptors run out for a moment.
@@ -208,8 +215,11 @@
 // Dead tells whether the connection has ended.
 func (c *Conn) Dead() bool { return c.dead }
 
-// Sent tells whether all that was written has left for the socket.
-func (c *Conn) Sent() bool { return c.written.Load() >= c.queued }
+// Mark is the place in the stream that the next write starts from.
+func (c *Conn) Mark() int64 { return c.queued }
+
+// Sent tells whether all that was written before a mark has left for the socket.
+func (c *Conn) Sent(mark int64) bool { return c.written.Load() >= mark }
 
 // Write hands over the pieces in one gathered write. The engine's own gathered write forgets the pieces
 // behind the one that a partial write ends in, and all of them where the socket was full: those go
--- a/internal/net/reactor/reactor_test.go
+++ b/internal/net/reactor/reactor_test.go
@@ -60,7 +60,7 @@
 	}
 	do(func() { err = c.Write([]byte("one "), []byte("two")) })
 	got := make([]byte, 7)
-	if _, rerr := io.ReadFull(peer, got); err != nil || rerr != nil || string(got) != "one two" || !c.Sent() {
+	if _, rerr := io.ReadFull(peer, got); err != nil || rerr != nil || string(got) != "one two" || !c.Sent(7) {
 		t.Fatalf("%q %v %v", got, err, rerr)
 	}
 	if _, err = peer.Write([]byte("back")); err != nil {
@@ -108,11 +108,11 @@
 		}
 		want = append(append(append(want, a...), b...), z...)
 		do(func() { err = c.nc.Load().SetWriteBuffer(4096) })
-		if !c.Sent() {
+		if !c.Sent(c.Mark()) {
 			break
 		}
 	}
-	if c.Sent() {
+	if c.Sent(c.Mark()) {
 		t.Fatal("the socket took all: nothing was tested")
 	}
 	got := make([]byte, len(want))
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -28,7 +28,7 @@
 	OpenZone               string
 	End                    string // its end, once it has one
 	WaitMs                 int64
-	EndedAt                int64
+	Heard                  bool // its client has the end: only the id is remembered
 	order                  uint64
 }
 
@@ -52,6 +52,7 @@
 	recClosed
 	recEnd
 	recGone
+	recHeard
 )
 
 var table = crc32.MakeTable(crc32.Castagnoli)
@@ -118,6 +119,16 @@
 // Get returns a live entry, or nil.
 func (s *Spool) Get(id string) *Entry { return s.live[id] }
 
+// Owed counts the ends that have not been heard.
+func (s *Spool) Owed() (n int) {
+	for _, e := range s.live {
+		if e.End != "" && !e.Heard {
+			n++
+		}
+	}
+	return n
+}
+
 // Room tells whether one more message of that many bytes in all can be taken on, next to those that
 // were promised room already, and still be given attempts, an end and a compaction.
 func (s *Spool) Room(bytes, promised int) bool {
@@ -126,6 +137,9 @@
 
 // Need is what an entry takes for good, with what it may still need.
 func Need(e *Entry) int {
+	if e.Heard {
+		return len(e.ID) + len(e.Class) + len(e.Tenant) + len(e.Key) + len(e.Front) + len(e.Note) + perHop
+	}
 	return len(e.Body) + len(e.ID)*2 + len(e.Class) + len(e.Tenant) + len(e.Key) + len(e.Front) + len(e.Note) + perMsg
 }
 
@@ -150,14 +164,15 @@
 }
 
 // End records how a message ended. It stays until it is Gone.
-func (s *Spool) End(id, end string, waitMs, at int64) {
-	s.change(recEnd, id, waitMs, end, uint64(at))
-}
+func (s *Spool) End(id, end string, waitMs int64) { s.change(recEnd, id, waitMs, end) }
+
+// Heard records that the client has the end, for a front that must know the id again.
+func (s *Spool) Heard(id string) { s.change(recHeard, id, 0, "") }
 
 // Gone forgets a message: nothing more is owed.
 func (s *Spool) Gone(id string) { s.change(recGone, id, 0, "") }
 
-func (s *Spool) change(kind byte, id string, n int64, text string, more ...uint64) {
+func (s *Spool) change(kind byte, id string, n int64, text string) {
 	if s.live[id] == nil {
 		return
 	}
@@ -166,9 +181,6 @@
 	p = appendText(p, id)
 	p = binary.AppendVarint(p, n)
 	p = appendText(p, text)
-	for _, x := range more {
-		p = binary.AppendUvarint(p, x)
-	}
 	s.buf = frame(s.buf, p)
 	s.apply(p)
 }
@@ -257,7 +269,8 @@
 	if kind == recTaken {
 		e := &Entry{ID: r.text(), Class: r.text(), Tenant: r.text(), Key: r.text(), Front: r.text(),
 			Note: r.text(), Dest: r.int(), Deadline: r.int(), Attempts: int(r.int()), FirstRun: r.int(),
-			Zone: r.text(), OpenAt: r.int(), OpenZone: r.text(), End: r.text(), WaitMs: r.int(), EndedAt: r.int()}
+			Zone: r.text(), OpenAt: r.int(), OpenZone: r.text(), End: r.text(), WaitMs: r.int()}
+		e.Heard = r.int() != 0
 		e.Body = []byte(r.text())
 		if r.bad || e.Attempts < 0 || s.live[e.ID] != nil {
 			return false
@@ -284,7 +297,11 @@
 		e.OpenAt, e.OpenZone = 0, ""
 	case recEnd:
 		s.bytes -= int64(len(e.Body)) // an ended message is never sent again
-		e.End, e.WaitMs, e.EndedAt, e.Body = text, n, int64(r.uint()), nil
+		e.End, e.WaitMs, e.Body = text, n, nil
+	case recHeard:
+		s.bytes -= int64(Need(e))
+		e.Heard = true
+		s.bytes += int64(Need(e))
 	case recGone:
 		s.bytes -= int64(Need(e))
 		delete(s.live, id)
@@ -307,7 +324,11 @@
 	p = appendText(p, e.OpenZone)
 	p = appendText(p, e.End)
 	p = binary.AppendVarint(p, e.WaitMs)
-	p = binary.AppendVarint(p, e.EndedAt)
+	heard := int64(0)
+	if e.Heard {
+		heard = 1
+	}
+	p = binary.AppendVarint(p, heard)
 	p = appendText(p, string(e.Body))
 	return frame(out, p)
 }
--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -47,8 +47,8 @@
 	s.Hop("b", "z2", 20) // open
 	s.Hop("a", "z1", 11)
 	s.Closed("a", true)
-	s.End("c", "failed", 250, 99)
-	s.End("d", "delivered", 0, 99)
+	s.End("c", "failed", 250)
+	s.End("d", "delivered", 0)
 	s.Gone("d")
 	flush(t, s)
 	want := "b/body b/2/0//20//0;a/body a/1/11/z1/0//0;c//0/0//0/failed/250;"
@@ -110,7 +110,7 @@
 				s.Hop(held[k], "zone", 1)
 				s.Closed(held[k], true)
 			}
-			s.End(held[k], "failed", 1, 1)
+			s.End(held[k], "failed", 1)
 			if i%2 == 0 {
 				s.Gone(held[k])
 				held = append(held[:k], held[k+1:]...)
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -18,6 +18,7 @@
 
 // Options is what a sender is made of.
 type Options struct {
+	Name     string
 	Settings logic.Settings
 	Seed     int64
 	Dir      string // the folder that lasts
@@ -53,8 +54,12 @@
 	last     time.Time
 	stats    State
 	seen     map[string]*RouteState
+	held     map[string]bool // targets that the operator holds
 }
 
+// maxEnds is how many of the last ends are kept to be shown.
+const maxEnds = 10
+
 // refusedMs is the wait that is told where the module was not asked: its hold, or the disk, is full.
 const refusedMs = 500
 
@@ -71,7 +76,7 @@
 	s := &Sender{opt: opt, relay: relay, spool: sp, log: opt.Log, started: time.Now(),
 		tick: time.Duration(opt.Settings.TickUs) * time.Microsecond, wake: make(chan struct{}, 1),
 		fronts: map[string]Ingress{}, carriers: map[string]Egress{}, routes: map[string]Route{}, dests: map[int64]bool{},
-		lanes: map[string]logic.Lane{}, kinds: map[string]int{}, seen: map[string]*RouteState{}}
+		lanes: map[string]logic.Lane{}, kinds: map[string]int{}, seen: map[string]*RouteState{}, held: map[string]bool{}}
 	for _, l := range opt.Settings.Lanes {
 		s.lanes[l.Name] = l
 	}
@@ -133,6 +138,10 @@
 // restore hands the module what was taken on before a restart. An attempt that was open may have run.
 func (s *Sender) restore() {
 	for _, e := range s.spool.Entries() {
+		if e.Heard {
+			s.forgetLater(e)
+			continue
+		}
 		if e.End != "" {
 			s.tell = append(s.tell, e)
 			continue
@@ -152,7 +161,10 @@
 
 // Offer hands in an exchange; its ingress gets the answer at the end of the round.
 func (s *Sender) Offer(x *Exchange) {
-	if e := s.spool.Get(x.ID); e != nil { // the client did not hear the answer: it is held, or has its end
+	if e := s.spool.Get(x.ID); e != nil && e.Front != x.Front { // another front's id
+		s.answer(x, Failed, 0)
+		return
+	} else if e != nil { // the client did not hear the answer: it is held, or has its end
 		s.answer(x, Taken, 0)
 		if e.End != "" {
 			s.tell = append(s.tell, e)
@@ -161,7 +173,7 @@
 	}
 	need := spool.Need(entry(x))
 	cap := s.opt.Settings.Caps.OpenCap
-	if cap > 0 && s.open+len(s.offers) >= cap || !s.spool.Room(need, s.promised) || s.stats.Held {
+	if cap > 0 && s.open+len(s.offers) >= cap || !s.spool.Room(need, s.promised) || s.stats.Paused {
 		s.answer(x, Busy, refusedMs)
 		return
 	}
@@ -230,21 +242,25 @@
 	}
 	by := map[string][]Route{}
 	for _, r := range list {
-		e.List = append(e.List, r.Endpoint)
-		by[r.Proto] = append(by[r.Proto], r)
 		s.routes[r.Addr], s.dests[r.Dest] = r, true
-		if s.seen[r.Addr] == nil {
-			s.seen[r.Addr] = &RouteState{}
-		}
-		s.seen[r.Addr].Route = r
 		if r.State == "dead" {
 			delete(s.routes, r.Addr)
-			delete(s.seen, r.Addr)
 		}
+		if s.held[r.Addr] && r.State == "live" {
+			r.State = "quiescing"
+		}
+		e.List = append(e.List, r.Endpoint)
+		by[r.Proto] = append(by[r.Proto], r)
 	}
 	for name := range s.seen {
 		if _, ok := s.routes[name]; !ok {
 			delete(s.seen, name)
+			delete(s.held, name)
+		}
+	}
+	for name := range s.routes {
+		if s.seen[name] == nil {
+			s.seen[name] = &RouteState{}
 		}
 	}
 	for proto, c := range s.carriers {
@@ -253,11 +269,27 @@
 	s.events = append(s.events, e)
 }
 
-// Settle forgets an exchange whose end has arrived.
+// Settle books that the end of an exchange has arrived.
 func (s *Sender) Settle(id string) {
-	if e := s.spool.Get(id); e != nil && e.End != "" {
-		s.spool.Gone(id)
+	e := s.spool.Get(id)
+	if e == nil || e.End == "" || e.Heard {
+		return
 	}
+	if in := s.fronts[e.Front]; in != nil && in.Remembers() {
+		s.spool.Heard(id)
+		s.forgetLater(e)
+		return
+	}
+	s.spool.Gone(id)
+}
+
+// forgetLater drops an id that is remembered once its class would not let the message live any more,
+// counted twice: from its deadline on.
+func (s *Sender) forgetLater(e *spool.Entry) {
+	left := e.Deadline + s.lanes[e.Class].HardLimitUs - s.Now()
+	time.AfterFunc(time.Duration(max(0, left))*time.Microsecond, func() {
+		s.Post(func() { s.spool.Gone(e.ID) })
+	})
 }
 
 // Stop is called once at a planned end: from here only hops start that should end before the time given.
@@ -284,6 +316,8 @@
 		return
 	}
 	s.open--
+	s.stats.Ends = append(s.stats.Ends, EndState{e.ID, e.Class, end, waitMs, time.Now()})
+	s.stats.Ends = s.stats.Ends[max(0, len(s.stats.Ends)-maxEnds):]
 	switch end {
 	case Delivered:
 		s.stats.Delivered++
@@ -296,7 +330,7 @@
 		s.spool.Gone(id)
 		return
 	}
-	s.spool.End(id, end, waitMs, s.Now())
+	s.spool.End(id, end, waitMs)
 	s.tell = append(s.tell, e)
 }
 
@@ -364,7 +398,13 @@
 		s.act(a)
 	}
 	for _, c := range calls {
-		s.carriers[c.to.Proto].Send(c.to, c.hops)
+		if out := s.carriers[c.to.Proto]; out != nil {
+			out.Send(c.to, c.hops)
+			continue
+		}
+		for _, h := range c.hops { // no egress for its protocol: it never left
+			s.Post(func() { s.Report(Outcome{ID: h.ID, N: h.N, Target: c.to.Addr, Reason: NoConn}) })
+		}
 	}
 	return nil
 }
@@ -385,15 +425,8 @@
 			continue
 		}
 		e, to := s.spool.Get(a.ID), s.routes[a.Addr]
-		if e == nil || e.End != "" || s.carriers[to.Proto] == nil {
-			// Gone from the list in this very round, or over: it never left.
-			id, addr := a.ID, a.Addr
-			n := 0
-			if e != nil {
-				n = e.Attempts
-				s.spool.Hop(id, to.Zone, now)
-			}
-			s.Post(func() { s.Report(Outcome{ID: id, N: n, Target: addr, Reason: NoConn}) })
+		if e == nil { // the module holds what the spool does not: only a fault of this program's
+			s.log.Error().Str("id", a.ID).Msg("a hop of an unknown exchange")
 			continue
 		}
 		c := last[a.Addr]
@@ -402,7 +435,8 @@
 			last[a.Addr] = c
 			list = append(list, c)
 		}
-		c.hops = append(c.hops, Hop{ID: e.ID, Key: e.Key, Class: e.Class, Body: e.Body, N: e.Attempts, LimitUs: a.LimitUs})
+		c.hops = append(c.hops, Hop{ID: e.ID, Key: e.Key, Class: e.Class, Body: e.Body, N: e.Attempts, LimitUs: a.LimitUs,
+			Deadline: e.Deadline})
 		s.spool.Hop(e.ID, to.Zone, now)
 		s.stats.Sent++
 		if r := s.seen[a.Addr]; r != nil {
--- a/sender/types.go
+++ b/sender/types.go
@@ -1,6 +1,10 @@
 package sender
 
-import "brackendale/logic"
+import (
+	"time"
+
+	"brackendale/logic"
+)
 
 // Exchange is one message that a client hands in.
 type Exchange struct {
@@ -41,6 +45,9 @@
 type Notices interface {
 	// Owes tells whether such an end must be told. If not, the exchange is over with it.
 	Owes(end string) bool
+	// Remembers tells that an exchange that comes again after its end was heard must not run again: its
+	// id is kept for as long as its class lets a message live, and the end is told again.
+	Remembers() bool
 	// Tell passes on an end, once for each life of the sender; Sender.Settle says that it has arrived.
 	Tell(id, note, end string, waitMs int64)
 }
@@ -51,6 +58,7 @@
 	Body           []byte
 	N              int
 	LimitUs        int64 // from now; the egress gives it up then
+	Deadline       int64 // of the exchange: wall clock in microseconds
 }
 
 // Egress carries hops to egress targets of one protocol.
@@ -98,18 +106,29 @@
 
 // RouteState is a line of the route table as an operator sees it.
 type RouteState struct {
-	Route
-	Out        int
-	Good, Lost uint64
-	LastReason string
+	Name, Dial, Proto, Health string
+	Dest                      int64
+	Held                      bool // by the operator
+	Out                       int
+	Good, Lost                uint64
+	LastReason                string
+}
+
+// EndState is an end as an operator sees it.
+type EndState struct {
+	ID, Class, End string
+	WaitMs         int64
+	At             time.Time
 }
 
 // State is what a running sender shows.
 type State struct {
-	Open, Ended, Owed       int
+	Name                    string
+	Now                     time.Time
+	Paused                  bool // by the operator: nothing new is taken on
+	Open, Owed              int  // messages without an end, and ends that were not heard yet
 	Taken, Refused, Sent    uint64
 	Delivered, Back, Failed uint64
-	Held                    bool
-	HeldTargets             []string
 	Routes                  []RouteState
+	Ends                    []EndState // the last ones
 }
