--- /dev/null
+++ b/internal/net/amqpfront/front_test.go
@@ -0,0 +1,552 @@
+package amqpfront
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"brackendale/internal/net/amqp"
+	"brackendale/internal/net/reactor"
+	"brackendale/logic"
+	"brackendale/sender"
+
+	"github.com/rs/zerolog"
+)
+
+const long = 20 * time.Second // no test passes or fails by time: this only ends a hang
+
+// side is one end of a connection as a stand-in speaks it.
+type side struct {
+	net.Conn
+	buf []byte
+	asm map[uint16]*amqp.Assembly
+}
+
+func newSide(c net.Conn) *side {
+	_ = c.SetDeadline(time.Now().Add(long))
+	return &side{Conn: c, asm: map[uint16]*amqp.Assembly{}}
+}
+
+func (s *side) frame() (amqp.Frame, error) {
+	for {
+		f, n, err := amqp.ParseFrame(s.buf, amqp.FrameMax)
+		if err != nil {
+			return f, err
+		}
+		if n > 0 {
+			s.buf = s.buf[n:]
+			if f.Kind != amqp.FrameBeat {
+				return f, nil
+			}
+			continue
+		}
+		b := make([]byte, 8192)
+		n, err = s.Read(b)
+		if err != nil {
+			return f, err
+		}
+		s.buf = append(s.buf, b[:n]...)
+	}
+}
+
+// next returns the next method and its channel.
+func (s *side) next() (uint16, *amqp.Message, error) {
+	for {
+		f, err := s.frame()
+		if err != nil {
+			return 0, nil, err
+		}
+		if s.asm[f.Channel] == nil {
+			s.asm[f.Channel] = &amqp.Assembly{}
+		}
+		if m, err := s.asm[f.Channel].Add(f); m != nil || err != nil {
+			return f.Channel, m, err
+		}
+	}
+}
+
+func (s *side) method(ch uint16, k amqp.Key, args ...any) {
+	_, _ = s.Write(amqp.AppendMethod(nil, ch, k, args...)) // a peer that went is seen by the next read
+}
+
+// broker is a stand-in for a partner's broker. step is asked before each thing it does with a frame; true
+// cuts the connection there.
+type broker struct {
+	ln      net.Listener
+	mu      sync.Mutex
+	applied map[string]int
+	props   chan *amqp.Props
+	step    func(what string) bool
+	publish func(s *side, ch uint16, m *amqp.Message, tag uint64) // answers; nil: ack
+}
+
+func newBroker(t *testing.T) *broker {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &broker{ln: ln, applied: map[string]int{}, props: make(chan *amqp.Props, 100), step: func(string) bool { return false }}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(newSide(c))
+		}
+	}()
+	return b
+}
+
+func (b *broker) serve(s *side) {
+	defer s.Close()
+	pre := make([]byte, len(amqp.Preamble))
+	if _, err := s.Read(pre); err != nil || b.step("preamble") {
+		return
+	}
+	s.method(0, amqp.ConnStart, 0, 9, amqp.Table{}, "PLAIN", "en_US")
+	tags, part := map[uint16]uint64{}, map[uint16]*amqp.Assembly{}
+	for {
+		f, err := s.frame()
+		if err != nil {
+			return
+		}
+		if part[f.Channel] == nil {
+			part[f.Channel] = &amqp.Assembly{}
+		}
+		m, err := part[f.Channel].Add(f)
+		if err != nil {
+			return
+		}
+		if m == nil {
+			if b.step(map[byte]string{amqp.FrameMethod: "publish", amqp.FrameHeader: "header", amqp.FrameBody: "part"}[f.Kind]) {
+				return
+			}
+			continue
+		}
+		switch m.Key {
+		case amqp.ConnStartOk:
+			if b.step("start-ok") {
+				return
+			}
+			s.method(0, amqp.ConnTune, 0, amqp.FrameMin, 0)
+		case amqp.ConnOpen:
+			if b.step("open") {
+				return
+			}
+			s.method(0, amqp.ConnOpenOk, "")
+		case amqp.ChanOpen:
+			if b.step("channel") {
+				return
+			}
+			s.method(f.Channel, amqp.ChanOpenOk, "")
+		case amqp.ConfirmSelect:
+			if b.step("select") {
+				return
+			}
+			s.method(f.Channel, amqp.ConfirmOk)
+		case amqp.ChanClose:
+			s.method(f.Channel, amqp.ChanCloseOk)
+		case amqp.Publish:
+			tags[f.Channel]++
+			if b.publish != nil {
+				b.publish(s, f.Channel, m, tags[f.Channel])
+				continue
+			}
+			b.apply(m)
+			if b.step("applied") {
+				return
+			}
+			s.method(f.Channel, amqp.Ack, tags[f.Channel], false)
+			if b.step("acked") {
+				return
+			}
+		}
+	}
+}
+
+func (b *broker) apply(m *amqp.Message) {
+	b.mu.Lock()
+	b.applied[m.Props.MessageID]++
+	b.mu.Unlock()
+	b.props <- m.Props
+}
+
+func (b *broker) count(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.applied[id]
+}
+
+func settings() (s logic.Settings) {
+	s.Replicas, s.TickUs, s.Discovery, s.Weights, s.MachineTypes = 1, 1000, "pushed", "silent", []string{"k"}
+	for _, l := range [][2]string{{"safe", "repeatable"}, {"key", "by_key"}, {"once", "once"}} {
+		s.Lanes = append(s.Lanes, logic.Lane{Name: l[0], Effect: l[1], Group: "all", AimUs: 2e6, HardLimitUs: 60e6, WindowUs: 60e6, Worth: 1})
+	}
+	s.Family.OwnLimits, s.Family.PerCall, s.Family.Workers = []bool{false}, []int{1}, 8
+	s.Caps.OpenCap, s.Caps.MaxAttempts, s.Caps.RetryAfter, s.Caps.MaxRetryAfterUs = 100, 8, true, 3e6
+	s.Caps.ConnectTimeoutUs, s.Caps.KeepaliveUs, s.Caps.StreamsPerConn = 1500e3, 5e6, 1
+	s.Rules.FallUs, s.Rules.ColdFrom, s.Rules.FallMultiple, s.Rules.WarmAfterUs = 2e6, 0.2, 2, 1e6
+	return s
+}
+
+// start begins one life of a sender; kill ends it with nothing put in order.
+func start(t *testing.T, dir string, b *broker) (addr string, kill func()) {
+	t.Helper()
+	core, err := sender.New(sender.Options{Settings: settings(), Dir: dir, Disk: 2 << 20, Log: zerolog.Nop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := reactor.New(core.Post)
+	if err != nil {
+		t.Fatal(err)
+	}
+	in := NewIngress(core, Options{Exchange: "messages", Heartbeat: 60 * time.Second})
+	core.AddIngress(Front, in)
+	core.AddEgress(Proto, NewEgress(core, r, 1500*time.Millisecond))
+	core.Routes("whole", []sender.Route{{Endpoint: logic.Endpoint{Addr: "b", Kind: "k", Dest: 7, State: "live"}, Proto: Proto,
+		Dial: "amqp://u:p@" + b.ln.Addr().String() + "/?exchange=records&key=in"}})
+	ln, err := r.Listen("tcp", "127.0.0.1:0", in.Accept)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- core.Run(ctx) }()
+	var once sync.Once
+	kill = func() {
+		once.Do(func() {
+			cancel()
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+			_ = ln.Close()
+			r.Stop()
+		})
+	}
+	t.Cleanup(kill)
+	return ln.Addr().String(), kill
+}
+
+// dial opens a client with channel 1 in confirm mode.
+func dial(t *testing.T, addr string) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	cl := &client{newSide(c), t}
+	_, _ = cl.Write([]byte(amqp.Preamble))
+	cl.want(amqp.ConnStart)
+	cl.method(0, amqp.ConnStartOk, amqp.Table{}, "PLAIN", "\x00guest\x00guest", "en_US")
+	cl.want(amqp.ConnTune)
+	cl.method(0, amqp.ConnTuneOk, 8, amqp.FrameMin, 0)
+	cl.method(0, amqp.ConnOpen, "/", "", false)
+	cl.want(amqp.ConnOpenOk)
+	cl.method(1, amqp.ChanOpen, "")
+	cl.want(amqp.ChanOpenOk)
+	cl.method(1, amqp.ConfirmSelect, false)
+	cl.want(amqp.ConfirmOk)
+	return cl
+}
+
+type client struct {
+	*side
+	t *testing.T
+}
+
+func (c *client) want(k amqp.Key) *amqp.Message {
+	c.t.Helper()
+	_, m, err := c.next()
+	if err != nil {
+		c.t.Fatalf("waiting for %d.%d: %v", k.Class(), k.ID(), err)
+	}
+	if m.Key != k {
+		c.t.Fatalf("got %d.%d, want %d.%d: %v", m.Class(), m.ID(), k.Class(), k.ID(), m.Method)
+	}
+	return m
+}
+
+func (c *client) consume() {
+	c.t.Helper()
+	c.method(1, amqp.Consume, 0, "answers", "me", false, false, false, false, amqp.Table{})
+	c.want(amqp.ConsumeOk)
+}
+
+func (c *client) publish(id, class string, change ...func(*amqp.Props)) {
+	p := &amqp.Props{MessageID: id, Type: class, ReplyTo: "answers", CorrelationID: "c-" + id, Headers: amqp.Table{"idempotency-key": "k" + id}}
+	for _, f := range change {
+		f(p)
+	}
+	for _, b := range amqp.Content(1, amqp.Publish, []any{0, "messages", "7", false, false}, p, make([]byte, 9000), amqp.FrameMin) {
+		_, _ = c.Write(b)
+	}
+}
+
+// answer reads one final answer and gives its end.
+func (c *client) answer(id string, ack bool) string {
+	c.t.Helper()
+	m := c.want(amqp.Deliver)
+	if m.Props.MessageID != id || m.Props.CorrelationID != "c-"+id {
+		c.t.Fatalf("an answer for %q", m.Props.MessageID)
+	}
+	if ack {
+		c.method(1, amqp.Ack, m.Int(1), false)
+		// The ack has been handled once what is sent after it is answered.
+		c.method(1, amqp.Qos, 0, 0, false)
+		c.want(amqp.QosOk)
+	}
+	return m.Props.Type
+}
+
+// The broker is killed at every step of a publish. Before the publish's last byte nothing ran and the
+// charge goes again; from there on it may have run and must not. Never is it applied twice, and the
+// client gets one answer.
+func TestBrokerKilledAtEveryStep(t *testing.T) {
+	for step, end := range map[string]string{"preamble": "delivered", "start-ok": "delivered", "open": "delivered",
+		"channel": "delivered", "select": "delivered", "publish": "", "header": "", "part": "", "applied": "failed", "acked": "delivered"} {
+		t.Run(step, func(t *testing.T) {
+			b := newBroker(t)
+			var once sync.Once
+			b.step = func(what string) (cut bool) {
+				if what == step {
+					once.Do(func() { cut = true })
+				}
+				return cut
+			}
+			addr, _ := start(t, t.TempDir(), b)
+			c := dial(t, addr)
+			c.consume()
+			c.publish("m", "once")
+			c.want(amqp.Ack)
+			got := c.answer("m", true)
+			// Cut inside the publish, the sender may or may not have written its last byte.
+			if n := b.count("m"); n > 1 || end != "" && got != end || (got == "delivered") != (n == 1) && end != "failed" {
+				t.Errorf("%s, applied %d times", got, n)
+			}
+			c.publish("m", "once") // the same message-id never runs twice
+			c.want(amqp.Ack)
+			if again := c.answer("m", true); again != got || b.count("m") > 1 {
+				t.Errorf("again: %s, applied %d times", again, b.count("m"))
+			}
+		})
+	}
+}
+
+// What the broker says of a publish decides whether it may go again.
+func TestConfirms(t *testing.T) {
+	for _, c := range []struct {
+		name, class, end string
+		applied          int
+		first            func(s *side, ch uint16, m *amqp.Message, tag uint64)
+	}{
+		{"a nack may have run", "once", "failed", 0, func(s *side, ch uint16, _ *amqp.Message, tag uint64) {
+			s.method(ch, amqp.Nack, tag, false, false)
+		}},
+		{"a nacked record goes again", "key", "delivered", 1, func(s *side, ch uint16, _ *amqp.Message, tag uint64) {
+			s.method(ch, amqp.Nack, tag, false, false)
+		}},
+		{"a returned charge never ran, though it is acked", "once", "delivered", 1, func(s *side, ch uint16, m *amqp.Message, tag uint64) {
+			for _, b := range amqp.Content(ch, amqp.Return, []any{amqp.NoRoute, "NO_ROUTE", "records", "in"}, m.Props, m.Body, amqp.FrameMin) {
+				_, _ = s.Write(b)
+			}
+			s.method(ch, amqp.Ack, tag, false)
+		}},
+		{"a channel closed after the publish", "once", "failed", 0, func(s *side, ch uint16, _ *amqp.Message, _ uint64) {
+			s.method(ch, amqp.ChanClose, amqp.PreconditionFailed, "no", 60, 40)
+		}},
+		{"a connection closed after the publish", "once", "failed", 0, func(s *side, _ uint16, _ *amqp.Message, _ uint64) {
+			s.method(0, amqp.ConnClose, amqp.ConnectionForced, "bye", 0, 0)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBroker(t)
+			n := 0
+			b.publish = func(s *side, ch uint16, m *amqp.Message, tag uint64) {
+				if n++; n == 1 {
+					c.first(s, ch, m, tag)
+					return
+				}
+				b.apply(m)
+				s.method(ch, amqp.Ack, tag, true)
+			}
+			addr, _ := start(t, t.TempDir(), b)
+			cl := dial(t, addr)
+			cl.consume()
+			cl.publish("m", c.class)
+			cl.want(amqp.Ack)
+			if got := cl.answer("m", true); got != c.end || b.count("m") != c.applied {
+				t.Errorf("%s, applied %d times", got, b.count("m"))
+			}
+		})
+	}
+}
+
+// A blocked connection gets no new publish until it is unblocked; the deadline travels as expiration.
+func TestBlocked(t *testing.T) {
+	b := newBroker(t)
+	var free, early bool
+	b.publish = func(s *side, ch uint16, m *amqp.Message, tag uint64) {
+		if m.Props.MessageID == "first" {
+			s.method(0, amqp.ConnBlocked, "low on memory")
+			s.method(ch, amqp.Ack, tag, false)
+			go func() {
+				time.Sleep(100 * time.Millisecond)
+				b.mu.Lock()
+				free = true
+				b.mu.Unlock()
+				s.method(0, amqp.ConnUnblocked)
+			}()
+			return
+		}
+		b.mu.Lock()
+		early = !free
+		b.mu.Unlock()
+		b.apply(m)
+		s.method(ch, amqp.Ack, tag, false)
+	}
+	addr, _ := start(t, t.TempDir(), b)
+	c := dial(t, addr)
+	c.consume()
+	c.publish("first", "once")
+	c.want(amqp.Ack)
+	c.answer("first", true)
+	c.publish("second", "once", func(p *amqp.Props) { p.Expiration = "30000" })
+	c.want(amqp.Ack)
+	if c.answer("second", true); early {
+		t.Error("published while blocked")
+	}
+	var ms int
+	if p := <-b.props; p.Expiration != "" {
+		_, _ = fmt.Sscan(p.Expiration, &ms)
+	}
+	if ms < 1 || ms > 30000 {
+		t.Error("expiration", ms)
+	}
+}
+
+// The client is cut while its answer is in flight: it gets it on return, marked as delivered before, and
+// once it has acknowledged it never again.
+func TestClientCut(t *testing.T) {
+	b, dir := newBroker(t), t.TempDir()
+	addr, kill := start(t, dir, b)
+	c := dial(t, addr)
+	c.consume()
+	c.publish("m", "once")
+	c.want(amqp.Ack)
+	c.answer("m", false)
+	_ = c.Close()
+	c = dial(t, addr)
+	c.consume()
+	if m := c.want(amqp.Deliver); !m.Bool(2) || m.Props.Type != "delivered" {
+		t.Fatal(m.Method, m.Props)
+	}
+	kill() // the sender restarts: the answer is still owed
+	addr, kill = start(t, dir, b)
+	c = dial(t, addr)
+	c.consume()
+	if c.answer("m", true) != "delivered" {
+		t.Fatal("another end")
+	}
+	kill()
+	addr, _ = start(t, dir, b)
+	c = dial(t, addr)
+	c.consume()
+	c.publish("n", "safe") // an answer owed for m would come first
+	c.want(amqp.Ack)
+	if c.answer("n", true); b.count("m") != 1 {
+		t.Fatal("applied", b.count("m"))
+	}
+}
+
+// The sender is killed with a publish out: the charge may have run and fails, a keyed record goes again.
+func TestSenderKilled(t *testing.T) {
+	b, dir := newBroker(t), t.TempDir()
+	held := make(chan bool, 9)
+	b.publish = func(_ *side, _ uint16, m *amqp.Message, _ uint64) { held <- true }
+	addr, kill := start(t, dir, b)
+	c := dial(t, addr)
+	for _, class := range []string{"once", "key"} {
+		c.publish(class, class)
+		c.want(amqp.Ack)
+		<-held
+	}
+	kill()
+	b.publish = nil
+	addr, _ = start(t, dir, b)
+	c = dial(t, addr)
+	c.consume()
+	got := map[string]string{}
+	for range 2 {
+		m := c.want(amqp.Deliver)
+		got[m.Props.MessageID] = m.Props.Type
+	}
+	if got["once"] != "failed" || got["key"] != "delivered" || b.count("once") != 0 {
+		t.Fatal(got)
+	}
+}
+
+// Each fault of a client's is answered with the specification's reply code, on the channel where it is
+// soft and else on the connection.
+func TestReplyCodes(t *testing.T) {
+	b := newBroker(t)
+	addr, _ := start(t, t.TempDir(), b)
+	prop := func(f func(*amqp.Props)) func(c *client) { return func(c *client) { c.publish("m", "key", f) } }
+	content := func(exchange, key string, size int, bits ...bool) func(c *client) {
+		return func(c *client) {
+			for _, p := range amqp.Content(1, amqp.Publish, []any{0, exchange, key, false, bits != nil}, &amqp.Props{}, make([]byte, size), amqp.FrameMin) {
+				_, _ = c.Write(p)
+			}
+		}
+	}
+	raw := func(b ...byte) func(c *client) { return func(c *client) { _, _ = c.Write(b) } }
+	send := func(ch uint16, k amqp.Key, args ...any) func(c *client) {
+		return func(c *client) { c.method(ch, k, args...) }
+	}
+	for name, x := range map[string]struct {
+		do    func(c *client)
+		code  uint64
+		close amqp.Key
+	}{
+		"oversize body":       {content("messages", "7", amqp.MaxBody+1), amqp.ContentTooLarge, amqp.ChanClose},
+		"unknown exchange":    {content("other", "7", 1), amqp.NotFound, amqp.ChanClose},
+		"unknown destination": {content("messages", "8", 1), amqp.NotFound, amqp.ChanClose},
+		"immediate":           {content("messages", "7", 1, true), amqp.NotImplemented, amqp.ConnClose},
+		"unknown class":       {prop(func(p *amqp.Props) { p.Type = "x" }), amqp.PreconditionFailed, amqp.ChanClose},
+		"no message-id":       {prop(func(p *amqp.Props) { p.MessageID = "" }), amqp.PreconditionFailed, amqp.ChanClose},
+		"header injection":    {prop(func(p *amqp.Props) { p.MessageID = "a\r\nb" }), amqp.PreconditionFailed, amqp.ChanClose},
+		"no reply-to":         {prop(func(p *amqp.Props) { p.ReplyTo = "" }), amqp.PreconditionFailed, amqp.ChanClose},
+		"no key":              {prop(func(p *amqp.Props) { p.Headers = nil }), amqp.PreconditionFailed, amqp.ChanClose},
+		"bad expiration":      {prop(func(p *amqp.Props) { p.Expiration = "soon" }), amqp.PreconditionFailed, amqp.ChanClose},
+		"unknown tag":         {send(1, amqp.Ack, 9, false), amqp.PreconditionFailed, amqp.ChanClose},
+		"passive declare":     {send(1, amqp.QueueDeclare, 0, "none", true, false, false, false, false, amqp.Table{}), amqp.NotFound, amqp.ChanClose},
+		"no-ack":              {send(1, amqp.Consume, 0, "q", "", false, true, false, false, amqp.Table{}), amqp.NotImplemented, amqp.ConnClose},
+		"closed channel":      {send(5, amqp.Qos, 0, 1, false), amqp.ChannelError, amqp.ConnClose},
+		"channel twice":       {send(1, amqp.ChanOpen, ""), amqp.ChannelError, amqp.ConnClose},
+		"out of place":        {send(0, amqp.ConnTuneOk, 1, 4096, 0), amqp.CommandInvalid, amqp.ConnClose},
+		"unknown method":      {raw(1, 0, 1, 0, 0, 0, 4, 0, 99, 0, 1, 0xCE), amqp.NotImplemented, amqp.ConnClose},
+		"frame without end":   {raw(1, 0, 1, 0, 0, 0, 1, 0, 0), amqp.FrameError, amqp.ConnClose},
+		"body out of place":   {raw(3, 0, 1, 0, 0, 0, 1, 0, 0xCE), amqp.UnexpectedFrame, amqp.ConnClose},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := dial(t, addr)
+			x.do(c)
+			if m := c.want(x.close); m.Int(0) != x.code {
+				t.Errorf("%d %s", m.Int(0), m.Str(1))
+			}
+			if x.close == amqp.ChanClose { // the connection goes on
+				c.method(1, amqp.ChanCloseOk)
+				c.method(1, amqp.ChanOpen, "")
+				c.want(amqp.ChanOpenOk)
+			}
+		})
+	}
+	if b.count("m") != 0 {
+		t.Error("a bad message was sent on")
+	}
+}
