--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -3,18 +3,24 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
 	"brackendale/internal/config"
+	"brackendale/internal/console"
 	"brackendale/internal/net/amqpfront"
 	"brackendale/internal/net/platform"
 	"brackendale/internal/net/reactor"
+	"brackendale/internal/nginx"
 	"brackendale/sender"
 
 	"github.com/rs/zerolog"
@@ -41,6 +47,20 @@
 					}
 					return err
 				}},
+			{Name: "console", Usage: "see and steer a running sender; with a COMMAND, carry it out and show the result",
+				ArgsUsage: "[state | hold TARGET | release TARGET | pause | resume]",
+				Flags: []cli.Flag{&cli.StringFlag{Name: "socket", Required: true, Usage: "the sender's control socket `PATH`"}},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					return terminal(ctx, c.String("socket"), strings.Join(c.Args().Slice(), " "), c.Root().Writer)
+				}},
+			{Name: "import-nginx", Usage: "turn upstream and location blocks into the appliance's TOML", ArgsUsage: "FILE",
+				Flags: []cli.Flag{&cli.StringFlag{Name: "out", Usage: "write to `FILE`; standard output if absent"}},
+				Action: func(_ context.Context, c *cli.Command) error {
+					if c.Args().Len() != 1 {
+						return errors.New("import-nginx: want one FILE")
+					}
+					return importNginx(c.Args().First(), c.String("out"), c.Root().Writer, c.Root().ErrWriter)
+				}},
 			{Name: "version", Usage: "print the version",
 				Action: func(_ context.Context, c *cli.Command) error {
 					_, err := fmt.Fprintln(c.Root().Writer, "brackendale", Version)
@@ -50,6 +70,58 @@
 	}
 }
 
+func terminal(ctx context.Context, socket, command string, out io.Writer) error {
+	t, err := console.Dial(socket)
+	if err != nil {
+		return err
+	}
+	defer t.Close()
+	if command != "" {
+		return t.Do(command, out)
+	}
+	return t.Run(ctx, os.Stdin, out)
+}
+
+// importNginx writes the whole result or nothing: it is checked as serve would, and put in place at once.
+func importNginx(file, to string, out, notes io.Writer) error {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("import-nginx: %w", err)
+	}
+	text, list, err := nginx.Import(file, string(raw))
+	for _, n := range list {
+		fmt.Fprintln(notes, n)
+	}
+	if err != nil {
+		return fmt.Errorf("import-nginx: %w", err)
+	}
+	dir, err := os.MkdirTemp("", "import-nginx")
+	if err != nil {
+		return fmt.Errorf("import-nginx: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	trial := filepath.Join(dir, "routes.toml")
+	if err := os.WriteFile(trial, []byte(text), 0o600); err != nil {
+		return fmt.Errorf("import-nginx: %w", err)
+	}
+	env := func(key string) string { return map[string]string{"LB_STATE": dir}[key] }
+	if _, err := config.Load(env, trial); err != nil {
+		return fmt.Errorf("import-nginx: the result would not be valid: %w", err)
+	}
+	if to == "" {
+		_, err = io.WriteString(out, text)
+		return err
+	}
+	part := to + ".part"
+	if err = os.WriteFile(part, []byte(text), 0o644); err == nil {
+		err = os.Rename(part, to)
+	}
+	if err != nil {
+		return fmt.Errorf("import-nginx: %w", errors.Join(err, os.RemoveAll(part)))
+	}
+	return nil
+}
+
 // From SIGTERM to SIGKILL the platform gives 3.7 s at least: so much of it is used.
 const stopAfter = 3500 * time.Millisecond
 
@@ -124,6 +196,16 @@
 		}
 		ends = append(ends, in.Close)
 	}
+	if path := cfg.Console.Socket; path != "" {
+		if !filepath.IsAbs(path) {
+			path = filepath.Join(cfg.State, path)
+		}
+		ln, err := console.Listen(path, core)
+		if err != nil {
+			return nil, err
+		}
+		ends = append(ends, func() { _ = ln.Close() })
+	}
 	return func() {
 		for _, end := range ends {
 			end()
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,111 @@
+package config
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",
+ "limits":{"cores":0.5,"memory_mb":100,"sockets":200,"disk_mb":2},"known":{"seq":41,"whole":true,"hosts":
+ [{"host":"s","dial":"127.0.0.1:3","block":3,"health":"active"}]},
+ "settings":{"lanes":[{"name":"a","effect":"once","hardLimitUs":9}],"familyInfo":{"workers":2},"caps":{"openCap":5}}}`
+
+func load(t *testing.T, platform, appliance string, env map[string]string) (Config, error) {
+	t.Helper()
+	dir := t.TempDir()
+	all := map[string]string{"LB_STATE": dir}
+	file := ""
+	for name, text := range map[string]string{"config.json": platform, "appliance.toml": appliance} {
+		if text == "" {
+			continue
+		}
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if name == "config.json" {
+			all["LB_CONFIG"] = path
+		} else {
+			file = path
+		}
+	}
+	for k, v := range env {
+		all[k] = v
+	}
+	return Load(func(k string) string { return all[k] }, file)
+}
+
+func TestPlatform(t *testing.T) {
+	c, err := load(t, good, "", map[string]string{"LB_NAME": "n4"})
+	if err != nil || c.Name != "n4" || c.Limits.DiskMB != 2 || c.Settings.Caps.OpenCap != 5 || c.Known.Hosts[0].Block != 3 ||
+		uint64(c.Seed) != 0x8c1f30d27a5be964 || c.AMQP.Listen != "" || c.Console.Socket != "" {
+		t.Fatal(c, err)
+	}
+}
+
+// The appliance's file that is shipped is valid, and its front listens where it says.
+func TestShippedAppliance(t *testing.T) {
+	raw, err := os.ReadFile("../../deploy/appliance.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := load(t, "", string(raw), nil)
+	if err != nil || c.AMQP.Listen == "" || len(c.Settings.Lanes) != 3 || len(c.Known.Hosts) != 2 {
+		t.Fatal(c, err)
+	}
+	if c, err = load(t, good, "[amqp]\nlisten = \"127.0.0.1:5\"\n", nil); err != nil || c.AMQP.Listen != "127.0.0.1:5" {
+		t.Fatal(c, err)
+	}
+}
+
+// A bad configuration stops the start with the key named.
+func TestBadKeys(t *testing.T) {
+	const class = "[amqp]\nlisten=\"127.0.0.1:5\"\n[[class]]\nname=\"a\"\neffect=\"once\"\naim_ms=1\ndeadline_ms=2\nworth=1\n"
+	const route = "[[route]]\nname=\"r\"\ndest=1\nproto=\"http\"\ndial=\"127.0.0.1:1\"\n"
+	if _, err := load(t, "", class+route, nil); err != nil {
+		t.Fatal(err)
+	}
+	swap := func(text, old, with string) string { return strings.Replace(text, old, with, 1) }
+	for _, c := range []struct {
+		platform, file string
+		env            map[string]string
+		key            string
+	}{
+		{good, "", map[string]string{"LB_STATE": "/nowhere"}, "LB_STATE"},
+		{good, "", map[string]string{"LB_LISTEN": "x"}, "LB_LISTEN"},
+		{good, "", map[string]string{"LB_DISCOVERY": "x"}, "LB_DISCOVERY"},
+		{good, "", map[string]string{"LB_CONFIG": "/nowhere"}, "LB_CONFIG"},
+		{"{", "", nil, "LB_CONFIG"},
+		{swap(good, `"cores":0.5`, `"cores":"x"`), "", nil, "limits.cores"},
+		{swap(good, `"cores":0.5`, `"cores":0`), "", nil, "limits.cores"},
+		{swap(good, `"memory_mb":100`, `"memory_mb":1`), "", nil, "limits.memory_mb"},
+		{swap(good, `"sockets":200`, `"sockets":2`), "", nil, "limits.sockets"},
+		{swap(good, `"disk_mb":2`, `"disk_mb":0`), "", nil, "limits.disk_mb"},
+		{swap(good, `"effect":"once"`, `"effect":"x"`), "", nil, "settings"},
+		{swap(good, `"dial":"127.0.0.1:3"`, `"dial":""`), "", nil, "known.hosts[0]"},
+		{swap(good, "8c1f", "zz"), "", nil, "LB_CONFIG"},
+		{"", "nonsense", nil, "appliance.toml"},
+		{"", class + route + "colour=1\n", nil, "route.colour"},
+		{"", swap(class, "once", "x") + route, nil, "class[0].effect"},
+		{"", swap(class, "aim_ms=1", "aim_ms=9") + route, nil, "class[0].deadline_ms"},
+		{"", swap(class, "once", "by_key") + route, nil, "class[0].window_ms"},
+		{"", swap(class, "worth=1", "worth=0") + route, nil, "class[0].worth"},
+		{"", class, nil, "route"},
+		{"", class + route + route, nil, "route[1].name"},
+		{"", class + swap(route, "http", "ftp"), nil, "route[0].proto"},
+		{"", class + swap(route, `"127.0.0.1:1"`, `"x"`), nil, "route[0].dial"},
+		{"", class + swap(route, `"http"`, `"amqp"`), nil, "route[0].dial"},
+		{"", class + swap(route, "dest", "kind=\"k\"\ndest"), nil, "route[0].kind"},
+		{"", "[sender]\nslots=0\n" + class + route, nil, "sender"},
+		{good, class + route, nil, "class, kind, route, sender"},
+	} {
+		_, err := load(t, c.platform, c.file, c.env)
+		var ke *KeyError
+		if !errors.As(err, &ke) || !strings.Contains(ke.Key, c.key) {
+			t.Errorf("%s: %v", c.key, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/console/console.go
@@ -0,0 +1,112 @@
+// Package console shows and steers a running sender over a local control socket: the server side answers
+// commands, one a line, with one line of JSON each; the terminal side is in terminal.go.
+package console
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"brackendale/sender"
+)
+
+const (
+	maxLine    = 4096
+	maxClients = 4
+	idleLimit  = time.Minute
+)
+
+// Reply is one answer.
+type Reply struct {
+	Error string        `json:"error,omitempty"`
+	State *sender.State `json:"state,omitempty"`
+}
+
+// Listen serves the control socket at path, for this user alone. A socket that a killed process left
+// behind is taken over; one that still answers is not.
+func Listen(path string, core *sender.Sender) (net.Listener, error) {
+	if c, err := net.Dial("unix", path); err == nil {
+		_ = c.Close()
+		return nil, fmt.Errorf("console: %s is in use", path)
+	}
+	if st, err := os.Lstat(path); err == nil && st.Mode()&os.ModeSocket == 0 {
+		return nil, fmt.Errorf("console: %s is there and no socket", path)
+	}
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, fmt.Errorf("console: %w", err)
+	}
+	ln, err := net.Listen("unix", path)
+	if err != nil {
+		return nil, fmt.Errorf("console: %w", err)
+	}
+	if err := os.Chmod(path, 0o600); err != nil {
+		return nil, errors.Join(fmt.Errorf("console: %w", err), ln.Close())
+	}
+	go func() {
+		room := make(chan struct{}, maxClients)
+		for {
+			c, err := ln.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err != nil {
+				time.Sleep(50 * time.Millisecond)
+				continue
+			}
+			select {
+			case room <- struct{}{}:
+				go func() {
+					defer func() { <-room }()
+					serve(c, core)
+				}()
+			default:
+				_ = c.Close()
+			}
+		}
+	}()
+	return ln, nil
+}
+
+func serve(c net.Conn, core *sender.Sender) {
+	defer c.Close()
+	in := bufio.NewScanner(c)
+	in.Buffer(make([]byte, 0, 256), maxLine)
+	for c.SetDeadline(time.Now().Add(idleLimit)) == nil && in.Scan() {
+		done := make(chan Reply, 1)
+		line := in.Text()
+		core.Post(func() { done <- answer(core, line) })
+		select {
+		case r := <-done:
+			if json.NewEncoder(c).Encode(r) != nil {
+				return
+			}
+		case <-time.After(idleLimit):
+			return
+		}
+	}
+}
+
+// answer carries out one command on the sender's goroutine.
+func answer(core *sender.Sender, line string) Reply {
+	name, arg, _ := strings.Cut(strings.TrimSpace(line), " ")
+	var err error
+	switch {
+	case name == "state" && arg == "":
+	case (name == "hold" || name == "release") && arg != "":
+		err = core.Hold(strings.TrimSpace(arg), name == "hold")
+	case (name == "pause" || name == "resume") && arg == "":
+		core.Pause(name == "pause")
+	default:
+		err = errors.New("commands: state, hold TARGET, release TARGET, pause, resume")
+	}
+	if err != nil {
+		return Reply{Error: err.Error()}
+	}
+	st := core.State()
+	return Reply{State: &st}
+}
--- /dev/null
+++ b/internal/console/terminal.go
@@ -0,0 +1,146 @@
+package console
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"brackendale/sender"
+)
+
+// Terminal is the operator's side.
+type Terminal struct {
+	conn net.Conn
+	in   *json.Decoder
+	last *sender.State
+}
+
+// Dial reaches the control socket of a running sender.
+func Dial(path string) (*Terminal, error) {
+	c, err := net.Dial("unix", path)
+	if err != nil {
+		return nil, fmt.Errorf("console: no sender answers at %s: %w", path, err)
+	}
+	return &Terminal{conn: c, in: json.NewDecoder(c)}, nil
+}
+
+// Close ends it.
+func (t *Terminal) Close() error { return t.conn.Close() }
+
+// Do sends one command and shows what the sender is like after it.
+func (t *Terminal) Do(command string, out io.Writer) error {
+	if strings.ContainsAny(command, "\r\n") {
+		return errors.New("console: a command is one line")
+	}
+	_ = t.conn.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := fmt.Fprintln(t.conn, command); err != nil {
+		return fmt.Errorf("console: %w", err)
+	}
+	var r Reply
+	if err := t.in.Decode(&r); err != nil {
+		return fmt.Errorf("console: %w", err)
+	}
+	if r.Error != "" {
+		return errors.New(r.Error)
+	}
+	err := show(out, r.State, t.last)
+	t.last = r.State
+	return err
+}
+
+const clear = "\x1b[H\x1b[2J"
+
+// Run redraws the screen each second and takes commands until quit, the end of input or of ctx.
+func (t *Terminal) Run(ctx context.Context, in io.Reader, out io.Writer) error {
+	lines := make(chan string)
+	go func() {
+		defer close(lines)
+		for sc := bufio.NewScanner(in); sc.Scan(); {
+			select {
+			case lines <- strings.TrimSpace(sc.Text()):
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	every := time.NewTicker(time.Second)
+	defer every.Stop()
+	command, note := "state", ""
+	for {
+		var screen strings.Builder
+		if err := t.Do(command, &screen); err != nil {
+			var ne net.Error
+			if errors.Is(err, io.EOF) || errors.As(err, &ne) {
+				return err
+			}
+			note = err.Error()
+		} else if _, err := fmt.Fprintf(out, "%s%s\n%s\nhold TARGET | release TARGET | pause | resume | quit > ", clear, &screen, note); err != nil {
+			return fmt.Errorf("console: %w", err)
+		} else {
+			note = ""
+		}
+		command = "state"
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-every.C:
+		case line, ok := <-lines:
+			if !ok || line == "quit" || line == "q" {
+				return nil
+			}
+			if line != "" {
+				command = line
+			}
+		}
+	}
+}
+
+// show writes a state as tables; rates are against the state before, where there is one.
+func show(out io.Writer, s, last *sender.State) error {
+	rate := func(now, before uint64) string {
+		secs := 0.0
+		if last != nil {
+			secs = s.Now.Sub(last.Now).Seconds()
+		}
+		if secs <= 0 || now < before {
+			return "-"
+		}
+		return fmt.Sprintf("%.1f/s", float64(now-before)/secs)
+	}
+	if last == nil {
+		last = &sender.State{}
+	}
+	mode := "taking on"
+	if s.Paused {
+		mode = "PAUSED"
+	}
+	w := tabwriter.NewWriter(out, 2, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "%s\t%s\topen %d\tends owed %d\n\n", s.Name, mode, s.Open, s.Owed)
+	fmt.Fprintln(w, "\ttaken\trefused\tsent\tdelivered\treturned\tfailed")
+	fmt.Fprintf(w, "all\t%d\t%d\t%d\t%d\t%d\t%d\n", s.Taken, s.Refused, s.Sent, s.Delivered, s.Back, s.Failed)
+	fmt.Fprintf(w, "rate\t%s\t%s\t%s\t%s\t%s\t%s\n\n", rate(s.Taken, last.Taken), rate(s.Refused, last.Refused), rate(s.Sent, last.Sent),
+		rate(s.Delivered, last.Delivered), rate(s.Back, last.Back), rate(s.Failed, last.Failed))
+	fmt.Fprintln(w, "dest\ttarget\tproto\tdial\thealth\tout\tgood\tlost\tlast")
+	for _, r := range s.Routes {
+		health := r.Health
+		if r.Held {
+			health += " HELD"
+		}
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", r.Dest, r.Name, r.Proto, r.Dial, health, r.Out, r.Good, r.Lost, r.LastReason)
+	}
+	fmt.Fprintln(w, "\nlast ends")
+	for _, e := range s.Ends {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d ms\n", e.At.Format(time.TimeOnly), e.ID, e.Class, e.End, e.WaitMs)
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("console: %w", err)
+	}
+	return nil
+}
