--- a/internal/net/amqpfront/front_test.go
+++ b/internal/net/amqpfront/front_test.go
@@ -1,7 +1,6 @@
 package amqpfront
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"sync"
@@ -10,14 +9,11 @@
 
 	"brackendale/internal/net/amqp"
 	"brackendale/internal/net/reactor"
+	"brackendale/internal/standin"
 	"brackendale/logic"
 	"brackendale/sender"
-
-	"github.com/rs/zerolog"
 )
 
-const long = 20 * time.Second // no test passes or fails by time: this only ends a hang
-
 // side is one end of a connection as a stand-in speaks it.
 type side struct {
 	net.Conn
@@ -26,7 +22,7 @@
 }
 
 func newSide(c net.Conn) *side {
-	_ = c.SetDeadline(time.Now().Add(long))
+	_ = c.SetDeadline(time.Now().Add(standin.Long))
 	return &side{Conn: c, asm: map[uint16]*amqp.Assembly{}}
 }
 
@@ -182,54 +178,17 @@
 	return b.applied[id]
 }
 
-func settings() (s logic.Settings) {
-	s.Replicas, s.TickUs, s.Discovery, s.Weights, s.MachineTypes = 1, 1000, "pushed", "silent", []string{"k"}
-	for _, l := range [][2]string{{"safe", "repeatable"}, {"key", "by_key"}, {"once", "once"}} {
-		s.Lanes = append(s.Lanes, logic.Lane{Name: l[0], Effect: l[1], Group: "all", AimUs: 2e6, HardLimitUs: 60e6, WindowUs: 60e6, Worth: 1})
-	}
-	s.Family.OwnLimits, s.Family.PerCall, s.Family.Workers = []bool{false}, []int{1}, 8
-	s.Caps.OpenCap, s.Caps.MaxAttempts, s.Caps.RetryAfter, s.Caps.MaxRetryAfterUs = 100, 8, true, 3e6
-	s.Caps.ConnectTimeoutUs, s.Caps.KeepaliveUs, s.Caps.StreamsPerConn = 1500e3, 5e6, 1
-	s.Rules.FallUs, s.Rules.ColdFrom, s.Rules.FallMultiple, s.Rules.WarmAfterUs = 2e6, 0.2, 2, 1e6
-	return s
-}
-
-// start begins one life of a sender; kill ends it with nothing put in order.
+// start begins one life of a sender.
 func start(t *testing.T, dir string, b *broker) (addr string, kill func()) {
 	t.Helper()
-	core, err := sender.New(sender.Options{Settings: settings(), Dir: dir, Disk: 2 << 20, Log: zerolog.Nop()})
-	if err != nil {
-		t.Fatal(err)
-	}
-	r, err := reactor.New(core.Post)
-	if err != nil {
-		t.Fatal(err)
-	}
-	in := NewIngress(core, Options{Exchange: "messages", Heartbeat: 60 * time.Second})
-	core.AddIngress(Front, in)
-	core.AddEgress(Proto, NewEgress(core, r, 1500*time.Millisecond))
-	core.Routes("whole", []sender.Route{{Endpoint: logic.Endpoint{Addr: "b", Kind: "k", Dest: 7, State: "live"}, Proto: Proto,
-		Dial: "amqp://u:p@" + b.ln.Addr().String() + "/?exchange=records&key=in"}})
-	ln, err := r.Listen("tcp", "127.0.0.1:0", in.Accept)
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- core.Run(ctx) }()
-	var once sync.Once
-	kill = func() {
-		once.Do(func() {
-			cancel()
-			if err := <-done; err != nil {
-				t.Error(err)
-			}
-			_ = ln.Close()
-			r.Stop()
-		})
-	}
-	t.Cleanup(kill)
-	return ln.Addr().String(), kill
+	return standin.Start(t, dir, func(core *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
+		in := NewIngress(core, Options{Exchange: "messages", Heartbeat: time.Minute})
+		core.AddIngress(Front, in)
+		core.AddEgress(Proto, NewEgress(core, r, 1500*time.Millisecond))
+		core.Routes("whole", []sender.Route{{Endpoint: logic.Endpoint{Addr: "b", Kind: "k", Dest: 7, State: "live"}, Proto: Proto,
+			Dial: "amqp://u:p@" + b.ln.Addr().String() + "/?exchange=records&key=in"}})
+		return in.Accept
+	})
 }
 
 // dial opens a client with channel 1 in confirm mode.
--- a/internal/net/platform/platform_test.go
+++ b/internal/net/platform/platform_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -16,14 +15,10 @@
 
 	"brackendale/internal/config"
 	"brackendale/internal/net/reactor"
-	"brackendale/logic"
+	"brackendale/internal/standin"
 	"brackendale/sender"
-
-	"github.com/rs/zerolog"
 )
 
-const long = 20 * time.Second // no test passes or fails by time: this only ends a hang
-
 // world stands in for the agent and the endpoints.
 type world struct {
 	t       *testing.T
@@ -79,54 +74,17 @@
 		Dial: w.target.Listener.Addr().String()}}}
 }
 
-func settings() (s logic.Settings) {
-	s.Replicas, s.TickUs, s.Discovery, s.Weights, s.MachineTypes = 1, 1000, "pushed", "silent", []string{"k"}
-	for _, l := range [][2]string{{"safe", "repeatable"}, {"key", "by_key"}, {"once", "once"}} {
-		s.Lanes = append(s.Lanes, logic.Lane{Name: l[0], Effect: l[1], Group: "all", AimUs: 2e6, HardLimitUs: 60e6, WindowUs: 60e6, Worth: 1})
-	}
-	s.Family.OwnLimits, s.Family.PerCall, s.Family.Workers = []bool{false}, []int{3}, 8
-	s.Caps.OpenCap, s.Caps.MaxAttempts, s.Caps.RetryAfter, s.Caps.MaxRetryAfterUs = 100, 8, true, 3e6
-	s.Caps.ConnectTimeoutUs, s.Caps.KeepaliveUs, s.Caps.StreamsPerConn = 1500e3, 5e6, 1
-	s.Rules.FallUs, s.Rules.ColdFrom, s.Rules.FallMultiple, s.Rules.WarmAfterUs = 2e6, 0.2, 2, 1e6
-	return s
-}
-
-// start begins one life of a sender; kill ends it as SIGKILL would, with nothing put in order.
+// start begins one life of a sender.
 func (w *world) start() (addr string, kill func()) {
 	w.t.Helper()
-	core, err := sender.New(sender.Options{Settings: settings(), Dir: w.dir, Disk: 1 << 20, Log: zerolog.Nop()})
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	r, err := reactor.New(core.Post)
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	agent := w.agent.Listener.Addr().String()
-	in := NewIngress(core, r, agent)
-	core.AddIngress(Front, in)
-	core.AddEgress(Proto, NewEgress(core, r, settings()))
-	Watch(core, r, agent, w.hosts("active"))
-	ln, err := r.Listen("tcp", "127.0.0.1:0", in.Accept)
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- core.Run(ctx) }()
-	var once sync.Once
-	kill = func() {
-		once.Do(func() {
-			cancel()
-			if err := <-done; err != nil {
-				w.t.Error(err)
-			}
-			_ = ln.Close()
-			r.Stop()
-		})
-	}
-	w.t.Cleanup(kill)
-	return ln.Addr().String(), kill
+	return standin.Start(w.t, w.dir, func(core *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
+		agent := w.agent.Listener.Addr().String()
+		in := NewIngress(core, r, agent)
+		core.AddIngress(Front, in)
+		core.AddEgress(Proto, NewEgress(core, r, standin.Settings()))
+		Watch(core, r, agent, w.hosts("active"))
+		return in.Accept
+	})
 }
 
 // client hands one command in and reads one line.
@@ -137,7 +95,7 @@
 		w.t.Fatal(err)
 	}
 	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(long))
+	_ = c.SetDeadline(time.Now().Add(standin.Long))
 	fmt.Fprintf(c, "*%d\r\n", len(words))
 	for _, x := range words {
 		fmt.Fprintf(c, "$%d\r\n%s\r\n", len(x), x)
@@ -153,7 +111,7 @@
 	t.Helper()
 	select {
 	case x = <-c:
-	case <-time.After(long):
+	case <-time.After(standin.Long):
 		t.Fatal("nothing came")
 	}
 	return x
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,67 @@
+// Package standin starts senders for the tests of the fronts, and ends them as SIGKILL would.
+package standin
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"brackendale/internal/net/reactor"
+	"brackendale/logic"
+	"brackendale/sender"
+
+	"github.com/rs/zerolog"
+)
+
+// Long ends a hang; no test passes or fails by time.
+const Long = 20 * time.Second
+
+// Settings is a small deployment with a class of each effect and one kind of destination.
+func Settings() (s logic.Settings) {
+	s.Replicas, s.TickUs, s.Discovery, s.Weights, s.MachineTypes = 1, 1000, "pushed", "silent", []string{"k"}
+	for _, l := range [][2]string{{"safe", "repeatable"}, {"key", "by_key"}, {"once", "once"}} {
+		s.Lanes = append(s.Lanes, logic.Lane{Name: l[0], Effect: l[1], Group: "all", AimUs: 2e6, HardLimitUs: 60e6,
+			WindowUs: 60e6, Worth: 1})
+	}
+	s.Family.OwnLimits, s.Family.PerCall, s.Family.Workers = []bool{false}, []int{3}, 8
+	s.Caps.OpenCap, s.Caps.MaxAttempts, s.Caps.RetryAfter, s.Caps.MaxRetryAfterUs = 100, 8, true, 3e6
+	s.Caps.ConnectTimeoutUs, s.Caps.KeepaliveUs, s.Caps.StreamsPerConn = 1500e3, 5e6, 1
+	s.Rules.FallUs, s.Rules.ColdFrom, s.Rules.FallMultiple, s.Rules.WarmAfterUs = 2e6, 0.2, 2, 1e6
+	return s
+}
+
+// Start begins one life of a sender in dir. join adds its fronts and returns the accept of the one that
+// listens, at addr. kill ends that life with nothing put in order.
+func Start(t *testing.T, dir string, join func(*sender.Sender, *reactor.Reactor) func(*reactor.Conn) reactor.Handler) (
+	addr string, kill func()) {
+	t.Helper()
+	core, err := sender.New(sender.Options{Settings: Settings(), Dir: dir, Disk: 2 << 20, Log: zerolog.Nop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := reactor.New(core.Post)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := r.Listen("tcp", "127.0.0.1:0", join(core, r))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- core.Run(ctx) }()
+	var once sync.Once
+	kill = func() {
+		once.Do(func() {
+			cancel()
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+			_ = ln.Close()
+			r.Stop()
+		})
+	}
+	t.Cleanup(kill)
+	return ln.Addr().String(), kill
+}
