--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -152,8 +152,8 @@
 		return fault("limits.memory_mb", "%v is under 16", l.MemoryMB)
 	case l.Sockets < 32:
 		return fault("limits.sockets", "%d is under 32", l.Sockets)
-	case !(l.DiskMB >= 0.25):
-		return fault("limits.disk_mb", "%v is under 0.25", l.DiskMB)
+	case !(l.DiskMB >= 0.05):
+		return fault("limits.disk_mb", "%v is under 0.05", l.DiskMB)
 	case c.AMQP.HeartbeatS < 0 || c.AMQP.HeartbeatS > 3600:
 		return fault("amqp.heartbeat_s", "%d is not from 0 to 3600", c.AMQP.HeartbeatS)
 	}
--- a/internal/net/platform/egress.go
+++ b/internal/net/platform/egress.go
@@ -197,14 +197,14 @@
 	default:
 		o = c.read(a)
 	}
-	ends := map[string]string{}
+	var ends map[string]string
 	if a != nil && a.Status == 200 && len(c.hops) > 1 {
 		ends = bundleEnds(a.Body)
 	}
 	for _, h := range c.hops {
 		p := o
-		if p.ID, p.N = h.ID, h.N; len(ends) > 0 || a != nil && a.Status == 200 && len(c.hops) > 1 {
-			p.Reason, p.HoldMs, p.Over = bundleEnd(ends[h.ID], o.HoldMs)
+		if p.ID, p.N = h.ID, h.N; ends != nil {
+			p.Reason, p.Over = bundleEnd(ends[h.ID])
 		}
 		c.e.core.Report(p)
 	}
@@ -245,18 +245,19 @@
 	return ends
 }
 
-func bundleEnd(end string, holdMs int64) (reason string, hold int64, over bool) {
+// bundleEnd words the end of one message of a bundle. The wait of the answer binds whatever the end is.
+func bundleEnd(end string) (reason string, over bool) {
 	switch end {
 	case "done":
-		return sender.Good, 0, false
+		return sender.Good, false
 	case "busy":
-		return sender.Full, holdMs, false
+		return sender.Full, false
 	case "void":
-		return sender.Moot, 0, true
+		return sender.Moot, true
 	case "used_up":
-		return sender.Moot, 0, false
+		return sender.Moot, false
 	}
-	return sender.Bad, 0, false // failed, or not named: it may have run
+	return sender.Bad, false // failed, or not named: it may have run
 }
 
 // load reads a report into the order of the settings.
--- a/internal/net/platform/platform_test.go
+++ b/internal/net/platform/platform_test.go
@@ -291,7 +291,7 @@
 func TestBundleEnds(t *testing.T) {
 	ends := bundleEnds([]byte("a done\r\nb busy\r\nc void\nd used_up\r\nnonsense\r\n"))
 	for id, want := range map[string]string{"a": sender.Good, "b": sender.Full, "c": sender.Moot, "d": sender.Moot, "x": sender.Bad} {
-		if got, _, over := bundleEnd(ends[id], 9); got != want || over != (id == "c") {
+		if got, over := bundleEnd(ends[id]); got != want || over != (id == "c") {
 			t.Errorf("%s: %s", id, got)
 		}
 	}
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -40,7 +40,7 @@
 	magic    = "brackendale spool 1\n"
 	head     = 8 // length and checksum
 	perHop   = 160
-	perMsg   = 8*2*perHop + 512 // what a held message may still need: eight attempts, its end, its notice
+	perMsg   = 2*perHop + 128 // what an entry may grow by: a compaction folds all of its records into one
 	block    = 512
 	maxRec   = 1 << 20
 )
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -345,7 +345,9 @@
 		c.route.calls = drop(c.route.calls, c)
 		r.share(c.ep)
 	}
-	if e.HoldMs > 0 && e.Reason == "FULL" { // each message's own word counts, not its call's first
+	// Each message's own word counts, not its call's first. On sockets an answer that delivered may hold a
+	// wait too; 1 in a NOP is no wait, but says that all slots were taken.
+	if e.HoldMs > 0 && (e.Reason != "NOP" || e.HoldMs > 1) {
 		c.route.waitUntil = max(c.route.waitUntil, r.now+e.HoldMs*1000)
 	}
 	if !c.counted {
--- a/logic/restart_test.go
+++ b/logic/restart_test.go
@@ -74,3 +74,15 @@
 		t.Fatal("a call started that cannot end")
 	}
 }
+
+// A bundle's answer may deliver and hold a wait: it binds like that of a refusal.
+func TestWaitOfADelivery(t *testing.T) {
+	g := newRig(t, site(), ep("a", "plain", "z", 1))
+	g.step(Event{Kind: Arrived, ID: "m", Class: "safe", Dest: 1, Deadline: g.now + 6000*ms})
+	g.wait(100*ms, Event{Kind: Reported, ID: "m", Addr: "a", Reason: "GOOD", Finished: true, HoldMs: 700})
+	g.step(Event{Kind: Arrived, ID: "n", Class: "safe", Dest: 1, Deadline: g.now + 6000*ms})
+	told := g.now
+	if _, ok := g.run(3000*ms, func(a Action) bool { return a.Kind == Issue }); !ok || g.now < told+700*ms {
+		t.Fatalf("sent %v, %d ms after the wait was told", ok, (g.now-told)/1000)
+	}
+}
--- /dev/null
+++ b/sender/sender_test.go
@@ -0,0 +1,156 @@
+package sender
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"brackendale/logic"
+
+	"github.com/rs/zerolog"
+)
+
+// stub is a front of both sides that only writes down what it is told.
+type stub struct {
+	s    *Sender
+	said []string
+	hops []Hop
+	keep bool
+}
+
+func (f *stub) Answer(x *Exchange, v Verdict, waitMs int64) {
+	f.said = append(f.said, fmt.Sprintf("%s %d", x.ID, v))
+	if v == Taken && f.s.spool.Get(x.ID) == nil {
+		f.said = append(f.said, "taken before it was written")
+	}
+}
+func (f *stub) Owes(string) bool                     { return true }
+func (f *stub) Remembers() bool                      { return f.keep }
+func (f *stub) Tell(id, _, end string, waitMs int64) { f.said = append(f.said, id+" "+end) }
+func (f *stub) Send(_ Route, hops []Hop)             { f.hops = append(f.hops, hops...) }
+func (f *stub) Recall(string, int)                   {}
+func (f *stub) Trim(Route)                           {}
+func (f *stub) Routes([]Route)                       {}
+
+func (f *stub) expect(t *testing.T, want ...string) {
+	t.Helper()
+	if fmt.Sprint(f.said) != fmt.Sprint(want) {
+		t.Fatalf("got %v, want %v", f.said, want)
+	}
+	f.said = nil
+}
+
+func site() (s logic.Settings) {
+	s.Replicas, s.TickUs, s.Discovery, s.MachineTypes = 1, 5000, "pushed", []string{"k"}
+	s.Lanes = []logic.Lane{{Name: "once", Effect: "once", AimUs: 1e6, HardLimitUs: 9e6, Worth: 1}}
+	s.Family.OwnLimits, s.Family.PerCall, s.Family.Workers = []bool{false}, []int{1}, 4
+	s.Caps.OpenCap, s.Caps.MaxAttempts, s.Caps.RetryAfter, s.Caps.MaxRetryAfterUs = 3, 8, true, 1e6
+	return s
+}
+
+func begin(t *testing.T, dir string, disk int64) (*Sender, *stub) {
+	t.Helper()
+	s, err := New(Options{Settings: site(), Dir: dir, Disk: disk, Log: zerolog.Nop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &stub{s: s}
+	s.AddIngress("f", f)
+	s.AddEgress("p", f)
+	s.Routes("whole", []Route{{Endpoint: logic.Endpoint{Addr: "a", Kind: "k", Dest: 1, State: "live"}, Proto: "p"}})
+	return s, f
+}
+
+func (f *stub) round(t *testing.T, offers ...*Exchange) {
+	t.Helper()
+	for _, x := range offers {
+		f.s.Offer(x)
+	}
+	if err := f.s.round(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func exchange(s *Sender, id string, leftUs int64) *Exchange {
+	return &Exchange{ID: id, Class: "once", Dest: 1, Deadline: s.Now() + leftUs, Front: "f", Body: make([]byte, 100)}
+}
+
+// What one round takes and gives up at once is refused and never written: its client will come again.
+func TestTakenAndRefusedInOneRound(t *testing.T) {
+	s, f := begin(t, t.TempDir(), 1<<20)
+	f.round(t, exchange(s, "late", 0))
+	f.expect(t, "late 1")
+	if s.spool.Get("late") != nil || s.open != 0 {
+		t.Fatal("it is on the books")
+	}
+}
+
+// The same id is never held twice, and its end is told again to a client that asks again.
+func TestSameIDAgain(t *testing.T) {
+	s, f := begin(t, t.TempDir(), 1<<20)
+	f.keep = true
+	f.round(t, exchange(s, "m", 9e6), exchange(s, "m", 9e6))
+	f.expect(t, "m 1", "m 0")
+	f.round(t, exchange(s, "m", 9e6))
+	f.expect(t, "m 0")
+	s.Report(Outcome{ID: "m", N: 0, Target: "a", Reason: Good})
+	f.round(t)
+	f.expect(t, "m delivered")
+	s.Settle("m")
+	f.round(t, exchange(s, "m", 9e6))
+	f.expect(t, "m 0", "m delivered")
+	if len(f.hops) != 1 {
+		t.Fatal("sent", len(f.hops), "times")
+	}
+}
+
+// With the hold or the disk full a message is refused, and what was taken on is not harmed.
+func TestNoRoom(t *testing.T) {
+	s, f := begin(t, t.TempDir(), 1<<20)
+	f.round(t, exchange(s, "a", 9e6), exchange(s, "b", 9e6), exchange(s, "c", 9e6), exchange(s, "d", 9e6))
+	f.expect(t, "d 1", "a 1", "b 0", "c 0") // the module makes room for the next among those that wait
+	s, f = begin(t, t.TempDir(), 64<<10)
+	big := exchange(s, "big", 9e6)
+	big.Body = make([]byte, 40<<10)
+	f.round(t, big, exchange(s, "small", 9e6))
+	f.expect(t, "big 1", "small 0")
+}
+
+// A charge whose hop was recorded and not closed may have run: it fails in the next life, which goes on
+// owing that end until it is settled.
+func TestNextLife(t *testing.T) {
+	dir := t.TempDir()
+	s, f := begin(t, dir, 1<<20)
+	f.round(t, exchange(s, "m", 9e6))
+	if len(f.hops) != 1 {
+		t.Fatal("no hop")
+	}
+	for range 2 {
+		_ = s.spool.Close()
+		s, f = begin(t, dir, 1<<20)
+		s.restore()
+		f.round(t)
+		f.expect(t, "m failed")
+	}
+	s.Settle("m")
+	f.round(t)
+	_ = s.spool.Close()
+	s, f = begin(t, dir, 1<<20)
+	s.restore()
+	f.round(t)
+	f.expect(t)
+}
+
+// A spool that cannot be written ends the sender: no promise could be kept any more.
+func TestSpoolLost(t *testing.T) {
+	s, f := begin(t, t.TempDir(), 1<<20)
+	_ = s.spool.Close()
+	s.Offer(exchange(s, "m", 9e6))
+	if err := s.round(); err == nil || len(f.said) > 0 {
+		t.Fatal(err, f.said)
+	}
+	if _, err := New(Options{Settings: site(), Dir: filepath.Join(os.TempDir(), "no", "such"), Disk: 1 << 20}); err == nil {
+		t.Fatal("a missing folder was taken")
+	}
+}
