A recall in a bundle waits until all of its messages are recalled

Seen in review: egress.go's Recall closed the call for one message, which cut off a charge that the module leaves out of its recalls on purpose; it then ended as failed. Guarded by a test.

--- a/internal/net/platform/egress.go
+++ b/internal/net/platform/egress.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strconv"
 	"time"
 
@@ -47,6 +48,8 @@
 	link  *link
 	timer *time.Timer
 	why   string // the reason to report if it is given up
+
+	recalled []string // the ids of hops that were
 }
 
 // Send writes a call to an idle connection, or to a new one.
@@ -102,17 +105,19 @@
 	}
 }
 
-// Recall gives up the call of a hop. All that travel with it are given up.
+// Recall gives up a hop. Hops that travel together share their connection: the call ends once all of
+// them were recalled, since a charge among them that was not must not be cut off.
 func (e *Egress) Recall(id string, n int) {
 	c := e.out[id]
 	if c == nil {
 		return
 	}
-	for _, h := range c.hops {
-		if h.ID == id && h.N == n {
-			c.giveUp(sender.Called)
-			return
-		}
+	i := slices.IndexFunc(c.hops, func(h sender.Hop) bool { return h.ID == id && h.N == n })
+	if i < 0 || slices.Contains(c.recalled, id) {
+		return
+	}
+	if c.recalled = append(c.recalled, id); len(c.recalled) == len(c.hops) {
+		c.giveUp(sender.Called)
 	}
 }
 
--- a/internal/net/platform/platform_test.go
+++ b/internal/net/platform/platform_test.go
@@ -296,3 +296,28 @@
 		}
 	}
 }
+
+// A recall of one message of a bundle must not cut off a charge that travels with it.
+func TestRecallOfPartOfABundle(t *testing.T) {
+	w, end := newWorld(t), make(chan bool)
+	w.answer = func(http.ResponseWriter, *http.Request, string) { <-end }
+	defer close(end)
+	out := make(chan [3]int, 1)
+	standin.Start(t, w.dir, func(core *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
+		e := NewEgress(core, r, standin.Settings())
+		core.Post(func() {
+			e.Send(Routes(w.hosts("active"))[0], []sender.Hop{{ID: "record", LimitUs: 9e6}, {ID: "charge", LimitUs: 9e6}})
+			e.Recall("record", 0)
+			e.Recall("record", 0)
+			n := len(e.out)
+			e.Recall("charge", 1) // another attempt's number
+			m := len(e.out)
+			e.Recall("charge", 0)
+			out <- [3]int{n, m, len(e.out)}
+		})
+		return func(*reactor.Conn) reactor.Handler { return nil }
+	})
+	if got := wait(t, out); got != [3]int{2, 2, 0} {
+		t.Fatal("hops out after each recall:", got)
+	}
+}
