Bound answers and clients by the limits: 256 KiB an endpoint's answer, half the descriptors

Seen in review: client.go took up to 4 MiB of each endpoint's answer, 64 times that where it comes in one-byte chunks, and clients' connections had a bound that ignored limits.sockets. An endless answer in a test is cut off now, and the charge fails.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -180,7 +180,7 @@
 		platform.Watch(core, r, cfg.Discovery, cfg.Known)
 	}
 	if cfg.Listen != "" {
-		in := platform.NewIngress(core, r, cfg.Discovery)
+		in := platform.NewIngress(core, r, cfg.Discovery, cfg.Limits.Sockets/2)
 		core.AddIngress(platform.Front, in)
 		if listen("tcp", cfg.Listen, in.Accept); err != nil {
 			return nil, err
@@ -189,7 +189,7 @@
 	}
 	if cfg.AMQP.Listen != "" {
 		in := amqpfront.NewIngress(core, amqpfront.Options{User: cfg.AMQP.User, Password: cfg.AMQP.Password,
-			Exchange: cfg.AMQP.Exchange, Heartbeat: time.Duration(cfg.AMQP.HeartbeatS) * time.Second})
+			Exchange: cfg.AMQP.Exchange, Heartbeat: time.Duration(cfg.AMQP.HeartbeatS) * time.Second, Most: cfg.Limits.Sockets / 8})
 		core.AddIngress(amqpfront.Front, in)
 		if listen("tcp", cfg.AMQP.Listen, in.Accept); err != nil {
 			return nil, err
--- a/internal/net/amqpfront/front_test.go
+++ b/internal/net/amqpfront/front_test.go
@@ -182,7 +182,7 @@
 func start(t *testing.T, dir string, b *broker) (addr string, kill func()) {
 	t.Helper()
 	return standin.Start(t, dir, func(core *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
-		in := NewIngress(core, Options{Exchange: "messages", Heartbeat: time.Minute})
+		in := NewIngress(core, Options{Exchange: "messages", Heartbeat: time.Minute, Most: 100})
 		core.AddIngress(Front, in)
 		core.AddEgress(Proto, NewEgress(core, r, 1500*time.Millisecond))
 		core.Routes("whole", []sender.Route{{Endpoint: logic.Endpoint{Addr: "b", Kind: "k", Dest: 7, State: "live"}, Proto: Proto,
--- a/internal/net/amqpfront/ingress.go
+++ b/internal/net/amqpfront/ingress.go
@@ -16,7 +16,6 @@
 
 // The bounds of what clients may hold.
 const (
-	maxClients   = 128
 	maxChannels  = 16
 	maxConsumers = 64 // of one channel
 	maxQueues    = 1024
@@ -30,6 +29,7 @@
 	User, Password string        // both empty: any client may come
 	Exchange       string        // that clients publish to; the routing key is the destination
 	Heartbeat      time.Duration // offered to clients
+	Most           int           // clients' connections
 }
 
 // Ingress serves AMQP clients. A publish is a message handed in, its confirm says that it was taken on,
@@ -62,7 +62,7 @@
 
 // Accept takes a client's connection.
 func (in *Ingress) Accept(c *reactor.Conn) reactor.Handler {
-	if len(in.clients) >= maxClients {
+	if len(in.clients) >= in.opt.Most {
 		return nil
 	}
 	s := &session{in: in, peer: newPeer(in.core.Post), chans: map[uint16]*channel{}}
--- a/internal/net/platform/client.go
+++ b/internal/net/platform/client.go
@@ -18,6 +18,7 @@
 type link struct {
 	conn *reactor.Conn
 	buf  []byte
+	most int
 	up   bool
 	used bool // a request has been written to it
 	want func(*http1.Response, error)
@@ -27,9 +28,16 @@
 	out  [][]byte
 }
 
-// dial opens a link.
-func dial(r *reactor.Reactor, addr string, limit time.Duration) *link {
-	l := &link{}
+// The most that may lie unread of one answer: an endpoint's says little, the agent's holds a list.
+// There are as many links to endpoints as there are slots, so all of them stay far below the memory limit.
+const (
+	endpointMost = 256 << 10
+	agentMost    = http1.MaxBody + 64<<10
+)
+
+// dial opens a link whose answers take most bytes at the most.
+func dial(r *reactor.Reactor, addr string, limit time.Duration, most int) *link {
+	l := &link{most: most}
 	l.conn = r.Dial(addr, limit, l)
 	return l
 }
@@ -82,6 +90,9 @@
 func (l *link) parse(ended bool) {
 	var a http1.Response
 	n, err := a.Parse(l.buf, ended)
+	if err == nil && n == 0 && len(l.buf) > l.most {
+		err = http1.ErrBody
+	}
 	if err != nil {
 		l.conn.Close()
 		l.finish(nil, err)
--- a/internal/net/platform/egress.go
+++ b/internal/net/platform/egress.go
@@ -76,7 +76,7 @@
 			return l
 		}
 	}
-	return dial(e.r, to.Dial, min(e.connect, time.Duration(limitUs)*time.Microsecond))
+	return dial(e.r, to.Dial, min(e.connect, time.Duration(limitUs)*time.Microsecond), endpointMost)
 }
 
 // keep puts a link among the idle ones and closes it before the endpoint would.
--- a/internal/net/platform/ingress.go
+++ b/internal/net/platform/ingress.go
@@ -12,9 +12,6 @@
 // Front is the name of this front in the spool.
 const Front = "platform"
 
-// maxClients bounds the clients' connections, so that descriptors are left for the targets.
-const maxClients = 512
-
 // maxWaiting bounds the commands of one connection that wait for their answers.
 const maxWaiting = 128
 
@@ -23,16 +20,17 @@
 	core    *sender.Sender
 	notices *notices
 	clients map[*client]bool
+	most    int // clients' connections, so that descriptors are left for the targets
 }
 
-// NewIngress makes the clients' side; ends are told to the registry's agent.
-func NewIngress(core *sender.Sender, r *reactor.Reactor, discovery string) *Ingress {
-	return &Ingress{core: core, clients: map[*client]bool{}, notices: newNotices(core, r, discovery)}
+// NewIngress makes the clients' side for that many connections; ends are told to the registry's agent.
+func NewIngress(core *sender.Sender, r *reactor.Reactor, discovery string, most int) *Ingress {
+	return &Ingress{core: core, most: most, clients: map[*client]bool{}, notices: newNotices(core, r, discovery)}
 }
 
 // Accept takes a client's connection.
 func (in *Ingress) Accept(c *reactor.Conn) reactor.Handler {
-	if len(in.clients) >= maxClients {
+	if len(in.clients) >= in.most {
 		return nil
 	}
 	cl := &client{in: in, conn: c}
--- a/internal/net/platform/notices.go
+++ b/internal/net/platform/notices.go
@@ -52,7 +52,7 @@
 		return
 	}
 	if n.link == nil || n.link.conn.Dead() {
-		n.link = dial(n.r, n.addr, agentLimit)
+		n.link = dial(n.r, n.addr, agentLimit, agentMost)
 	}
 	batch := n.queue[:min(len(n.queue), atOnce)]
 	pieces, size := [][]byte{nil}, 0
--- a/internal/net/platform/platform_test.go
+++ b/internal/net/platform/platform_test.go
@@ -79,7 +79,7 @@
 	w.t.Helper()
 	return standin.Start(w.t, w.dir, func(core *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
 		agent := w.agent.Listener.Addr().String()
-		in := NewIngress(core, r, agent)
+		in := NewIngress(core, r, agent, 100)
 		core.AddIngress(Front, in)
 		core.AddEgress(Proto, NewEgress(core, r, standin.Settings()))
 		Watch(core, r, agent, w.hosts("active"))
@@ -321,3 +321,20 @@
 		t.Fatal("hops out after each recall:", got)
 	}
 }
+
+// An endpoint whose answer never ends is cut off; the charge may have run.
+func TestEndlessAnswer(t *testing.T) {
+	w := newWorld(t)
+	w.answer = func(rw http.ResponseWriter, r *http.Request, _ string) {
+		for r.Context().Err() == nil {
+			if _, err := rw.Write(make([]byte, 64<<10)); err != nil {
+				return
+			}
+		}
+	}
+	addr, _ := w.start()
+	w.submit(addr, "m1", "once", "30000")
+	if got := wait(t, w.finals); got != `{"id":"m1","state":"failed"}` {
+		t.Fatal(got)
+	}
+}
--- a/internal/net/platform/registry.go
+++ b/internal/net/platform/registry.go
@@ -58,7 +58,7 @@
 
 func (g *Registry) ask() {
 	if g.link == nil || g.link.conn.Dead() {
-		g.link = dial(g.r, g.addr, agentLimit)
+		g.link = dial(g.r, g.addr, agentLimit, agentMost)
 	}
 	path, limit := "/registry/instances", agentLimit
 	if g.seq > 0 {
