A publish that is given up ends only with its channel, so no attempt runs beside it

Seen in review: egress.go's giveUp reported the hop before the broker had answered channel.close, so a repeat could start on another channel meanwhile. A confirm that crosses the close now counts as what it says. Guarded by a test.

--- a/internal/net/amqpfront/egress.go
+++ b/internal/net/amqpfront/egress.go
@@ -49,6 +49,7 @@
 	ch       *lane  // nil while it waits for one
 	end      int64  // where its last byte stands in the connection's stream
 	returned uint16 // the code with which the broker gave it back
+	why      string // the reason to report once its channel is closed
 }
 
 // Send publishes hops, each by itself.
@@ -144,8 +145,8 @@
 	p.report(reason, 0)
 }
 
-// giveUp stops waiting for the confirm. The channel is closed with it: no second attempt may start while
-// the broker could still take this one for open.
+// giveUp stops waiting for the confirm by closing the channel. The hop ends once the broker has answered
+// that: no second attempt may start while it could still be taking this one. A confirm that crosses counts.
 func (p *pub) giveUp(reason string) {
 	if p.e.out[p.hop.ID] != p {
 		return
@@ -161,8 +162,10 @@
 		p.report(sender.NoConn, 0)
 		return
 	}
-	ch.state = laneClosing
-	p.report(reason, 0)
+	if ch.state == laneClosing {
+		return
+	}
+	ch.state, p.why = laneClosing, reason
 	l.method(ch.id, amqp.ChanClose, amqp.ReplySuccess, "given up", 0, 0)
 	time.AfterFunc(p.e.connect, func() { // a broker that does not even close a channel is hung
 		p.e.core.Post(func() {
@@ -273,6 +276,9 @@
 		return l.connection(m)
 	}
 	i := slices.IndexFunc(l.lanes, func(c *lane) bool { return c.id == f.Channel })
+	if i < 0 && m.Key == amqp.ChanCloseOk { // both sides closed it
+		return nil
+	}
 	if i < 0 {
 		return amqp.Errorf(amqp.ChannelError, "channel %d is not open", f.Channel)
 	}
@@ -404,6 +410,9 @@
 		}
 	case amqp.ChanCloseOk:
 		l.lanes = slices.Delete(l.lanes, i, i+1)
+		if p != nil {
+			p.report(p.why, 0)
+		}
 	default:
 		return &amqp.Fault{Code: amqp.CommandInvalid, Text: "out of place", Method: m.Key}
 	}
--- a/internal/net/amqpfront/front_test.go
+++ b/internal/net/amqpfront/front_test.go
@@ -519,3 +519,28 @@
 		t.Error("a bad message was sent on")
 	}
 }
+
+// A hop that is given up ends only once the broker has closed its channel, so that another attempt cannot
+// run beside it.
+func TestGivenUpEndsWithItsChannel(t *testing.T) {
+	b, held := newBroker(t), make(chan bool, 1)
+	b.publish = func(*side, uint16, *amqp.Message, uint64) { held <- true }
+	var e *Egress
+	var core *sender.Sender
+	standin.Start(t, t.TempDir(), func(c *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
+		core, e = c, NewEgress(c, r, standin.Long)
+		c.Post(func() {
+			e.Send(sender.Route{Dial: "amqp://" + b.ln.Addr().String() + "/?key=in"}, []sender.Hop{{ID: "m", LimitUs: 60e6}})
+		})
+		return func(*reactor.Conn) reactor.Handler { return nil }
+	})
+	<-held
+	count := make(chan int)
+	core.Post(func() { e.Recall("m", 0); count <- len(e.out) })
+	if n := <-count; n != 1 {
+		t.Fatal("it ended before its channel was closed")
+	}
+	for n := 1; n > 0; n = <-count { // ends with the broker's close-ok, or the test's time runs out
+		core.Post(func() { count <- len(e.out) })
+	}
+}
