--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -37,7 +36,7 @@
 		Name: "brackendale", Usage: "a sender that delivers messages to partner systems",
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "serve until a signal comes", Flags: []cli.Flag{file},
-				Action: func(_ context.Context, c *cli.Command) error { return serve(c.String("config")) }},
+				Action: func(ctx context.Context, c *cli.Command) error { return serve(ctx, c.String("config")) }},
 			{Name: "check", Usage: "read and check the configuration", Flags: []cli.Flag{file},
 				Action: func(_ context.Context, c *cli.Command) error {
 					cfg, err := config.Load(os.Getenv, c.String("config"))
@@ -125,7 +124,13 @@
 // From SIGTERM to SIGKILL the platform gives 3.7 s at least: so much of it is used.
 const stopAfter = 3500 * time.Millisecond
 
-func serve(file string) error {
+func serve(ctx context.Context, file string) error {
+	// Before all else: a signal that nobody listens for ends the process.
+	again, term := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(again)
+	defer signal.Stop(term)
 	cfg, err := config.Load(os.Getenv, file)
 	if err != nil {
 		return err
@@ -143,19 +148,31 @@
 		return err
 	}
 	defer r.Stop()
-	stop, err := fronts(core, r, cfg)
+	f, err := newFronts(core, r, cfg)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	term := make(chan os.Signal, 1)
-	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		<-term
+		for {
+			select {
+			case <-again:
+				reload(core, f, file, log)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	go func() {
+		select {
+		case <-term:
+		case <-ctx.Done():
+			return
+		}
 		core.Post(func() { core.Stop(core.Now() + stopAfter.Microseconds()) })
 		time.Sleep(stopAfter)
-		core.Post(stop)
+		core.Post(f.stop)
 		time.Sleep(50 * time.Millisecond)
 		cancel()
 	}()
@@ -163,38 +180,84 @@
 	return core.Run(ctx)
 }
 
-// fronts joins the fronts that the configuration asks for to the core. It returns what ends them.
-func fronts(core *sender.Sender, r *reactor.Reactor, cfg config.Config) (stop func(), err error) {
-	var ends []func()
-	listen := func(network, addr string, accept func(*reactor.Conn) reactor.Handler) {
-		var ln net.Listener
-		if ln, err = r.Listen(network, addr, accept); err == nil {
-			ends = append(ends, func() { _ = ln.Close() })
+// reload reads the configuration again and follows what may change under a running sender: where the
+// registry is, or the appliance's own routes. A bad file changes nothing.
+func reload(core *sender.Sender, f *fronts, file string, log zerolog.Logger) {
+	cfg, err := config.Load(os.Getenv, file)
+	if err != nil {
+		log.Error().Err(err).Msg("reload: the old configuration stands")
+		return
+	}
+	core.Post(func() {
+		if err := f.follow(core, cfg); err != nil {
+			log.Error().Err(err).Msg("reload: the old configuration stands")
+			return
 		}
+		log.Info().Str("discovery", cfg.Discovery).Int("endpoints", len(cfg.Known.Hosts)).Msg("reloaded")
+	})
+}
+
+// fronts are the sides that the configuration asks for, joined to the core.
+type fronts struct {
+	ends     []func()
+	registry *platform.Registry // nil where the routes are the appliance's own
+	clients  *platform.Ingress  // nil without the platform's front
+}
+
+func (f *fronts) stop() {
+	for _, end := range f.ends {
+		end()
+	}
+}
+
+// follow takes up a configuration that was read again.
+func (f *fronts) follow(core *sender.Sender, cfg config.Config) error {
+	switch {
+	case (f.registry == nil) != (cfg.Discovery == ""):
+		return &config.KeyError{Key: "discovery", Err: errors.New("can be neither added nor left out while the sender runs")}
+	case f.registry == nil:
+		core.Routes("whole", platform.Routes(cfg.Known))
+	default:
+		f.registry.Move(cfg.Discovery)
+		if f.clients != nil {
+			f.clients.Move(cfg.Discovery)
+		}
+	}
+	return nil
+}
+
+func newFronts(core *sender.Sender, r *reactor.Reactor, cfg config.Config) (*fronts, error) {
+	f := &fronts{}
+	listen := func(network, addr string, accept func(*reactor.Conn) reactor.Handler) error {
+		ln, err := r.Listen(network, addr, accept)
+		if err == nil {
+			f.ends = append(f.ends, func() { _ = ln.Close() })
+		}
+		return err
 	}
 	core.AddEgress(platform.Proto, platform.NewEgress(core, r, cfg.Settings))
 	core.AddEgress(amqpfront.Proto, amqpfront.NewEgress(core, r, time.Duration(cfg.Settings.Caps.ConnectTimeoutUs)*time.Microsecond))
 	if cfg.Discovery == "" {
 		core.Routes("whole", platform.Routes(cfg.Known))
 	} else {
-		platform.Watch(core, r, cfg.Discovery, cfg.Known)
+		f.registry = platform.Watch(core, r, cfg.Discovery, cfg.Known)
 	}
 	if cfg.Listen != "" {
-		in := platform.NewIngress(core, r, cfg.Discovery, cfg.Limits.Sockets/2)
-		core.AddIngress(platform.Front, in)
-		if listen("tcp", cfg.Listen, in.Accept); err != nil {
+		f.clients = platform.NewIngress(core, r, cfg.Discovery, cfg.Limits.Sockets/2)
+		core.AddIngress(platform.Front, f.clients)
+		if err := listen("tcp", cfg.Listen, f.clients.Accept); err != nil {
 			return nil, err
 		}
-		ends = append(ends, in.CloseIdle)
+		f.ends = append(f.ends, f.clients.CloseIdle)
 	}
 	if cfg.AMQP.Listen != "" {
 		in := amqpfront.NewIngress(core, amqpfront.Options{User: cfg.AMQP.User, Password: cfg.AMQP.Password,
 			Exchange: cfg.AMQP.Exchange, Heartbeat: time.Duration(cfg.AMQP.HeartbeatS) * time.Second, Most: cfg.Limits.Sockets / 8})
 		core.AddIngress(amqpfront.Front, in)
-		if listen("tcp", cfg.AMQP.Listen, in.Accept); err != nil {
+		if err := listen("tcp", cfg.AMQP.Listen, in.Accept); err != nil {
 			return nil, err
 		}
-		ends = append(ends, in.Close)
+		f.ends = append(f.ends, in.Close)
 	}
 	if path := cfg.Console.Socket; path != "" {
 		if !filepath.IsAbs(path) {
@@ -204,11 +267,7 @@
 		if err != nil {
 			return nil, err
 		}
-		ends = append(ends, func() { _ = ln.Close() })
+		f.ends = append(f.ends, func() { _ = ln.Close() })
 	}
-	return func() {
-		for _, end := range ends {
-			end()
-		}
-	}, nil
+	return f, nil
 }
--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -3,16 +3,22 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"brackendale/internal/config"
 	"brackendale/internal/console"
 	"brackendale/internal/net/reactor"
+	"brackendale/internal/standin"
 	"brackendale/sender"
 
 	"github.com/rs/zerolog"
@@ -70,11 +76,11 @@
 	defer r.Stop()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	stop, err := fronts(core, r, cfg)
+	f, err := newFronts(core, r, cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer stop()
+	defer f.stop()
 	go func() { _ = core.Run(ctx) }()
 	path := filepath.Join(cfg.State, cfg.Console.Socket)
 	if st, err := os.Stat(path); err != nil || st.Mode().Perm() != 0o600 {
@@ -116,6 +122,64 @@
 	}
 }
 
+// SIGHUP ended the program, and the open watch of the old registry would have kept it there for 20 s: it
+// must go to the new file's registry at once and ask it for the whole list. A bad file changes nothing.
+func TestReload(t *testing.T) {
+	dir, asked := t.TempDir(), make(chan string, 100)
+	agent := func(name string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			asked <- name + r.URL.RawQuery
+			if r.URL.RawQuery == "" {
+				_, _ = io.WriteString(rw, `{"seq":5,"whole":true,"hosts":[]}`)
+				return
+			}
+			<-r.Context().Done()
+		}))
+		t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+		return s.Listener.Addr().String()
+	}
+	file := filepath.Join(dir, "config.json")
+	write := func(discovery string) {
+		if err := os.WriteFile(file, fmt.Appendf(nil, `{"listen":"127.0.0.1:0","discovery":%q,"known":{"seq":9,"hosts":[]},
+			"settings":{"lanes":[{"name":"a","effect":"once","hardLimitUs":9}],"familyInfo":{"workers":2}}}`, discovery), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	expect := func(want string) {
+		t.Helper()
+		select {
+		case got := <-asked:
+			if got != want {
+				t.Fatalf("asked %q, not %q", got, want)
+			}
+		case <-time.After(standin.Long):
+			t.Fatal("never asked for", want)
+		}
+	}
+	old, next := agent("old "), agent("new ")
+	for k, v := range map[string]string{"LB_STATE": dir, "LB_CONFIG": file, "LB_DISCOVERY": old} {
+		t.Setenv(k, v)
+	}
+	write(old)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- serve(ctx, "") }()
+	expect("old index=9&wait=20000")
+	for _, discovery := range []string{"nowhere", next} {
+		write(discovery)
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond) // else the two may fold into one, and the bad file is never read
+	}
+	expect("new ")
+	expect("new index=5&wait=20000")
+	cancel()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestCommands(t *testing.T) {
 	c := Command()
 	var out bytes.Buffer
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -101,7 +101,9 @@
 }
 
 // Load reads the platform's file that LB_CONFIG names, the appliance's file, if one is given, and the
-// environment. What is read later counts more.
+// environment. What is read later counts more, but for the registry's address: the platform replaces it in
+// its file while the process runs, where the environment keeps the old one. So LB_DISCOVERY counts only
+// where no file names one.
 func Load(env func(string) string, file string) (Config, error) {
 	c := Config{Name: "brackendale", Limits: Limits{Cores: 1, MemoryMB: 192, Sockets: 1024, DiskMB: 3}}
 	if path := env("LB_CONFIG"); path != "" {
@@ -124,7 +126,7 @@
 	}
 	for key, field := range map[string]*string{"LB_NAME": &c.Name, "LB_LISTEN": &c.Listen,
 		"LB_DISCOVERY": &c.Discovery, "LB_STATE": &c.State} {
-		if v := env(key); v != "" {
+		if v := env(key); v != "" && (key != "LB_DISCOVERY" || c.Discovery == "") {
 			*field = v
 		}
 	}
@@ -138,7 +140,7 @@
 	for _, a := range []struct {
 		key, addr string
 		must      bool
-	}{{"LB_LISTEN", c.Listen, c.AMQP.Listen == ""}, {"LB_DISCOVERY", c.Discovery, c.Listen != ""},
+	}{{"LB_LISTEN", c.Listen, c.AMQP.Listen == ""}, {"discovery (LB_DISCOVERY)", c.Discovery, c.Listen != ""},
 		{"amqp.listen", c.AMQP.Listen, false}} {
 		if _, _, err := net.SplitHostPort(a.addr); err != nil && (a.must || a.addr != "") {
 			return fault(a.key, "%q: %w", a.addr, err)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -46,6 +46,17 @@
 	}
 }
 
+// The file's registry is newer than the environment's once it was replaced under a running sender.
+func TestDiscoveryOfTheFileCounts(t *testing.T) {
+	env := map[string]string{"LB_DISCOVERY": "127.0.0.1:9"}
+	if c, err := load(t, good, "", env); err != nil || c.Discovery != "127.0.0.1:2" {
+		t.Fatal(c.Discovery, err)
+	}
+	if c, err := load(t, strings.Replace(good, `"discovery":"127.0.0.1:2",`, "", 1), "", env); err != nil || c.Discovery != "127.0.0.1:9" {
+		t.Fatal(c.Discovery, err)
+	}
+}
+
 // The appliance's file that is shipped is valid, and its front listens where it says.
 func TestShippedAppliance(t *testing.T) {
 	raw, err := os.ReadFile("../../deploy/appliance.toml")
@@ -76,7 +87,8 @@
 	}{
 		{good, "", map[string]string{"LB_STATE": "/nowhere"}, "LB_STATE"},
 		{good, "", map[string]string{"LB_LISTEN": "x"}, "LB_LISTEN"},
-		{good, "", map[string]string{"LB_DISCOVERY": "x"}, "LB_DISCOVERY"},
+		{swap(good, `"discovery":"127.0.0.1:2"`, `"discovery":"x"`), "", nil, "discovery"},
+		{swap(good, `"discovery":"127.0.0.1:2",`, ""), "", map[string]string{"LB_DISCOVERY": "x"}, "LB_DISCOVERY"},
 		{good, "", map[string]string{"LB_CONFIG": "/nowhere"}, "LB_CONFIG"},
 		{"{", "", nil, "LB_CONFIG"},
 		{swap(good, `"cores":0.5`, `"cores":"x"`), "", nil, "limits.cores"},
--- a/internal/net/platform/ingress.go
+++ b/internal/net/platform/ingress.go
@@ -28,6 +28,9 @@
 	return &Ingress{core: core, most: most, clients: map[*client]bool{}, notices: newNotices(core, r, discovery)}
 }
 
+// Move tells ends to another agent from here on.
+func (in *Ingress) Move(discovery string) { in.notices.move(discovery) }
+
 // Accept takes a client's connection.
 func (in *Ingress) Accept(c *reactor.Conn) reactor.Handler {
 	if len(in.clients) >= in.most {
--- a/internal/net/platform/notices.go
+++ b/internal/net/platform/notices.go
@@ -47,6 +47,19 @@
 	n.core.Post(n.push) // what one round ends goes in one request
 }
 
+// move leaves the agent for another one; what the old one has not confirmed is told again there.
+func (n *notices) move(addr string) {
+	if addr == n.addr {
+		return
+	}
+	old := n.link
+	n.addr, n.link = addr, nil
+	if old != nil {
+		old.drop() // a request that is out ends here, and its batch stays queued
+	}
+	n.push()
+}
+
 func (n *notices) push() {
 	if n.busy || len(n.queue) == 0 {
 		return
@@ -76,7 +89,9 @@
 			return
 		}
 		l.conn.Close()
-		n.link = nil
+		if n.link == l {
+			n.link = nil
+		}
 		time.AfterFunc(againGap, func() { n.core.Post(n.push) })
 	}, pieces...)
 }
--- a/internal/net/platform/platform_test.go
+++ b/internal/net/platform/platform_test.go
@@ -165,6 +165,42 @@
 	}
 }
 
+// A notice that the old agent has not confirmed is told to the new one.
+func TestNoticeMoves(t *testing.T) {
+	w := newWorld(t)
+	w.answer = func(rw http.ResponseWriter, _ *http.Request, _ string) {
+		rw.WriteHeader(http.StatusInternalServerError)
+	}
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	heard := make(chan bool, 1)
+	go func() {
+		if c, err := silent.Accept(); err == nil {
+			_, err = c.Read(make([]byte, 1))
+			heard <- err == nil
+		}
+	}()
+	var move func()
+	agent := w.agent.Listener.Addr().String()
+	addr, _ := standin.Start(t, w.dir, func(core *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
+		in := NewIngress(core, r, silent.Addr().String(), 100)
+		move = func() { core.Post(func() { in.Move(agent) }) }
+		core.AddIngress(Front, in)
+		core.AddEgress(Proto, NewEgress(core, r, standin.Settings()))
+		core.Routes("whole", Routes(w.hosts("active")))
+		return in.Accept
+	})
+	w.submit(addr, "m1", "once", "9000")
+	wait(t, heard)
+	move()
+	if got := wait(t, w.finals); got != `{"id":"m1","state":"failed"}` {
+		t.Fatal(got)
+	}
+}
+
 // Killed with a call out, the sender comes back: the charge may have run and fails, the keyed message
 // goes again, and neither end is forgotten.
 func TestRestartWithCallsOut(t *testing.T) {
--- a/internal/net/platform/registry.go
+++ b/internal/net/platform/registry.go
@@ -56,6 +56,20 @@
 	return list
 }
 
+// Move leaves the agent for another one: nothing is awaited from the old, and the new is asked for the whole
+// list, since versions that the old one told may mean something else there.
+func (g *Registry) Move(addr string) {
+	if addr == g.addr {
+		return
+	}
+	old := g.link
+	g.addr, g.seq, g.link = addr, 0, nil
+	g.ask()
+	if old != nil {
+		old.drop()
+	}
+}
+
 func (g *Registry) ask() {
 	if g.link == nil || g.link.conn.Dead() {
 		g.link = dial(g.r, g.addr, agentLimit, agentMost)
@@ -69,6 +83,9 @@
 	timer := time.AfterFunc(limit, func() { g.core.Post(l.drop) })
 	l.do(func(a *http1.Response, err error) {
 		timer.Stop()
+		if g.link != l { // of an agent that was left: what it still says is no news
+			return
+		}
 		if err == nil {
 			err = g.take(a)
 		}
