--- a/internal/net/http1/http1.go
+++ b/internal/net/http1/http1.go
@@ -10,6 +10,8 @@
 // The bounds of a response.
 const (
 	maxHead = 16 << 10
+	// maxInterim bounds the 1xx answers ahead of one that counts.
+	maxInterim = 8
 	// MaxBody bounds a response's body: the longest list of a registry is far below it.
 	MaxBody = 4 << 20
 )
@@ -26,7 +28,7 @@
 	Status int
 	Close  bool // the connection ends with it
 	Body   []byte
-	head   []byte
+	head   []byte // from the second line on, without the empty one
 }
 
 // Get returns the value of the first header of that name, without the blanks around it.
@@ -54,44 +56,93 @@
 var crlf = []byte("\r\n")
 
 // Parse reads one response from the start of b. It returns the bytes used; 0 means that more must
-// come first. ended tells that nothing more will come, which ends a body of no stated length.
+// come first. ended tells that nothing more will come, which ends a body of no stated length. What can be
+// no response is an error at its first byte, not only once a head's room is full. Status is set as soon as
+// the first line is whole, and stands also where what follows it is an error.
 func (r *Response) Parse(b []byte, ended bool) (int, error) {
-	*r = Response{}
-	end := bytes.Index(b[:min(len(b), maxHead)], []byte("\r\n\r\n"))
-	if end < 0 {
-		if len(b) >= maxHead || ended && len(b) > 0 {
-			return 0, ErrHead
+	at, interim := 0, 0
+	for ; ; interim++ {
+		*r = Response{}
+		n, err := r.readHead(b[at:])
+		if n == 0 && err == nil && ended && len(b) > 0 || interim > maxInterim {
+			err = ErrHead
 		}
-		return 0, nil
-	}
-	line, head, _ := bytes.Cut(b[:end+2], crlf)
-	r.head = head
-	if len(line) < 12 || !bytes.HasPrefix(line, []byte("HTTP/1.")) || line[8] != ' ' || len(line) > 12 && line[12] != ' ' {
-		return 0, ErrHead
-	}
-	status, err := strconv.Atoi(string(line[9:12]))
-	if err != nil || status < 100 {
-		return 0, ErrHead
-	}
-	r.Status = status
-	r.Close = line[7] == '0' || bytes.EqualFold(r.Get("Connection"), []byte("close"))
-	at := end + 4
-	if status < 200 { // an interim answer: the one that counts follows
-		n, err := r.Parse(b[at:], ended)
 		if n == 0 || err != nil {
 			return 0, err
 		}
-		return at + n, nil
+		if at += n; r.Status >= 200 {
+			break
+		}
+	}
+	n, err := r.body(b, at, ended)
+	if err != nil {
+		n = 0
+	}
+	return n, err
+}
+
+// readHead reads the first line and the headers; 0 means that more must come.
+func (r *Response) readHead(b []byte) (int, error) {
+	const first = "HTTP/1.x 000"
+	line, rest, name := 0, 0, true // where the line and the headers start; whether a name is still being read
+	for i, c := range b[:min(len(b), maxHead)] {
+		at := i - line
+		switch {
+		case i > 0 && b[i-1] == '\r':
+			if c != '\n' {
+				return 0, ErrHead
+			}
+			if at == 1 { // an empty line ends the head
+				r.head = b[rest : i-1]
+				r.Close = b[7] == '0' || bytes.EqualFold(r.Get("Connection"), []byte("close"))
+				return i + 1, nil
+			}
+			if line == 0 {
+				r.Status = int(b[9]-'0')*100 + int(b[10]-'0')*10 + int(b[11]-'0')
+				rest = i + 1
+			}
+			line, name = i+1, true
+		case line == 0 && at < len(first):
+			digit := c >= '0' && c <= '9'
+			if first[at] != c && !(digit && (first[at] == '0' || first[at] == 'x')) || at == 9 && c == '0' {
+				return 0, ErrHead
+			}
+		case line == 0 && at == len(first) && c != ' ' && c != '\r':
+			return 0, ErrHead
+		case line > 0 && name && !(at == 0 && c == '\r'):
+			if c == ':' && at > 0 {
+				name = false
+			} else if !token(c) {
+				return 0, ErrHead
+			}
+		case c < ' ' && c != '\t' && c != '\r' || c == 0x7f:
+			return 0, ErrHead
+		}
 	}
+	if len(b) >= maxHead {
+		return 0, ErrHead
+	}
+	return 0, nil
+}
+
+// token tells whether a header's name may hold c.
+func token(c byte) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), c) >= 0
+}
+
+// body reads what belongs to a head that ends at at, and returns where all of it ends.
+func (r *Response) body(b []byte, at int, ended bool) (int, error) {
 	if bytes.EqualFold(r.Get("Transfer-Encoding"), []byte("chunked")) {
 		return r.chunks(b, at)
 	}
 	size := 0
 	if v := r.Get("Content-Length"); v != nil {
-		if size, err = strconv.Atoi(string(v)); err != nil || size < 0 || size > MaxBody || v[0] == '+' {
+		n, err := strconv.ParseUint(string(v), 10, 32)
+		if err != nil || n > MaxBody {
 			return 0, ErrBody
 		}
-	} else if status != 204 && status != 304 {
+		size = int(n)
+	} else if r.Status != 204 && r.Status != 304 {
 		if r.Close = true; len(b)-at > MaxBody {
 			return 0, ErrBody
 		}
--- a/internal/net/http1/http1_test.go
+++ b/internal/net/http1/http1_test.go
@@ -23,13 +23,23 @@
 		{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 500 E\r\nContent-Length: 1\r\n\r\nx", false, 500, "x", false, nil},
 		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n2\r\nde\r\n0\r\nT: 1\r\n\r\n", false, 200, "abcde", false, nil},
 		{"HTTP/1.1 200 OK\r\n\r\nto the end", true, 200, "to the end", true, nil},
+		{"HTTP/1.1 200 OK\r\nContent-Length: +1\r\n\r\n", false, 0, "", false, ErrBody},
 		{"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", false, 0, "", false, ErrBody},
 		{"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", false, 0, "", false, ErrBody},
 		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", false, 0, "", false, ErrBody},
 		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc", false, 0, "", false, ErrBody},
 		{"HTTP/2 200 OK\r\n\r\n", false, 0, "", false, ErrHead},
 		{"HTTP/1.1 2x0 OK\r\n\r\n", false, 0, "", false, ErrHead},
-		{strings.Repeat("x", maxHead), false, 0, "", false, ErrHead},
+		{"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", maxHead), false, 0, "", false, ErrHead},
+		// Noise on a connection that stays open held its slot until the time-out: the first byte that cannot be
+		// must be enough.
+		{"\x00", false, 0, "", false, ErrHead},
+		{"HTTP/1.1 20x", false, 0, "", false, ErrHead},
+		{"HTTP/1.1 200 OK\n", false, 0, "", false, ErrHead},
+		{"HTTP/1.1 200 OK\r\nno colon\r", false, 0, "", false, ErrHead},
+		{"HTTP/1.1 200 OK\r\nA: \x01", false, 0, "", false, ErrHead},
+		{"HTTP/1.1 200 OK\r\n\rx", false, 0, "", false, ErrHead},
+		{strings.Repeat("HTTP/1.1 100 C\r\n\r\n", maxInterim+1), false, 0, "", false, ErrHead},
 	} {
 		var r Response
 		n, err := r.Parse([]byte(c.in), c.ended)
@@ -38,6 +48,12 @@
 		}
 	}
 	var r Response
+	for in, want := range map[string]int{"HTTP/1.1 200 OK\r\nhalf a head": 200, "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n": 200,
+		"HTTP/1.1 100 C\r\n\r\nHTTP/1.1 200 O": 0, "HTTP/1.1 200": 0} {
+		if _, _ = r.Parse([]byte(in), true); r.Status != want { // a first line that says 200 is true whatever follows
+			t.Errorf("%q: status %d", in, r.Status)
+		}
+	}
 	if _, err := r.Parse([]byte("HTTP/1.1 429 No\r\nX-Backoff-Ms: 250\r\nX: 12345678901\r\nY: -4\r\nContent-Length: 0\r\n\r\n"), false); err != nil ||
 		r.Int("x-backoff-ms") != 250 || r.Int("X") != 0 || r.Int("Y") != 0 || r.Int("Z") != 0 {
 		t.Fatal(err)
--- a/internal/net/platform/client.go
+++ b/internal/net/platform/client.go
@@ -13,19 +13,29 @@
 // errGivenUp ends a request that took too long, or that its owner no longer wants.
 var errGivenUp = errors.New("platform: given up")
 
+// errStalled ends an answer that began and does not come to its end: its connection is of no further use.
+var errStalled = errors.New("platform: half an answer")
+
+// answerLimit is how long an answer may take from its first byte to its last.
+const answerLimit = 500 * time.Millisecond
+
 // link is one HTTP/1.1 connection to a peer, with one request on it at most. It is the near side of
 // endpoints and of the registry's agent alike.
 type link struct {
-	conn *reactor.Conn
-	buf  []byte
-	most int
-	up   bool
-	used bool // a request has been written to it
-	want func(*http1.Response, error)
-	idle *time.Timer
-	free func() // the answer has come and the connection may be used again
-	gone func() // it has ended with no request on it
-	out  [][]byte
+	conn  *reactor.Conn
+	addr  string
+	buf   []byte
+	most  int
+	up    bool
+	used  bool                         // a request has been written to it
+	want  func(*http1.Response, error) // the response comes with an error too, for its status
+	late  *time.Timer                  // runs while half an answer is there
+	idle  *time.Timer
+	last  time.Time // when its last answer came
+	extra bool      // more came behind that answer
+	free  func()    // the answer has come and the connection may be used again
+	gone  func()    // it has ended with no request on it
+	out   [][]byte
 }
 
 // The most that may lie unread of one answer: an endpoint's says little, the agent's holds a list.
@@ -37,7 +47,7 @@
 
 // dial opens a link whose answers take most bytes at the most.
 func dial(r *reactor.Reactor, addr string, limit time.Duration, most int) *link {
-	l := &link{most: most}
+	l := &link{most: most, addr: addr}
 	l.conn = r.Dial(addr, limit, l)
 	return l
 }
@@ -59,9 +69,16 @@
 func (l *link) written() bool { return l.used && l.conn.Sent(l.conn.Mark()) }
 
 // drop gives up a request, if one is out, and closes.
-func (l *link) drop() {
+func (l *link) drop() { l.fail(errGivenUp) }
+
+// fail closes, and ends a request that is out with what is known of its answer.
+func (l *link) fail(err error) {
 	l.conn.Close()
-	l.finish(nil, errGivenUp)
+	var a http1.Response
+	if len(l.buf) > 0 {
+		_, _ = a.Parse(l.buf, true) // for its status
+	}
+	l.finish(&a, err)
 }
 
 // Up writes the request that waits for the connection.
@@ -74,16 +91,28 @@
 	}
 }
 
-// Data looks for a whole answer.
-func (l *link) Data(c *reactor.Conn, b []byte) {
+// Data looks for a whole answer. What comes while no request is out, or before its last byte has left,
+// belongs to no request: a second copy, or noise.
+func (l *link) Data(_ *reactor.Conn, b []byte) {
+	if l.want == nil || !l.written() {
+		l.buf = nil
+		l.fail(http1.ErrHead)
+		return
+	}
 	if len(l.buf) > 0 {
 		b = append(l.buf, b...)
+	} else {
+		var late *time.Timer
+		late = time.AfterFunc(answerLimit, func() {
+			l.conn.Post(func() {
+				if l.late == late { // else that answer has come to its end
+					l.fail(errStalled)
+				}
+			})
+		})
+		l.late = late
 	}
 	l.buf = b
-	if l.want == nil { // nobody asked
-		c.Close()
-		return
-	}
 	l.parse(false)
 }
 
@@ -94,20 +123,20 @@
 		err = http1.ErrBody
 	}
 	if err != nil {
-		l.conn.Close()
-		l.finish(nil, err)
+		l.fail(err)
 		return
 	}
 	if n == 0 {
 		return
 	}
-	more := n < len(l.buf)
-	l.buf = nil
-	if a.Close || more {
+	l.extra = n < len(l.buf)
+	l.buf, l.last = nil, time.Now()
+	over := a.Close || l.extra
+	if over {
 		l.conn.Close()
 	}
 	l.finish(&a, nil)
-	if !a.Close && !more && !l.conn.Dead() && l.free != nil {
+	if !over && !l.conn.Dead() && l.free != nil {
 		l.free()
 	}
 }
@@ -117,13 +146,17 @@
 	if l.want != nil && len(l.buf) > 0 {
 		l.parse(true)
 	}
-	l.finish(nil, err)
+	l.fail(err)
 	if l.gone != nil {
 		l.gone()
 	}
 }
 
 func (l *link) finish(a *http1.Response, err error) {
+	if l.late != nil {
+		l.late.Stop()
+		l.late = nil
+	}
 	if want := l.want; want != nil {
 		l.want, l.out = nil, nil
 		want(a, err)
--- a/internal/net/platform/egress.go
+++ b/internal/net/platform/egress.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
+	"math"
 	"slices"
 	"strconv"
+	"syscall"
 	"time"
 
 	"brackendale/internal/net/http1"
@@ -65,22 +68,34 @@
 	c.link.do(c.answer, c.request(limit)...)
 }
 
+// restTime is how long a link rests after an answer: what comes right behind one must have come by then,
+// or it would be taken for the next answer.
+const restTime = 10 * time.Millisecond
+
+// take finds an idle link, the latest used first, or opens one. A link on which something has come
+// unasked, be it the endpoint's close, is of no use.
 func (e *Egress) take(to sender.Route, limitUs int64) *link {
-	for pool := e.pools[to.Addr]; len(pool) > 0; {
-		l := pool[len(pool)-1]
-		pool = pool[:len(pool)-1]
-		e.pools[to.Addr] = pool
-		if !l.conn.Dead() {
-			l.idle.Stop()
-			l.gone, l.free = nil, nil
+	for _, l := range slices.Backward(slices.Clone(e.pools[to.Addr])) {
+		if time.Since(l.last) < restTime {
+			continue
+		}
+		e.forget(to.Addr, l)
+		l.idle.Stop()
+		l.gone, l.free = nil, nil
+		if l.addr == to.Dial && l.conn.Quiet() {
 			return l
 		}
+		l.conn.Close()
 	}
 	return dial(e.r, to.Dial, min(e.connect, time.Duration(limitUs)*time.Microsecond), endpointMost)
 }
 
 // keep puts a link among the idle ones and closes it before the endpoint would.
 func (e *Egress) keep(to string, l *link) {
+	if !e.core.Live(to) {
+		l.conn.Close()
+		return
+	}
 	e.pools[to] = append(e.pools[to], l)
 	l.idle = time.AfterFunc(e.idle, func() {
 		e.core.Post(func() {
@@ -99,7 +114,9 @@
 	pool := e.pools[to]
 	for i, x := range pool {
 		if x == l {
-			e.pools[to] = append(pool[:i:i], pool[i+1:]...)
+			if e.pools[to] = append(pool[:i:i], pool[i+1:]...); len(pool) == 1 {
+				delete(e.pools, to) // names are ever new
+			}
 			return
 		}
 	}
@@ -192,33 +209,46 @@
 		delete(c.e.out, h.ID)
 	}
 	o := sender.Outcome{Target: c.to.Addr}
+	var ends map[string]string
 	switch {
+	case isLocal(err):
+		o.Reason = sender.Moot // this machine had no room: that says nothing of the target
 	case err != nil && !c.link.written():
 		o.Reason = sender.NoConn // its last byte has not left: proof that nothing ran
+	case err != nil && a != nil && a.Status == 200 && len(c.hops) == 1:
+		o.Reason = sender.Good // its first line is true whatever became of the rest
 	case err == errGivenUp:
 		o.Reason = c.why
+	case errors.Is(err, http1.ErrHead) || errors.Is(err, http1.ErrBody) || err == errStalled:
+		o.Reason = sender.Bad // spoilt: it may have run, and the connection is not to blame
 	case err != nil:
 		o.Reason = sender.Reset
 	default:
-		o = c.read(a)
-	}
-	var ends map[string]string
-	if a != nil && a.Status == 200 && len(c.hops) > 1 {
-		ends = bundleEnds(a.Body)
+		if o = c.read(a); a.Status == 200 && len(c.hops) > 1 {
+			ends = c.bundleEnds(a.Body)
+		}
 	}
 	for _, h := range c.hops {
 		p := o
 		if p.ID, p.N = h.ID, h.N; ends != nil {
-			p.Reason, p.Over = bundleEnd(ends[h.ID])
+			if p.Reason, p.Over = bundleEnd(ends[h.ID]); p.Reason == "" {
+				p.Reason = sender.Bad // of a spoilt answer
+			}
 		}
 		c.e.core.Report(p)
 	}
-	if a != nil && !a.Close {
+	if err == nil && !a.Close {
 		l, to := c.link, c.to.Addr
 		l.free = func() { c.e.keep(to, l) }
 	}
 }
 
+// isLocal tells a failure to connect that is this machine's own: no descriptor, port or buffer left.
+func isLocal(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) ||
+		errors.Is(err, syscall.EADDRNOTAVAIL)
+}
+
 func (c *hopCall) read(a *http1.Response) sender.Outcome {
 	o := sender.Outcome{Target: c.to.Addr, Reason: sender.Bad, HoldMs: a.Int("X-Backoff-Ms"), Load: c.e.load(a)}
 	switch a.Status {
@@ -239,14 +269,25 @@
 	return o
 }
 
-// bundleEnds reads the lines of a bundle's answer.
-func bundleEnds(body []byte) map[string]string {
+// bundleEnds reads the lines of a bundle's answer. One that does not name each message once with an end that
+// is known, and nothing else, or that breaks off, is spoilt: nothing in it is to be trusted.
+func (c *hopCall) bundleEnds(body []byte) map[string]string {
 	ends := map[string]string{}
 	for line := range bytes.Lines(body) {
-		if id, end, ok := bytes.Cut(bytes.TrimSpace(line), []byte{' '}); ok {
-			ends[string(id)] = string(bytes.TrimSpace(end))
+		id, end, _ := bytes.Cut(bytes.TrimSpace(line), []byte{' '})
+		if reason, _ := bundleEnd(string(end)); reason == "" && len(id)+len(end) > 0 {
+			return map[string]string{}
+		} else if reason != "" {
+			ends[string(id)] = string(end)
 		}
 	}
+	whole := len(ends) == len(c.hops) && !(c.link.extra && !bytes.HasSuffix(body, []byte{'\n'}))
+	for _, h := range c.hops {
+		whole = whole && ends[h.ID] != ""
+	}
+	if !whole {
+		return map[string]string{}
+	}
 	return ends
 }
 
@@ -261,24 +302,35 @@
 		return sender.Moot, true
 	case "used_up":
 		return sender.Moot, false
+	case "failed":
+		return sender.Bad, false // it may have run
 	}
-	return sender.Bad, false // failed, or not named: it may have run
+	return "", false
 }
 
-// load reads a report into the order of the settings.
+// load reads a report into the order of the settings. One that lacks a field, or has a value that is no
+// number from 0 up, is none: a zero in its place would be a word on the load.
 func (e *Egress) load(a *http1.Response) []float64 {
 	raw := a.Get("Srv-Load")
 	if raw == nil || len(e.fields) == 0 {
 		return nil
 	}
 	list := make([]float64, len(e.fields))
+	for i := range list {
+		list[i] = -1
+	}
 	for pair := range bytes.SplitSeq(raw, []byte{','}) {
 		name, value, _ := bytes.Cut(bytes.TrimSpace(pair), []byte{'='})
-		for i, f := range e.fields {
-			if f == string(name) {
-				list[i], _ = strconv.ParseFloat(string(value), 64)
+		if i := slices.Index(e.fields, string(name)); i >= 0 {
+			x, err := strconv.ParseFloat(string(value), 64)
+			if err != nil || !(x >= 0) || math.IsInf(x, 1) {
+				return nil
 			}
+			list[i] = x
 		}
 	}
+	if slices.Contains(list, -1) {
+		return nil
+	}
 	return list
 }
--- a/internal/net/platform/ingress.go
+++ b/internal/net/platform/ingress.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
+	"slices"
 	"strconv"
+	"time"
 
 	"brackendale/internal/net/reactor"
 	"brackendale/internal/net/resp"
@@ -12,8 +15,18 @@
 // Front is the name of this front in the spool.
 const Front = "platform"
 
-// maxWaiting bounds the commands of one connection that wait for their answers.
-const maxWaiting = 128
+// maxWaiting bounds the commands of one connection that wait for their answers. Clients that behave have
+// one; what sends more than this at once is turned away whole.
+const maxWaiting = 16
+
+// patience is how long a connection may say nothing, or stay in the middle of a command, and after which
+// one with no request open may be closed.
+const patience = 2 * time.Second
+
+// sweepGap is how often connections are looked through for such.
+const sweepGap = 250 * time.Millisecond
+
+var errSlow = errors.New("ERR no whole command in time")
 
 // Ingress serves RESP2 clients.
 type Ingress struct {
@@ -21,6 +34,7 @@
 	notices *notices
 	clients map[*client]bool
 	most    int // clients' connections, so that descriptors are left for the targets
+	sweeps  bool
 }
 
 // NewIngress makes the clients' side for that many connections; ends are told to the registry's agent.
@@ -31,16 +45,73 @@
 // Move tells ends to another agent from here on.
 func (in *Ingress) Move(discovery string) { in.notices.move(discovery) }
 
-// Accept takes a client's connection.
+// Accept takes a client's connection. When there is no room, one with no request open goes for it.
 func (in *Ingress) Accept(c *reactor.Conn) reactor.Handler {
-	if len(in.clients) >= in.most {
+	if len(in.clients) >= in.most && !in.makeRoom() {
 		return nil
 	}
-	cl := &client{in: in, conn: c}
+	cl := &client{in: in, conn: c, since: time.Now()}
 	in.clients[cl] = true
+	if !in.sweeps {
+		in.sweeps = true
+		in.sweepLater()
+	}
 	return cl
 }
 
+// makeRoom closes the connection that has had no request open for longest, if that is long enough; else the
+// oldest that never said anything, since usual clients speak at once and a silent crowd must not lock them
+// out. A connection on which something was asked is not closed early.
+func (in *Ingress) makeRoom() bool {
+	var oldest *client
+	for cl := range in.clients {
+		if len(cl.waiting) > 0 || cl.closing || cl.spoke && time.Since(cl.since) < patience {
+			continue
+		}
+		if oldest == nil || cl.since.Before(oldest.since) {
+			oldest = cl
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.drop()
+	return true
+}
+
+// sweepLater ends what says nothing, or no whole command, and keeps a quarter of the room for newcomers.
+func (in *Ingress) sweepLater() {
+	time.AfterFunc(sweepGap, func() {
+		in.core.Post(func() {
+			in.sweep(time.Now())
+			in.sweepLater()
+		})
+	})
+}
+
+func (in *Ingress) sweep(now time.Time) {
+	var idle []*client
+	for cl := range in.clients {
+		switch {
+		case len(cl.waiting) > 0 || cl.closing || now.Sub(cl.since) < patience:
+		case len(cl.buf) > 0:
+			cl.refuse(errSlow)
+		case !cl.spoke:
+			cl.drop()
+		default:
+			idle = append(idle, cl)
+		}
+	}
+	over := min(len(idle), len(in.clients)-in.most*3/4)
+	if over <= 0 {
+		return
+	}
+	slices.SortFunc(idle, func(a, b *client) int { return a.since.Compare(b.since) })
+	for _, cl := range idle[:over] {
+		cl.drop()
+	}
+}
+
 // client is one connection. Answers leave in the order of the commands.
 type client struct {
 	in      *Ingress
@@ -49,6 +120,8 @@
 	words   [][]byte
 	waiting []*reply
 	closing bool
+	spoke   bool      // a whole command has come
+	since   time.Time // it was accepted, was last answered, or began a command
 }
 
 type reply struct {
@@ -66,6 +139,8 @@
 	}
 	if len(cl.buf) > 0 {
 		b = append(cl.buf, b...)
+	} else if len(cl.waiting) == 0 {
+		cl.since = time.Now()
 	}
 	for len(b) > 0 && !cl.closing {
 		words, n, err := resp.Parse(b, cl.words)
@@ -73,13 +148,13 @@
 			err = resp.ErrTooLong
 		}
 		if err != nil {
-			cl.say([]byte("-"+err.Error()+"\r\n"), true)
-			break
+			cl.refuse(err)
+			return
 		}
 		if n == 0 {
 			break
 		}
-		cl.words = words
+		cl.words, cl.spoke = words, true
 		cl.command(words)
 		b = b[n:]
 	}
@@ -100,21 +175,40 @@
 	cl.waiting = nil
 }
 
-func (cl *client) say(text []byte, last bool) {
-	cl.waiting = append(cl.waiting, &reply{text: text})
-	cl.closing = cl.closing || last
+func (cl *client) say(text string) { cl.waiting = append(cl.waiting, &reply{text: []byte(text)}) }
+
+// refuse answers all that waits, and what has come last, with an error, and closes. What came together with
+// a command that cannot be read is not taken on.
+func (cl *client) refuse(err error) {
+	text := "-" + err.Error() + "\r\n"
+	for _, r := range cl.waiting {
+		if r.text == nil {
+			cl.in.core.Withdraw(r.x)
+			r.text = []byte(text)
+		}
+	}
+	cl.say(text)
+	cl.buf, cl.closing = nil, true
+	cl.flush()
+}
+
+// drop closes a connection with no request open. It no longer counts against the room.
+func (cl *client) drop() {
+	cl.closing = true
+	delete(cl.in.clients, cl)
+	cl.conn.Close()
 }
 
 func (cl *client) command(words [][]byte) {
 	switch {
 	case bytes.EqualFold(words[0], []byte("PING")) && len(words) == 1:
-		cl.say([]byte("+PONG\r\n"), false)
+		cl.say("+PONG\r\n")
 	case bytes.EqualFold(words[0], []byte("PING")) && len(words) == 2:
-		cl.say([]byte("$"+strconv.Itoa(len(words[1]))+"\r\n"+string(words[1])+"\r\n"), false)
+		cl.say("$" + strconv.Itoa(len(words[1])) + "\r\n" + string(words[1]) + "\r\n")
 	case bytes.EqualFold(words[0], []byte("SUBMIT")):
 		x, fault := cl.in.exchange(words[1:])
 		if fault != "" {
-			cl.say([]byte("-ERR "+fault+"\r\n"), false)
+			cl.say("-ERR " + fault + "\r\n")
 			return
 		}
 		r := &reply{x: x}
@@ -122,7 +216,7 @@
 		cl.waiting = append(cl.waiting, r)
 		cl.in.core.Offer(x)
 	default:
-		cl.say([]byte("-ERR unknown command\r\n"), false)
+		cl.say("-ERR unknown command\r\n")
 	}
 }
 
@@ -133,6 +227,9 @@
 		out = append(out, cl.waiting[0].text)
 		cl.waiting = cl.waiting[1:]
 	}
+	if len(out) > 0 {
+		cl.since = time.Now()
+	}
 	if len(out) > 0 && cl.conn.Write(out...) != nil || cl.closing && len(cl.waiting) == 0 {
 		cl.conn.Close()
 	}
@@ -182,7 +279,7 @@
 	case len(x.Key) > 64 || len(x.Tenant) > 64 || bytes.ContainsAny([]byte(x.Key), " \r\n"):
 		return nil, "bad key k or tenant t"
 	}
-	x.Deadline = in.core.Now() + limit*1000
+	x.Deadline = in.core.Now() + min(limit*1000, in.core.Lane(x.Class).HardLimitUs)
 	return x, ""
 }
 
--- a/internal/net/platform/platform_test.go
+++ b/internal/net/platform/platform_test.go
@@ -2,18 +2,22 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"brackendale/internal/config"
+	"brackendale/internal/net/http1"
 	"brackendale/internal/net/reactor"
 	"brackendale/internal/standin"
 	"brackendale/sender"
@@ -32,10 +36,14 @@
 	asked   chan string // the watch's versions
 	changes chan string
 	dir     string
+	dial    string // of the endpoint, as the route table has it
+	most    int    // clients
+	core    *sender.Sender
+	in      *Ingress
 }
 
 func newWorld(t *testing.T) *world {
-	w := &world{t: t, finals: make(chan string, 100), calls: make(chan *http.Request, 100), asked: make(chan string, 100), changes: make(chan string, 1), dir: t.TempDir()}
+	w := &world{t: t, finals: make(chan string, 100), calls: make(chan *http.Request, 100), asked: make(chan string, 100), changes: make(chan string, 1), dir: t.TempDir(), most: 100}
 	w.target = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		answer := w.answer // the test may set another once it has seen the call
@@ -65,13 +73,14 @@
 		case <-r.Context().Done():
 		}
 	}))
+	w.dial = w.target.Listener.Addr().String()
 	t.Cleanup(func() { w.agent.CloseClientConnections(); w.target.CloseClientConnections() })
 	return w
 }
 
 func (w *world) hosts(health string) config.List {
 	return config.List{Seq: 1, Whole: true, Hosts: []config.Host{{Host: "e1", Block: 7, Class: "k", Health: health,
-		Dial: w.target.Listener.Addr().String()}}}
+		Dial: w.dial}}}
 }
 
 // start begins one life of a sender.
@@ -79,7 +88,8 @@
 	w.t.Helper()
 	return standin.Start(w.t, w.dir, func(core *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
 		agent := w.agent.Listener.Addr().String()
-		in := NewIngress(core, r, agent, 100)
+		in := NewIngress(core, r, agent, w.most)
+		w.core, w.in = core, in
 		core.AddIngress(Front, in)
 		core.AddEgress(Proto, NewEgress(core, r, standin.Settings()))
 		Watch(core, r, agent, w.hosts("active"))
@@ -323,14 +333,199 @@
 	}
 }
 
-// Each end of a bundle is its own.
+// Each end of a bundle is its own; a bundle's answer that lacks one, or says what is not known, is spoilt and
+// proves nothing, also where it says that a message never ran.
 func TestBundleEnds(t *testing.T) {
-	ends := bundleEnds([]byte("a done\r\nb busy\r\nc void\nd used_up\r\nnonsense\r\n"))
-	for id, want := range map[string]string{"a": sender.Good, "b": sender.Full, "c": sender.Moot, "d": sender.Moot, "x": sender.Bad} {
+	c := &hopCall{link: &link{}, hops: []sender.Hop{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}, {ID: "e"}}}
+	const body = "a done\r\nb busy\r\nc void\r\nd used_up\r\ne failed"
+	ends := c.bundleEnds([]byte(body))
+	for id, want := range map[string]string{"a": sender.Good, "b": sender.Full, "c": sender.Moot, "d": sender.Moot, "e": sender.Bad} {
 		if got, over := bundleEnd(ends[id]); got != want || over != (id == "c") {
 			t.Errorf("%s: %s", id, got)
 		}
 	}
+	for _, bad := range []string{body[:len(body)-1], body[:len(body)-10], body + "\r\nf done", "", body + "\r\nnoise"} {
+		if got := c.bundleEnds([]byte(bad)); len(got) > 0 {
+			t.Errorf("%q: %v", bad, got)
+		}
+	}
+	if c.link.extra = true; len(c.bundleEnds([]byte(body))) > 0 {
+		t.Error("cut off by its length, it was taken")
+	}
+}
+
+// A report that cannot be read was taken for a load of 0, the best there is.
+func TestUnreadableReport(t *testing.T) {
+	e := &Egress{fields: []string{"x0", "x1"}}
+	for text, want := range map[string]int{"x0=0.4, x1=25": 2, "x0=nan,x1=1": 0, "x0=1,x1=+Inf": 0, "x0=-1,x1=1": 0, "x0=1": 0, "x0=?,x1=1": 0, "": 0} {
+		var a http1.Response
+		if _, err := a.Parse([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nSrv-Load: "+text+"\r\n\r\n"), false); err != nil || len(e.load(&a)) != want {
+			t.Errorf("%q: %v %v", text, e.load(&a), err)
+		}
+	}
+}
+
+// peer is an endpoint of raw bytes: each request that it reads is told with its connection's number, and
+// answered with the next of the texts; the connection stays open.
+func (w *world) peer(texts ...string) (seen chan int) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { ln.Close() })
+	w.dial = ln.Addr().String()
+	seen = make(chan int, 100)
+	var mu sync.Mutex
+	go func() {
+		for n := 0; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				in := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					mu.Lock()
+					if len(texts) > 0 {
+						_, _ = io.WriteString(c, texts[0])
+						texts = texts[1:]
+					}
+					mu.Unlock()
+					seen <- n
+				}
+			}()
+		}
+	}()
+	return seen
+}
+
+// A spoilt answer on a connection that stays open held its slot until the time-out. It may have run, so a
+// charge fails at once, but where its first line says 200 that is true.
+func TestSpoiltAnswers(t *testing.T) {
+	const good, first = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\n"
+	for _, c := range []struct {
+		text string
+		ran  bool
+	}{
+		{"\x01noise", false},
+		{"HTTP/1.1 500 E\r\nContent-Length: 9\r\n\r\nshort", false},
+		{"HTTP/1.1 50", false},
+		{first + "half a he", true},
+		{first + "A: half", true},
+		{first + "Content-Length: -4\r\n\r\n", true},
+		{first + "Content-Length: 3000000000\r\n\r\nxxx", true},
+		{first + "Content-Length: 9\r\n\r\nshort", true},
+		{good + "noise", true},
+		{strings.Repeat("HTTP/1.1 102 P\r\n\r\n", 3) + good, true},
+	} {
+		w := newWorld(t)
+		w.peer(c.text)
+		addr, _ := w.start()
+		w.submit(addr, "m1", "once", "60000")
+		if !c.ran {
+			if got := wait(t, w.finals); got != `{"id":"m1","state":"failed"}` {
+				t.Fatalf("%q: %s", c.text, got)
+			}
+			continue
+		}
+		for end := time.Now().Add(standin.Long); w.delivered() != 1; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%q: not delivered", c.text)
+			}
+		}
+	}
+}
+
+// delivered asks the sender how many it has delivered.
+func (w *world) delivered() uint64 {
+	n := make(chan uint64, 1)
+	w.core.Post(func() { n <- w.core.State().Delivered })
+	return wait(w.t, n)
+}
+
+// What comes on an idle connection is not the answer to the next request, which goes out on another one.
+func TestSecondCopy(t *testing.T) {
+	const good = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	w := newWorld(t)
+	seen := w.peer(good+good, "\x00")
+	addr, _ := w.start()
+	w.submit(addr, "m1", "once", "60000")
+	wait(t, seen)
+	w.submit(addr, "m2", "once", "60000")
+	if n := wait(t, seen); n != 1 {
+		t.Fatal("m2 went out on connection", n)
+	}
+	if got := wait(t, w.finals); got != `{"id":"m2","state":"failed"}` {
+		t.Fatal(got)
+	}
+}
+
+// A silent crowd took all places and every newcomer was turned away; a client that speaks must get one.
+func TestSilentClients(t *testing.T) {
+	w := newWorld(t)
+	w.answer, w.most = ok, 2
+	addr, _ := w.start()
+	var crowd []net.Conn
+	dial := func(text string) {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		crowd = append(crowd, c)
+		_, _ = io.WriteString(c, text)
+		_ = c.SetReadDeadline(time.Now().Add(standin.Long))
+	}
+	for range 4 {
+		dial("")
+	}
+	if got := w.say(addr, "PING"); got != "+PONG" {
+		t.Fatal(got)
+	}
+	dial("*2\r\n$4\r\nPI")
+	if got := w.say(addr, "PING"); got != "+PONG" {
+		t.Fatal(got)
+	}
+	w.core.Post(func() { w.in.sweep(time.Now().Add(patience)) })
+	for i, c := range crowd {
+		if b, err := io.ReadAll(c); errors.Is(err, os.ErrDeadlineExceeded) || len(b) > 0 && b[0] != '-' {
+			t.Errorf("connection %d: %q %v", i, b, err)
+		}
+	}
+}
+
+// More commands at once than a client that behaves would send are turned away whole, and so is one that
+// comes together with what cannot be read.
+func TestCommandsAtOnce(t *testing.T) {
+	w := newWorld(t)
+	w.answer = ok
+	addr, _ := w.start()
+	one := func(id string) string {
+		return "*5\r\n$6\r\nSUBMIT\r\n$1\r\n0\r\n$2\r\n" + id + "\r\n$22\r\nc=once,t=x,d=999,dest=7\r\n$0\r\n\r\n"
+	}
+	many := ""
+	for i := range maxWaiting + 1 {
+		many += one(fmt.Sprintf("%02d", i))
+	}
+	for _, text := range []string{many, one("aa") + "nonsense"} {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.SetDeadline(time.Now().Add(standin.Long))
+		_, _ = io.WriteString(c, text)
+		b, err := io.ReadAll(c)
+		if err != nil || !bytes.HasPrefix(b, []byte("-ERR ")) || bytes.Contains(b, []byte("+OK")) {
+			t.Fatalf("%q %v", b, err)
+		}
+	}
+	if len(w.calls) > 0 {
+		t.Fatal("taken on")
+	}
 }
 
 // A recall of one message of a bundle must not cut off a charge that travels with it.
@@ -362,6 +557,7 @@
 func TestEndlessAnswer(t *testing.T) {
 	w := newWorld(t)
 	w.answer = func(rw http.ResponseWriter, r *http.Request, _ string) {
+		rw.WriteHeader(http.StatusInternalServerError) // a first line with 200 would be a delivery
 		for r.Context().Err() == nil {
 			if _, err := rw.Write(make([]byte, 64<<10)); err != nil {
 				return
--- a/internal/net/reactor/reactor.go
+++ b/internal/net/reactor/reactor.go
@@ -20,6 +20,10 @@
 // maxUnsent bounds what one connection may hold unwritten: a peer that does not read is cut off.
 const maxUnsent = 512 << 10
 
+// maxComing bounds the connections that are accepted and not yet given a handler: until then nobody counts
+// them, and a crowd of newcomers could take the descriptors that the dialling side needs.
+const maxComing = 16
+
 // maxUnread bounds what has been read and not yet handled, over all connections.
 const maxUnread = 4 << 20
 
@@ -52,6 +56,7 @@
 	cancel  context.CancelFunc // of its dialling
 	queued  int64
 	written atomic.Int64
+	unseen  atomic.Int64 // bytes read that its handler has not been given
 }
 
 // New starts an engine whose handlers run by way of post.
@@ -89,8 +94,10 @@
 	}
 	r.room.L.Unlock()
 	r.unread.Add(n)
+	c.unseen.Add(n)
 	r.post(func() {
 		r.unread.Add(-n)
+		c.unseen.Add(-n)
 		r.room.L.Lock()
 		r.room.Signal()
 		r.room.L.Unlock()
@@ -116,21 +123,26 @@
 		return nil, fmt.Errorf("listening on %s: %w", addr, err)
 	}
 	go func() {
+		room := make(chan struct{}, maxComing)
 		for {
+			room <- struct{}{}
 			sock, err := ln.Accept()
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
 			if err != nil {
+				<-room
 				time.Sleep(20 * time.Millisecond)
 				continue
 			}
 			nc, err := nbio.NBConn(sock)
 			if err != nil {
+				<-room
 				_ = sock.Close() // nbio closes it only once it has taken it over
 				continue
 			}
 			r.post(func() {
+				<-room
 				c := &Conn{r: r}
 				if c.h = accept(c); c.h == nil {
 					_ = nc.Close()
@@ -182,8 +194,10 @@
 }
 
 func (c *Conn) attach(nc *nbio.Conn) error {
-	nc.SetSession(c)
 	c.nc.Store(nc)
+	c.r.room.L.Lock() // the engine's goroutine takes it before it looks at c
+	nc.SetSession(c)
+	c.r.room.L.Unlock()
 	if _, err := c.r.engine.AddConn(nc); err != nil {
 		return fmt.Errorf("joining the socket engine: %w", err)
 	}
@@ -212,9 +226,22 @@
 	c.r.post(func() { c.down(net.ErrClosed) })
 }
 
+// Post lets f run on the owner's goroutine.
+func (c *Conn) Post(f func()) { c.r.post(f) }
+
 // Dead tells whether the connection has ended.
 func (c *Conn) Dead() bool { return c.dead }
 
+// Quiet tells whether the peer has sent nothing, not even its end, that the handler has not seen.
+func (c *Conn) Quiet() bool {
+	nc := c.nc.Load()
+	if nc == nil || c.dead {
+		return false
+	}
+	_, _, err := syscall.Recvfrom(nc.Hash(), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return errors.Is(err, syscall.EAGAIN) && c.unseen.Load() == 0
+}
+
 // Mark is the place in the stream that the next write starts from.
 func (c *Conn) Mark() int64 { return c.queued }
 
@@ -223,7 +250,8 @@
 
 // Write hands over the pieces in one gathered write. The engine's own gathered write forgets the pieces
 // behind the one that a partial write ends in, and all of them where the socket was full: those go
-// after it here, one by one, through its buffered write.
+// after it here, one by one, through its buffered write. With unsent bytes before them it buffers all of
+// them and reports them as written: then they go one by one from the start.
 func (c *Conn) Write(pieces ...[]byte) error {
 	nc := c.nc.Load()
 	if nc == nil || c.dead {
@@ -233,7 +261,16 @@
 	for _, p := range pieces {
 		total += len(p)
 	}
+	behind := !c.Sent(c.queued)
 	c.queued += int64(total)
+	if behind {
+		for _, p := range pieces {
+			if _, err := nc.Write(p); err != nil {
+				return fmt.Errorf("writing: %w", err)
+			}
+		}
+		return nil
+	}
 	n, err := nc.Writev(pieces)
 	if err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR) {
 		return fmt.Errorf("writing: %w", err)
--- a/internal/net/reactor/reactor_test.go
+++ b/internal/net/reactor/reactor_test.go
@@ -115,6 +115,11 @@
 	if c.Sent(c.Mark()) {
 		t.Fatal("the socket took all: nothing was tested")
 	}
+	// Behind unsent bytes the engine buffers a gathered write and calls it written.
+	do(func() { err = c.Write([]byte("the "), []byte("last")) })
+	if want = append(want, "the last"...); err != nil || c.Sent(c.Mark()) {
+		t.Fatal("what waits unsent was counted as written", err)
+	}
 	got := make([]byte, len(want))
 	if _, err := io.ReadFull(peer, got); err != nil || !bytes.Equal(got, want) {
 		t.Fatal("bytes were lost or moved", err)
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -67,6 +67,8 @@
 	live  map[string]*Entry
 	bytes int64 // what the live entries would take
 	next  uint64
+	open  bool
+	past  []string // ids that were gone when it was opened
 }
 
 // Open reads the journal in dir, or starts one. What a torn tail holds was never acted upon: it is cut off.
@@ -98,9 +100,17 @@
 	if _, err := f.Seek(s.size, io.SeekStart); err != nil {
 		return nil, fmt.Errorf("spool: %w", err)
 	}
+	s.open = true
 	return s, s.Flush()
 }
 
+// Past lists, once, the ids that the file still names and that were over when it was opened.
+func (s *Spool) Past() []string {
+	past := s.past
+	s.past = nil
+	return past
+}
+
 func (s *Spool) path() string { return filepath.Join(s.dir, fileName) }
 
 // Close gives the file back.
@@ -303,6 +313,9 @@
 		e.Heard = true
 		s.bytes += int64(Need(e))
 	case recGone:
+		if !s.open {
+			s.past = append(s.past, id)
+		}
 		s.bytes -= int64(Need(e))
 		delete(s.live, id)
 	default:
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,6 +47,7 @@
 	lanes    map[string]logic.Lane
 	kinds    map[string]int // messages in one call at most
 
+	over     recent // ids that were taken on and are over
 	events   []logic.Event
 	offers   []*Exchange
 	promised int // bytes of the offers
@@ -137,6 +139,9 @@
 
 // restore hands the module what was taken on before a restart. An attempt that was open may have run.
 func (s *Sender) restore() {
+	for _, id := range s.spool.Past() {
+		s.over.add(id)
+	}
 	for _, e := range s.spool.Entries() {
 		if e.Heard {
 			s.forgetLater(e)
@@ -171,6 +176,10 @@
 		}
 		return
 	}
+	if s.over.has(x.ID) { // it was taken on, and has had its end
+		s.answer(x, Taken, 0)
+		return
+	}
 	need := spool.Need(entry(x))
 	cap := s.opt.Settings.Caps.OpenCap
 	if cap > 0 && s.open+len(s.offers) >= cap || !s.spool.Room(need, s.promised) || s.stats.Paused {
@@ -227,7 +236,7 @@
 			s.end(o.ID, Delivered, 0)
 		} else if o.Over {
 			s.open--
-			s.spool.Gone(o.ID)
+			s.gone(o.ID)
 		}
 	}
 	s.events = append(s.events, logic.Event{Kind: logic.Reported, ID: o.ID, N: o.N, Addr: o.Target,
@@ -237,10 +246,16 @@
 // Routes books news of the route table. how is patch, whole or stale_copy.
 func (s *Sender) Routes(how string, list []Route) {
 	e := logic.Event{Kind: logic.Listed, How: how}
-	if how != "patch" {
+	by := map[string][]Route{}
+	if how != "patch" { // what a whole list lacks is gone
+		for name, r := range s.routes {
+			if !slices.ContainsFunc(list, func(x Route) bool { return x.Addr == name }) {
+				r.State = "dead"
+				by[r.Proto] = append(by[r.Proto], r)
+			}
+		}
 		s.routes = map[string]Route{}
 	}
-	by := map[string][]Route{}
 	for _, r := range list {
 		s.routes[r.Addr], s.dests[r.Dest] = r, true
 		if r.State == "dead" {
@@ -269,6 +284,9 @@
 	s.events = append(s.events, e)
 }
 
+// Live tells whether a target wants new hops.
+func (s *Sender) Live(target string) bool { return s.routes[target].State == "live" }
+
 // Settle books that the end of an exchange has arrived.
 func (s *Sender) Settle(id string) {
 	e := s.spool.Get(id)
@@ -280,7 +298,13 @@
 		s.forgetLater(e)
 		return
 	}
+	s.gone(id)
+}
+
+// gone takes a message off the books.
+func (s *Sender) gone(id string) {
 	s.spool.Gone(id)
+	s.over.add(id)
 }
 
 // forgetLater drops an id that is remembered once its class would not let the message live any more,
@@ -288,7 +312,7 @@
 func (s *Sender) forgetLater(e *spool.Entry) {
 	left := e.Deadline + s.lanes[e.Class].HardLimitUs - s.Now()
 	time.AfterFunc(time.Duration(max(0, left))*time.Microsecond, func() {
-		s.Post(func() { s.spool.Gone(e.ID) })
+		s.Post(func() { s.gone(e.ID) })
 	})
 }
 
@@ -327,7 +351,7 @@
 		s.stats.Failed++
 	}
 	if in := s.fronts[e.Front]; in != nil && !in.Owes(end) {
-		s.spool.Gone(id)
+		s.gone(id)
 		return
 	}
 	s.spool.End(id, end, waitMs)
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -17,15 +17,16 @@
 	said []string
 	hops []Hop
 	keep bool
+	owes bool
 }
 
 func (f *stub) Answer(x *Exchange, v Verdict, waitMs int64) {
 	f.said = append(f.said, fmt.Sprintf("%s %d", x.ID, v))
-	if v == Taken && f.s.spool.Get(x.ID) == nil {
+	if v == Taken && f.s.spool.Get(x.ID) == nil && !f.s.over.has(x.ID) {
 		f.said = append(f.said, "taken before it was written")
 	}
 }
-func (f *stub) Owes(string) bool                     { return true }
+func (f *stub) Owes(string) bool                     { return f.owes }
 func (f *stub) Remembers() bool                      { return f.keep }
 func (f *stub) Tell(id, _, end string, waitMs int64) { f.said = append(f.said, id+" "+end) }
 func (f *stub) Send(_ Route, hops []Hop)             { f.hops = append(f.hops, hops...) }
@@ -55,7 +56,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &stub{s: s}
+	f := &stub{s: s, owes: true}
 	s.AddIngress("f", f)
 	s.AddEgress("p", f)
 	s.Routes("whole", []Route{{Endpoint: logic.Endpoint{Addr: "a", Kind: "k", Dest: 1, State: "live"}, Proto: "p"}})
@@ -105,6 +106,26 @@
 	}
 }
 
+// The id of a message that is over is not sent again, nor in the next life: a client that uses another's id
+// must not repeat its charge.
+func TestIDThatIsOver(t *testing.T) {
+	dir := t.TempDir()
+	s, f := begin(t, dir, 1<<20)
+	f.owes = false
+	f.round(t, exchange(s, "m", 9e6))
+	s.Report(Outcome{ID: "m", N: 0, Target: "a", Reason: Good})
+	f.round(t, exchange(s, "m", 9e6))
+	f.expect(t, "m 0", "m 0")
+	_ = s.spool.Close()
+	n := len(f.hops)
+	s, f = begin(t, dir, 1<<20)
+	s.restore()
+	f.round(t, exchange(s, "m", 9e6))
+	if f.expect(t, "m 0"); n != 1 || len(f.hops) > 0 {
+		t.Fatal("sent again")
+	}
+}
+
 // With the hold or the disk full a message is refused, and what was taken on is not harmed.
 func TestNoRoom(t *testing.T) {
 	s, f := begin(t, t.TempDir(), 1<<20)
