Pace a cold return by what comes in while a life is young; AMQP: crowds and stray acks

Cause: Relay.coldRate went by the peak of successes, which a new life does not have, and fell to its least. What a restart takes up at once counted as pace and against the tenants' shares (arrive), so held messages were marked as over their share. Change: below 30 successes coldRate also goes by the pace over coldSafety; Event.Held marks what was taken on before. AMQP: an ack of no publish is a fault, not a delivery; a connection that has not opened makes room for a newcomer; a local lack of descriptors is no word on the broker. Ruled out: the outage itself (refused connects until 20.6 s), the reload (told in time). Tests: TestColdReturnInANewLife, TestSilentCrowd, TestConfirms (ack of no publish).

--- a/internal/net/amqpfront/egress.go
+++ b/internal/net/amqpfront/egress.go
@@ -230,7 +230,14 @@
 }
 
 // Down ends all that is out or waits.
-func (l *link) Down(*reactor.Conn, error) { l.over(sender.Reset) }
+func (l *link) Down(_ *reactor.Conn, err error) {
+	if reactor.Local(err) { // it never came up, for a reason that says nothing of the broker
+		for _, p := range l.waiting {
+			p.report(sender.Moot, 0)
+		}
+	}
+	l.over(sender.Reset)
+}
 
 func (l *link) over(reason string) {
 	l.stop()
@@ -394,7 +401,9 @@
 		}
 		return nil
 	case amqp.Ack, amqp.Nack:
-		if p == nil || m.Int(0) < ch.tag && !(m.Int(0) == 0 && m.Bool(1)) {
+		if tag := m.Int(0); tag > ch.tag { // of no publish: nothing that this broker says is to be trusted
+			return &amqp.Fault{Code: amqp.PreconditionFailed, Text: "unknown delivery tag", Method: m.Key}
+		} else if p == nil || tag < ch.tag && !(tag == 0 && m.Bool(1)) {
 			return nil
 		}
 		p.confirmed(m.Key)
--- a/internal/net/amqpfront/front_test.go
+++ b/internal/net/amqpfront/front_test.go
@@ -178,11 +178,13 @@
 	return b.applied[id]
 }
 
+const maxTestClients = 20
+
 // start begins one life of a sender.
 func start(t *testing.T, dir string, b *broker) (addr string, kill func()) {
 	t.Helper()
 	return standin.Start(t, dir, func(core *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
-		in := NewIngress(core, Options{Exchange: "messages", Heartbeat: time.Minute, Most: 100})
+		in := NewIngress(core, Options{Exchange: "messages", Heartbeat: time.Minute, Most: maxTestClients})
 		core.AddIngress(Front, in)
 		core.AddEgress(Proto, NewEgress(core, r, 1500*time.Millisecond))
 		core.Routes("whole", []sender.Route{{Endpoint: logic.Endpoint{Addr: "b", Kind: "k", Dest: 7, State: "live"}, Proto: Proto,
@@ -316,6 +318,9 @@
 			}
 			s.method(ch, amqp.Ack, tag, false)
 		}},
+		{"an ack of no publish is no delivery", "once", "failed", 0, func(s *side, ch uint16, _ *amqp.Message, tag uint64) {
+			s.method(ch, amqp.Ack, tag+1, false)
+		}},
 		{"a channel closed after the publish", "once", "failed", 0, func(s *side, ch uint16, _ *amqp.Message, _ uint64) {
 			s.method(ch, amqp.ChanClose, amqp.PreconditionFailed, "no", 60, 40)
 		}},
@@ -389,6 +394,19 @@
 	}
 }
 
+// A crowd that opens nothing must not lock out a client that does.
+func TestSilentCrowd(t *testing.T) {
+	addr, _ := start(t, t.TempDir(), newBroker(t))
+	for range maxTestClients {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	dial(t, addr)
+}
+
 // The client is cut while its answer is in flight: it gets it on return, marked as delivered before, and
 // once it has acknowledged it never again.
 func TestClientCut(t *testing.T) {
--- a/internal/net/amqpfront/ingress.go
+++ b/internal/net/amqpfront/ingress.go
@@ -60,9 +60,26 @@
 	return &Ingress{core: core, opt: opt, clients: map[*session]bool{}, queues: map[string]*queue{}}
 }
 
+// makeRoom closes the connection that has been heard least lately among those that have not opened yet: a
+// silent crowd must not lock out the others.
+func (in *Ingress) makeRoom() bool {
+	var oldest *session
+	for s := range in.clients {
+		if s.stage < open && (oldest == nil || s.heard.Before(oldest.heard)) {
+			oldest = s
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(in.clients, oldest)
+	oldest.conn.Close()
+	return true
+}
+
 // Accept takes a client's connection.
 func (in *Ingress) Accept(c *reactor.Conn) reactor.Handler {
-	if len(in.clients) >= in.opt.Most {
+	if len(in.clients) >= in.opt.Most && !in.makeRoom() {
 		return nil
 	}
 	s := &session{in: in, peer: newPeer(in.core.Post), chans: map[uint16]*channel{}}
--- a/internal/net/platform/egress.go
+++ b/internal/net/platform/egress.go
@@ -6,7 +6,6 @@
 	"math"
 	"slices"
 	"strconv"
-	"syscall"
 	"time"
 
 	"brackendale/internal/net/http1"
@@ -211,7 +210,7 @@
 	o := sender.Outcome{Target: c.to.Addr}
 	var ends map[string]string
 	switch {
-	case isLocal(err):
+	case reactor.Local(err):
 		o.Reason = sender.Moot // this machine had no room: that says nothing of the target
 	case err != nil && !c.link.written():
 		o.Reason = sender.NoConn // its last byte has not left: proof that nothing ran
@@ -243,12 +242,6 @@
 	}
 }
 
-// isLocal tells a failure to connect that is this machine's own: no descriptor, port or buffer left.
-func isLocal(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) ||
-		errors.Is(err, syscall.EADDRNOTAVAIL)
-}
-
 func (c *hopCall) read(a *http1.Response) sender.Outcome {
 	o := sender.Outcome{Target: c.to.Addr, Reason: sender.Bad, HoldMs: a.Int("X-Backoff-Ms"), Load: c.e.load(a)}
 	switch a.Status {
--- a/internal/net/reactor/reactor.go
+++ b/internal/net/reactor/reactor.go
@@ -226,6 +226,13 @@
 	c.r.post(func() { c.down(net.ErrClosed) })
 }
 
+// Local tells a failure to connect that is this machine's own: no descriptor, port or buffer left. It says
+// nothing of the peer.
+func Local(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) ||
+		errors.Is(err, syscall.EADDRNOTAVAIL)
+}
+
 // Post lets f run on the owner's goroutine.
 func (c *Conn) Post(f func()) { c.r.post(f) }
 
--- a/logic/api.go
+++ b/logic/api.go
@@ -123,6 +123,7 @@
 
 	// What a sender that restarts knows of a message that it still owes its end. All are zero for
 	// one that is handed in.
+	Held       bool   // it was taken on before
 	Attempts   int    // how many have left
 	FirstRunUs int64  // when the first left that may have run; 0: none
 	Zone       string // of that one's endpoint
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -52,6 +52,7 @@
 	illOut     = 0.5        // share of failures that counts as an outage
 	illUnsafe  = 0.3        // share of failures above which unsafe messages wait
 	coldSafety = 1.3        // of the fall-back budget by the low guess of capacity; hunts found no rule near
+	peakKnown  = 30         // successes in this life after which a route's peak says what it can take
 	batchCold  = 0.25       // weight of each further message of a call against that budget
 	backoffUs  = 250_000    // before a message that failed goes again; doubled three times at most
 	againPart  = 6          // tenths of a window or of the time left for an attempt that leave room for another
@@ -181,7 +182,7 @@
 		attempts: e.Attempts, tries: e.Attempts, firstRun: e.FirstRunUs, zone: e.Zone}
 	aim := l.AimUs + int64(l.AimStretch*float64(e.WorkUs))
 	m.aimAt = min(e.Deadline, e.Deadline-l.HardLimitUs+aim)
-	if t := r.tenants[e.Tenant]; t != nil && t.quota > 0 {
+	if t := r.tenants[e.Tenant]; t != nil && t.quota > 0 && !e.Held {
 		t.tokens = min(t.depth, t.tokens+t.quota*(float64(r.now)/1e6-t.at))
 		t.at = float64(r.now) / 1e6
 		if t.tokens--; t.tokens < 0 {
@@ -201,8 +202,10 @@
 	r.msgs[m.id] = m
 	r.open++
 	d := m.dest
-	d.inRate = d.inRate*math.Exp(float64(d.inAt-r.now)/paceTauUs) + 1e6/paceTauUs
-	d.inAt = r.now
+	if !e.Held { // what a restart takes up at once came in over some time, and counted then
+		d.inRate = d.inRate*math.Exp(float64(d.inAt-r.now)/paceTauUs) + 1e6/paceTauUs
+		d.inAt = r.now
+	}
 	m.notBefore = r.now + r.doubt(d)
 	r.enqueue(m)
 	r.remind(m, r.windowEnd(m))
@@ -609,6 +612,9 @@
 func (r *Relay) coldRate(rt *route) float64 {
 	ru := &r.set.Rules
 	part := max(r.inPace(rt)*r.many, rt.hint, rt.peak/r.fold)
+	if rt.answers < peakKnown { // a life that has just begun knows no peak: it goes by what comes in
+		part = max(part, r.inPace(rt)/coldSafety)
+	}
 	warm := 0.0
 	if rt.warmAt > 0 && ru.WarmAfterUs > 0 {
 		warm = 1 - max(0, float64(rt.warmAt-r.now)/float64(ru.WarmAfterUs))
--- a/logic/restart_test.go
+++ b/logic/restart_test.go
@@ -1,6 +1,9 @@
 package logic
 
-import "testing"
+import (
+	"encoding/json"
+	"testing"
+)
 
 // A sender that restarts owes what it had taken on: what may not go again ends at once, what may goes on
 // with its attempts counted and inside its window.
@@ -86,3 +89,31 @@
 		t.Fatalf("sent %v, %d ms after the wait was told", ok, (g.now-told)/1000)
 	}
 }
+
+// A new life has no success to go by: a destination that came back cold got one call in FallUs, whatever came
+// in for it, until its hold had expired. What a restart takes up at once says nothing of the pace, and was
+// counted against its tenant's share when it came.
+func TestColdReturnInANewLife(t *testing.T) {
+	s := site()
+	if err := json.Unmarshal([]byte(`[{"name":"t","quotaPerS":1}]`), &s.Customers); err != nil {
+		t.Fatal(err)
+	}
+	g := newRig(t, s, ep("a", "plain", "z", 1))
+	for range 50 {
+		e := g.msg("safe", 1)
+		e.Held, e.Tenant = true, "t"
+		g.step(e)
+	}
+	rt := g.r.byDest[1].whole
+	if g.r.inPace(rt) != 0 || g.r.msgs["m50"].worth != 1 {
+		t.Fatal("pace", g.r.inPace(rt), "worth", g.r.msgs["m50"].worth)
+	}
+	least := g.r.coldRate(rt)
+	for range 40 {
+		g.wait(250*ms, g.msg("safe", 1))
+	}
+	pace, got := g.r.inPace(rt), g.r.coldRate(rt)
+	if got <= least || got > pace*s.Rules.ColdFrom*s.Rules.FallMultiple {
+		t.Fatalf("%.2f calls a second, at least %.2f, with %.2f coming in", got, least, pace)
+	}
+}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -155,8 +155,8 @@
 			s.spool.Closed(e.ID, true)
 		}
 		s.open++
-		s.events = append(s.events, logic.Event{Kind: logic.Arrived, ID: e.ID, Class: e.Class, Tenant: e.Tenant,
-			Dest: e.Dest, Deadline: e.Deadline, Attempts: e.Attempts, FirstRunUs: e.FirstRun, Zone: e.Zone})
+		s.events = append(s.events, logic.Event{Kind: logic.Arrived, Held: true, ID: e.ID, Class: e.Class,
+			Tenant: e.Tenant, Dest: e.Dest, Deadline: e.Deadline, Attempts: e.Attempts, FirstRunUs: e.FirstRun, Zone: e.Zone})
 	}
 	if s.open > 0 || len(s.tell) > 0 {
 		s.log.Info().Int("open", s.open).Int("owed", len(s.tell)).Msg("taken up from the spool")
