A trial goes with a message that has time left; what waits in vain is refused at once

Checked and ruled out: the hold and the disk (no refusal for want of room), the paced return (5 calls a second with bundles of 5). Change: choose passes over what has no time for the route's usual answer, three of them for a trial; inVain ends what a told wait leaves no time for, when the wait is told or it arrives. Tests: TestTrialHasTimeLeft, TestWaitInVain; both fail without the change.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,6 +37,7 @@
 	patience   = 4.0        // overdue: a call out for so many usual times
 	longShare  = 0.5        // most slots, of all, for calls to routes that are slow, silent or failing
 	releaseAge = 3.0        // a call of a silent route gives up its slot to others after so many usual times
+	trialTimes = 3.0        // a trial goes with a message that has so many usual times left
 	timeTimes  = 10.0       // time-out: so many usual times
 	quietUs    = 3_000_000  // failing for so long without a success counts as an outage
 	gapUs      = 500_000    // first gap between trial calls to a route that is down
@@ -213,6 +214,10 @@
 		r.finish(m)
 		return
 	}
+	if r.inVain(m) {
+		r.finish(m)
+		return
+	}
 	m.line.sort() // drawn one by one, the longest wait would hold all of a key
 	if n := r.set.Caps.OpenCap; n > 0 && r.open > n-1-n/24 {
 		r.shed()
@@ -230,6 +235,22 @@
 	return min(r.endBy(m), m.firstRun+m.lane.WindowUs-r.set.TickUs)
 }
 
+// lastStart is the last moment at which an attempt may leave and still be answered in time.
+func (r *Relay) lastStart(m *message) int64 { return r.windowEnd(m) - int64(m.dest.whole.usual) }
+
+// inVain: every route that a message may take has told a wait, and the first ends too late for it.
+func (r *Relay) inVain(m *message) bool {
+	n, last := 0, r.lastStart(m)
+	for _, ep := range m.dest.eps {
+		if ep.live {
+			if n++; ep.route.waitUntil <= last {
+				return false
+			}
+		}
+	}
+	return n > 0
+}
+
 // spent: a message may not be sent again, for its class, its time or the attempts that it has had.
 func (r *Relay) spent(m *message) bool {
 	return m.lane.once && m.firstRun != 0 || r.now >= r.windowEnd(m) ||
@@ -352,6 +373,11 @@
 	// wait too; 1 in a NOP is no wait, but says that all slots were taken.
 	if e.HoldMs > 0 && (e.Reason != "NOP" || e.HoldMs > 1) {
 		c.route.waitUntil = max(c.route.waitUntil, r.now+e.HoldMs*1000)
+		for _, o := range slices.Clone(m.dest.queue) { // their clients hear at once, not at the very end
+			if r.inVain(o) {
+				r.finish(o)
+			}
+		}
 	}
 	if !c.counted {
 		c.counted = true
@@ -377,7 +403,7 @@
 		r.close(m)
 		return
 	}
-	if m.begun || r.spent(m) {
+	if m.begun || r.spent(m) || r.inVain(m) {
 		r.finish(m)
 		return
 	}
@@ -840,6 +866,9 @@
 		if m.firstRun != 0 && m.lane.keyed && m.lane.Group != "all" && ep.Zone != m.zone {
 			continue
 		}
+		if r.now+r.takes(rt) > r.endBy(m)-2*r.set.TickUs { // cut off by its own end, a call would prove nothing
+			continue
+		}
 		if m.lane.once && (rt.mayRun || len(rt.calls) > 0) && (r.trial(rt) || rt.ill > illUnsafe) {
 			// An unsafe message is not risked where calls may be lost, until waiting loses as much.
 			if at := max(rt.lastSend, rt.lastStrike) + gapMaxUs; r.now < at {
@@ -872,6 +901,15 @@
 	return to
 }
 
+// takes is the time that a message must have left to go to a route: a usual answer's, and more for a trial,
+// whose failure would be taken for the route's.
+func (r *Relay) takes(rt *route) int64 {
+	if r.trial(rt) {
+		return int64(trialTimes * rt.usual)
+	}
+	return int64(rt.usual)
+}
+
 // lasts is how long a call should take at most: with care for an unsafe message, which a cut ends for good.
 func (r *Relay) lasts(m *message, rt *route) int64 {
 	if m.lane.once {
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -319,3 +319,36 @@
 		t.Fatal("the same events gave other actions")
 	}
 }
+
+// A trial that its own message's end cuts off says nothing of the route, but counted as a failure of it: four in a
+// row went so and kept a destination that was back out for four more seconds. It takes what has time left.
+func TestTrialHasTimeLeft(t *testing.T) {
+	g := newRig(t, site(), ep("a", "plain", "z", 1))
+	g.warm(1, 5)
+	rt := g.r.byDest[1].whole
+	rt.down, rt.trialAt = true, g.now
+	late, fresh := g.msg("safe", 1), g.msg("safe", 1)
+	late.Deadline = g.now + int64(rt.usual) + 20*ms
+	g.wait(1*ms, late)
+	g.wait(1*ms, fresh)
+	if g.try[late.ID] != 0 || g.try[fresh.ID] != 1 {
+		t.Fatal("tries:", g.try[late.ID], g.try[fresh.ID])
+	}
+}
+
+// What a told wait leaves no time for is given up: its client hears at once, and not at the very end.
+func TestWaitInVain(t *testing.T) {
+	g := newRig(t, site(), ep("a", "plain", "z", 1))
+	first, held := g.msg("safe", 1), g.msg("once", 1)
+	g.step(first, held) // the cap is one
+	full := g.out(first.ID, "FULL")
+	full.HoldMs = 9_950
+	if acts := g.wait(100*ms, full); count(acts, PushBack) != 2 {
+		t.Fatal(acts)
+	}
+	soon, later := g.msg("safe", 1), g.msg("safe", 1)
+	soon.Deadline -= 9000 * ms
+	if acts := g.step(soon, later); count(acts, PushBack) != 1 || acts[0].ID != soon.ID || acts[0].WaitUs == 0 {
+		t.Fatal(acts)
+	}
+}
