--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,7 +37,7 @@
 	patience   = 4.0        // overdue: a call out for so many usual times
 	longShare  = 0.5        // most slots, of all, for calls to routes that are slow, silent or failing
 	releaseAge = 3.0        // a call of a silent route gives up its slot to others after so many usual times
-	trialTimes = 3.0        // a trial goes with a message that has so many usual times left
+	trialLeft  = 1_000_000  // a trial goes with a message that has so long left: what returns is slow at first
 	timeTimes  = 10.0       // time-out: so many usual times
 	quietUs    = 3_000_000  // failing for so long without a success counts as an outage
 	gapUs      = 500_000    // first gap between trial calls to a route that is down
@@ -905,7 +905,7 @@
 // whose failure would be taken for the route's.
 func (r *Relay) takes(rt *route) int64 {
 	if r.trial(rt) {
-		return int64(trialTimes * rt.usual)
+		return max(trialLeft, int64(timeTimes*rt.usual))
 	}
 	return int64(rt.usual)
 }
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -328,7 +328,7 @@
 	rt := g.r.byDest[1].whole
 	rt.down, rt.trialAt = true, g.now
 	late, fresh := g.msg("safe", 1), g.msg("safe", 1)
-	late.Deadline = g.now + int64(rt.usual) + 20*ms
+	late.Deadline = g.now + int64(5*rt.usual)
 	g.wait(1*ms, late)
 	g.wait(1*ms, fresh)
 	if g.try[late.ID] != 0 || g.try[fresh.ID] != 1 {
