An answer that crossed the word of being shut is no return

At the wait's end its whole hold left for a cold destination, unpaced. Change: Relay.good leaves an outage alone while the destination's told wait is on.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -514,7 +514,10 @@
 	rt.dev += (math.Abs(x-rt.srtt) - rt.dev) / min(8, rt.answers+1)
 	rt.srtt += (x - rt.srtt) / min(8, rt.answers)
 	rt.usual += (min(x, 4*rt.usual) - rt.usual) / min(64, rt.answers)
-	if r.failing(rt) {
+	// An answer that crossed the word of being shut is no return: without this the whole hold would leave
+	// for a cold destination the moment that the told wait ends.
+	shut := rt.down && r.now < rt.waitUntil
+	if r.failing(rt) && !shut {
 		rt.warmAt = r.now + r.set.Rules.WarmAfterUs // cold: pace the return, whatever the outage was
 		rt.coldAt = r.now + int64(1e6/r.coldRate(rt))
 		rt.cap = 1
@@ -523,7 +526,9 @@
 	for _, m := range rt.dest.queue { // doubt is over
 		m.notBefore = min(m.notBefore, max(r.now, m.backAt))
 	}
-	rt.down, rt.strikes, rt.fulls, rt.lates, rt.gap = false, 0, 0, 0, gapUs
+	if !shut {
+		rt.down, rt.strikes, rt.fulls, rt.lates, rt.gap = false, 0, 0, 0, gapUs
+	}
 	rt.passed = max(rt.passed, c.sentAt-1)
 	for _, o := range rt.calls { // answers pass it by: an overdue call was lost in a hang, repeat it
 		if o.sentAt < c.sentAt && r.overdue(rt, o.sentAt) && r.now-o.sentAt > o.msgs[0].lane.AimUs {
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -352,3 +352,25 @@
 		t.Fatal(acts)
 	}
 }
+
+// An answer of a call that left before the destination said that it is shut does not end the outage.
+func TestCrossedAnswerIsNoReturn(t *testing.T) {
+	g := newRig(t, site(), ep("a", "plain", "z", 1))
+	g.warm(1, 5)
+	a, b := g.msg("safe", 1), g.msg("safe", 1)
+	g.step(a, b)
+	full := g.out(a.ID, "FULL")
+	full.HoldMs = 5000
+	g.wait(20*ms, full)
+	g.wait(20*ms, g.out(b.ID, "GOOD"))
+	rt := g.r.byDest[1].whole
+	if !rt.down {
+		t.Fatal("it counts as back while it is shut")
+	}
+	for range 6 {
+		g.step(g.msg("safe", 1))
+	}
+	if g.wait(5000*ms, Event{Kind: Woke}); count(g.acts, Issue) != 1 {
+		t.Fatal("its hold left at once:", count(g.acts, Issue))
+	}
+}
