--- a/logic/logic.go
+++ b/logic/logic.go
@@ -100,7 +100,7 @@
 
 // Step takes all events of a round and returns what to do now, in order.
 func (r *Relay) Step(now int64, events []Event) []Action {
-	r.now, r.acts = now, nil
+	r.now, r.acts, r.bornAt = now, nil, cmp.Or(r.bornAt, now)
 	r.round++
 	for i := range events {
 		e := &events[i]
@@ -617,7 +617,8 @@
 		r.strike(rt, mayRun)
 	}
 	long := r.now-rt.lastGood > quietUs/3
-	if rt.down || long && (rt.strikes-rt.fulls >= 2 || rt.ill > illOut) {
+	// With no success in this life there is no pace to go by either: trials, not one call in FallUs.
+	if rt.down || long && (rt.strikes-rt.fulls >= 2 || rt.ill > illOut) || rt.answers == 0 && rt.ill > illOut {
 		r.out(rt)
 	} else if rt.ill > illOut {
 		// Most calls fail, some succeed: paced as if cold, since trials would waste what still works.
@@ -644,7 +645,8 @@
 	ru := &r.set.Rules
 	part := max(r.inPace(rt)*r.many, rt.hint, rt.peak/r.fold)
 	if rt.answers < peakKnown { // a life that has just begun knows no peak: it goes by what comes in
-		part = max(part, r.inPace(rt)/coldSafety)
+		age := max(1_000_000, float64(r.now-r.bornAt)) // the pace is a mean over a longer time than this life
+		part = max(part, r.inPace(rt)/(1-math.Exp(-age/paceTauUs))/coldSafety)
 	}
 	warm := 0.0
 	if rt.warmAt > 0 && ru.WarmAfterUs > 0 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -122,7 +122,7 @@
 type Relay struct {
 	set                    Settings
 	rng                    *rand.Rand
-	now, round             int64
+	now, round, bornAt     int64
 	senders, fold, many    float64            // fold: how many times as many senders as see enough; many: 0 for few
 	crowd                  map[string]float64 // share of failed connects by kind of destination
 	ease                   map[string]float64 // how far tries after refusals are spread, by kind of destination
