Give up at the last moment that an answer can still come; trials where messages are short

Where every message is shorter than a trial wants, no trial would ever go: one goes after two of the longest gaps. An id that AMQP has let go of was acked for half a minute with no end to follow (Sender.over): only fronts that do not remember ids use it. A registry's list without a version was asked for again without a pause. Tests: TestTrialWithShortMessages, TestGivenUpAtOnce, TestMissingFromAWholeList, TestLocalFailure.

--- a/internal/net/platform/platform_test.go
+++ b/internal/net/platform/platform_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -448,6 +449,22 @@
 	return wait(w.t, n)
 }
 
+// A connect that fails for want of a descriptor is no word on the target.
+func TestLocalFailure(t *testing.T) {
+	w := newWorld(t)
+	w.start()
+	reason := make(chan string, 1)
+	w.core.Post(func() {
+		e := NewEgress(w.core, nil, standin.Settings())
+		c := &hopCall{e: e, to: Routes(w.hosts("active"))[0], hops: []sender.Hop{{ID: "m"}}, link: &link{}, timer: time.NewTimer(time.Hour)}
+		c.answer(nil, fmt.Errorf("dial: %w", syscall.EMFILE))
+		reason <- w.core.State().Routes[0].LastReason
+	})
+	if got := wait(t, reason); got != sender.Moot {
+		t.Fatal(got)
+	}
+}
+
 // What comes on an idle connection is not the answer to the next request, which goes out on another one.
 func TestSecondCopy(t *testing.T) {
 	const good = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
--- a/internal/net/platform/registry.go
+++ b/internal/net/platform/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strconv"
 	"time"
@@ -114,7 +115,9 @@
 	if l.Whole || len(l.Hosts) > 0 {
 		g.core.Routes(how, Routes(l))
 	}
-	g.seq = l.Seq
+	if g.seq = l.Seq; g.seq <= 0 { // without a version there is nothing to watch from: asked again, but not at once
+		return errors.New("registry: a list without a version")
+	}
 	return nil
 }
 
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -68,7 +68,7 @@
 	bytes int64 // what the live entries would take
 	next  uint64
 	open  bool
-	past  []string // ids that were gone when it was opened
+	past  []*Entry // those that were gone when it was opened, without their bodies
 }
 
 // Open reads the journal in dir, or starts one. What a torn tail holds was never acted upon: it is cut off.
@@ -104,8 +104,8 @@
 	return s, s.Flush()
 }
 
-// Past lists, once, the ids that the file still names and that were over when it was opened.
-func (s *Spool) Past() []string {
+// Past lists, once, the messages that the file still names and that were over when it was opened.
+func (s *Spool) Past() []*Entry {
 	past := s.past
 	s.past = nil
 	return past
@@ -314,7 +314,8 @@
 		s.bytes += int64(Need(e))
 	case recGone:
 		if !s.open {
-			s.past = append(s.past, id)
+			s.past = append(s.past, e)
+			e.Body = nil
 		}
 		s.bytes -= int64(Need(e))
 		delete(s.live, id)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -209,7 +209,7 @@
 	}
 	m.notBefore = r.now + r.doubt(d)
 	r.enqueue(m)
-	r.remind(m, r.windowEnd(m))
+	r.remind(m, r.lastStart(m))
 	if m.attempts > 0 && r.spent(m) { // taken on before a restart
 		r.finish(m)
 		return
@@ -236,7 +236,9 @@
 }
 
 // lastStart is the last moment at which an attempt may leave and still be answered in time.
-func (r *Relay) lastStart(m *message) int64 { return r.windowEnd(m) - int64(m.dest.whole.usual) }
+func (r *Relay) lastStart(m *message) int64 {
+	return min(r.windowEnd(m), r.endBy(m)-2*r.set.TickUs-int64(m.dest.whole.usual))
+}
 
 // inVain: every route that a message may take has told a wait, and the first ends too late for it.
 func (r *Relay) inVain(m *message) bool {
@@ -253,14 +255,16 @@
 
 // spent: a message may not be sent again, for its class, its time or the attempts that it has had.
 func (r *Relay) spent(m *message) bool {
-	return m.lane.once && m.firstRun != 0 || r.now >= r.windowEnd(m) ||
+	return m.lane.once && m.firstRun != 0 || r.now >= r.lastStart(m) ||
 		r.set.Caps.MaxAttempts > 0 && m.attempts >= r.set.Caps.MaxAttempts
 }
 
 func (r *Relay) expire(m *message) {
 	r.dues = r.dues[1:]
-	if m.call == nil && r.now >= r.windowEnd(m) || r.now >= r.endBy(m) {
+	if m.call == nil && r.now >= r.lastStart(m) || r.now >= r.endBy(m) {
 		r.finish(m)
+	} else if m.call == nil {
+		r.remind(m, r.lastStart(m))
 	} else if !m.ended {
 		r.remind(m, r.endBy(m))
 	}
@@ -416,6 +420,7 @@
 		m.notBefore = min(m.notBefore, max(r.now, r.windowEnd(m)-4*r.set.TickUs))
 	}
 	r.enqueue(m)
+	r.remind(m, r.lastStart(m))
 	m.line.sort()
 }
 
@@ -873,8 +878,14 @@
 		if m.firstRun != 0 && m.lane.keyed && m.lane.Group != "all" && ep.Zone != m.zone {
 			continue
 		}
-		if r.now+r.takes(rt) > r.endBy(m)-2*r.set.TickUs { // cut off by its own end, a call would prove nothing
+		if left := r.endBy(m) - 2*r.set.TickUs - r.now; left < int64(rt.usual) {
 			continue
+		} else if r.trial(rt) && left < max(trialLeft, int64(timeTimes*rt.usual)) {
+			// Cut off by its message's end a trial proves nothing. Where only such messages come it must do.
+			if at := max(rt.lastSend, rt.waitUntil, rt.trialAt) + 2*gapMaxUs; r.now < at {
+				m.dest.next = min(m.dest.next, at)
+				continue
+			}
 		}
 		if m.lane.once && (rt.mayRun || len(rt.calls) > 0) && (r.trial(rt) || rt.ill > illUnsafe) {
 			// An unsafe message is not risked where calls may be lost, until waiting loses as much.
@@ -908,15 +919,6 @@
 	return to
 }
 
-// takes is the time that a message must have left to go to a route: a usual answer's, and more for a trial,
-// whose failure would be taken for the route's.
-func (r *Relay) takes(rt *route) int64 {
-	if r.trial(rt) {
-		return max(trialLeft, int64(timeTimes*rt.usual))
-	}
-	return int64(rt.usual)
-}
-
 // lasts is how long a call should take at most: with care for an unsafe message, which a cut ends for good.
 func (r *Relay) lasts(m *message, rt *route) int64 {
 	if m.lane.once {
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -374,3 +374,39 @@
 		t.Fatal("its hold left at once:", count(g.acts, Issue))
 	}
 }
+
+// Where no message has a second left a trial goes all the same, only later: else nothing would ever tell that
+// the destination is back.
+func TestTrialWithShortMessages(t *testing.T) {
+	g := newRig(t, site(), ep("a", "plain", "z", 1))
+	g.warm(1, 5)
+	rt := g.r.byDest[1].whole
+	rt.down, rt.trialAt = true, g.now
+	for range 40 {
+		e := g.msg("safe", 1)
+		e.Deadline = g.now + 800*ms
+		g.step(e)
+		if g.wait(400*ms, Event{Kind: Woke}); g.try[e.ID] == 1 {
+			return
+		}
+	}
+	t.Fatal("no trial in 16 s")
+}
+
+// A message that can no longer be answered in time is given up then, not held to its end.
+func TestGivenUpAtOnce(t *testing.T) {
+	g := newRig(t, site(), ep("a", "plain", "z", 1))
+	g.warm(1, 5)
+	g.r.byDest[1].whole.waitUntil = g.now + 9000*ms
+	e := g.msg("safe", 1)
+	g.step(e)
+	if _, ok := g.run(9700*ms, func(a Action) bool { return a.Kind == Issue || a.Kind == PushBack }); !ok {
+		t.Fatal("nothing")
+	}
+	e = g.msg("safe", 1)
+	g.r.byDest[1].eps[0].live = false
+	g.step(e)
+	if _, ok := g.run(9920*ms, func(a Action) bool { return a.Kind == PushBack }); !ok {
+		t.Fatal("held on")
+	}
+}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -139,8 +139,8 @@
 
 // restore hands the module what was taken on before a restart. An attempt that was open may have run.
 func (s *Sender) restore() {
-	for _, id := range s.spool.Past() {
-		s.over.add(id)
+	for _, e := range s.spool.Past() {
+		s.past(e)
 	}
 	for _, e := range s.spool.Entries() {
 		if e.Heard {
@@ -303,8 +303,18 @@
 
 // gone takes a message off the books.
 func (s *Sender) gone(id string) {
-	s.spool.Gone(id)
-	s.over.add(id)
+	if e := s.spool.Get(id); e != nil {
+		s.spool.Gone(id)
+		s.past(e)
+	}
+}
+
+// past remembers that a message is over. A front that remembers ids by itself lets go of one only when it may
+// be used anew, and then owes an end for it.
+func (s *Sender) past(e *spool.Entry) {
+	if in := s.fronts[e.Front]; in != nil && !in.Remembers() {
+		s.over.add(e.ID)
+	}
 }
 
 // forgetLater drops an id that is remembered once its class would not let the message live any more,
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -13,11 +13,12 @@
 
 // stub is a front of both sides that only writes down what it is told.
 type stub struct {
-	s    *Sender
-	said []string
-	hops []Hop
-	keep bool
-	owes bool
+	s       *Sender
+	said    []string
+	hops    []Hop
+	changed []Route
+	keep    bool
+	owes    bool
 }
 
 func (f *stub) Answer(x *Exchange, v Verdict, waitMs int64) {
@@ -32,7 +33,7 @@
 func (f *stub) Send(_ Route, hops []Hop)             { f.hops = append(f.hops, hops...) }
 func (f *stub) Recall(string, int)                   {}
 func (f *stub) Trim(Route)                           {}
-func (f *stub) Routes([]Route)                       {}
+func (f *stub) Routes(list []Route)                  { f.changed = list }
 
 func (f *stub) expect(t *testing.T, want ...string) {
 	t.Helper()
@@ -126,6 +127,15 @@
 	}
 }
 
+// What a whole list lacks is gone: its idle connections must not stay for its successor at the same address.
+func TestMissingFromAWholeList(t *testing.T) {
+	s, f := begin(t, t.TempDir(), 1<<20)
+	s.Routes("whole", []Route{{Endpoint: logic.Endpoint{Addr: "b", Kind: "k", Dest: 1, State: "live"}, Proto: "p"}})
+	if len(f.changed) == 0 || f.changed[0].Addr != "a" || f.changed[0].State != "dead" || s.Live("a") || !s.Live("b") {
+		t.Fatal(f.changed)
+	}
+}
+
 // With the hold or the disk full a message is refused, and what was taken on is not harmed.
 func TestNoRoom(t *testing.T) {
 	s, f := begin(t, t.TempDir(), 1<<20)
