--- a/internal/net/platform/ingress.go
+++ b/internal/net/platform/ingress.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"slices"
 	"strconv"
@@ -59,20 +60,24 @@
 	return cl
 }
 
-// makeRoom closes the connection that has had no request open for longest, if that is long enough; else the
+// makeRoom closes the connection that has had no request open for longest, if that is long enough, or the
 // oldest that never said anything, since usual clients speak at once and a silent crowd must not lock them
-// out. A connection on which something was asked is not closed early.
+// out. Where a crowd asks once and stays, the oldest of these goes sooner: a client of an idle connection
+// comes again with what crossed its close, while a newcomer that is turned away has failed.
 func (in *Ingress) makeRoom() bool {
-	var oldest *client
+	var oldest, idle *client
 	for cl := range in.clients {
-		if len(cl.waiting) > 0 || cl.closing || cl.spoke && time.Since(cl.since) < patience {
-			continue
-		}
-		if oldest == nil || cl.since.Before(oldest.since) {
+		switch {
+		case len(cl.waiting) > 0 || cl.closing:
+		case cl.spoke && time.Since(cl.since) < patience:
+			if len(cl.buf) == 0 && (idle == nil || cl.since.Before(idle.since)) {
+				idle = cl
+			}
+		case oldest == nil || cl.since.Before(oldest.since):
 			oldest = cl
 		}
 	}
-	if oldest == nil {
+	if oldest = cmp.Or(oldest, idle); oldest == nil {
 		return false
 	}
 	oldest.drop()
--- a/internal/net/platform/platform_test.go
+++ b/internal/net/platform/platform_test.go
@@ -515,6 +515,25 @@
 	}
 }
 
+// A crowd that asked once and stays took all places for 2 s, and every newcomer was turned away.
+func TestClientsThatStay(t *testing.T) {
+	w := newWorld(t)
+	w.answer, w.most = ok, 2
+	addr, _ := w.start()
+	for range 5 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(standin.Long))
+		_, _ = io.WriteString(c, "*1\r\n$4\r\nPING\r\n")
+		if got, err := bufio.NewReader(c).ReadString('\n'); got != "+PONG\r\n" {
+			t.Fatal(got, err)
+		}
+	}
+}
+
 // More commands at once than a client that behaves would send are turned away whole, and so is one that
 // comes together with what cannot be read.
 func TestCommandsAtOnce(t *testing.T) {
