--- a/internal/net/platform/ingress.go
+++ b/internal/net/platform/ingress.go
@@ -24,6 +24,9 @@
 // one with no request open may be closed.
 const patience = 2 * time.Second
 
+// grace is how long a newcomer has to speak before it counts as one of a silent crowd.
+const grace = 100 * time.Millisecond
+
 // sweepGap is how often connections are looked through for such.
 const sweepGap = 250 * time.Millisecond
 
@@ -60,28 +63,37 @@
 	return cl
 }
 
-// makeRoom closes the connection that has had no request open for longest, if that is long enough, or the
-// oldest that never said anything, since usual clients speak at once and a silent crowd must not lock them
-// out. Where a crowd asks once and stays, the oldest of these goes sooner: a client of an idle connection
-// comes again with what crossed its close, while a newcomer that is turned away has failed.
+// makeRoom closes a connection with no request open, if there is one.
 func (in *Ingress) makeRoom() bool {
-	var oldest, idle *client
+	cl := in.spare()
+	if cl != nil {
+		cl.drop()
+	}
+	return cl != nil
+}
+
+// spare finds a connection with no request open, the oldest of the first kind that there is: one idle for
+// long enough, or that never said anything though usual clients speak at once; one whose client will come again
+// with what crosses its close; and at last a newcomer, which would have failed.
+func (in *Ingress) spare() *client {
+	var kinds [3]*client
+	now := time.Now()
 	for cl := range in.clients {
+		if len(cl.waiting) > 0 || cl.closing {
+			continue
+		}
+		age, k := now.Sub(cl.since), 0
 		switch {
-		case len(cl.waiting) > 0 || cl.closing:
-		case cl.spoke && time.Since(cl.since) < patience:
-			if len(cl.buf) == 0 && (idle == nil || cl.since.Before(idle.since)) {
-				idle = cl
-			}
-		case oldest == nil || cl.since.Before(oldest.since):
-			oldest = cl
+		case cl.spoke && age < patience:
+			k = 1
+		case !cl.spoke && age < grace:
+			k = 2
+		}
+		if kinds[k] == nil || cl.since.Before(kinds[k].since) {
+			kinds[k] = cl
 		}
 	}
-	if oldest = cmp.Or(oldest, idle); oldest == nil {
-		return false
-	}
-	oldest.drop()
-	return true
+	return cmp.Or(kinds[:]...)
 }
 
 // sweepLater ends what says nothing, or no whole command, and keeps a quarter of the room for newcomers.
--- a/internal/net/platform/platform_test.go
+++ b/internal/net/platform/platform_test.go
@@ -534,6 +534,26 @@
 	}
 }
 
+// Newcomers of one moment took each other's places before their first commands were read.
+func TestNewcomersSpareEachOther(t *testing.T) {
+	in := &Ingress{most: 3, clients: map[*client]bool{}}
+	now := time.Now()
+	add := func(spoke bool, age time.Duration) *client {
+		cl := &client{spoke: spoke, since: now.Add(-age)}
+		in.clients[cl] = true
+		return cl
+	}
+	fresh, newer, asked, silent := add(false, time.Hour), add(false, 0), add(true, time.Second), add(false, time.Second)
+	fresh.since = now.Add(time.Hour) // of the same moment, whatever the clock
+	newer.since = now.Add(2 * time.Hour)
+	for i, want := range []*client{silent, asked, fresh, newer} {
+		if in.spare() != want {
+			t.Fatal("another one would go, in turn", i)
+		}
+		delete(in.clients, want)
+	}
+}
+
 // More commands at once than a client that behaves would send are turned away whole, and so is one that
 // comes together with what cannot be read.
 func TestCommandsAtOnce(t *testing.T) {
