--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -17,6 +17,8 @@
 	"brackendale/internal/config"
 	"brackendale/internal/console"
 	"brackendale/internal/net/amqpfront"
+	"brackendale/internal/net/conns"
+	"brackendale/internal/net/loop"
 	"brackendale/internal/net/platform"
 	"brackendale/internal/net/reactor"
 	"brackendale/internal/nginx"
@@ -138,12 +140,13 @@
 	// The rest of the limit is for what the runtime does not count: stacks, the binary, files in $TMPDIR.
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * 0.7 * (1 << 20)))
 	log := zerolog.New(os.Stderr).With().Timestamp().Str("sender", cfg.Name).Logger()
-	core, err := sender.New(sender.Options{Name: cfg.Name, Settings: cfg.Settings, Seed: int64(cfg.Seed), Dir: cfg.State,
+	wire := loop.New()
+	core, err := sender.New(sender.Options{Carry: wire.Post, Name: cfg.Name, Settings: cfg.Settings, Seed: int64(cfg.Seed), Dir: cfg.State,
 		Disk: int64(cfg.Limits.DiskMB * (1 << 20)), Log: log})
 	if err != nil {
 		return err
 	}
-	r, err := reactor.New(core.Post)
+	r, err := reactor.New(wire)
 	if err != nil {
 		return err
 	}
@@ -158,7 +161,7 @@
 		for {
 			select {
 			case <-again:
-				reload(core, f, file, log)
+				reload(core, wire, f, file, log)
 			case <-ctx.Done():
 				return
 			}
@@ -170,25 +173,26 @@
 		case <-ctx.Done():
 			return
 		}
-		core.Post(func() { core.Stop(core.Now() + stopAfter.Microseconds()) })
+		core.Stop(core.Now() + stopAfter.Microseconds())
 		time.Sleep(stopAfter)
-		core.Post(f.stop)
+		wire.Post(f.stop)
 		time.Sleep(50 * time.Millisecond)
 		cancel()
 	}()
 	log.Info().Str("listen", cfg.Listen).Str("amqp", cfg.AMQP.Listen).Int("endpoints", len(cfg.Known.Hosts)).Msg("serving")
+	go wire.Run(ctx)
 	return core.Run(ctx)
 }
 
 // reload reads the configuration again and follows what may change under a running sender: where the
 // registry is, or the appliance's own routes. A bad file changes nothing.
-func reload(core *sender.Sender, f *fronts, file string, log zerolog.Logger) {
+func reload(core *sender.Sender, wire *loop.Loop, f *fronts, file string, log zerolog.Logger) {
 	cfg, err := config.Load(os.Getenv, file)
 	if err != nil {
 		log.Error().Err(err).Msg("reload: the old configuration stands")
 		return
 	}
-	core.Post(func() {
+	wire.Post(func() {
 		if err := f.follow(core, cfg); err != nil {
 			log.Error().Err(err).Msg("reload: the old configuration stands")
 			return
@@ -243,7 +247,8 @@
 		f.registry = platform.Watch(core, r, cfg.Discovery, cfg.Known)
 	}
 	if cfg.Listen != "" {
-		f.clients = platform.NewIngress(core, r, cfg.Discovery, cfg.Limits.Sockets/2)
+		f.clients = platform.NewIngress(core, r, cfg.Discovery,
+			conns.NewRoom(cfg.Limits.Sockets/2).NewTable(platform.Limits(cfg.Limits.Sockets/2)), false)
 		core.AddIngress(platform.Front, f.clients)
 		if err := listen("tcp", cfg.Listen, f.clients.Accept); err != nil {
 			return nil, err
@@ -251,8 +256,10 @@
 		f.ends = append(f.ends, f.clients.CloseIdle)
 	}
 	if cfg.AMQP.Listen != "" {
-		in := amqpfront.NewIngress(core, amqpfront.Options{User: cfg.AMQP.User, Password: cfg.AMQP.Password,
-			Exchange: cfg.AMQP.Exchange, Heartbeat: time.Duration(cfg.AMQP.HeartbeatS) * time.Second, Most: cfg.Limits.Sockets / 8})
+		most := cfg.Limits.Sockets / 8
+		in := amqpfront.NewIngress(core, r, amqpfront.Options{User: cfg.AMQP.User, Password: cfg.AMQP.Password,
+			Exchange: cfg.AMQP.Exchange, Heartbeat: time.Duration(cfg.AMQP.HeartbeatS) * time.Second},
+			conns.NewRoom(most).NewTable(amqpfront.Limits(most)))
 		core.AddIngress(amqpfront.Front, in)
 		if err := listen("tcp", cfg.AMQP.Listen, in.Accept); err != nil {
 			return nil, err
--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -17,6 +17,7 @@
 
 	"brackendale/internal/config"
 	"brackendale/internal/console"
+	"brackendale/internal/net/loop"
 	"brackendale/internal/net/reactor"
 	"brackendale/internal/standin"
 	"brackendale/sender"
@@ -65,11 +66,12 @@
 		t.Fatal(err)
 	}
 	cfg.AMQP.Listen = "127.0.0.1:0"
-	core, err := sender.New(sender.Options{Name: cfg.Name, Settings: cfg.Settings, Dir: cfg.State, Disk: 1 << 20, Log: zerolog.Nop()})
+	wire := loop.New()
+	core, err := sender.New(sender.Options{Carry: wire.Post, Name: cfg.Name, Settings: cfg.Settings, Dir: cfg.State, Disk: 1 << 20, Log: zerolog.Nop()})
 	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := reactor.New(core.Post)
+	r, err := reactor.New(wire)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -81,6 +83,7 @@
 		t.Fatal(err)
 	}
 	defer f.stop()
+	go wire.Run(ctx)
 	go func() { _ = core.Run(ctx) }()
 	path := filepath.Join(cfg.State, cfg.Console.Socket)
 	if st, err := os.Stat(path); err != nil || st.Mode().Perm() != 0o600 {
--- a/internal/net/amqpfront/egress.go
+++ b/internal/net/amqpfront/egress.go
@@ -1,6 +1,7 @@
 package amqpfront
 
 import (
+	"bytes"
 	"slices"
 	"strconv"
 	"strings"
@@ -8,6 +9,7 @@
 
 	"brackendale/internal/net/amqp"
 	"brackendale/internal/net/reactor"
+	"brackendale/internal/timers"
 	"brackendale/sender"
 )
 
@@ -45,7 +47,7 @@
 	route    string
 	to       amqp.Target
 	link     *link
-	timer    *time.Timer
+	timer    timers.Timer
 	ch       *lane  // nil while it waits for one
 	end      int64  // where its last byte stands in the connection's stream
 	returned uint16 // the code with which the broker gave it back
@@ -59,12 +61,10 @@
 		p := &pub{e: e, hop: h, route: to.Addr, to: t}
 		e.out[h.ID] = p
 		if err != nil { // the configuration is checked for this; a registry's list is not
-			e.core.Post(func() { p.report(sender.NoConn, 0) })
+			p.report(sender.NoConn, 0)
 			continue
 		}
-		p.timer = time.AfterFunc(time.Duration(h.LimitUs)*time.Microsecond, func() {
-			e.core.Post(func() { p.giveUp(sender.Late) })
-		})
+		e.r.Arm(&p.timer, time.Duration(h.LimitUs)*time.Microsecond, 0, timers.Func(func() { p.giveUp(sender.Late) }))
 		p.link = e.link(t)
 		p.link.waiting = append(p.link.waiting, p)
 	}
@@ -104,16 +104,10 @@
 	key := t.Addr + t.VHost + t.User
 	l := e.links[key]
 	if l == nil {
-		l = &link{peer: newPeer(e.core.Post), e: e, key: key, to: t}
+		l = &link{peer: newPeer(e.r.Loop), e: e, key: key, to: t}
 		e.links[key] = l
 		l.conn = e.r.Dial(t.Addr, e.connect, l)
-		l.timer = time.AfterFunc(2*e.connect, func() { // of the connect and the handshake
-			e.core.Post(func() {
-				if !l.ready {
-					l.conn.Close()
-				}
-			})
-		})
+		e.r.Arm(&l.timer, 2*e.connect, timers.Coarse, l) // of the connect and the handshake
 	}
 	return l
 }
@@ -124,9 +118,7 @@
 		return
 	}
 	delete(p.e.out, p.hop.ID)
-	if p.timer != nil {
-		p.timer.Stop()
-	}
+	p.e.r.Disarm(&p.timer)
 	if p.ch != nil {
 		p.ch.pub = nil
 	}
@@ -167,13 +159,7 @@
 	}
 	ch.state, p.why = laneClosing, reason
 	l.method(ch.id, amqp.ChanClose, amqp.ReplySuccess, "given up", 0, 0)
-	time.AfterFunc(p.e.connect, func() { // a broker that does not even close a channel is hung
-		p.e.core.Post(func() {
-			if slices.Contains(l.lanes, ch) {
-				l.conn.Close()
-			}
-		})
-	})
+	p.e.r.Arm(&ch.hung, p.e.connect, 0, timers.Func(l.conn.Close)) // a broker that does not even close a channel is hung
 }
 
 // The states of a channel to a broker.
@@ -190,6 +176,8 @@
 	paused bool   // by channel.flow
 	tag    uint64 // of the last publish
 	pub    *pub
+	asm    amqp.Assembly
+	hung   timers.Timer // runs until its close is answered
 }
 
 func (c *lane) busy() bool { return c.pub != nil }
@@ -206,6 +194,16 @@
 	most    int // channels
 	lanes   []*lane
 	waiting []*pub
+	asm     amqp.Assembly // of channel 0
+}
+
+// Due ends a handshake that takes too long, and beats once it is over.
+func (l *link) Due(*timers.Timer) {
+	if !l.ready {
+		l.conn.Close()
+		return
+	}
+	l.pulse(l)
 }
 
 // Up opens the protocol.
@@ -213,9 +211,11 @@
 
 // Data handles the frames that are whole.
 func (l *link) Data(c *reactor.Conn, b []byte) {
-	if !l.ready && len(l.buf)+len(b) >= 4 && string(append(l.buf, b...)[:4]) == "AMQP" { // another version
-		c.Close()
-		return
+	if !l.ready {
+		if head := append(l.rest.Bytes(), b...); bytes.HasPrefix(head, []byte("AMQP")) { // another version
+			c.Close()
+			return
+		}
 	}
 	if err := l.frames(b, l.frame); err != nil && !l.ending {
 		l.bye(fault(err))
@@ -241,6 +241,7 @@
 
 func (l *link) over(reason string) {
 	l.stop()
+	l.rest.Drop()
 	l.ending = true
 	if l.e.links[l.key] == l {
 		delete(l.e.links, l.key)
@@ -251,12 +252,19 @@
 		p.report(sender.NoConn, 0)
 	}
 	for _, ch := range l.lanes {
+		l.loop.Disarm(&ch.hung)
 		if ch.pub != nil {
 			ch.pub.lost(reason)
 		}
 	}
 }
 
+// drop forgets a channel that has ended.
+func (l *link) drop(i int) {
+	l.loop.Disarm(&l.lanes[i].hung)
+	l.lanes = slices.Delete(l.lanes, i, i+1)
+}
+
 // lossOf words a close by its reply code: what it names as this side's or the message's fault is an
 // error, what ends the connection or the broker is a reset. Both may have run.
 func lossOf(code uint64) string {
@@ -275,14 +283,20 @@
 }
 
 func (l *link) frame(f amqp.Frame) error {
-	m, err := l.add(f)
+	i := slices.IndexFunc(l.lanes, func(c *lane) bool { return c.id == f.Channel })
+	asm := &l.asm
+	if i >= 0 {
+		asm = &l.lanes[i].asm
+	} else if f.Channel != 0 { // at most a method may come on it
+		asm = &amqp.Assembly{}
+	}
+	m, err := asm.Add(f)
 	if err != nil || m == nil || l.ending {
 		return err
 	}
 	if f.Channel == 0 {
 		return l.connection(m)
 	}
-	i := slices.IndexFunc(l.lanes, func(c *lane) bool { return c.id == f.Channel })
 	if i < 0 && m.Key == amqp.ChanCloseOk { // both sides closed it
 		return nil
 	}
@@ -319,7 +333,7 @@
 	case amqp.ConnOpenOk:
 		l.ready = true
 		l.stop()
-		l.keepAlive(l.beat)
+		l.keepAlive(l.beat, l)
 		l.pump()
 	case amqp.ConnBlocked:
 		l.blocked = true
@@ -409,7 +423,7 @@
 		p.confirmed(m.Key)
 	case amqp.ChanClose:
 		l.method(ch.id, amqp.ChanCloseOk)
-		l.lanes = slices.Delete(l.lanes, i, i+1)
+		l.drop(i)
 		if p != nil {
 			p.lost(lossOf(m.Int(0)))
 		} else if ch.state == laneOpening && len(l.waiting) > 0 {
@@ -418,7 +432,7 @@
 			p.report(refusedBy(m.Int(0)), 0)
 		}
 	case amqp.ChanCloseOk:
-		l.lanes = slices.Delete(l.lanes, i, i+1)
+		l.drop(i)
 		if p != nil {
 			p.report(p.why, 0)
 		}
--- a/internal/net/amqpfront/front_test.go
+++ b/internal/net/amqpfront/front_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"brackendale/internal/net/amqp"
+	"brackendale/internal/net/conns"
 	"brackendale/internal/net/reactor"
 	"brackendale/internal/standin"
 	"brackendale/logic"
@@ -184,7 +185,8 @@
 func start(t *testing.T, dir string, b *broker) (addr string, kill func()) {
 	t.Helper()
 	return standin.Start(t, dir, func(core *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
-		in := NewIngress(core, Options{Exchange: "messages", Heartbeat: time.Minute, Most: maxTestClients})
+		in := NewIngress(core, r, Options{Exchange: "messages", Heartbeat: time.Minute},
+			conns.NewRoom(maxTestClients).NewTable(Limits(maxTestClients)))
 		core.AddIngress(Front, in)
 		core.AddEgress(Proto, NewEgress(core, r, 1500*time.Millisecond))
 		core.Routes("whole", []sender.Route{{Endpoint: logic.Endpoint{Addr: "b", Kind: "k", Dest: 7, State: "live"}, Proto: Proto,
@@ -544,21 +546,21 @@
 	b, held := newBroker(t), make(chan bool, 1)
 	b.publish = func(*side, uint16, *amqp.Message, uint64) { held <- true }
 	var e *Egress
-	var core *sender.Sender
+	var at *reactor.Reactor
 	standin.Start(t, t.TempDir(), func(c *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
-		core, e = c, NewEgress(c, r, standin.Long)
-		c.Post(func() {
+		at, e = r, NewEgress(c, r, standin.Long)
+		r.Post(func() {
 			e.Send(sender.Route{Dial: "amqp://" + b.ln.Addr().String() + "/?key=in"}, []sender.Hop{{ID: "m", LimitUs: 60e6}})
 		})
 		return func(*reactor.Conn) reactor.Handler { return nil }
 	})
 	<-held
 	count := make(chan int)
-	core.Post(func() { e.Recall("m", 0); count <- len(e.out) })
+	at.Post(func() { e.Recall("m", 0); count <- len(e.out) })
 	if n := <-count; n != 1 {
 		t.Fatal("it ended before its channel was closed")
 	}
 	for n := 1; n > 0; n = <-count { // ends with the broker's close-ok, or the test's time runs out
-		core.Post(func() { count <- len(e.out) })
+		at.Post(func() { count <- len(e.out) })
 	}
 }
--- a/internal/net/amqpfront/ingress.go
+++ b/internal/net/amqpfront/ingress.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"brackendale/internal/net/amqp"
+	"brackendale/internal/net/conns"
 	"brackendale/internal/net/reactor"
+	"brackendale/internal/timers"
 	"brackendale/sender"
 )
 
@@ -21,7 +23,6 @@
 	maxQueues    = 1024
 	maxName      = 128 // bytes of an id, a key or the name of a queue
 	maxUnacked   = 256 // answers out on one channel at most, whatever prefetch says
-	handshakeMax = 10 * time.Second
 )
 
 // Options is what an ingress is told.
@@ -29,17 +30,33 @@
 	User, Password string        // both empty: any client may come
 	Exchange       string        // that clients publish to; the routing key is the destination
 	Heartbeat      time.Duration // offered to clients
-	Most           int           // clients' connections
 }
 
+// Limits are the front's for so many connections. A handshake and a frame have 10 s each. A connection that has
+// opened stays: its heartbeats were agreed on.
+func Limits(most int) conns.Limits {
+	const limit = 10 * time.Second
+	return conns.Limits{Most: most, Keep: 1, First: limit, Whole: limit}
+}
+
+// sweepGap is how often the table is asked whether a connection has gone over a limit, and sweepPortion how many
+// are ended at once.
+const (
+	sweepGap     = 500 * time.Millisecond
+	sweepPortion = 64
+)
+
 // Ingress serves AMQP clients. A publish is a message handed in, its confirm says that it was taken on,
 // and its one final answer goes to the queue that its reply-to names, until a client has acknowledged it.
 type Ingress struct {
-	core    *sender.Sender
-	opt     Options
-	clients map[*session]bool
-	queues  map[string]*queue
-	named   int
+	core   *sender.Sender
+	r      *reactor.Reactor
+	opt    Options
+	table  *conns.Table
+	queues map[string]*queue
+	named  int
+	sweeps timers.Timer
+	batch  []*sender.Exchange // of the read that is being handled, which is one client's
 }
 
 // queue holds the answers for one reply-to. It lives while it has answers or consumers.
@@ -55,51 +72,50 @@
 	again         bool // it was out before
 }
 
-// NewIngress makes the clients' side.
-func NewIngress(core *sender.Sender, opt Options) *Ingress {
-	return &Ingress{core: core, opt: opt, clients: map[*session]bool{}, queues: map[string]*queue{}}
+// NewIngress makes the clients' side with a table of its own.
+func NewIngress(core *sender.Sender, r *reactor.Reactor, opt Options, table *conns.Table) *Ingress {
+	return &Ingress{core: core, r: r, opt: opt, table: table, queues: map[string]*queue{}}
 }
 
-// makeRoom closes the connection that has been heard least lately among those that have not opened yet: a
-// silent crowd must not lock out the others.
-func (in *Ingress) makeRoom() bool {
-	var oldest *session
-	for s := range in.clients {
-		if s.stage < open && (oldest == nil || s.heard.Before(oldest.heard)) {
-			oldest = s
-		}
+// turnedAway is what a newcomer without room is told. The specification lets a connection be closed at any time.
+var turnedAway = amqp.AppendMethod(nil, 0, amqp.ConnClose, amqp.ResourceError, "no room for another connection", 0, 0)
+
+// Accept takes a client's connection. When there is no room, one that has not opened yet goes for it: a silent
+// crowd must not lock out the others.
+func (in *Ingress) Accept(c *reactor.Conn) reactor.Handler {
+	s := &session{in: in, peer: newPeer(in.r.Loop)}
+	s.conn = c
+	victim, _, ok := in.table.Admit(&s.Entry, s, c.From(), in.r.Now())
+	if victim != nil {
+		victim.Owner().Evict(conns.ForNewcomer)
+	}
+	if !ok {
+		return in.r.Farewell(turnedAway)
 	}
-	if oldest == nil {
-		return false
+	if !in.sweeps.Set() {
+		in.r.Arm(&in.sweeps, sweepGap, timers.Coarse, in)
 	}
-	delete(in.clients, oldest)
-	oldest.conn.Close()
-	return true
+	return s
 }
 
-// Accept takes a client's connection.
-func (in *Ingress) Accept(c *reactor.Conn) reactor.Handler {
-	if len(in.clients) >= in.opt.Most && !in.makeRoom() {
-		return nil
+// Due ends what has gone over a limit.
+func (in *Ingress) Due(*timers.Timer) {
+	gap := sweepGap
+	if in.table.Expire(in.r.Now(), sweepPortion, conns.Unread, conns.End) {
+		gap = 0
+	}
+	if in.table.Len() > 0 {
+		in.r.Arm(&in.sweeps, gap, timers.Coarse, in)
 	}
-	s := &session{in: in, peer: newPeer(in.core.Post), chans: map[uint16]*channel{}}
-	s.conn = c
-	in.clients[s] = true
-	s.timer = time.AfterFunc(handshakeMax, func() {
-		in.core.Post(func() {
-			if s.stage < open {
-				s.conn.Close()
-			}
-		})
-	})
-	return s
 }
 
 // Close ends all connections, with word that the sender goes away.
 func (in *Ingress) Close() {
-	for s := range in.clients {
-		s.fail(0, amqp.Errorf(amqp.ConnectionForced, "the sender is stopping"))
-	}
+	in.table.Each(func(e *conns.Entry) {
+		if s, ok := e.Owner().(*session); ok {
+			s.fail(0, amqp.Errorf(amqp.ConnectionForced, "the sender is stopping"))
+		}
+	})
 }
 
 // Owes tells that every end is told here.
@@ -115,6 +131,7 @@
 		return
 	}
 	p.ch.pending = slices.DeleteFunc(p.ch.pending, func(o *sender.Exchange) bool { return o == x })
+	p.ch.s.owe(-1)
 	if v == sender.Taken {
 		p.ch.s.method(p.ch.id, amqp.Ack, p.tag, false)
 		return
@@ -195,6 +212,7 @@
 func (c *consumer) deliver(a *answer) {
 	c.ch.delivered++
 	c.ch.unacked = append(c.ch.unacked, delivery{c.ch.delivered, c.q, a})
+	c.ch.s.owe(1)
 	_, correlation, _ := strings.Cut(a.note, "\x00")
 	p := &amqp.Props{CorrelationID: correlation, MessageID: a.id, Type: states[a.end], Headers: amqp.Table{}}
 	if a.end == sender.Returned {
@@ -217,6 +235,7 @@
 	consumers []*consumer
 	unacked   []delivery
 	pending   []*sender.Exchange // offered, and not answered
+	asm       amqp.Assembly
 }
 
 // publish is where an exchange's confirm goes.
@@ -231,7 +250,13 @@
 		return
 	}
 	ch.closed = true
+	ch.s.owe(-len(ch.pending) - len(ch.unacked))
+	batch := &ch.s.in.batch
 	for _, x := range ch.pending {
+		if i := slices.Index(*batch, x); i >= 0 { // never handed in
+			*batch = slices.Delete(*batch, i, i+1)
+			continue
+		}
 		ch.s.in.core.Withdraw(x)
 	}
 	for _, c := range ch.consumers {
@@ -268,12 +293,15 @@
 		return &amqp.Fault{Code: amqp.PreconditionFailed, Text: "unknown delivery tag " + strconv.FormatUint(tag, 10), Method: k}
 	}
 	ch.unacked = rest
+	ch.s.owe(-len(hit))
 	if requeue {
 		ch.requeue(hit)
 	} else {
-		for _, d := range hit {
-			ch.s.in.core.Settle(d.a.id)
+		ids := make([]string, len(hit))
+		for i, d := range hit {
+			ids[i] = d.a.id
 		}
+		ch.s.in.core.Settle(ids...)
 	}
 	for _, c := range ch.consumers { // there is room for more
 		c.q.pump()
--- a/internal/net/amqpfront/peer.go
+++ b/internal/net/amqpfront/peer.go
@@ -7,58 +7,52 @@
 	"time"
 
 	"brackendale/internal/net/amqp"
+	"brackendale/internal/net/loop"
 	"brackendale/internal/net/reactor"
+	"brackendale/internal/net/rest"
+	"brackendale/internal/timers"
 )
 
-// peer is what both ends of a connection have in common: frames, heartbeats and faults.
+// peer is what both ends of a connection have in common: frames, heartbeats and faults. All of its times are the
+// loop's.
 type peer struct {
+	loop  *loop.Loop
 	conn  *reactor.Conn
-	post  func(func())
-	buf   []byte
-	max   uint32 // largest frame, as agreed
-	beat  time.Duration
-	heard time.Time
-	timer *time.Timer
-	asm   map[uint16]*amqp.Assembly
+	rest  rest.Rest
+	max   uint32        // largest frame, as agreed
+	beat  time.Duration // as agreed
+	heard time.Duration // the peer said something
+	said  time.Duration // something was written
+	timer timers.Timer  // of the handshake, then of heartbeats, then of the close
 }
 
-func newPeer(post func(func())) peer {
-	return peer{post: post, max: amqp.FrameMax, heard: time.Now(), asm: map[uint16]*amqp.Assembly{}}
-}
+func newPeer(l *loop.Loop) peer { return peer{loop: l, max: amqp.FrameMax, heard: l.Now()} }
 
 // frames hands each whole frame over; it stops at the first fault.
 func (p *peer) frames(b []byte, take func(amqp.Frame) error) error {
-	p.heard = time.Now()
-	if len(p.buf) > 0 {
-		b = append(p.buf, b...)
-	}
+	p.heard = p.loop.Now()
+	b = p.rest.Join(b)
 	for {
 		f, n, err := amqp.ParseFrame(b, p.max)
-		if err != nil || n == 0 {
-			p.buf = b
+		if err != nil {
+			p.rest.Drop()
 			return err
 		}
+		if n == 0 {
+			p.rest.Keep(b)
+			return nil
+		}
 		if b = b[n:]; f.Kind != amqp.FrameBeat {
 			if err := take(f); err != nil {
-				p.buf = b
+				p.rest.Drop()
 				return err
 			}
 		}
 	}
 }
 
-// add puts a channel's frames together.
-func (p *peer) add(f amqp.Frame) (*amqp.Message, error) {
-	a := p.asm[f.Channel]
-	if a == nil {
-		a = &amqp.Assembly{}
-		p.asm[f.Channel] = a
-	}
-	return a.Add(f)
-}
-
 func (p *peer) write(pieces ...[]byte) {
-	if p.conn.Write(pieces...) != nil {
+	if p.said = p.loop.Now(); p.conn.Write(pieces...) != nil {
 		p.conn.Close()
 	}
 }
@@ -67,32 +61,35 @@
 	p.write(amqp.AppendMethod(nil, channel, k, args...))
 }
 
-// keepAlive sends heartbeats and ends a connection that was silent for two of their times.
-func (p *peer) keepAlive(beat time.Duration) {
-	if p.beat = beat; beat <= 0 {
-		return
+var heartbeat = amqp.AppendFrame(nil, amqp.FrameBeat, 0, nil)
+
+// keepAlive starts the heartbeats that were agreed on; on is told by Due when one may be due.
+func (p *peer) keepAlive(beat time.Duration, on timers.Handler) {
+	if p.beat = beat; beat > 0 {
+		p.loop.Arm(&p.timer, beat/2, timers.Coarse, on)
 	}
-	p.timer = time.AfterFunc(beat/2, func() {
-		p.post(func() {
-			if p.conn.Dead() {
-				return
-			}
-			if time.Since(p.heard) > 2*p.beat {
-				p.conn.Close()
-				return
-			}
-			p.write(amqp.AppendFrame(nil, amqp.FrameBeat, 0, nil))
-			p.keepAlive(p.beat)
-		})
-	})
 }
 
-func (p *peer) stop() {
-	if p.timer != nil {
-		p.timer.Stop()
+// pulse sends a heartbeat, unless something else was written of late (section 4.2.7 of the specification lets any
+// octet stand for one), and ends a connection that was silent for two of their times. What lies unread in its
+// socket, as after a pause of this process, is word of it.
+func (p *peer) pulse(on timers.Handler) {
+	now := p.loop.Now()
+	if now-p.heard > 2*p.beat {
+		if p.conn.Quiet() {
+			p.conn.Close()
+			return
+		}
+		p.heard = now - p.beat
+	}
+	if now-p.said >= p.beat/4 {
+		p.write(heartbeat)
 	}
+	p.loop.Arm(&p.timer, p.beat/2, timers.Coarse, on)
 }
 
+func (p *peer) stop() { p.loop.Disarm(&p.timer) }
+
 // fault makes an error a fault: whatever has no reply code of its own is an internal one.
 func fault(err error) *amqp.Fault {
 	var f *amqp.Fault
--- a/internal/net/amqpfront/session.go
+++ b/internal/net/amqpfront/session.go
@@ -1,14 +1,18 @@
 package amqpfront
 
 import (
+	"bytes"
 	"crypto/subtle"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"brackendale/internal/net/amqp"
+	"brackendale/internal/net/conns"
 	"brackendale/internal/net/reactor"
+	"brackendale/internal/timers"
 	"brackendale/sender"
 )
 
@@ -24,21 +28,95 @@
 
 // session is one client's connection.
 type session struct {
+	conns.Entry
 	peer
 	in    *Ingress
-	stage int
-	chans map[uint16]*channel
+	asm   amqp.Assembly // of channel 0
+	chans []*channel    // in the order of their numbers
+	stage uint8
+	begun bool // a frame has come in part
+	owing int  // publishes without their confirm, and answers out, over all channels
 }
 
-// Up is not used: clients dial.
+// find is the place of a channel among those that are open, and the channel if it is there.
+func (s *session) find(id uint16) (int, *channel) {
+	i, ok := slices.BinarySearchFunc(s.chans, id, func(c *channel, id uint16) int { return int(c.id) - int(id) })
+	if !ok {
+		return i, nil
+	}
+	return i, s.chans[i]
+}
+
+func (s *session) chanOf(id uint16) *channel { _, ch := s.find(id); return ch }
+
+// forget takes a channel's number off the connection.
+func (s *session) forget(id uint16) {
+	if i, ch := s.find(id); ch != nil {
+		s.chans = slices.Delete(s.chans, i, i+1)
+	}
+}
+
+// stand books what the connection does now.
+func (s *session) stand() {
+	begun := s.rest.Len() > 0
+	c := conns.Held
+	switch {
+	case s.stage < open:
+		return // the handshake's time runs from the first byte to the last
+	case begun && s.owing > 0:
+		c = conns.Stuck
+	case begun:
+		c = conns.Partial
+	case s.owing > 0:
+		c = conns.Busy
+	}
+	if c != s.Class() || !begun {
+		s.in.table.Move(&s.Entry, c, s.loop.Now())
+	}
+}
+
+// owe counts what is open on the connection.
+func (s *session) owe(n int) {
+	was := s.owing
+	if s.owing += n; (s.owing == 0) != (was == 0) {
+		s.stand()
+	}
+}
+
+// Quiet tells whether all that has come was handled.
+func (s *session) Quiet() bool { return s.conn.Quiet() }
+
+// Evict ends the connection, which is out of its table, with a word that fits.
+func (s *session) Evict(why conns.Reason) {
+	if s.stage < open {
+		s.conn.Close()
+		return
+	}
+	code := uint16(amqp.ConnectionForced)
+	if why == conns.Slow {
+		code = amqp.FrameError
+	}
+	s.fail(0, amqp.Errorf(code, "%s", why))
+}
+
+// Due beats, or ends a connection that does not answer its close.
+func (s *session) Due(*timers.Timer) {
+	if s.stage == ending {
+		s.conn.Close()
+		return
+	}
+	s.pulse(s)
+}
+
+// Up is not used: the client speaks first.
 func (s *session) Up(*reactor.Conn) {}
 
 // Data handles the frames that are whole.
 func (s *session) Data(c *reactor.Conn, b []byte) {
 	if s.stage == greeting {
-		b = append(s.buf, b...)
-		if s.buf = nil; len(b) < len(amqp.Preamble) && strings.HasPrefix(amqp.Preamble, string(b)) {
-			s.buf = b
+		b = s.rest.Join(b)
+		if len(b) < len(amqp.Preamble) && strings.HasPrefix(amqp.Preamble, string(b)) {
+			s.rest.Keep(b)
 			return
 		}
 		if !strings.HasPrefix(string(b), amqp.Preamble) { // the specification's answer to another protocol
@@ -47,7 +125,8 @@
 			return
 		}
 		s.stage = starting
-		b = b[len(amqp.Preamble):]
+		b = bytes.Clone(b[len(amqp.Preamble):])
+		s.rest.Drop()
 		caps := amqp.Table{"publisher_confirms": true, "basic.nack": true, "consumer_cancel_notify": false,
 			"authentication_failure_close": true}
 		s.method(0, amqp.ConnStart, 0, 9, amqp.Table{"product": "brackendale", "capabilities": caps}, "PLAIN", "en_US")
@@ -55,12 +134,19 @@
 	if err := s.frames(b, s.frame); err != nil {
 		s.fail(0, err)
 	}
+	s.in.core.Offer(s.in.batch...)
+	s.in.batch = nil
+	if begun := s.rest.Len() > 0; begun || s.begun {
+		s.begun = begun
+		s.stand()
+	}
 }
 
 // Down ends all channels.
 func (s *session) Down(*reactor.Conn, error) {
 	s.stop()
-	delete(s.in.clients, s)
+	s.rest.Drop()
+	s.in.table.Remove(&s.Entry)
 	for _, ch := range s.chans {
 		ch.drop()
 	}
@@ -72,7 +158,7 @@
 	if s.stage == ending || s.conn.Dead() {
 		return
 	}
-	if ch := s.chans[id]; ch != nil && f.Soft() {
+	if ch := s.chanOf(id); ch != nil && f.Soft() {
 		ch.drop()
 		ch.closing = true
 		s.method(id, amqp.ChanClose, closeArgs(f)...)
@@ -83,22 +169,28 @@
 		ch.drop()
 	}
 	s.method(0, amqp.ConnClose, closeArgs(f)...)
-	s.buf = nil
-	time.AfterFunc(time.Second, func() { s.post(s.conn.Close) })
+	s.in.table.Remove(&s.Entry)
+	s.loop.Arm(&s.timer, time.Second, timers.Coarse, s)
 }
 
 func (s *session) frame(f amqp.Frame) error {
-	ch := s.chans[f.Channel]
+	ch := s.chanOf(f.Channel)
 	if f.Channel != 0 && ch == nil && s.stage == open && f.Kind != amqp.FrameMethod {
 		return amqp.Errorf(amqp.ChannelError, "channel %d is not open", f.Channel)
 	}
-	m, err := s.add(f)
+	asm := &s.asm
+	if ch != nil {
+		asm = &ch.asm
+	} else if f.Channel != 0 { // at most a method may come on it
+		asm = &amqp.Assembly{}
+	}
+	m, err := asm.Add(f)
 	if s.stage == ending || ch != nil && ch.closing { // only the answer to the close counts
-		delete(s.asm, f.Channel)
+		*asm = amqp.Assembly{}
 		if m != nil && m.Key == amqp.ConnCloseOk {
 			s.conn.Close()
 		} else if m != nil && m.Key == amqp.ChanCloseOk && ch != nil {
-			delete(s.chans, f.Channel)
+			s.forget(f.Channel)
 		}
 		return nil
 	}
@@ -132,14 +224,14 @@
 		if m.Int(0) > maxChannels || most > amqp.FrameMax || most < amqp.FrameMin {
 			return &amqp.Fault{Code: amqp.NotAllowed, Text: "limits outside of what was offered", Method: m.Key}
 		}
-		s.stop()
 		s.stage, s.max = opening, uint32(most)
-		s.keepAlive(beat)
+		s.keepAlive(beat, s)
 	case m.Key == amqp.ConnOpen && s.stage == opening:
 		if v := m.Str(0); v != "/" && v != "" {
 			return &amqp.Fault{Code: amqp.NotAllowed, Text: "no such virtual host", Method: m.Key}
 		}
 		s.stage = open
+		s.stand()
 		s.method(0, amqp.ConnOpenOk, "")
 	case m.Key == amqp.ConnClose:
 		s.method(0, amqp.ConnCloseOk)
@@ -171,7 +263,8 @@
 		if ch != nil || id > maxChannels {
 			return bad(amqp.ChannelError, "channel %d cannot be opened", id)
 		}
-		s.chans[id] = &channel{s: s, id: id}
+		i, _ := s.find(id)
+		s.chans = slices.Insert(s.chans, i, &channel{s: s, id: id})
 		s.method(id, amqp.ChanOpenOk, "")
 		return nil
 	}
@@ -181,7 +274,7 @@
 	switch m.Key {
 	case amqp.ChanClose:
 		ch.drop()
-		delete(s.chans, id)
+		s.forget(id)
 		s.method(id, amqp.ChanCloseOk)
 	case amqp.ChanFlow: // answers are held back by prefetch alone
 		return bad(amqp.NotImplemented, "flow; use prefetch")
@@ -340,7 +433,8 @@
 		Deadline: core.Now() + limit, Body: m.Body, Front: Front, Note: p.ReplyTo + "\x00" + p.CorrelationID,
 		Ref: &publish{ch, ch.published}}
 	ch.pending = append(ch.pending, x)
-	core.Offer(x)
+	s.in.batch = append(s.in.batch, x)
+	s.owe(1)
 	return nil
 }
 
--- a/internal/net/platform/client.go
+++ b/internal/net/platform/client.go
@@ -7,7 +7,10 @@
 	"time"
 
 	"brackendale/internal/net/http1"
+	"brackendale/internal/net/loop"
 	"brackendale/internal/net/reactor"
+	"brackendale/internal/net/rest"
+	"brackendale/internal/timers"
 )
 
 // errGivenUp ends a request that took too long, or that its owner no longer wants.
@@ -24,17 +27,17 @@
 type link struct {
 	conn  *reactor.Conn
 	addr  string
-	buf   []byte
+	rest  rest.Rest
 	most  int
 	up    bool
 	used  bool                         // a request has been written to it
 	want  func(*http1.Response, error) // the response comes with an error too, for its status
-	late  *time.Timer                  // runs while half an answer is there
-	idle  *time.Timer
-	last  time.Time // when its last answer came
-	extra bool      // more came behind that answer
-	free  func()    // the answer has come and the connection may be used again
-	gone  func()    // it has ended with no request on it
+	late  timers.Timer                 // runs while half an answer is there
+	idle  timers.Timer
+	last  time.Duration // when its last answer came
+	extra bool          // more came behind that answer
+	free  func()        // the answer has come and the connection may be used again
+	gone  func()        // it has ended with no request on it
 	out   [][]byte
 }
 
@@ -75,8 +78,8 @@
 func (l *link) fail(err error) {
 	l.conn.Close()
 	var a http1.Response
-	if len(l.buf) > 0 {
-		_, _ = a.Parse(l.buf, true) // for its status
+	if l.rest.Len() > 0 {
+		_, _ = a.Parse(l.rest.Bytes(), true) // for its status
 	}
 	l.finish(&a, err)
 }
@@ -95,47 +98,38 @@
 // belongs to no request: a second copy, or noise.
 func (l *link) Data(_ *reactor.Conn, b []byte) {
 	if l.want == nil || !l.written() {
-		l.buf = nil
+		l.rest.Drop()
 		l.fail(http1.ErrHead)
 		return
 	}
-	if len(l.buf) > 0 {
-		b = append(l.buf, b...)
-	} else {
-		var late *time.Timer
-		late = time.AfterFunc(answerLimit, func() {
-			l.conn.Post(func() {
-				if l.late == late { // else that answer has come to its end
-					l.fail(errStalled)
-				}
-			})
-		})
-		l.late = late
+	if !l.late.Set() {
+		l.loop().Arm(&l.late, answerLimit, 0, timers.Func(func() { l.fail(errStalled) }))
 	}
-	l.buf = b
-	l.parse(false)
+	l.parse(l.rest.Join(b), false)
 }
 
-func (l *link) parse(ended bool) {
+func (l *link) loop() *loop.Loop { return l.conn.Loop() }
+
+func (l *link) parse(b []byte, ended bool) {
 	var a http1.Response
-	n, err := a.Parse(l.buf, ended)
-	if err == nil && n == 0 && len(l.buf) > l.most {
+	n, err := a.Parse(b, ended)
+	if err == nil && n == 0 && len(b) > l.most {
 		err = http1.ErrBody
 	}
-	if err != nil {
-		l.fail(err)
-		return
-	}
-	if n == 0 {
+	if err != nil || n == 0 {
+		if l.rest.Keep(b); err != nil {
+			l.fail(err)
+		}
 		return
 	}
-	l.extra = n < len(l.buf)
-	l.buf, l.last = nil, time.Now()
+	l.extra = n < len(b)
+	l.last = l.loop().Now()
 	over := a.Close || l.extra
 	if over {
 		l.conn.Close()
 	}
 	l.finish(&a, nil)
+	l.rest.Drop() // the answer lay in it
 	if !over && !l.conn.Dead() && l.free != nil {
 		l.free()
 	}
@@ -143,20 +137,18 @@
 
 // Down ends what is out; an answer whose length is the connection's end is whole now.
 func (l *link) Down(_ *reactor.Conn, err error) {
-	if l.want != nil && len(l.buf) > 0 {
-		l.parse(true)
+	if l.want != nil && l.rest.Len() > 0 {
+		l.parse(l.rest.Bytes(), true)
 	}
 	l.fail(err)
+	l.rest.Drop()
 	if l.gone != nil {
 		l.gone()
 	}
 }
 
 func (l *link) finish(a *http1.Response, err error) {
-	if l.late != nil {
-		l.late.Stop()
-		l.late = nil
-	}
+	l.loop().Disarm(&l.late)
 	if want := l.want; want != nil {
 		l.want, l.out = nil, nil
 		want(a, err)
--- a/internal/net/platform/egress.go
+++ b/internal/net/platform/egress.go
@@ -10,6 +10,7 @@
 
 	"brackendale/internal/net/http1"
 	"brackendale/internal/net/reactor"
+	"brackendale/internal/timers"
 	"brackendale/logic"
 	"brackendale/sender"
 )
@@ -26,11 +27,13 @@
 	fields  []string
 	pools   map[string][]*link // idle links by target, the latest used last
 	out     map[string]*hopCall
+	live    map[string]bool // the targets that want new hops
 }
 
 // NewEgress makes the endpoints' side.
 func NewEgress(core *sender.Sender, r *reactor.Reactor, set logic.Settings) *Egress {
 	e := &Egress{core: core, r: r, fields: set.Report.Fields, pools: map[string][]*link{}, out: map[string]*hopCall{},
+		live:    map[string]bool{},
 		connect: time.Duration(set.Caps.ConnectTimeoutUs) * time.Microsecond,
 		idle:    time.Duration(set.Caps.KeepaliveUs) * time.Microsecond * 9 / 10}
 	if e.connect <= 0 {
@@ -48,7 +51,7 @@
 	to    sender.Route
 	hops  []sender.Hop
 	link  *link
-	timer *time.Timer
+	timer timers.Timer
 	why   string // the reason to report if it is given up
 
 	recalled []string // the ids of hops that were
@@ -62,7 +65,7 @@
 		limit = max(limit, h.LimitUs)
 		e.out[h.ID] = c
 	}
-	c.timer = time.AfterFunc(time.Duration(limit)*time.Microsecond, func() { e.core.Post(func() { c.giveUp(sender.Late) }) })
+	e.r.Arm(&c.timer, time.Duration(limit)*time.Microsecond, 0, timers.Func(func() { c.giveUp(sender.Late) }))
 	c.link = e.take(to, limit)
 	c.link.do(c.answer, c.request(limit)...)
 }
@@ -75,11 +78,11 @@
 // unasked, be it the endpoint's close, is of no use.
 func (e *Egress) take(to sender.Route, limitUs int64) *link {
 	for _, l := range slices.Backward(slices.Clone(e.pools[to.Addr])) {
-		if time.Since(l.last) < restTime {
+		if e.r.Now()-l.last < restTime {
 			continue
 		}
 		e.forget(to.Addr, l)
-		l.idle.Stop()
+		e.r.Disarm(&l.idle)
 		l.gone, l.free = nil, nil
 		if l.addr == to.Dial && l.conn.Quiet() {
 			return l
@@ -91,20 +94,14 @@
 
 // keep puts a link among the idle ones and closes it before the endpoint would.
 func (e *Egress) keep(to string, l *link) {
-	if !e.core.Live(to) {
+	if !e.live[to] {
 		l.conn.Close()
 		return
 	}
 	e.pools[to] = append(e.pools[to], l)
-	l.idle = time.AfterFunc(e.idle, func() {
-		e.core.Post(func() {
-			if l.want == nil && l.gone != nil {
-				l.conn.Close()
-			}
-		})
-	})
+	e.r.Arm(&l.idle, e.idle, 0, timers.Func(l.conn.Close))
 	l.gone = func() {
-		l.idle.Stop()
+		e.r.Disarm(&l.idle)
 		e.forget(to, l)
 	}
 }
@@ -148,7 +145,8 @@
 // Routes closes the idle connections to targets that want nothing new.
 func (e *Egress) Routes(changed []sender.Route) {
 	for _, r := range changed {
-		if r.State != "live" {
+		if e.live[r.Addr] = true; r.State != "live" {
+			delete(e.live, r.Addr)
 			e.Trim(r)
 		}
 	}
@@ -203,7 +201,7 @@
 
 // answer turns what came back into outcomes.
 func (c *hopCall) answer(a *http1.Response, err error) {
-	c.timer.Stop()
+	c.e.r.Disarm(&c.timer)
 	for _, h := range c.hops {
 		delete(c.e.out, h.ID)
 	}
@@ -227,6 +225,7 @@
 			ends = c.bundleEnds(a.Body)
 		}
 	}
+	list := make([]sender.Outcome, 0, len(c.hops))
 	for _, h := range c.hops {
 		p := o
 		if p.ID, p.N = h.ID, h.N; ends != nil {
@@ -234,8 +233,9 @@
 				p.Reason = sender.Bad // of a spoilt answer
 			}
 		}
-		c.e.core.Report(p)
+		list = append(list, p)
 	}
+	c.e.core.Report(list...)
 	if err == nil && !a.Close {
 		l, to := c.link, c.to.Addr
 		l.free = func() { c.e.keep(to, l) }
--- a/internal/net/platform/ingress.go
+++ b/internal/net/platform/ingress.go
@@ -2,14 +2,15 @@
 
 import (
 	"bytes"
-	"cmp"
 	"errors"
-	"slices"
 	"strconv"
 	"time"
 
+	"brackendale/internal/net/conns"
 	"brackendale/internal/net/reactor"
 	"brackendale/internal/net/resp"
+	"brackendale/internal/net/rest"
+	"brackendale/internal/timers"
 	"brackendale/sender"
 )
 
@@ -20,30 +21,45 @@
 // one; what sends more than this at once is turned away whole.
 const maxWaiting = 16
 
-// patience is how long a connection may say nothing, or stay in the middle of a command, and after which
-// one with no request open may be closed.
-const patience = 2 * time.Second
+// Limits are the platform's for so many connections. One that says nothing whole, or stands in the middle of a
+// command, is ended after 2 s; after so long one with nothing open gives way, and above three quarters of the room
+// it goes by itself. A newcomer has a tenth of a second to speak before it counts as one of a silent crowd.
+func Limits(most int) conns.Limits {
+	const patience = 2 * time.Second
+	return conns.Limits{Most: most, Keep: 0.75, Patience: patience, Grace: 100 * time.Millisecond, First: patience,
+		Whole: patience}
+}
 
-// grace is how long a newcomer has to speak before it counts as one of a silent crowd.
-const grace = 100 * time.Millisecond
+// sweepGap is how often the table is asked whether a connection has gone over a limit, and sweepPortion how many
+// are ended at once; the rest follow after what came meanwhile.
+const (
+	sweepGap     = 250 * time.Millisecond
+	sweepPortion = 64
+)
 
-// sweepGap is how often connections are looked through for such.
-const sweepGap = 250 * time.Millisecond
+// busyMs is the wait that a newcomer is told who is turned away with word of it.
+const busyMs = 500
 
 var errSlow = errors.New("ERR no whole command in time")
 
 // Ingress serves RESP2 clients.
 type Ingress struct {
 	core    *sender.Sender
+	r       *reactor.Reactor
 	notices *notices
-	clients map[*client]bool
-	most    int // clients' connections, so that descriptors are left for the targets
-	sweeps  bool
+	table   *conns.Table
+	polite  bool // newcomers without room are told to come again
+	sweeps  timers.Timer
+
+	// Of the read that is being handled, which is one client's.
+	words [][]byte
+	batch []*sender.Exchange
 }
 
-// NewIngress makes the clients' side for that many connections; ends are told to the registry's agent.
-func NewIngress(core *sender.Sender, r *reactor.Reactor, discovery string, most int) *Ingress {
-	return &Ingress{core: core, most: most, clients: map[*client]bool{}, notices: newNotices(core, r, discovery)}
+// NewIngress makes the clients' side with a table of its own; ends are told to the agent at discovery. polite says
+// that newcomers who are turned away hear when to come again.
+func NewIngress(core *sender.Sender, r *reactor.Reactor, discovery string, table *conns.Table, polite bool) *Ingress {
+	return &Ingress{core: core, r: r, table: table, polite: polite, notices: newNotices(core, r, discovery)}
 }
 
 // Move tells ends to another agent from here on.
@@ -51,116 +67,78 @@
 
 // Accept takes a client's connection. When there is no room, one with no request open goes for it.
 func (in *Ingress) Accept(c *reactor.Conn) reactor.Handler {
-	if len(in.clients) >= in.most && !in.makeRoom() {
-		return nil
-	}
-	cl := &client{in: in, conn: c, since: time.Now()}
-	in.clients[cl] = true
-	if !in.sweeps {
-		in.sweeps = true
-		in.sweepLater()
-	}
-	return cl
-}
-
-// makeRoom closes a connection with no request open, if there is one.
-func (in *Ingress) makeRoom() bool {
-	cl := in.spare()
-	if cl != nil {
-		cl.drop()
+	cl := &client{in: in, conn: c}
+	victim, _, ok := in.table.Admit(&cl.Entry, cl, c.From(), in.r.Now())
+	if victim != nil {
+		victim.Owner().Evict(conns.ForNewcomer)
 	}
-	return cl != nil
-}
-
-// spare finds a connection with no request open, the oldest of the first kind that there is: one idle for
-// long enough, or that never said anything though usual clients speak at once; one whose client will come again
-// with what crosses its close; and at last a newcomer, which would have failed.
-func (in *Ingress) spare() *client {
-	var kinds [3]*client
-	now := time.Now()
-	for cl := range in.clients {
-		if len(cl.waiting) > 0 || cl.closing {
-			continue
-		}
-		age, k := now.Sub(cl.since), 0
-		switch {
-		case cl.spoke && age < patience:
-			k = 1
-		case !cl.spoke && age < grace:
-			k = 2
-		}
-		if kinds[k] == nil || cl.since.Before(kinds[k].since) {
-			kinds[k] = cl
+	switch {
+	case ok:
+		if !in.sweeps.Set() {
+			in.r.Arm(&in.sweeps, sweepGap, timers.Coarse, in)
 		}
+		return cl
+	case in.polite:
+		return in.r.Farewell([]byte("-BUSY " + strconv.Itoa(busyMs) + "\r\n"))
 	}
-	return cmp.Or(kinds[:]...)
+	return nil
 }
 
-// sweepLater ends what says nothing, or no whole command, and keeps a quarter of the room for newcomers.
-func (in *Ingress) sweepLater() {
-	time.AfterFunc(sweepGap, func() {
-		in.core.Post(func() {
-			in.sweep(time.Now())
-			in.sweepLater()
-		})
-	})
-}
-
-func (in *Ingress) sweep(now time.Time) {
-	var idle []*client
-	for cl := range in.clients {
-		switch {
-		case len(cl.waiting) > 0 || cl.closing || now.Sub(cl.since) < patience:
-		case len(cl.buf) > 0:
-			cl.refuse(errSlow)
-		case !cl.spoke:
-			cl.drop()
-		default:
-			idle = append(idle, cl)
-		}
+// Due ends what has gone over a limit. What lies unread in its socket counts as word of it.
+func (in *Ingress) Due(*timers.Timer) {
+	more := in.table.Expire(in.r.Now(), sweepPortion, conns.Unread, conns.End)
+	gap := sweepGap
+	if more {
+		gap = 0
 	}
-	over := min(len(idle), len(in.clients)-in.most*3/4)
-	if over <= 0 {
-		return
-	}
-	slices.SortFunc(idle, func(a, b *client) int { return a.since.Compare(b.since) })
-	for _, cl := range idle[:over] {
-		cl.drop()
+	if in.table.Len() > 0 {
+		in.r.Arm(&in.sweeps, gap, timers.Coarse, in)
 	}
 }
 
 // client is one connection. Answers leave in the order of the commands.
 type client struct {
+	conns.Entry
 	in      *Ingress
 	conn    *reactor.Conn
-	buf     []byte
-	words   [][]byte
+	rest    rest.Rest
 	waiting []*reply
 	closing bool
-	spoke   bool      // a whole command has come
-	since   time.Time // it was accepted, was last answered, or began a command
+	spoke   bool // a whole command has come
 }
 
 type reply struct {
-	text []byte // nil: not known yet
-	x    *sender.Exchange
+	cl    *client
+	text  []byte // nil: not known yet
+	x     *sender.Exchange
+	fault []byte // what it is answered with if it could be withdrawn
 }
 
-// Up is not used: clients dial.
+// Up is not used: the client speaks first.
 func (cl *client) Up(*reactor.Conn) {}
 
+// Quiet tells whether all that has come was handled.
+func (cl *client) Quiet() bool { return cl.conn.Quiet() }
+
+// Evict ends the connection, which is out of its table.
+func (cl *client) Evict(why conns.Reason) {
+	if cl.rest.Len() > 0 && (why == conns.Slow || why == conns.Silent) {
+		cl.refuse(errSlow)
+		return
+	}
+	cl.drop()
+}
+
 // Data handles the commands that are whole.
-func (cl *client) Data(c *reactor.Conn, b []byte) {
+func (cl *client) Data(_ *reactor.Conn, b []byte) {
 	if cl.closing {
 		return
 	}
-	if len(cl.buf) > 0 {
-		b = append(cl.buf, b...)
-	} else if len(cl.waiting) == 0 {
-		cl.since = time.Now()
-	}
+	in := cl.in
+	fresh := cl.rest.Len() == 0
+	b = cl.rest.Join(b)
 	for len(b) > 0 && !cl.closing {
-		words, n, err := resp.Parse(b, cl.words)
+		words, n, err := resp.Parse(b, in.words)
 		if err == nil && len(cl.waiting) >= maxWaiting {
 			err = resp.ErrTooLong
 		}
@@ -171,19 +149,40 @@
 		if n == 0 {
 			break
 		}
-		cl.words, cl.spoke = words, true
+		in.words, cl.spoke = words, true
 		cl.command(words)
 		b = b[n:]
+		fresh = true
 	}
-	if cl.buf = nil; !cl.closing {
-		cl.buf = b
+	if cl.rest.Keep(b); cl.closing {
+		cl.rest.Drop()
 	}
-	cl.flush()
+	in.core.Offer(in.batch...)
+	in.batch = nil
+	if !cl.flush() && fresh && cl.rest.Len() > 0 {
+		cl.stand()
+	}
+}
+
+// stand books what the connection does now.
+func (cl *client) stand() {
+	c := conns.Idle
+	switch {
+	case len(cl.waiting) > 0:
+		c = conns.Busy
+	case !cl.spoke:
+		c = conns.Fresh
+	case cl.rest.Len() > 0:
+		c = conns.Partial
+	}
+	cl.in.table.Move(&cl.Entry, c, cl.in.r.Now())
 }
 
-// Down forgets the client; what it waits for in this round was not taken on.
+// Down forgets the client; what it waits for and no step has taken in is taken back.
 func (cl *client) Down(*reactor.Conn, error) {
-	delete(cl.in.clients, cl)
+	cl.closing = true
+	cl.in.table.Remove(&cl.Entry)
+	cl.rest.Drop()
 	for _, r := range cl.waiting {
 		if r.text == nil {
 			cl.in.core.Withdraw(r.x)
@@ -192,27 +191,37 @@
 	cl.waiting = nil
 }
 
-func (cl *client) say(text string) { cl.waiting = append(cl.waiting, &reply{text: []byte(text)}) }
+func (cl *client) say(text string) {
+	cl.waiting = append(cl.waiting, &reply{cl: cl, text: []byte(text)})
+}
 
-// refuse answers all that waits, and what has come last, with an error, and closes. What came together with
-// a command that cannot be read is not taken on.
+// refuse answers what has come last with an error, and closes once all that waits has its answer. What came together
+// with a command that cannot be read is not taken on, nor is what waits and could be taken back.
 func (cl *client) refuse(err error) {
 	text := "-" + err.Error() + "\r\n"
 	for _, r := range cl.waiting {
-		if r.text == nil {
-			cl.in.core.Withdraw(r.x)
+		switch {
+		case r.text != nil:
+		case len(cl.in.batch) > 0 && r.x == cl.in.batch[0]: // never handed in
+			cl.in.batch = cl.in.batch[1:]
 			r.text = []byte(text)
+		default:
+			r.fault = []byte(text)
+			cl.in.core.Withdraw(r.x)
 		}
 	}
+	cl.in.batch = nil
 	cl.say(text)
-	cl.buf, cl.closing = nil, true
+	cl.rest.Drop()
+	cl.closing = true
+	cl.in.table.Remove(&cl.Entry)
 	cl.flush()
 }
 
 // drop closes a connection with no request open. It no longer counts against the room.
 func (cl *client) drop() {
 	cl.closing = true
-	delete(cl.in.clients, cl)
+	cl.in.table.Remove(&cl.Entry)
 	cl.conn.Close()
 }
 
@@ -228,28 +237,44 @@
 			cl.say("-ERR " + fault + "\r\n")
 			return
 		}
-		r := &reply{x: x}
-		x.Ref = func(text []byte) { r.text = text; cl.flush() }
+		r := &reply{cl: cl, x: x}
+		x.Ref = r
 		cl.waiting = append(cl.waiting, r)
-		cl.in.core.Offer(x)
+		cl.in.batch = append(cl.in.batch, x)
 	default:
 		cl.say("-ERR unknown command\r\n")
 	}
 }
 
-// flush writes the answers that are due, in one gathered write.
-func (cl *client) flush() {
-	var out [][]byte
-	for len(cl.waiting) > 0 && cl.waiting[0].text != nil {
-		out = append(out, cl.waiting[0].text)
-		cl.waiting = cl.waiting[1:]
+// flush writes the answers that are due, in one gathered write, and books where the connection stands. It tells
+// whether it did.
+func (cl *client) flush() bool {
+	n, before := 0, len(cl.waiting)
+	for n < before && cl.waiting[n].text != nil {
+		n++
 	}
-	if len(out) > 0 {
-		cl.since = time.Now()
+	if n > 0 {
+		out := make([][]byte, n)
+		for i, r := range cl.waiting[:n] {
+			out[i] = r.text
+		}
+		if cl.waiting = cl.waiting[n:]; len(cl.waiting) == 0 {
+			cl.waiting = nil
+		}
+		if cl.conn.Write(out...) != nil {
+			cl.drop()
+			return true
+		}
 	}
-	if len(out) > 0 && cl.conn.Write(out...) != nil || cl.closing && len(cl.waiting) == 0 {
-		cl.conn.Close()
+	if cl.closing && len(cl.waiting) == 0 {
+		cl.drop()
+		return true
+	}
+	if n > 0 || before > 0 && cl.Class() != conns.Busy {
+		cl.stand()
+		return true
 	}
+	return false
 }
 
 // exchange reads the words behind SUBMIT: the key (zeros), the id, names and values, and the body.
@@ -311,8 +336,11 @@
 	case v == sender.Failed:
 		text = []byte("-ERR failed\r\n")
 	}
-	if f, ok := x.Ref.(func([]byte)); ok {
-		f(text)
+	if r, ok := x.Ref.(*reply); ok {
+		if r.text = text; v == sender.Failed && r.fault != nil {
+			r.text = r.fault
+		}
+		r.cl.flush()
 	}
 }
 
@@ -327,8 +355,10 @@
 
 // CloseIdle ends the connections on which nothing waits, and those of the others once it is answered.
 func (in *Ingress) CloseIdle() {
-	for cl := range in.clients {
-		cl.closing = true
-		cl.flush()
-	}
+	in.table.Each(func(e *conns.Entry) {
+		if cl, ok := e.Owner().(*client); ok {
+			cl.closing = true
+			cl.flush()
+		}
+	})
 }
--- a/internal/net/platform/notices.go
+++ b/internal/net/platform/notices.go
@@ -3,10 +3,10 @@
 import (
 	"encoding/json"
 	"strconv"
-	"time"
 
 	"brackendale/internal/net/http1"
 	"brackendale/internal/net/reactor"
+	"brackendale/internal/timers"
 	"brackendale/sender"
 )
 
@@ -44,7 +44,7 @@
 		panic(err)
 	}
 	n.queue = append(n.queue, notice{id, append(line, '\n')})
-	n.core.Post(n.push) // what one round ends goes in one request
+	n.r.Post(n.push) // what one round ends goes in one request
 }
 
 // move leaves the agent for another one; what the old one has not confirmed is told again there.
@@ -76,22 +76,25 @@
 	pieces[0] = []byte("POST /v2/finals HTTP/1.1\r\nHost: " + n.addr + "\r\nContent-Length: " + strconv.Itoa(size) + "\r\n\r\n")
 	l := n.link
 	n.busy = true
-	timer := time.AfterFunc(agentLimit, func() { n.core.Post(l.drop) })
+	var timer timers.Timer
+	n.r.Arm(&timer, agentLimit, 0, timers.Func(l.drop))
 	l.do(func(a *http1.Response, err error) {
-		timer.Stop()
+		n.r.Disarm(&timer)
 		n.busy = false
 		if err == nil && a.Status == 204 {
-			for _, x := range batch {
-				n.core.Settle(x.id)
+			ids := make([]string, len(batch))
+			for i, x := range batch {
+				ids[i] = x.id
 			}
+			n.core.Settle(ids...)
 			n.queue = n.queue[len(batch):]
-			n.core.Post(n.push)
+			n.r.Post(n.push)
 			return
 		}
 		l.conn.Close()
 		if n.link == l {
 			n.link = nil
 		}
-		time.AfterFunc(againGap, func() { n.core.Post(n.push) })
+		n.r.After(againGap, n.push)
 	}, pieces...)
 }
--- a/internal/net/platform/platform_test.go
+++ b/internal/net/platform/platform_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"brackendale/internal/config"
+	"brackendale/internal/net/conns"
 	"brackendale/internal/net/http1"
 	"brackendale/internal/net/reactor"
 	"brackendale/internal/standin"
@@ -41,6 +42,7 @@
 	most    int    // clients
 	core    *sender.Sender
 	in      *Ingress
+	r       *reactor.Reactor
 }
 
 func newWorld(t *testing.T) *world {
@@ -89,8 +91,8 @@
 	w.t.Helper()
 	return standin.Start(w.t, w.dir, func(core *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
 		agent := w.agent.Listener.Addr().String()
-		in := NewIngress(core, r, agent, w.most)
-		w.core, w.in = core, in
+		in := NewIngress(core, r, agent, conns.NewRoom(w.most).NewTable(Limits(w.most)), false)
+		w.core, w.in, w.r = core, in, r
 		core.AddIngress(Front, in)
 		core.AddEgress(Proto, NewEgress(core, r, standin.Settings()))
 		Watch(core, r, agent, w.hosts("active"))
@@ -197,8 +199,8 @@
 	var move func()
 	agent := w.agent.Listener.Addr().String()
 	addr, _ := standin.Start(t, w.dir, func(core *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
-		in := NewIngress(core, r, silent.Addr().String(), 100)
-		move = func() { core.Post(func() { in.Move(agent) }) }
+		in := NewIngress(core, r, silent.Addr().String(), conns.NewRoom(100).NewTable(Limits(100)), false)
+		move = func() { r.Post(func() { in.Move(agent) }) }
 		core.AddIngress(Front, in)
 		core.AddEgress(Proto, NewEgress(core, r, standin.Settings()))
 		core.Routes("whole", Routes(w.hosts("active")))
@@ -454,11 +456,11 @@
 	w := newWorld(t)
 	w.start()
 	reason := make(chan string, 1)
-	w.core.Post(func() {
-		e := NewEgress(w.core, nil, standin.Settings())
-		c := &hopCall{e: e, to: Routes(w.hosts("active"))[0], hops: []sender.Hop{{ID: "m"}}, link: &link{}, timer: time.NewTimer(time.Hour)}
+	w.r.Post(func() {
+		e := NewEgress(w.core, w.r, standin.Settings())
+		c := &hopCall{e: e, to: Routes(w.hosts("active"))[0], hops: []sender.Hop{{ID: "m"}}, link: &link{}}
 		c.answer(nil, fmt.Errorf("dial: %w", syscall.EMFILE))
-		reason <- w.core.State().Routes[0].LastReason
+		w.core.Post(func() { reason <- w.core.State().Routes[0].LastReason })
 	})
 	if got := wait(t, reason); got != sender.Moot {
 		t.Fatal(got)
@@ -507,7 +509,7 @@
 	if got := w.say(addr, "PING"); got != "+PONG" {
 		t.Fatal(got)
 	}
-	w.core.Post(func() { w.in.sweep(time.Now().Add(patience)) })
+	w.r.Post(func() { w.in.table.Expire(w.r.Now()+2*time.Second, 100, nil, conns.End) })
 	for i, c := range crowd {
 		if b, err := io.ReadAll(c); errors.Is(err, os.ErrDeadlineExceeded) || len(b) > 0 && b[0] != '-' {
 			t.Errorf("connection %d: %q %v", i, b, err)
@@ -534,26 +536,6 @@
 	}
 }
 
-// Newcomers of one moment took each other's places before their first commands were read.
-func TestNewcomersSpareEachOther(t *testing.T) {
-	in := &Ingress{most: 3, clients: map[*client]bool{}}
-	now := time.Now()
-	add := func(spoke bool, age time.Duration) *client {
-		cl := &client{spoke: spoke, since: now.Add(-age)}
-		in.clients[cl] = true
-		return cl
-	}
-	fresh, newer, asked, silent := add(false, time.Hour), add(false, 0), add(true, time.Second), add(false, time.Second)
-	fresh.since = now.Add(time.Hour) // of the same moment, whatever the clock
-	newer.since = now.Add(2 * time.Hour)
-	for i, want := range []*client{silent, asked, fresh, newer} {
-		if in.spare() != want {
-			t.Fatal("another one would go, in turn", i)
-		}
-		delete(in.clients, want)
-	}
-}
-
 // More commands at once than a client that behaves would send are turned away whole, and so is one that
 // comes together with what cannot be read.
 func TestCommandsAtOnce(t *testing.T) {
@@ -592,7 +574,7 @@
 	out := make(chan [3]int, 1)
 	standin.Start(t, w.dir, func(core *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
 		e := NewEgress(core, r, standin.Settings())
-		core.Post(func() {
+		r.Post(func() {
 			e.Send(Routes(w.hosts("active"))[0], []sender.Hop{{ID: "record", LimitUs: 9e6}, {ID: "charge", LimitUs: 9e6}})
 			e.Recall("record", 0)
 			e.Recall("record", 0)
--- a/internal/net/platform/registry.go
+++ b/internal/net/platform/registry.go
@@ -10,6 +10,7 @@
 	"brackendale/internal/config"
 	"brackendale/internal/net/http1"
 	"brackendale/internal/net/reactor"
+	"brackendale/internal/timers"
 	"brackendale/logic"
 	"brackendale/sender"
 )
@@ -34,7 +35,7 @@
 func Watch(core *sender.Sender, r *reactor.Reactor, addr string, known config.List) *Registry {
 	g := &Registry{core: core, r: r, addr: addr, seq: known.Seq}
 	core.Routes("stale_copy", Routes(known))
-	g.ask()
+	r.Post(g.ask)
 	return g
 }
 
@@ -81,9 +82,10 @@
 		limit = watchMs*time.Millisecond + watchSlack
 	}
 	l := g.link
-	timer := time.AfterFunc(limit, func() { g.core.Post(l.drop) })
+	var timer timers.Timer
+	g.r.Arm(&timer, limit, 0, timers.Func(l.drop))
 	l.do(func(a *http1.Response, err error) {
-		timer.Stop()
+		g.r.Disarm(&timer)
 		if g.link != l { // of an agent that was left: what it still says is no news
 			return
 		}
@@ -91,12 +93,12 @@
 			err = g.take(a)
 		}
 		if err == nil { // the link is free once this has returned
-			g.core.Post(g.ask)
+			g.r.Post(g.ask)
 			return
 		}
 		l.conn.Close()
 		g.link = nil
-		time.AfterFunc(againGap, func() { g.core.Post(g.ask) })
+		g.r.After(againGap, g.ask)
 	}, get(path, g.addr))
 }
 
--- a/internal/net/reactor/reactor.go
+++ b/internal/net/reactor/reactor.go
@@ -1,5 +1,5 @@
-// Package reactor runs the program's sockets on one nbio engine. Its callbacks post work to the
-// owner's queue, so handlers run on the owner's goroutine and need no locks.
+// Package reactor runs the program's sockets on one nbio engine. Its callbacks hand work to a loop, so handlers
+// run on the loop's goroutine and need no locks.
 package reactor
 
 import (
@@ -8,11 +8,15 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"brackendale/internal/net/loop"
+	"brackendale/internal/net/rest"
+
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 )
@@ -20,8 +24,8 @@
 // maxUnsent bounds what one connection may hold unwritten: a peer that does not read is cut off.
 const maxUnsent = 512 << 10
 
-// maxComing bounds the connections that are accepted and not yet given a handler: until then nobody counts
-// them, and a crowd of newcomers could take the descriptors that the dialling side needs.
+// maxComing bounds the connections of one listener that are accepted and not yet given a handler: until then
+// nobody counts them, and a crowd of newcomers could take the descriptors that the dialling side needs.
 const maxComing = 16
 
 // maxUnread bounds what has been read and not yet handled, over all connections.
@@ -29,11 +33,11 @@
 
 const stopLimit = 300 * time.Millisecond
 
-// Handler is told of one connection's life, always on the owner's goroutine.
+// Handler is told of one connection's life, always on the loop's goroutine.
 type Handler interface {
-	// Up is called once when a dialled connection is established.
+	// Up is called once when the connection is established.
 	Up(c *Conn)
-	// Data hands over bytes; the slice is the handler's to keep.
+	// Data hands over bytes, which are the handler's until it returns.
 	Data(c *Conn, b []byte)
 	// Down is called once when the connection has ended, also by Close.
 	Down(c *Conn, err error)
@@ -41,33 +45,43 @@
 
 // Reactor owns the engine.
 type Reactor struct {
+	*loop.Loop
 	engine *nbio.Engine
-	post   func(func())
 	unread atomic.Int64
 	room   sync.Cond
+
+	farewells int // newcomers that are being turned away with a word
 }
 
-// Conn is one connection. Its methods are for the owner's goroutine.
+// Conn is one connection. Its methods are for the loop's goroutine.
 type Conn struct {
 	r       *Reactor
 	nc      atomic.Pointer[nbio.Conn]
 	h       Handler
-	dead    bool
 	cancel  context.CancelFunc // of its dialling
 	queued  int64
 	written atomic.Int64
-	unseen  atomic.Int64 // bytes read that its handler has not been given
+	unseen  atomic.Int32 // reads that its handler has not been given
+	dead    bool
+}
+
+// read is what one read brought, on its way to the loop.
+type read struct {
+	c *Conn
+	b []byte
 }
 
-// New starts an engine whose handlers run by way of post.
-func New(post func(func())) (*Reactor, error) {
+var reads = sync.Pool{New: func() any { return new(read) }}
+
+// New starts an engine whose handlers run on a loop.
+func New(l *loop.Loop) (*Reactor, error) {
 	logging.SetLevel(logging.LevelNone)
-	r := &Reactor{post: post, room: sync.Cond{L: &sync.Mutex{}}}
+	r := &Reactor{Loop: l, room: sync.Cond{L: &sync.Mutex{}}}
 	r.engine = nbio.NewEngine(nbio.Config{NPoller: 1, ReadBufferSize: 32 << 10, MaxWriteBufferSize: maxUnsent})
 	r.engine.OnData(r.data)
 	r.engine.OnClose(func(nc *nbio.Conn, err error) {
 		if c, ok := nc.Session().(*Conn); ok {
-			r.post(func() { c.down(err) })
+			r.Read(loop.Func(func() { c.down(err) })) // after what it has said
 		}
 	})
 	r.engine.OnWrittenSize(func(nc *nbio.Conn, _ []byte, n int) {
@@ -87,24 +101,35 @@
 	if !ok {
 		return
 	}
-	own, n := append([]byte(nil), b...), int64(len(b))
+	own := append(rest.Get(len(b)), b...)
 	r.room.L.Lock()
 	for r.unread.Load() > maxUnread {
 		r.room.Wait()
 	}
 	r.room.L.Unlock()
-	r.unread.Add(n)
-	c.unseen.Add(n)
-	r.post(func() {
-		r.unread.Add(-n)
-		c.unseen.Add(-n)
+	r.unread.Add(int64(cap(own)))
+	c.unseen.Add(1)
+	e, _ := reads.Get().(*read)
+	e.c, e.b = c, own
+	r.Read(e)
+}
+
+// Do hands the bytes to the connection's handler and gives their buffer back.
+func (e *read) Do() {
+	c, b := e.c, e.b
+	e.c, e.b = nil, nil
+	reads.Put(e)
+	r := c.r
+	if was := r.unread.Add(-int64(cap(b))) + int64(cap(b)); was > maxUnread {
 		r.room.L.Lock()
 		r.room.Signal()
 		r.room.L.Unlock()
-		if !c.dead {
-			c.h.Data(c, own)
-		}
-	})
+	}
+	c.unseen.Add(-1)
+	if !c.dead {
+		c.h.Data(c, b)
+	}
+	rest.Put(b)
 }
 
 // Stop closes the engine and all of its connections. It waits for them for a moment only: the engine
@@ -141,16 +166,15 @@
 				_ = sock.Close() // nbio closes it only once it has taken it over
 				continue
 			}
-			r.post(func() {
+			r.Post(func() {
 				<-room
 				c := &Conn{r: r}
+				c.nc.Store(nc)
 				if c.h = accept(c); c.h == nil {
 					_ = nc.Close()
 					return
 				}
-				if err := c.attach(nc); err != nil {
-					c.down(err)
-				}
+				c.up(nc, nil)
 			})
 		}
 	}()
@@ -172,7 +196,7 @@
 				_ = sock.Close()
 			}
 		}
-		r.post(func() { c.up(nc, err) })
+		r.Post(func() { c.up(nc, err) })
 	}()
 	return c
 }
@@ -223,7 +247,7 @@
 	if nc := c.nc.Load(); nc != nil {
 		_ = nc.Close()
 	}
-	c.r.post(func() { c.down(net.ErrClosed) })
+	c.r.Post(func() { c.down(net.ErrClosed) })
 }
 
 // Local tells a failure to connect that is this machine's own: no descriptor, port or buffer left. It says
@@ -233,8 +257,18 @@
 		errors.Is(err, syscall.EADDRNOTAVAIL)
 }
 
-// Post lets f run on the owner's goroutine.
-func (c *Conn) Post(f func()) { c.r.post(f) }
+// From is the address of the peer that dialled; the zero address for a socket that has none.
+func (c *Conn) From() netip.Addr {
+	if nc := c.nc.Load(); nc != nil {
+		if a, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
+			return a.AddrPort().Addr().Unmap()
+		}
+	}
+	return netip.Addr{}
+}
+
+// Loop is what the connection's handler runs on.
+func (c *Conn) Loop() *loop.Loop { return c.r.Loop }
 
 // Dead tells whether the connection has ended.
 func (c *Conn) Dead() bool { return c.dead }
--- a/internal/net/reactor/reactor_test.go
+++ b/internal/net/reactor/reactor_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
 	"syscall"
 	"testing"
 	"time"
+
+	"brackendale/internal/net/loop"
 )
 
 // rec is a handler that reports over channels.
@@ -17,28 +20,25 @@
 	down chan error
 }
 
-func newRec() *rec { return &rec{make(chan *Conn, 1), make(chan []byte, 1000), make(chan error, 1)} }
+func newRec() *rec { return &rec{make(chan *Conn, 9), make(chan []byte, 1000), make(chan error, 1)} }
 
 func (r *rec) Up(c *Conn)             { r.up <- c }
-func (r *rec) Data(_ *Conn, b []byte) { r.data <- b }
+func (r *rec) Data(_ *Conn, b []byte) { r.data <- bytes.Clone(b) }
 func (r *rec) Down(_ *Conn, e error)  { r.down <- e }
 
 func start(t *testing.T) (*Reactor, func(func())) {
 	t.Helper()
-	box := make(chan func(), 1000)
-	r, err := New(func(f func()) { box <- f })
+	l := loop.New()
+	r, err := New(l)
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() {
-		for f := range box {
-			f()
-		}
-	}()
-	t.Cleanup(r.Stop)
+	ctx, cancel := context.WithCancel(context.Background())
+	go l.Run(ctx)
+	t.Cleanup(func() { r.Stop(); cancel() })
 	return r, func(f func()) {
 		done := make(chan bool)
-		box <- func() { f(); close(done) }
+		l.Post(func() { f(); close(done) })
 		<-done
 	}
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"brackendale/internal/net/loop"
 	"brackendale/internal/net/reactor"
 	"brackendale/logic"
 	"brackendale/sender"
@@ -36,11 +37,12 @@
 func Start(t *testing.T, dir string, join func(*sender.Sender, *reactor.Reactor) func(*reactor.Conn) reactor.Handler) (
 	addr string, kill func()) {
 	t.Helper()
-	core, err := sender.New(sender.Options{Settings: Settings(), Dir: dir, Disk: 2 << 20, Log: zerolog.Nop()})
+	l := loop.New()
+	core, err := sender.New(sender.Options{Settings: Settings(), Dir: dir, Disk: 2 << 20, Log: zerolog.Nop(), Carry: l.Post})
 	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := reactor.New(core.Post)
+	r, err := reactor.New(l)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -50,6 +52,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
+	go l.Run(ctx)
 	go func() { done <- core.Run(ctx) }()
 	var once sync.Once
 	kill = func() {
--- a/internal/timers/wheel.go
+++ b/internal/timers/wheel.go
@@ -184,44 +184,46 @@
 	return 0, false
 }
 
-// first is the earliest of the levels' next slots. Of several at one tick the highest level is first: what it
-// holds may belong into the others.
-func (w *Wheel) first() (at int64, level int) {
-	level = -1
-	for l := levels - 1; l >= 0; l-- {
-		if t, ok := w.next(l); ok && (level < 0 || t < at) {
-			at, level = t, l
+// first is the earliest tick at which a slot begins that holds something; ok is false where none does.
+func (w *Wheel) first() (at int64, ok bool) {
+	for l := range levels {
+		if t, some := w.next(l); some && (!ok || t < at) {
+			at, ok = t, true
 		}
 	}
-	return at, level
+	return at, ok
 }
 
 // Advance moves the wheel on. What has come due is handed over by Take. A time before the last one is passed
 // over, and after a pause of any length nothing is left behind.
 func (w *Wheel) Advance(now time.Duration) {
 	to := int64(now / Tick)
-	for {
-		at, l := w.first()
-		if l < 0 || at > to {
-			break
-		}
+	for at, ok := w.first(); ok && at <= to; at, ok = w.first() {
 		w.now = at
-		i := at >> (slotBits * l) & (slots - 1)
-		due := &w.late
-		if l == 0 {
-			due = &w.exact
-		}
-		splice(due, &w.ends[l][i])
-		w.used[l][i>>6] &^= 1 << (i & 63)
-		for s := &w.again[l][i]; !empty(s); {
-			t := s.next
-			t.prev.next, t.next.prev = t.next, t.prev
-			w.put(t)
+		for l := levels - 1; l >= 0; l-- { // all slots that begin there: a later look would find them passed
+			if at&(1<<(slotBits*l)-1) == 0 {
+				w.open(l, uint8(at>>(slotBits*l)&(slots-1)))
+			}
 		}
 	}
 	w.now = max(w.now, to)
 }
 
+// open takes out what a slot holds: some is due, and some belongs into lower levels.
+func (w *Wheel) open(l int, i uint8) {
+	due := &w.late
+	if l == 0 {
+		due = &w.exact
+	}
+	splice(due, &w.ends[l][i])
+	w.used[l][i>>6] &^= 1 << (i & 63)
+	for s := &w.again[l][i]; !empty(s); {
+		t := s.next
+		t.prev.next, t.next.prev = t.next, t.prev
+		w.put(t)
+	}
+}
+
 // Take hands over what is due: all that is exact, and of the rest up to a budget. It tells whether more is due.
 // The handler may set and stop timers, also the one that it is told of; what it makes due at once waits for the
 // next call.
@@ -247,6 +249,6 @@
 	if !empty(&w.exact) || !empty(&w.late) {
 		return time.Duration(w.now) * Tick, true
 	}
-	t, l := w.first()
-	return time.Duration(t) * Tick, l >= 0
+	t, ok := w.first()
+	return time.Duration(t) * Tick, ok
 }
--- a/internal/timers/wheel_test.go
+++ b/internal/timers/wheel_test.go
@@ -14,6 +14,7 @@
 
 func TestMain(m *testing.M) {
 	_ = flag.Set("rapid.seed", "1") // the same verdict every time
+	_ = flag.Set("rapid.checks", "3000")
 	os.Exit(m.Run())
 }
 
@@ -100,6 +101,20 @@
 	})
 }
 
+// Slots of two levels that begin at one tick: the lower one was passed over, and its timer came a turn of the wheel
+// late. The registry's watch fell silent for it.
+func TestSlotsThatBeginTogether(t *testing.T) {
+	w, fired := New(), 0
+	w.Advance(Coarse - Tick)
+	var a, b Timer
+	w.Start(&a, Coarse, 0, Func(func() { fired++ }))
+	w.Start(&b, Coarse, Coarse, Func(func() { fired++ }))
+	w.Advance(Coarse)
+	if w.Take(9, func(h Handler, t *Timer) { h.Due(t) }); fired != 2 {
+		t.Fatal("fired", fired)
+	}
+}
+
 // What shares an instant is handed over in portions, but what is exact comes at once; a handler that sets its
 // timer anew for now does not keep Take from returning.
 func TestBudget(t *testing.T) {
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -1,7 +1,10 @@
 // Package sender is the embeddable core: it gathers what is ready, hands it to the decision module in
 // one step and carries out what comes back. It deals in exchanges, hops and outcomes and knows no wire.
 //
-// All methods but Post belong to the goroutine that runs Run; Post is the way onto it.
+// One goroutine, in Run, owns the decision module, the spool and the route table. The fronts live on another one
+// (Options.Carry): what they tell the core, any goroutine may call, and it is gathered for the next step; what the
+// core tells them is handed over once a step, in order. State, Hold and Pause belong to Run's goroutine; Post is the
+// way onto it.
 package sender
 
 import (
@@ -25,6 +28,9 @@
 	Dir      string // the folder that lasts
 	Disk     int64  // bytes that may lie in it
 	Log      zerolog.Logger
+
+	// Carry runs its argument on the fronts' goroutine, after what it was given before. nil: on Run's own.
+	Carry func(func())
 }
 
 // Sender is one sender. Its goroutine owns all of its state.
@@ -43,7 +49,7 @@
 	fronts   map[string]Ingress
 	carriers map[string]Egress
 	routes   map[string]Route
-	dests    map[int64]bool // that a route was ever for
+	dests    sync.Map // of int64: that a route was ever for; the fronts read it
 	lanes    map[string]logic.Lane
 	kinds    map[string]int // messages in one call at most
 
@@ -53,6 +59,7 @@
 	promised int // bytes of the offers
 	open     int // taken on and not ended
 	tell     []*spool.Entry
+	carry    []func() // for the fronts, at the end of this step
 	last     time.Time
 	stats    State
 	seen     map[string]*RouteState
@@ -67,6 +74,9 @@
 
 // New opens the spool and makes a sender. Fronts are added before Run.
 func New(opt Options) (*Sender, error) {
+	if opt.Carry == nil {
+		opt.Carry = func(f func()) { f() }
+	}
 	relay, err := logic.New(opt.Settings, opt.Seed)
 	if err != nil {
 		return nil, err
@@ -77,7 +87,7 @@
 	}
 	s := &Sender{opt: opt, relay: relay, spool: sp, log: opt.Log, started: time.Now(),
 		tick: time.Duration(opt.Settings.TickUs) * time.Microsecond, wake: make(chan struct{}, 1),
-		fronts: map[string]Ingress{}, carriers: map[string]Egress{}, routes: map[string]Route{}, dests: map[int64]bool{},
+		fronts: map[string]Ingress{}, carriers: map[string]Egress{}, routes: map[string]Route{},
 		lanes: map[string]logic.Lane{}, kinds: map[string]int{}, seen: map[string]*RouteState{}, held: map[string]bool{}}
 	for _, l := range opt.Settings.Lanes {
 		s.lanes[l.Name] = l
@@ -113,6 +123,7 @@
 // Run takes up what the spool holds and serves until ctx ends.
 func (s *Sender) Run(ctx context.Context) error {
 	defer s.spool.Close()
+	s.take() // the module hears of the route table before it hears of what was held
 	s.restore()
 	for {
 		select {
@@ -124,19 +135,38 @@
 		if rest := s.tick - time.Since(s.last); rest > 0 {
 			time.Sleep(rest)
 		}
-		s.mu.Lock()
-		box := s.box
-		s.box = nil
-		s.mu.Unlock()
-		for _, f := range box {
-			f()
-		}
-		if err := s.round(); err != nil {
+		if err := s.turn(); err != nil {
 			return err
 		}
 	}
 }
 
+// take takes in what was posted.
+func (s *Sender) take() {
+	s.mu.Lock()
+	box := s.box
+	s.box = nil
+	s.mu.Unlock()
+	for _, f := range box {
+		f()
+	}
+}
+
+// turn takes in what was posted, makes one step and hands the fronts what it led to.
+func (s *Sender) turn() error {
+	s.take()
+	err := s.round()
+	if batch := s.carry; len(batch) > 0 && err == nil {
+		s.carry = nil
+		s.opt.Carry(func() {
+			for _, f := range batch {
+				f()
+			}
+		})
+	}
+	return err
+}
+
 // restore hands the module what was taken on before a restart. An attempt that was open may have run.
 func (s *Sender) restore() {
 	for _, e := range s.spool.Past() {
@@ -164,8 +194,18 @@
 	s.Post(func() {})
 }
 
-// Offer hands in an exchange; its ingress gets the answer at the end of the round.
-func (s *Sender) Offer(x *Exchange) {
+// Offer hands in exchanges that came together; their ingress gets one answer for each, after the step.
+func (s *Sender) Offer(list ...*Exchange) {
+	if len(list) > 0 {
+		s.Post(func() {
+			for _, x := range list {
+				s.offer(x)
+			}
+		})
+	}
+}
+
+func (s *Sender) offer(x *Exchange) {
 	if e := s.spool.Get(x.ID); e != nil && e.Front != x.Front { // another front's id
 		s.answer(x, Failed, 0)
 		return
@@ -206,20 +246,32 @@
 
 // Serves tells whether the route table has had a target of that destination. Its last one may have left
 // for a moment, until another takes its place.
-func (s *Sender) Serves(dest int64) bool { return s.dests[dest] }
+func (s *Sender) Serves(dest int64) bool { _, ok := s.dests.Load(dest); return ok }
 
-// Withdraw takes back an offer of this round whose client has gone without its answer.
+// Withdraw takes back an offer that no step has taken in yet, and answers it as failed. One that a step has taken
+// in stays, and its answer is on its way.
 func (s *Sender) Withdraw(x *Exchange) {
-	for i, o := range s.offers {
-		if o == x {
-			s.offers[i] = &Exchange{ID: x.ID}
-			s.events = append(s.events, logic.Event{Kind: logic.Left, ID: x.ID})
+	s.Post(func() {
+		for i, o := range s.offers {
+			if o == x {
+				s.offers[i] = &Exchange{ID: x.ID}
+				s.events = append(s.events, logic.Event{Kind: logic.Left, ID: x.ID})
+				s.answer(x, Failed, 0)
+			}
 		}
-	}
+	})
+}
+
+// Report books how hops that shared a call ended.
+func (s *Sender) Report(list ...Outcome) {
+	s.Post(func() {
+		for _, o := range list {
+			s.report(o)
+		}
+	})
 }
 
-// Report books how a hop ended.
-func (s *Sender) Report(o Outcome) {
+func (s *Sender) report(o Outcome) {
 	mayRun := o.Reason != Full && o.Reason != NoConn && o.Reason != Moot
 	s.spool.Closed(o.ID, mayRun)
 	if r := s.seen[o.Target]; r != nil {
@@ -245,6 +297,13 @@
 
 // Routes books news of the route table. how is patch, whole or stale_copy.
 func (s *Sender) Routes(how string, list []Route) {
+	for _, r := range list { // before a client is told that there is no such destination
+		s.dests.Store(r.Dest, true)
+	}
+	s.Post(func() { s.list(how, list) })
+}
+
+func (s *Sender) list(how string, list []Route) {
 	e := logic.Event{Kind: logic.Listed, How: how}
 	by := map[string][]Route{}
 	if how != "patch" { // what a whole list lacks is gone
@@ -257,7 +316,7 @@
 		s.routes = map[string]Route{}
 	}
 	for _, r := range list {
-		s.routes[r.Addr], s.dests[r.Dest] = r, true
+		s.routes[r.Addr] = r
 		if r.State == "dead" {
 			delete(s.routes, r.Addr)
 		}
@@ -279,16 +338,23 @@
 		}
 	}
 	for proto, c := range s.carriers {
-		c.Routes(by[proto])
+		if changed := by[proto]; len(changed) > 0 {
+			s.carry = append(s.carry, func() { c.Routes(changed) })
+		}
 	}
 	s.events = append(s.events, e)
 }
 
-// Live tells whether a target wants new hops.
-func (s *Sender) Live(target string) bool { return s.routes[target].State == "live" }
+// Settle books that the ends of exchanges have arrived.
+func (s *Sender) Settle(ids ...string) {
+	s.Post(func() {
+		for _, id := range ids {
+			s.settle(id)
+		}
+	})
+}
 
-// Settle books that the end of an exchange has arrived.
-func (s *Sender) Settle(id string) {
+func (s *Sender) settle(id string) {
 	e := s.spool.Get(id)
 	if e == nil || e.End == "" || e.Heard {
 		return
@@ -328,8 +394,10 @@
 
 // Stop is called once at a planned end: from here only hops start that should end before the time given.
 func (s *Sender) Stop(until int64) {
-	s.events = append(s.events, logic.Event{Kind: logic.Stopping, Deadline: until})
-	s.log.Info().Int64("left_ms", (until-s.Now())/1000).Int("open", s.open).Msg("stopping")
+	s.Post(func() {
+		s.events = append(s.events, logic.Event{Kind: logic.Stopping, Deadline: until})
+		s.log.Info().Int64("left_ms", (until-s.Now())/1000).Int("open", s.open).Msg("stopping")
+	})
 }
 
 func (s *Sender) answer(x *Exchange, v Verdict, waitMs int64) {
@@ -339,7 +407,7 @@
 		s.stats.Refused++
 	}
 	if in := s.fronts[x.Front]; in != nil {
-		in.Answer(x, v, waitMs)
+		s.carry = append(s.carry, func() { in.Answer(x, v, waitMs) })
 	}
 }
 
@@ -425,7 +493,8 @@
 	s.tell = nil
 	for _, e := range tell {
 		if in := s.fronts[e.Front]; in != nil {
-			in.Tell(e.ID, e.Note, e.End, e.WaitMs)
+			id, note, end, waitMs := e.ID, e.Note, e.End, e.WaitMs
+			s.carry = append(s.carry, func() { in.Tell(id, note, end, waitMs) })
 		}
 	}
 	for _, a := range acts {
@@ -433,11 +502,11 @@
 	}
 	for _, c := range calls {
 		if out := s.carriers[c.to.Proto]; out != nil {
-			out.Send(c.to, c.hops)
+			s.carry = append(s.carry, func() { out.Send(c.to, c.hops) })
 			continue
 		}
 		for _, h := range c.hops { // no egress for its protocol: it never left
-			s.Post(func() { s.Report(Outcome{ID: h.ID, N: h.N, Target: c.to.Addr, Reason: NoConn}) })
+			s.Report(Outcome{ID: h.ID, N: h.N, Target: c.to.Addr, Reason: NoConn})
 		}
 	}
 	return nil
@@ -488,11 +557,11 @@
 		})
 	case logic.Recall:
 		for _, c := range s.carriers {
-			c.Recall(a.ID, a.N)
+			s.carry = append(s.carry, func() { c.Recall(a.ID, a.N) })
 		}
 	case logic.FreeLinks:
 		if to, ok := s.routes[a.Addr]; ok && s.carriers[to.Proto] != nil {
-			s.carriers[to.Proto].Trim(to)
+			s.carry = append(s.carry, func() { s.carriers[to.Proto].Trim(to) })
 		}
 	case logic.WriteLog:
 		s.log.Info().Msg(a.Text)
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -61,15 +61,14 @@
 	s.AddIngress("f", f)
 	s.AddEgress("p", f)
 	s.Routes("whole", []Route{{Endpoint: logic.Endpoint{Addr: "a", Kind: "k", Dest: 1, State: "live"}, Proto: "p"}})
+	f.round(t)
 	return s, f
 }
 
 func (f *stub) round(t *testing.T, offers ...*Exchange) {
 	t.Helper()
-	for _, x := range offers {
-		f.s.Offer(x)
-	}
-	if err := f.s.round(); err != nil {
+	f.s.Offer(offers...)
+	if err := f.s.turn(); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -131,7 +130,9 @@
 func TestMissingFromAWholeList(t *testing.T) {
 	s, f := begin(t, t.TempDir(), 1<<20)
 	s.Routes("whole", []Route{{Endpoint: logic.Endpoint{Addr: "b", Kind: "k", Dest: 1, State: "live"}, Proto: "p"}})
-	if len(f.changed) == 0 || f.changed[0].Addr != "a" || f.changed[0].State != "dead" || s.Live("a") || !s.Live("b") {
+	f.round(t)
+	_, old := s.routes["a"]
+	if len(f.changed) == 0 || f.changed[0].Addr != "a" || f.changed[0].State != "dead" || old || s.routes["b"].State != "live" {
 		t.Fatal(f.changed)
 	}
 }
@@ -178,7 +179,7 @@
 	s, f := begin(t, t.TempDir(), 1<<20)
 	_ = s.spool.Close()
 	s.Offer(exchange(s, "m", 9e6))
-	if err := s.round(); err == nil || len(f.said) > 0 {
+	if err := s.turn(); err == nil || len(f.said) > 0 {
 		t.Fatal(err, f.said)
 	}
 	if _, err := New(Options{Settings: site(), Dir: filepath.Join(os.TempDir(), "no", "such"), Disk: 1 << 20}); err == nil {
--- a/sender/steer.go
+++ b/sender/steer.go
@@ -30,7 +30,7 @@
 		return fmt.Errorf("no target %q in the route table", target)
 	}
 	s.held[target] = on
-	s.Routes("patch", []Route{r})
+	s.list("patch", []Route{r})
 	return nil
 }
 
--- a/sender/types.go
+++ b/sender/types.go
@@ -34,7 +34,8 @@
 	Abandoned = "failed"
 )
 
-// Ingress is the client's side of one front.
+// Ingress is the client's side of one front. Its methods are called on the fronts' goroutine but for Owes and
+// Remembers, which hold for good and may be asked on any.
 type Ingress interface {
 	// Answer tells the client of an exchange what became of handing it in.
 	Answer(x *Exchange, v Verdict, waitMs int64)
@@ -61,10 +62,10 @@
 	Deadline       int64 // of the exchange: wall clock in microseconds
 }
 
-// Egress carries hops to egress targets of one protocol.
+// Egress carries hops to egress targets of one protocol, on the fronts' goroutine.
 type Egress interface {
 	// Send starts one call with all of these hops, which share its fate. Sender.Report must hear of
-	// each hop exactly once, and not before Send has returned.
+	// each hop exactly once.
 	Send(to Route, hops []Hop)
 	// Recall gives a hop up.
 	Recall(id string, n int)
