--- a/cmd/brackendale/main.go
+++ b/cmd/brackendale/main.go
@@ -6,11 +6,11 @@
 	"fmt"
 	"os"
 
-	"brackendale/internal/app"
+	"brackendale/internal/cli"
 )
 
 func main() {
-	if err := app.Command().Run(context.Background(), os.Args); err != nil {
+	if err := cli.Command().Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "brackendale:", err)
 		os.Exit(1)
 	}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -1,16 +1,15 @@
-// Package app puts the parts of the program together behind its command line.
+// Package app puts the parts of a running sender together.
 package app
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"os/signal"
 	"path/filepath"
 	"runtime/debug"
-	"strings"
 	"syscall"
 	"time"
 
@@ -21,112 +20,16 @@
 	"brackendale/internal/net/loop"
 	"brackendale/internal/net/platform"
 	"brackendale/internal/net/reactor"
-	"brackendale/internal/nginx"
 	"brackendale/sender"
 
 	"github.com/rs/zerolog"
-	"github.com/urfave/cli/v3"
 )
 
-// Version is the program's version; a release build sets it.
-var Version = "dev"
-
-// Command is the command line.
-func Command() *cli.Command {
-	file := &cli.StringFlag{Name: "config", Usage: "the appliance's TOML `FILE`; the platform needs none"}
-	return &cli.Command{
-		Name: "brackendale", Usage: "a sender that delivers messages to partner systems",
-		Commands: []*cli.Command{
-			{Name: "serve", Usage: "serve until a signal comes", Flags: []cli.Flag{file},
-				Action: func(ctx context.Context, c *cli.Command) error { return serve(ctx, c.String("config")) }},
-			{Name: "check", Usage: "read and check the configuration", Flags: []cli.Flag{file},
-				Action: func(_ context.Context, c *cli.Command) error {
-					cfg, err := config.Load(os.Getenv, c.String("config"))
-					if err == nil {
-						_, err = fmt.Fprintf(c.Root().Writer, "ok: %s, %d classes, %d endpoints\n", cfg.Name,
-							len(cfg.Settings.Lanes), len(cfg.Known.Hosts))
-					}
-					return err
-				}},
-			{Name: "console", Usage: "see and steer a running sender; with a COMMAND, carry it out and show the result",
-				ArgsUsage: "[state | hold TARGET | release TARGET | pause | resume]",
-				Flags:     []cli.Flag{&cli.StringFlag{Name: "socket", Required: true, Usage: "the sender's control socket `PATH`"}},
-				Action: func(ctx context.Context, c *cli.Command) error {
-					return terminal(ctx, c.String("socket"), strings.Join(c.Args().Slice(), " "), c.Root().Writer)
-				}},
-			{Name: "import-nginx", Usage: "turn upstream and location blocks into the appliance's TOML", ArgsUsage: "FILE",
-				Flags: []cli.Flag{&cli.StringFlag{Name: "out", Usage: "write to `FILE`; standard output if absent"}},
-				Action: func(_ context.Context, c *cli.Command) error {
-					if c.Args().Len() != 1 {
-						return errors.New("import-nginx: want one FILE")
-					}
-					return importNginx(c.Args().First(), c.String("out"), c.Root().Writer, c.Root().ErrWriter)
-				}},
-			{Name: "version", Usage: "print the version",
-				Action: func(_ context.Context, c *cli.Command) error {
-					_, err := fmt.Fprintln(c.Root().Writer, "brackendale", Version)
-					return err
-				}},
-		},
-	}
-}
-
-func terminal(ctx context.Context, socket, command string, out io.Writer) error {
-	t, err := console.Dial(socket)
-	if err != nil {
-		return err
-	}
-	defer t.Close()
-	if command != "" {
-		return t.Do(command, out)
-	}
-	return t.Run(ctx, os.Stdin, out)
-}
-
-// importNginx writes the whole result or nothing: it is checked as serve would, and put in place at once.
-func importNginx(file, to string, out, notes io.Writer) error {
-	raw, err := os.ReadFile(file)
-	if err != nil {
-		return fmt.Errorf("import-nginx: %w", err)
-	}
-	text, list, err := nginx.Import(file, string(raw))
-	for _, n := range list {
-		fmt.Fprintln(notes, n)
-	}
-	if err != nil {
-		return fmt.Errorf("import-nginx: %w", err)
-	}
-	dir, err := os.MkdirTemp("", "import-nginx")
-	if err != nil {
-		return fmt.Errorf("import-nginx: %w", err)
-	}
-	defer os.RemoveAll(dir)
-	trial := filepath.Join(dir, "routes.toml")
-	if err := os.WriteFile(trial, []byte(text), 0o600); err != nil {
-		return fmt.Errorf("import-nginx: %w", err)
-	}
-	env := func(key string) string { return map[string]string{"LB_STATE": dir}[key] }
-	if _, err := config.Load(env, trial); err != nil {
-		return fmt.Errorf("import-nginx: the result would not be valid: %w", err)
-	}
-	if to == "" {
-		_, err = io.WriteString(out, text)
-		return err
-	}
-	part := to + ".part"
-	if err = os.WriteFile(part, []byte(text), 0o644); err == nil {
-		err = os.Rename(part, to)
-	}
-	if err != nil {
-		return fmt.Errorf("import-nginx: %w", errors.Join(err, os.RemoveAll(part)))
-	}
-	return nil
-}
-
 // From SIGTERM to SIGKILL the platform gives 3.7 s at least: so much of it is used.
 const stopAfter = 3500 * time.Millisecond
 
-func serve(ctx context.Context, file string) error {
+// Serve reads the configuration and serves until ctx ends or a signal comes.
+func Serve(ctx context.Context, file string) error {
 	// Before all else: a signal that nobody listens for ends the process.
 	again, term := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
@@ -140,13 +43,16 @@
 	// The rest of the limit is for what the runtime does not count: stacks, the binary, files in $TMPDIR.
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * 0.7 * (1 << 20)))
 	log := zerolog.New(os.Stderr).With().Timestamp().Str("sender", cfg.Name).Logger()
+	if err := descriptors(&cfg, log); err != nil {
+		return err
+	}
 	wire := loop.New()
 	core, err := sender.New(sender.Options{Carry: wire.Post, Name: cfg.Name, Settings: cfg.Settings, Seed: int64(cfg.Seed), Dir: cfg.State,
 		Disk: int64(cfg.Limits.DiskMB * (1 << 20)), Log: log})
 	if err != nil {
 		return err
 	}
-	r, err := reactor.New(wire)
+	r, err := reactor.New(wire, int64(cfg.Limits.MemoryMB*unsentShare*(1<<20)))
 	if err != nil {
 		return err
 	}
@@ -201,11 +107,34 @@
 	})
 }
 
-// fronts are the sides that the configuration asks for, joined to the core.
+// unsentShare is how much of the memory limit may wait for peers that do not read.
+const unsentShare = 0.1
+
+// descriptors checks the budget against the process's limit. An appliance that asks for more than there is does not
+// start; the platform gives what it gives, and less is used there.
+func descriptors(cfg *config.Config, log zerolog.Logger) error {
+	var given syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &given); err != nil {
+		return fmt.Errorf("reading the limit on open files: %w", err)
+	}
+	err := cfg.Descriptors(given.Cur)
+	if err == nil || os.Getenv("LB_CONFIG") == "" {
+		return err
+	}
+	log.Warn().Err(err).Msg("fewer descriptors than told")
+	cfg.Limits.Sockets = int(given.Cur)
+	return nil
+}
+
+// fronts are the sides that the configuration asks for, joined to the core. They belong to the loop.
 type fronts struct {
-	ends     []func()
-	registry *platform.Registry // nil where the routes are the appliance's own
-	clients  *platform.Ingress  // nil without the platform's front
+	ends      []func()
+	registry  *platform.Registry // nil where the routes are the appliance's own
+	clients   *platform.Ingress  // nil without a RESP2 front
+	room      *conns.Room        // that all clients share
+	targets   *conns.Room        // that all egress targets share
+	tables    map[string]*conns.Table
+	listeners []*reactor.Listener
 }
 
 func (f *fronts) stop() {
@@ -216,52 +145,92 @@
 
 // follow takes up a configuration that was read again.
 func (f *fronts) follow(core *sender.Sender, cfg config.Config) error {
-	switch {
-	case (f.registry == nil) != (cfg.Discovery == ""):
+	if (f.registry == nil) != (cfg.Discovery == "") {
 		return &config.KeyError{Key: "discovery", Err: errors.New("can be neither added nor left out while the sender runs")}
-	case f.registry == nil:
+	}
+	if f.registry == nil {
 		core.Routes("whole", platform.Routes(cfg.Known))
-	default:
+	} else {
 		f.registry.Move(cfg.Discovery)
-		if f.clients != nil {
-			f.clients.Move(cfg.Discovery)
-		}
+	}
+	if f.clients != nil {
+		f.clients.Move(finals(cfg))
+	}
+	f.room.SetMost(cfg.ClientSockets())
+	f.targets.SetMost(cfg.TargetSockets())
+	for name, t := range f.tables {
+		t.SetLimits(limits(name, cfg))
+	}
+	for _, l := range f.listeners {
+		l.SetRate(cfg.Clients.AcceptPerS)
 	}
 	return nil
 }
 
+// finals is where the ends of what RESP2 clients handed in are told.
+func finals(cfg config.Config) string { return cmp.Or(cfg.Resp.Finals, cfg.Discovery) }
+
+// limits are those of one front's clients. The platform's front keeps the platform's.
+func limits(front string, cfg config.Config) conns.Limits {
+	most := cfg.ClientSockets()
+	seconds := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+	if front == platform.Front && cfg.Resp.Listen == "" {
+		l := platform.Limits(most)
+		l.PerAddr = cfg.Clients.PerAddress
+		return l
+	}
+	l := conns.Limits{Most: most, PerAddr: cfg.Clients.PerAddress, Keep: 1}
+	if front == platform.Front {
+		p := platform.Limits(most)
+		l.Patience, l.Grace = p.Patience, p.Grace
+		l.First, l.Whole, l.Unused = seconds(cfg.Resp.FirstS), seconds(cfg.Resp.CommandS), seconds(cfg.Resp.IdleS)
+		return l
+	}
+	l.First, l.Whole, l.Unused = seconds(cfg.AMQP.FirstS), seconds(cfg.AMQP.FrameS), seconds(cfg.AMQP.IdleS)
+	return l
+}
+
 func newFronts(core *sender.Sender, r *reactor.Reactor, cfg config.Config) (*fronts, error) {
-	f := &fronts{}
-	listen := func(network, addr string, accept func(*reactor.Conn) reactor.Handler) error {
-		ln, err := r.Listen(network, addr, accept)
+	f := &fronts{room: conns.NewRoom(cfg.ClientSockets()), targets: conns.NewRoom(cfg.TargetSockets()),
+		tables: map[string]*conns.Table{}}
+	table := func(front string) *conns.Table {
+		f.tables[front] = f.room.NewTable(limits(front, cfg))
+		return f.tables[front]
+	}
+	listen := func(addr string, word []byte, accept func(*reactor.Conn) reactor.Handler) error {
+		ln, err := r.Listen("tcp", addr, word, accept)
 		if err == nil {
+			ln.SetRate(cfg.Clients.AcceptPerS)
+			f.listeners = append(f.listeners, ln)
 			f.ends = append(f.ends, func() { _ = ln.Close() })
 		}
 		return err
 	}
-	core.AddEgress(platform.Proto, platform.NewEgress(core, r, cfg.Settings))
-	core.AddEgress(amqpfront.Proto, amqpfront.NewEgress(core, r, time.Duration(cfg.Settings.Caps.ConnectTimeoutUs)*time.Microsecond))
+	core.AddEgress(platform.Proto, platform.NewEgress(core, r, cfg.Settings, f.targets))
+	core.AddEgress(amqpfront.Proto, amqpfront.NewEgress(core, r, time.Duration(cfg.Settings.Caps.ConnectTimeoutUs)*time.Microsecond, f.targets))
 	if cfg.Discovery == "" {
 		core.Routes("whole", platform.Routes(cfg.Known))
 	} else {
 		f.registry = platform.Watch(core, r, cfg.Discovery, cfg.Known)
 	}
-	if cfg.Listen != "" {
-		f.clients = platform.NewIngress(core, r, cfg.Discovery,
-			conns.NewRoom(cfg.Limits.Sockets/2).NewTable(platform.Limits(cfg.Limits.Sockets/2)), false)
+	if addr := cmp.Or(cfg.Listen, cfg.Resp.Listen); addr != "" {
+		own := cfg.Resp.Listen != "" // the appliance's: newcomers without room hear of it
+		f.clients = platform.NewIngress(core, r, finals(cfg), table(platform.Front), own)
 		core.AddIngress(platform.Front, f.clients)
-		if err := listen("tcp", cfg.Listen, f.clients.Accept); err != nil {
+		var word []byte
+		if own {
+			word = platform.TurnedAway
+		}
+		if err := listen(addr, word, f.clients.Accept); err != nil {
 			return nil, err
 		}
 		f.ends = append(f.ends, f.clients.CloseIdle)
 	}
 	if cfg.AMQP.Listen != "" {
-		most := cfg.Limits.Sockets / 8
 		in := amqpfront.NewIngress(core, r, amqpfront.Options{User: cfg.AMQP.User, Password: cfg.AMQP.Password,
-			Exchange: cfg.AMQP.Exchange, Heartbeat: time.Duration(cfg.AMQP.HeartbeatS) * time.Second},
-			conns.NewRoom(most).NewTable(amqpfront.Limits(most)))
+			Exchange: cfg.AMQP.Exchange, Heartbeat: time.Duration(cfg.AMQP.HeartbeatS) * time.Second}, table(amqpfront.Front))
 		core.AddIngress(amqpfront.Front, in)
-		if err := listen("tcp", cfg.AMQP.Listen, in.Accept); err != nil {
+		if err := listen(cfg.AMQP.Listen, amqpfront.TurnedAway, in.Accept); err != nil {
 			return nil, err
 		}
 		f.ends = append(f.ends, in.Close)
--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -25,37 +25,14 @@
 	"github.com/rs/zerolog"
 )
 
-// The importer's result is one that the appliance serves; a fault leaves the old file as it was.
-func TestImportIsServed(t *testing.T) {
-	dir := t.TempDir()
-	in, out := filepath.Join(dir, "n.conf"), filepath.Join(dir, "routes.toml")
-	write := func(text string) {
-		if err := os.WriteFile(in, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	var std, notes bytes.Buffer
-	write("server { listen 1; location / { proxy_pass http://127.0.0.1:1; } }")
-	if err := importNginx(in, out, &std, &notes); err != nil || !strings.Contains(notes.String(), "n.conf:1: listen") {
-		t.Fatal(err, notes.String())
-	}
-	env := func(k string) string { return map[string]string{"LB_STATE": dir}[k] }
-	c, err := config.Load(env, out)
-	if err != nil || len(c.Known.Hosts) != 1 {
-		t.Fatal(c, err)
-	}
-	before, err := os.ReadFile(out)
+// do carries out one command of the console.
+func do(path, command string, out io.Writer) error {
+	tm, err := console.Dial(path)
 	if err != nil {
-		t.Fatal(err)
-	}
-	write("server { location /")
-	if err := importNginx(in, out, &std, &notes); err == nil {
-		t.Fatal("half a file was taken")
-	}
-	after, err := os.ReadFile(out)
-	if err != nil || !bytes.Equal(before, after) {
-		t.Fatal("the old file was touched", err)
+		return err
 	}
+	defer tm.Close()
+	return tm.Do(command, out)
 }
 
 // The console shows the route table and steers it; without a path in the file there is none.
@@ -71,7 +48,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := reactor.New(wire)
+	r, err := reactor.New(wire, 8<<20)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -97,13 +74,13 @@
 		{"release lab-archive", "lab-archive", "HELD"},
 	} {
 		var out bytes.Buffer
-		if err := terminal(ctx, path, c.command, &out); err != nil || !strings.Contains(out.String(), c.want) ||
+		if err := do(path, c.command, &out); err != nil || !strings.Contains(out.String(), c.want) ||
 			c.not != "" && strings.Contains(out.String(), c.not) || strings.Contains(out.String(), "guest:guest") {
 			t.Errorf("%s: %v\n%s", c.command, err, &out)
 		}
 	}
 	for _, bad := range []string{"hold nowhere", "explode", "state\nstate"} {
-		if err := terminal(ctx, path, bad, &bytes.Buffer{}); err == nil {
+		if err := do(path, bad, &bytes.Buffer{}); err == nil {
 			t.Errorf("%q was taken", bad)
 		}
 	}
@@ -166,7 +143,7 @@
 	write(old)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- serve(ctx, "") }()
+	go func() { done <- Serve(ctx, "") }()
 	expect("old index=9&wait=20000")
 	for _, discovery := range []string{"nowhere", next} {
 		write(discovery)
@@ -182,17 +159,3 @@
 		t.Fatal(err)
 	}
 }
-
-func TestCommands(t *testing.T) {
-	c := Command()
-	var out bytes.Buffer
-	c.Writer = &out
-	if err := c.Run(context.Background(), []string{"brackendale", "version"}); err != nil || !strings.Contains(out.String(), Version) {
-		t.Fatal(err, out.String())
-	}
-	t.Setenv("LB_STATE", "/nowhere")
-	if err := Command().Run(context.Background(), []string{"brackendale", "serve", "--config", "../../deploy/appliance.toml"}); err == nil ||
-		!strings.Contains(err.Error(), "LB_STATE") {
-		t.Fatal(err)
-	}
-}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,20 @@
+// Package cli is the command line: one file for each sub-command.
+package cli
+
+import "github.com/urfave/cli/v3"
+
+// Version is the program's version; a release build sets it.
+var Version = "dev"
+
+// Command is the command line.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name: "brackendale", Usage: "a sender that delivers messages to partner systems",
+		Commands: []*cli.Command{serveCommand(), checkCommand(), consoleCommand(), importNginxCommand(), loadCommand(),
+			versionCommand()},
+	}
+}
+
+func configFlag() cli.Flag {
+	return &cli.StringFlag{Name: "config", Usage: "the appliance's TOML `FILE`; the platform needs none"}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -50,6 +50,10 @@
 	Password   string `toml:"password"`
 	Exchange   string `toml:"exchange"`
 	HeartbeatS int    `toml:"heartbeat_s"`
+
+	FirstS float64 `toml:"first_s"` // for the handshake; 0: any time
+	FrameS float64 `toml:"frame_s"` // for one frame, from its first byte to its last; 0: any time
+	IdleS  float64 `toml:"idle_s"`  // that a client may hand in and be told nothing; 0: it stays
 }
 
 // Console is the local control socket; it is off without a path.
@@ -68,6 +72,8 @@
 	Known     List           `json:"known"`
 	Settings  logic.Settings `json:"settings"`
 	AMQP      AMQP           `json:"-"`
+	Clients   Clients        `json:"-"`
+	Resp      Resp           `json:"-"`
 	Console   Console        `json:"-"`
 }
 
@@ -119,6 +125,7 @@
 			return c, fault("LB_CONFIG", "%w", err)
 		}
 	}
+	c.Clients = platformClients
 	if file != "" {
 		if err := c.appliance(file, env("LB_CONFIG") == ""); err != nil {
 			return c, err
@@ -140,7 +147,7 @@
 	for _, a := range []struct {
 		key, addr string
 		must      bool
-	}{{"LB_LISTEN", c.Listen, c.AMQP.Listen == ""}, {"discovery (LB_DISCOVERY)", c.Discovery, c.Listen != ""},
+	}{{"LB_LISTEN", c.Listen, c.AMQP.Listen == "" && c.Resp.Listen == ""}, {"discovery (LB_DISCOVERY)", c.Discovery, c.Listen != ""},
 		{"amqp.listen", c.AMQP.Listen, false}} {
 		if _, _, err := net.SplitHostPort(a.addr); err != nil && (a.must || a.addr != "") {
 			return fault(a.key, "%q: %w", a.addr, err)
@@ -159,6 +166,9 @@
 	case c.AMQP.HeartbeatS < 0 || c.AMQP.HeartbeatS > 3600:
 		return fault("amqp.heartbeat_s", "%d is not from 0 to 3600", c.AMQP.HeartbeatS)
 	}
+	if err := c.checkClients(); err != nil {
+		return err
+	}
 	if _, err := logic.New(c.Settings, 0); err != nil {
 		return fault("settings", "%w", err)
 	}
@@ -178,6 +188,8 @@
 	Discovery string  `toml:"discovery"`
 	Limits    Limits  `toml:"limits"`
 	AMQP      AMQP    `toml:"amqp"`
+	Clients   Clients `toml:"clients"`
+	Resp      Resp    `toml:"resp"`
 	Console   Console `toml:"console"`
 	Sender    struct {
 		Slots       int   `toml:"slots"`
@@ -224,7 +236,11 @@
 // appliance reads the appliance's file; alone tells that it gives the settings too.
 func (c *Config) appliance(path string, alone bool) error {
 	f := file{Name: c.Name, State: c.State, Listen: c.Listen, Discovery: c.Discovery, Limits: c.Limits}
-	f.AMQP.HeartbeatS = 10
+	f.AMQP = AMQP{HeartbeatS: 10, FirstS: 10, FrameS: 10}
+	f.Resp = Resp{FirstS: 10, CommandS: 2}
+	if f.Clients = platformClients; alone {
+		f.Clients = applianceClients
+	}
 	s := &f.Sender
 	s.Slots, s.Hold, s.Attempts, s.TickMs, s.ConnectMs, s.KeepaliveMs, s.RetryMs = 16, 200, 8, 5, 1500, 5000, 3000
 	md, err := toml.DecodeFile(path, &f)
@@ -235,7 +251,7 @@
 		return fault(path+": "+bad[0].String(), "is not known")
 	}
 	c.Name, c.State, c.Listen, c.Discovery, c.Limits = f.Name, f.State, f.Listen, f.Discovery, f.Limits
-	c.AMQP, c.Console = f.AMQP, f.Console
+	c.AMQP, c.Console, c.Clients, c.Resp = f.AMQP, f.Console, f.Clients, f.Resp
 	if !alone {
 		if len(f.Class)+len(f.Kind)+len(f.Route) > 0 || md.IsDefined("sender") {
 			return fault(path+": class, kind, route, sender", "belong to the platform where LB_CONFIG is set")
--- /dev/null
+++ b/internal/load/command/command.go
@@ -0,0 +1,138 @@
+// Package command is the load tool's command line.
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"brackendale/internal/load"
+
+	"github.com/mattn/go-isatty"
+	"github.com/schollz/progressbar/v3"
+	"github.com/urfave/cli/v3"
+)
+
+// Command is the command line.
+func Command() *cli.Command {
+	return &cli.Command{Name: "brackendale load", Usage: "measure how a sender bears connections and messages", Commands: []*cli.Command{
+		{Name: "idle", Usage: "idle connections with a modest active load on top", Flags: idleFlags(), Action: loadIdle,
+			Description: "Without --addr it starts its own senders, a process of clients for each, and a partner that delivers all."},
+		{Name: "worker", Hidden: true, Usage: "the clients of one sender; a part of load idle",
+			Action: func(ctx context.Context, c *cli.Command) error { return load.Worker(ctx, os.Stdin, c.Root().Writer) }},
+	}}
+}
+
+func idleFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "proto", Value: "amqp", Usage: "the clients' protocol: amqp or resp"},
+		&cli.StringFlag{Name: "addr", Usage: "a running sender's `ADDRESS`; it must serve --dest and --class"},
+		&cli.IntFlag{Name: "pid", Usage: "its process, for memory and processor time"},
+		&cli.IntFlag{Name: "senders", Value: 1, Usage: "how many are started where --addr is not given"},
+		&cli.IntFlag{Name: "pin", Value: -1, Usage: "the `CORE` that the started senders share"},
+		&cli.IntFlag{Name: "memory-mb", Value: 192, Usage: "the started senders' memory limit"},
+		&cli.StringFlag{Name: "step", Value: "0,1000,5000,10000", Usage: "idle connections, step by `N,N,...`, of all senders together"},
+		&cli.DurationFlag{Name: "each", Value: 5 * time.Second, Usage: "how long each step is measured"},
+		&cli.DurationFlag{Name: "warm", Value: 2 * time.Second, Usage: "active load before the first step"},
+		&cli.DurationFlag{Name: "beat", Value: 10 * time.Second, Usage: "AMQP heartbeats, in whole seconds; 0: none"},
+		&cli.DurationFlag{Name: "ping", Value: 0, Usage: "between two PINGs of an idle RESP client; 0: none"},
+		&cli.IntFlag{Name: "at-once", Value: 128, Usage: "connects under way for each sender"},
+		&cli.FloatFlag{Name: "rate", Value: 200, Usage: "active messages a second"},
+		&cli.IntFlag{Name: "clients", Value: 16, Usage: "active connections for each sender"},
+		&cli.Int64Flag{Name: "dest", Value: 1, Usage: "the active messages' destination"},
+		&cli.StringFlag{Name: "class", Value: "load", Usage: "their class; one that may be repeated is sure to fit"},
+		&cli.StringFlag{Name: "exchange", Value: "messages", Usage: "the sender's AMQP exchange"},
+		&cli.IntFlag{Name: "body", Value: 200, Usage: "bytes of a body"},
+		&cli.StringFlag{Name: "json", Usage: "write the figures to `FILE` as well"},
+		&cli.StringFlag{Name: "png", Usage: "draw latencies over connections into `FILE`"},
+	}
+}
+
+func loadIdle(ctx context.Context, c *cli.Command) error {
+	steps, err := numbers(c.String("step"))
+	if err != nil {
+		return fmt.Errorf("load idle: --step: %w", err)
+	}
+	p := load.Plan{Proto: load.Proto(c.String("proto")), Addr: c.String("addr"), Pid: c.Int("pid"), Sources: load.Sources(8),
+		Steps: steps, Each: c.Duration("each"), Warm: c.Duration("warm"), Beat: c.Duration("beat").Truncate(time.Second),
+		Ping: c.Duration("ping"), AtOnce: c.Int("at-once")}
+	p.Active = load.Active{Proto: p.Proto, Addr: p.Addr, Rate: c.Float("rate"), Clients: c.Int("clients"), Dest: c.Int64("dest"),
+		Class: c.String("class"), Exchange: c.String("exchange"), Body: c.Int("body")}
+	switch {
+	case p.Proto != load.AMQP && p.Proto != load.RESP:
+		return fmt.Errorf("load idle: --proto: %q is neither amqp nor resp", p.Proto)
+	case p.Each <= 0 || p.AtOnce < 1 || !(p.Active.Rate > 0) || p.Active.Clients < 1 || c.Int("senders") < 1 || p.Active.Body < 0:
+		return errors.New("load idle: --each, --at-once, --rate, --clients and --senders must be above 0")
+	}
+	p.Progress = progress(os.Stderr)
+	var rep load.Report
+	if p.Addr != "" {
+		rep, err = load.Run(ctx, p)
+	} else {
+		var self string
+		if self, err = os.Executable(); err != nil {
+			return fmt.Errorf("load idle: %w", err)
+		}
+		rep, err = load.Senders{Program: filepath.Join(filepath.Dir(self), "brackendale"), Worker: self, Count: c.Int("senders"), Pin: c.Int("pin"), MemoryMB: c.Int("memory-mb"), Plan: p,
+			Log: os.Stderr}.Run(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	if err := rep.Table(c.Root().Writer); err != nil {
+		return err
+	}
+	if file := c.String("json"); file != "" {
+		raw, err := json.MarshalIndent(rep, "", " ")
+		if err == nil {
+			err = os.WriteFile(file, append(raw, '\n'), 0o644)
+		}
+		if err != nil {
+			return fmt.Errorf("load idle: %w", err)
+		}
+	}
+	if file := c.String("png"); file != "" {
+		return rep.Plot(file)
+	}
+	return nil
+}
+
+// numbers reads a list of numbers from 0 up, each no smaller than the one before it.
+func numbers(text string) ([]int, error) {
+	var list []int
+	for f := range strings.SplitSeq(text, ",") {
+		n, err := strconv.Atoi(strings.TrimSpace(f))
+		if err != nil || n < 0 {
+			return nil, fmt.Errorf("%q is no number from 0 up", f)
+		}
+		list = append(list, n)
+	}
+	if !slices.IsSorted(list) {
+		return nil, errors.New("the steps must go up")
+	}
+	return list, nil
+}
+
+// progress shows a bar on a terminal, and nothing in a pipe.
+func progress(w *os.File) func(open, want int) {
+	if !isatty.IsTerminal(w.Fd()) {
+		return nil
+	}
+	var bar *progressbar.ProgressBar
+	was := -1
+	return func(open, want int) {
+		if want != was {
+			bar, was = progressbar.NewOptions(max(1, want), progressbar.OptionSetWriter(io.Writer(w)),
+				progressbar.OptionSetDescription("connections"), progressbar.OptionShowCount(), progressbar.OptionClearOnFinish()), want
+		}
+		_ = bar.Set(min(open, max(1, want)))
+	}
+}
--- /dev/null
+++ b/internal/load/plot.go
@@ -0,0 +1,43 @@
+package load
+
+import (
+	"fmt"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Plot draws the active load's latencies over the idle connections, and the knee if there is one, as PNG.
+func (rep *Report) Plot(file string) error {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("%s: %.0f messages/s over idle connections (core %s)", rep.Plan.Proto, rep.Plan.Active.Rate, rep.Cores)
+	p.X.Label.Text = "idle connections"
+	p.Y.Label.Text = "until taken on, ms"
+	p.Y.Min = 0
+	var p50, p99, p999 plotter.XYs
+	top := 0.0
+	for _, s := range rep.Steps {
+		x := float64(s.Idle)
+		p50 = append(p50, plotter.XY{X: x, Y: s.Taken.P50})
+		p99 = append(p99, plotter.XY{X: x, Y: s.Taken.P99})
+		p999 = append(p999, plotter.XY{X: x, Y: s.Taken.P999})
+		top = max(top, s.Taken.P999)
+	}
+	if err := plotutil.AddLinePoints(p, "p50", p50, "p99", p99, "p99.9", p999); err != nil {
+		return fmt.Errorf("drawing: %w", err)
+	}
+	if rep.Knee > 0 {
+		x := float64(rep.Knee)
+		if err := plotutil.AddLines(p, "knee", plotter.XYs{{X: x, Y: 0}, {X: x, Y: top}}); err != nil {
+			return fmt.Errorf("drawing: %w", err)
+		}
+	}
+	p.Legend.Top = true
+	p.Legend.Left = true
+	if err := p.Save(18*vg.Centimeter, 11*vg.Centimeter, file); err != nil {
+		return fmt.Errorf("drawing: %w", err)
+	}
+	return nil
+}
--- a/internal/net/amqpfront/egress.go
+++ b/internal/net/amqpfront/egress.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"brackendale/internal/net/amqp"
+	"brackendale/internal/net/conns"
 	"brackendale/internal/net/reactor"
 	"brackendale/internal/timers"
 	"brackendale/sender"
@@ -30,14 +32,16 @@
 	connect time.Duration
 	links   map[string]*link
 	out     map[string]*pub
+	table   *conns.Table
 }
 
-// NewEgress makes the brokers' side.
-func NewEgress(core *sender.Sender, r *reactor.Reactor, connect time.Duration) *Egress {
+// NewEgress makes the brokers' side; its connections take their descriptors from room.
+func NewEgress(core *sender.Sender, r *reactor.Reactor, connect time.Duration, room *conns.Room) *Egress {
 	if connect <= 0 {
 		connect = 1500 * time.Millisecond
 	}
-	return &Egress{core: core, r: r, connect: connect, links: map[string]*link{}, out: map[string]*pub{}}
+	return &Egress{core: core, r: r, connect: connect, links: map[string]*link{}, out: map[string]*pub{},
+		table: room.NewTargets()}
 }
 
 // pub is one hop that is out.
@@ -65,11 +69,13 @@
 			continue
 		}
 		e.r.Arm(&p.timer, time.Duration(h.LimitUs)*time.Microsecond, 0, timers.Func(func() { p.giveUp(sender.Late) }))
-		p.link = e.link(t)
+		if p.link = e.link(t); p.link == nil { // no descriptor is left within the budget: that says nothing of the broker
+			p.report(sender.Moot, 0)
+			continue
+		}
 		p.link.waiting = append(p.link.waiting, p)
-	}
-	if err == nil {
-		e.link(t).pump()
+		p.link.Move(conns.Busy, e.r.Now())
+		p.link.pump()
 	}
 }
 
@@ -86,7 +92,7 @@
 	if err != nil {
 		return
 	}
-	if l := e.links[t.Addr+t.VHost+t.User]; l != nil && len(l.waiting) == 0 && !slices.ContainsFunc(l.lanes, (*lane).busy) {
+	if l := e.links[t.Addr+t.VHost+t.User]; l != nil && l.free() {
 		l.bye(&amqp.Fault{Code: amqp.ReplySuccess, Text: "idle"})
 	}
 }
@@ -105,6 +111,13 @@
 	l := e.links[key]
 	if l == nil {
 		l = &link{peer: newPeer(e.r.Loop), e: e, key: key, to: t}
+		victim, _, ok := e.table.Admit(&l.Entry, l, netip.Addr{}, e.r.Now())
+		if victim != nil {
+			victim.Owner().Evict(conns.ForNewcomer)
+		}
+		if !ok {
+			return nil
+		}
 		e.links[key] = l
 		l.conn = e.r.Dial(t.Addr, e.connect, l)
 		e.r.Arm(&l.timer, 2*e.connect, timers.Coarse, l) // of the connect and the handshake
@@ -122,6 +135,9 @@
 	if p.ch != nil {
 		p.ch.pub = nil
 	}
+	if p.link != nil && p.link.free() {
+		p.link.Move(conns.Idle, p.e.r.Now())
+	}
 	p.e.core.Report(sender.Outcome{ID: p.hop.ID, N: p.hop.N, Target: p.route, Reason: reason, HoldMs: holdMs})
 }
 
@@ -184,6 +200,7 @@
 
 // link is one connection to a broker.
 type link struct {
+	conns.Entry
 	peer
 	e       *Egress
 	key     string
@@ -206,6 +223,15 @@
 	l.pulse(l)
 }
 
+// free tells whether nothing is out on the connection or waits for it.
+func (l *link) free() bool { return len(l.waiting) == 0 && !slices.ContainsFunc(l.lanes, (*lane).busy) }
+
+// Evict closes a connection on which nothing is out.
+func (l *link) Evict(conns.Reason) { l.bye(&amqp.Fault{Code: amqp.ReplySuccess, Text: "idle"}) }
+
+// Quiet tells whether all that has come was handled.
+func (l *link) Quiet() bool { return l.conn.Quiet() }
+
 // Up opens the protocol.
 func (l *link) Up(*reactor.Conn) { l.write([]byte(amqp.Preamble)) }
 
@@ -242,6 +268,7 @@
 func (l *link) over(reason string) {
 	l.stop()
 	l.rest.Drop()
+	l.Remove()
 	l.ending = true
 	if l.e.links[l.key] == l {
 		delete(l.e.links, l.key)
--- a/internal/net/amqpfront/front_test.go
+++ b/internal/net/amqpfront/front_test.go
@@ -188,7 +188,7 @@
 		in := NewIngress(core, r, Options{Exchange: "messages", Heartbeat: time.Minute},
 			conns.NewRoom(maxTestClients).NewTable(Limits(maxTestClients)))
 		core.AddIngress(Front, in)
-		core.AddEgress(Proto, NewEgress(core, r, 1500*time.Millisecond))
+		core.AddEgress(Proto, NewEgress(core, r, 1500*time.Millisecond, conns.NewRoom(100)))
 		core.Routes("whole", []sender.Route{{Endpoint: logic.Endpoint{Addr: "b", Kind: "k", Dest: 7, State: "live"}, Proto: Proto,
 			Dial: "amqp://u:p@" + b.ln.Addr().String() + "/?exchange=records&key=in"}})
 		return in.Accept
@@ -548,7 +548,7 @@
 	var e *Egress
 	var at *reactor.Reactor
 	standin.Start(t, t.TempDir(), func(c *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
-		at, e = r, NewEgress(c, r, standin.Long)
+		at, e = r, NewEgress(c, r, standin.Long, conns.NewRoom(100))
 		r.Post(func() {
 			e.Send(sender.Route{Dial: "amqp://" + b.ln.Addr().String() + "/?key=in"}, []sender.Hop{{ID: "m", LimitUs: 60e6}})
 		})
--- a/internal/net/amqpfront/ingress.go
+++ b/internal/net/amqpfront/ingress.go
@@ -77,8 +77,8 @@
 	return &Ingress{core: core, r: r, opt: opt, table: table, queues: map[string]*queue{}}
 }
 
-// turnedAway is what a newcomer without room is told. The specification lets a connection be closed at any time.
-var turnedAway = amqp.AppendMethod(nil, 0, amqp.ConnClose, amqp.ResourceError, "no room for another connection", 0, 0)
+// TurnedAway is what a newcomer without room is told. The specification lets a connection be closed at any time.
+var TurnedAway = amqp.AppendMethod(nil, 0, amqp.ConnClose, amqp.ResourceError, "no room for another connection", 0, 0)
 
 // Accept takes a client's connection. When there is no room, one that has not opened yet goes for it: a silent
 // crowd must not lock out the others.
@@ -90,7 +90,7 @@
 		victim.Owner().Evict(conns.ForNewcomer)
 	}
 	if !ok {
-		return in.r.Farewell(turnedAway)
+		return in.r.Farewell(TurnedAway)
 	}
 	if !in.sweeps.Set() {
 		in.r.Arm(&in.sweeps, sweepGap, timers.Coarse, in)
--- a/internal/net/amqpfront/peer.go
+++ b/internal/net/amqpfront/peer.go
@@ -66,7 +66,7 @@
 // keepAlive starts the heartbeats that were agreed on; on is told by Due when one may be due.
 func (p *peer) keepAlive(beat time.Duration, on timers.Handler) {
 	if p.beat = beat; beat > 0 {
-		p.loop.Arm(&p.timer, beat/2, timers.Coarse, on)
+		p.loop.Arm(&p.timer, beat/2, timers.Soft, on)
 	}
 }
 
@@ -85,7 +85,7 @@
 	if now-p.said >= p.beat/4 {
 		p.write(heartbeat)
 	}
-	p.loop.Arm(&p.timer, p.beat/2, timers.Coarse, on)
+	p.loop.Arm(&p.timer, p.beat/2, timers.Soft, on)
 }
 
 func (p *peer) stop() { p.loop.Disarm(&p.timer) }
--- a/internal/net/conns/table.go
+++ b/internal/net/conns/table.go
@@ -7,6 +7,7 @@
 package conns
 
 import (
+	"math"
 	"net/netip"
 	"time"
 )
@@ -83,6 +84,20 @@
 // End evicts a connection.
 func End(e *Entry, why Reason) { e.owner.Evict(why) }
 
+// Move books what the connection does from now on, if it is in a table.
+func (e *Entry) Move(to Class, now time.Duration) {
+	if e.in {
+		e.t.Move(e, to, now)
+	}
+}
+
+// Remove takes the connection out of its table, if it is in one.
+func (e *Entry) Remove() {
+	if e.in {
+		e.t.Remove(e)
+	}
+}
+
 // Owner is what was given to Admit.
 func (e *Entry) Owner() Owner { return e.owner }
 
@@ -131,6 +146,10 @@
 	came    uint64
 }
 
+// NewTargets adds a table of connections that are dialled: those on which nothing is out give way, the oldest first,
+// and the room alone bounds them.
+func (r *Room) NewTargets() *Table { return r.NewTable(Limits{Most: math.MaxInt, Keep: 1}) }
+
 // NewTable adds a table.
 func (r *Room) NewTable(lim Limits) *Table {
 	t := &Table{room: r, lim: lim, origins: map[netip.Addr]*origin{}}
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -124,9 +125,13 @@
 		}
 		reads = reads[n:]
 		l.timers()
+		runtime.Gosched() // on one core the decisions and the sockets wait for this goroutine to let go
 	}
 	l.posted()
 	more := l.timers()
+	if more {
+		runtime.Gosched()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return more || len(l.first) > 0 || len(l.reads) > 0
--- a/internal/net/platform/client.go
+++ b/internal/net/platform/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"brackendale/internal/net/conns"
 	"brackendale/internal/net/http1"
 	"brackendale/internal/net/loop"
 	"brackendale/internal/net/reactor"
@@ -25,6 +26,7 @@
 // link is one HTTP/1.1 connection to a peer, with one request on it at most. It is the near side of
 // endpoints and of the registry's agent alike.
 type link struct {
+	conns.Entry
 	conn  *reactor.Conn
 	addr  string
 	rest  rest.Rest
@@ -51,10 +53,18 @@
 // dial opens a link whose answers take most bytes at the most.
 func dial(r *reactor.Reactor, addr string, limit time.Duration, most int) *link {
 	l := &link{most: most, addr: addr}
-	l.conn = r.Dial(addr, limit, l)
+	l.open(r, limit)
 	return l
 }
 
+func (l *link) open(r *reactor.Reactor, limit time.Duration) { l.conn = r.Dial(l.addr, limit, l) }
+
+// Evict closes a link that is out of its table: nothing is out on it.
+func (l *link) Evict(conns.Reason) { l.conn.Close() }
+
+// Quiet tells whether nothing has come unasked.
+func (l *link) Quiet() bool { return l.conn.Quiet() }
+
 // do writes a request, at once or when the connection is up, and gives its answer to want.
 func (l *link) do(want func(*http1.Response, error), pieces ...[]byte) {
 	l.want = want
@@ -142,6 +152,7 @@
 	}
 	l.fail(err)
 	l.rest.Drop()
+	l.Remove()
 	if l.gone != nil {
 		l.gone()
 	}
--- a/internal/net/platform/egress.go
+++ b/internal/net/platform/egress.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"errors"
 	"math"
+	"net/netip"
 	"slices"
 	"strconv"
 	"time"
 
+	"brackendale/internal/net/conns"
 	"brackendale/internal/net/http1"
 	"brackendale/internal/net/reactor"
 	"brackendale/internal/timers"
@@ -28,12 +30,13 @@
 	pools   map[string][]*link // idle links by target, the latest used last
 	out     map[string]*hopCall
 	live    map[string]bool // the targets that want new hops
+	table   *conns.Table
 }
 
-// NewEgress makes the endpoints' side.
-func NewEgress(core *sender.Sender, r *reactor.Reactor, set logic.Settings) *Egress {
+// NewEgress makes the endpoints' side; its connections take their descriptors from room.
+func NewEgress(core *sender.Sender, r *reactor.Reactor, set logic.Settings, room *conns.Room) *Egress {
 	e := &Egress{core: core, r: r, fields: set.Report.Fields, pools: map[string][]*link{}, out: map[string]*hopCall{},
-		live:    map[string]bool{},
+		live: map[string]bool{}, table: room.NewTargets(),
 		connect: time.Duration(set.Caps.ConnectTimeoutUs) * time.Microsecond,
 		idle:    time.Duration(set.Caps.KeepaliveUs) * time.Microsecond * 9 / 10}
 	if e.connect <= 0 {
@@ -66,16 +69,23 @@
 		e.out[h.ID] = c
 	}
 	e.r.Arm(&c.timer, time.Duration(limit)*time.Microsecond, 0, timers.Func(func() { c.giveUp(sender.Late) }))
-	c.link = e.take(to, limit)
+	if c.link = e.take(to, limit); c.link == nil {
+		c.link = &link{}
+		c.answer(nil, errNoRoom)
+		return
+	}
 	c.link.do(c.answer, c.request(limit)...)
 }
 
+// errNoRoom ends a call for which there is no descriptor within the budget.
+var errNoRoom = errors.New("platform: no descriptor is left for targets")
+
 // restTime is how long a link rests after an answer: what comes right behind one must have come by then,
 // or it would be taken for the next answer.
 const restTime = 10 * time.Millisecond
 
 // take finds an idle link, the latest used first, or opens one. A link on which something has come
-// unasked, be it the endpoint's close, is of no use.
+// unasked, be it the endpoint's close, is of no use. It is nil where all descriptors for targets are in use.
 func (e *Egress) take(to sender.Route, limitUs int64) *link {
 	for _, l := range slices.Backward(slices.Clone(e.pools[to.Addr])) {
 		if e.r.Now()-l.last < restTime {
@@ -85,11 +95,22 @@
 		e.r.Disarm(&l.idle)
 		l.gone, l.free = nil, nil
 		if l.addr == to.Dial && l.conn.Quiet() {
+			l.Move(conns.Busy, e.r.Now())
 			return l
 		}
 		l.conn.Close()
 	}
-	return dial(e.r, to.Dial, min(e.connect, time.Duration(limitUs)*time.Microsecond), endpointMost)
+	l := &link{most: endpointMost, addr: to.Dial}
+	victim, _, ok := e.table.Admit(&l.Entry, l, netip.Addr{}, e.r.Now())
+	if victim != nil {
+		victim.Owner().Evict(conns.ForNewcomer)
+	}
+	if !ok {
+		return nil
+	}
+	l.Move(conns.Busy, e.r.Now())
+	l.open(e.r, min(e.connect, time.Duration(limitUs)*time.Microsecond))
+	return l
 }
 
 // keep puts a link among the idle ones and closes it before the endpoint would.
@@ -99,6 +120,7 @@
 		return
 	}
 	e.pools[to] = append(e.pools[to], l)
+	l.Move(conns.Idle, e.r.Now())
 	e.r.Arm(&l.idle, e.idle, 0, timers.Func(l.conn.Close))
 	l.gone = func() {
 		e.r.Disarm(&l.idle)
@@ -208,7 +230,7 @@
 	o := sender.Outcome{Target: c.to.Addr}
 	var ends map[string]string
 	switch {
-	case reactor.Local(err):
+	case reactor.Local(err) || err == errNoRoom:
 		o.Reason = sender.Moot // this machine had no room: that says nothing of the target
 	case err != nil && !c.link.written():
 		o.Reason = sender.NoConn // its last byte has not left: proof that nothing ran
--- a/internal/net/platform/ingress.go
+++ b/internal/net/platform/ingress.go
@@ -37,8 +37,8 @@
 	sweepPortion = 64
 )
 
-// busyMs is the wait that a newcomer is told who is turned away with word of it.
-const busyMs = 500
+// TurnedAway is what a newcomer without room is told: to come again in half a second.
+var TurnedAway = []byte("-BUSY 500\r\n")
 
 var errSlow = errors.New("ERR no whole command in time")
 
@@ -79,7 +79,7 @@
 		}
 		return cl
 	case in.polite:
-		return in.r.Farewell([]byte("-BUSY " + strconv.Itoa(busyMs) + "\r\n"))
+		return in.r.Farewell(TurnedAway)
 	}
 	return nil
 }
--- a/internal/net/platform/platform_test.go
+++ b/internal/net/platform/platform_test.go
@@ -94,7 +94,7 @@
 		in := NewIngress(core, r, agent, conns.NewRoom(w.most).NewTable(Limits(w.most)), false)
 		w.core, w.in, w.r = core, in, r
 		core.AddIngress(Front, in)
-		core.AddEgress(Proto, NewEgress(core, r, standin.Settings()))
+		core.AddEgress(Proto, NewEgress(core, r, standin.Settings(), conns.NewRoom(100)))
 		Watch(core, r, agent, w.hosts("active"))
 		return in.Accept
 	})
@@ -202,7 +202,7 @@
 		in := NewIngress(core, r, silent.Addr().String(), conns.NewRoom(100).NewTable(Limits(100)), false)
 		move = func() { r.Post(func() { in.Move(agent) }) }
 		core.AddIngress(Front, in)
-		core.AddEgress(Proto, NewEgress(core, r, standin.Settings()))
+		core.AddEgress(Proto, NewEgress(core, r, standin.Settings(), conns.NewRoom(100)))
 		core.Routes("whole", Routes(w.hosts("active")))
 		return in.Accept
 	})
@@ -457,7 +457,7 @@
 	w.start()
 	reason := make(chan string, 1)
 	w.r.Post(func() {
-		e := NewEgress(w.core, w.r, standin.Settings())
+		e := NewEgress(w.core, w.r, standin.Settings(), conns.NewRoom(100))
 		c := &hopCall{e: e, to: Routes(w.hosts("active"))[0], hops: []sender.Hop{{ID: "m"}}, link: &link{}}
 		c.answer(nil, fmt.Errorf("dial: %w", syscall.EMFILE))
 		w.core.Post(func() { reason <- w.core.State().Routes[0].LastReason })
@@ -573,7 +573,7 @@
 	defer close(end)
 	out := make(chan [3]int, 1)
 	standin.Start(t, w.dir, func(core *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
-		e := NewEgress(core, r, standin.Settings())
+		e := NewEgress(core, r, standin.Settings(), conns.NewRoom(100))
 		r.Post(func() {
 			e.Send(Routes(w.hosts("active"))[0], []sender.Hop{{ID: "record", LimitUs: 9e6}, {ID: "charge", LimitUs: 9e6}})
 			e.Recall("record", 0)
--- /dev/null
+++ b/internal/net/reactor/listen.go
@@ -0,0 +1,132 @@
+package reactor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+)
+
+// maxComing bounds the connections of one listener that are accepted and not yet given a handler: until then
+// nobody counts them, and a crowd of newcomers could take the descriptors that the dialling side needs.
+const maxComing = 16
+
+// burst is how much of a second's accepting may be caught up with at once.
+const burst = 100 * time.Millisecond
+
+// Listener accepts connections. The accept loop is ours and not the engine's, since the engine's ends for good when
+// descriptors run out for a moment.
+type Listener struct {
+	net.Listener
+	r      *Reactor
+	accept func(*Conn) Handler
+	word   []byte
+	perSec atomic.Int64
+	spare  *os.File // a descriptor kept for the moment when there is no other
+}
+
+// Listen accepts connections; accept names the handler of each, or nil to turn it away. word, if not nil, is what a
+// newcomer is told when this process or machine has no descriptor left for it.
+func (r *Reactor) Listen(network, addr string, word []byte, accept func(*Conn) Handler) (*Listener, error) {
+	lc := net.ListenConfig{KeepAlive: -1} // idle clients are heard by their protocol, or not at all
+	ln, err := lc.Listen(context.Background(), network, addr)
+	if err != nil {
+		return nil, fmt.Errorf("listening on %s: %w", addr, err)
+	}
+	l := &Listener{Listener: ln, r: r, accept: accept, word: word}
+	l.reserve()
+	go l.serve()
+	return l, nil
+}
+
+// SetRate bounds the newcomers of a second; 0 is no bound. Those above it wait in the listener's backlog.
+func (l *Listener) SetRate(perSecond int) { l.perSec.Store(int64(perSecond)) }
+
+func (l *Listener) serve() {
+	room := make(chan struct{}, maxComing)
+	next := time.Now()
+	for {
+		room <- struct{}{}
+		if rate := l.perSec.Load(); rate > 0 {
+			if earliest := time.Now().Add(-burst); next.Before(earliest) {
+				next = earliest
+			}
+			next = next.Add(time.Second / time.Duration(rate))
+			time.Sleep(time.Until(next))
+		}
+		sock, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			l.release()
+			return
+		}
+		if err != nil {
+			<-room
+			l.short(err)
+			continue
+		}
+		nc, err := nbio.NBConn(sock)
+		if err != nil {
+			<-room
+			_ = sock.Close() // nbio closes it only once it has taken it over
+			l.short(err)
+			continue
+		}
+		l.r.Post(func() {
+			<-room
+			c := &Conn{r: l.r}
+			c.nc.Store(nc)
+			if c.h = l.accept(c); c.h == nil {
+				_ = nc.Close()
+				return
+			}
+			c.up(nc, nil)
+		})
+	}
+}
+
+func (l *Listener) reserve() {
+	if l.word == nil || l.spare != nil {
+		return
+	}
+	if f, err := os.Open(os.DevNull); err == nil {
+		l.spare = f
+	}
+}
+
+func (l *Listener) release() {
+	if l.spare != nil {
+		_ = l.spare.Close()
+		l.spare = nil
+	}
+}
+
+// short answers for a newcomer that there was no descriptor for: it would hang in the backlog, unheard. The spare
+// descriptor lets it in for long enough to be told.
+func (l *Listener) short(err error) {
+	if l.spare == nil || !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) {
+		l.reserve()
+		time.Sleep(20 * time.Millisecond)
+		return
+	}
+	l.release()
+	tcp, _ := l.Listener.(*net.TCPListener)
+	if tcp != nil {
+		_ = tcp.SetDeadline(time.Now().Add(time.Millisecond))
+	}
+	if sock, err := l.Accept(); err == nil {
+		_ = sock.SetDeadline(time.Now().Add(5 * time.Millisecond))
+		_, _ = sock.Write(l.word)
+		_, _ = sock.Read(make([]byte, 512)) // a close over unread bytes would take the word back
+		_ = sock.Close()
+	}
+	if tcp != nil {
+		_ = tcp.SetDeadline(time.Time{})
+	}
+	l.reserve()
+}
--- a/internal/net/reactor/reactor.go
+++ b/internal/net/reactor/reactor.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -21,16 +22,21 @@
 	"github.com/lesismal/nbio/logging"
 )
 
-// maxUnsent bounds what one connection may hold unwritten: a peer that does not read is cut off.
-const maxUnsent = 512 << 10
+// maxUnsent bounds what one connection may hold unwritten: a peer that does not read is cut off. fairUnsent is what
+// each may hold while all together hold more than the reactor's bound.
+const (
+	maxUnsent  = 512 << 10
+	fairUnsent = 4 << 10
+)
 
-// maxComing bounds the connections of one listener that are accepted and not yet given a handler: until then
-// nobody counts them, and a crowd of newcomers could take the descriptors that the dialling side needs.
-const maxComing = 16
+var errUnsent = errors.New("too much is waiting for peers that do not read")
 
 // maxUnread bounds what has been read and not yet handled, over all connections.
 const maxUnread = 4 << 20
 
+// readStreak is how many reads follow one another before other goroutines have their turn.
+const readStreak = 32
+
 const stopLimit = 300 * time.Millisecond
 
 // Handler is told of one connection's life, always on the loop's goroutine.
@@ -48,8 +54,11 @@
 	*loop.Loop
 	engine *nbio.Engine
 	unread atomic.Int64
+	unsent atomic.Int64 // bytes written and not yet taken by the sockets
+	most   int64        // bound of unsent
 	room   sync.Cond
 
+	streak    int // reads, counted by the engine's goroutine
 	farewells int // newcomers that are being turned away with a word
 }
 
@@ -73,10 +82,11 @@
 
 var reads = sync.Pool{New: func() any { return new(read) }}
 
-// New starts an engine whose handlers run on a loop.
-func New(l *loop.Loop) (*Reactor, error) {
+// New starts an engine whose handlers run on a loop. unsent bounds the bytes that wait unwritten on all
+// connections together: above it, one that holds more than 4 KiB of them is ended when it is written to.
+func New(l *loop.Loop, unsent int64) (*Reactor, error) {
 	logging.SetLevel(logging.LevelNone)
-	r := &Reactor{Loop: l, room: sync.Cond{L: &sync.Mutex{}}}
+	r := &Reactor{Loop: l, most: unsent, room: sync.Cond{L: &sync.Mutex{}}}
 	r.engine = nbio.NewEngine(nbio.Config{NPoller: 1, ReadBufferSize: 32 << 10, MaxWriteBufferSize: maxUnsent})
 	r.engine.OnData(r.data)
 	r.engine.OnClose(func(nc *nbio.Conn, err error) {
@@ -87,6 +97,7 @@
 	r.engine.OnWrittenSize(func(nc *nbio.Conn, _ []byte, n int) {
 		if c, ok := nc.Session().(*Conn); ok {
 			c.written.Add(int64(n))
+			r.unsent.Add(-int64(n))
 		}
 	})
 	if err := r.engine.Start(); err != nil {
@@ -112,6 +123,9 @@
 	e, _ := reads.Get().(*read)
 	e.c, e.b = c, own
 	r.Read(e)
+	if r.streak++; r.streak%readStreak == 0 {
+		runtime.Gosched() // a crowd that speaks at once would keep one core's other goroutines waiting
+	}
 }
 
 // Do hands the bytes to the connection's handler and gives their buffer back.
@@ -140,56 +154,24 @@
 	_ = r.engine.Shutdown(ctx) // what is open still ends with the process
 }
 
-// Listen accepts connections; accept names the handler of each, or nil to turn it away. The accept loop
-// is ours and not the engine's, since the engine's ends for good when descriptors run out for a moment.
-func (r *Reactor) Listen(network, addr string, accept func(*Conn) Handler) (net.Listener, error) {
-	ln, err := net.Listen(network, addr)
-	if err != nil {
-		return nil, fmt.Errorf("listening on %s: %w", addr, err)
-	}
-	go func() {
-		room := make(chan struct{}, maxComing)
-		for {
-			room <- struct{}{}
-			sock, err := ln.Accept()
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			if err != nil {
-				<-room
-				time.Sleep(20 * time.Millisecond)
-				continue
-			}
-			nc, err := nbio.NBConn(sock)
-			if err != nil {
-				<-room
-				_ = sock.Close() // nbio closes it only once it has taken it over
-				continue
-			}
-			r.Post(func() {
-				<-room
-				c := &Conn{r: r}
-				c.nc.Store(nc)
-				if c.h = accept(c); c.h == nil {
-					_ = nc.Close()
-					return
-				}
-				c.up(nc, nil)
-			})
-		}
-	}()
-	return ln, nil
-}
-
 // Dial opens a connection; the handler hears Up or Down, at the latest after the time given. The
 // standard library connects: the engine's own dialling reads an IPv4 address out of the first four bytes
 // of its sixteen-byte form, which are zeros, so that every connect went to this machine's first address.
 func (r *Reactor) Dial(addr string, limit time.Duration, h Handler) *Conn {
+	return r.DialFrom("", addr, limit, h)
+}
+
+// DialFrom opens a connection from one of this machine's addresses; the empty one is any.
+func (r *Reactor) DialFrom(from, addr string, limit time.Duration, h Handler) *Conn {
+	d := net.Dialer{KeepAlive: -1}
+	if from != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(from)}
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	c := &Conn{r: r, h: h, cancel: cancel}
 	go func() {
 		var nc *nbio.Conn
-		sock, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+		sock, err := d.DialContext(ctx, "tcp", addr)
 		cancel()
 		if err == nil {
 			if nc, err = nbio.NBConn(sock); err != nil {
@@ -203,6 +185,7 @@
 
 // up hands an open socket to the engine, unless its owner has closed it meanwhile.
 func (c *Conn) up(nc *nbio.Conn, err error) {
+	c.cancel = nil
 	if err == nil && c.dead {
 		_ = nc.Close()
 		return
@@ -233,6 +216,7 @@
 		return
 	}
 	c.dead = true
+	c.r.unsent.Add(c.written.Load() - c.queued)
 	if err == nil {
 		err = io.EOF
 	}
@@ -303,7 +287,11 @@
 		total += len(p)
 	}
 	behind := !c.Sent(c.queued)
+	if behind && c.r.unsent.Load() > c.r.most && c.queued-c.written.Load() > fairUnsent {
+		return errUnsent
+	}
 	c.queued += int64(total)
+	c.r.unsent.Add(int64(total))
 	if behind {
 		for _, p := range pieces {
 			if _, err := nc.Write(p); err != nil {
@@ -321,6 +309,7 @@
 	}
 	if n == total {
 		c.written.Add(int64(n)) // not counted by the engine when all went out at once
+		c.r.unsent.Add(-int64(n))
 		return nil
 	}
 	for end, i := 0, 0; i < len(pieces); i++ {
--- a/internal/net/reactor/reactor_test.go
+++ b/internal/net/reactor/reactor_test.go
@@ -29,7 +29,7 @@
 func start(t *testing.T) (*Reactor, func(func())) {
 	t.Helper()
 	l := loop.New()
-	r, err := New(l)
+	r, err := New(l, 1<<20)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -89,7 +89,7 @@
 func TestGatheredWriteToSlowReader(t *testing.T) {
 	r, do := start(t)
 	h, opened := newRec(), make(chan *Conn, 1)
-	ln, err := r.Listen("tcp", "127.0.0.1:0", func(c *Conn) Handler { opened <- c; return h })
+	ln, err := r.Listen("tcp", "127.0.0.1:0", nil, func(c *Conn) Handler { opened <- c; return h })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -42,11 +42,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := reactor.New(l)
+	r, err := reactor.New(l, 8<<20)
 	if err != nil {
 		t.Fatal(err)
 	}
-	ln, err := r.Listen("tcp", "127.0.0.1:0", join(core, r))
+	ln, err := r.Listen("tcp", "127.0.0.1:0", nil, join(core, r))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/timers/wheel.go
+++ b/internal/timers/wheel.go
@@ -22,8 +22,13 @@
 	levels   = 4             // 256 ms, 65.5 s, 4.66 h and 49.7 days in all
 )
 
-// Coarse is the slack of timers that may wait a quarter of a second: idle limits, heartbeats, handshakes.
-const Coarse = Tick << slotBits
+// Coarse is the slack of timers that may wait for others, up to a quarter of a second, so that fewer slots open: idle
+// limits, handshakes. Soft is that of timers that many connections have and that should not gather: heartbeats. Both
+// are handed over in portions.
+const (
+	Coarse = Tick << slotBits
+	Soft   = Tick
+)
 
 // Handler is told, by the wheel's owner, that its timer is due.
 type Handler interface{ Due(*Timer) }
@@ -42,6 +47,7 @@
 	level      uint8 // its slack's level
 	place      uint8 // 0: not set; 1+level in a slot it comes due with; 1+levels+level in one to be filed anew
 	slot       uint8
+	soft       bool // handed over in portions
 }
 
 // Set tells whether the timer runs, or is due and has not been handed over.
@@ -53,7 +59,7 @@
 	count int
 	used  [levels][slots / 64]uint64 // the slots that hold something, in either ring
 	ends  [levels][slots]Timer       // what comes due when its slot begins
-	again [levels][slots]Timer       // what is filed under a lower level then; none at the lowest
+	again [levels][slots]Timer       // what is filed under a lower level then; at the lowest, what is soft and due
 	exact Timer                      // due, without slack
 	batch Timer                      // the part of that which Take is handing over
 	late  Timer                      // due, with slack
@@ -79,10 +85,10 @@
 func (w *Wheel) Len() int { return w.count }
 
 // Start sets a timer to come due at a time on the wheel's own scale, or sooner than its slack after it, and
-// never before. One that is set already is moved.
+// never before. With no slack it is exact: Take hands it over at once. One that is set already is moved.
 func (w *Wheel) Start(t *Timer, at, slack time.Duration, on Handler) {
 	w.Stop(t)
-	t.on, t.level = on, 0
+	t.on, t.level, t.soft = on, 0, slack > 0
 	for l := levels - 1; l > 0; l-- {
 		if slack >= Tick<<(slotBits*l) {
 			t.level = uint8(l)
@@ -131,7 +137,7 @@
 func (w *Wheel) put(t *Timer) {
 	if t.at <= w.now {
 		s := &w.late
-		if t.level == 0 {
+		if !t.soft {
 			s = &w.exact
 		}
 		t.place = t.level + 1
@@ -149,7 +155,7 @@
 		}
 		t.slot, t.place = uint8(at&(slots-1)), uint8(l+1)
 		w.used[l][t.slot>>6] |= 1 << (t.slot & 63)
-		if l == int(t.level) && at<<shift == t.at {
+		if l == int(t.level) && at<<shift == t.at && (l > 0 || !t.soft) {
 			push(&w.ends[l][t.slot], t)
 			return
 		}
@@ -217,6 +223,9 @@
 	}
 	splice(due, &w.ends[l][i])
 	w.used[l][i>>6] &^= 1 << (i & 63)
+	if l == 0 {
+		splice(&w.late, &w.again[0][i])
+	}
 	for s := &w.again[l][i]; !empty(s); {
 		t := s.next
 		t.prev.next, t.next.prev = t.next, t.prev
--- a/internal/timers/wheel_test.go
+++ b/internal/timers/wheel_test.go
@@ -30,7 +30,7 @@
 // The wheel against a plain list: nothing comes early, nothing later than its slack, nothing twice, nothing is
 // forgotten over jumps of any length, and Next never sleeps past a timer.
 func TestAgainstModel(t *testing.T) {
-	slacks := []time.Duration{0, 0, Tick, Coarse, 300 * time.Millisecond, 70 * time.Second, 5 * time.Hour}
+	slacks := []time.Duration{0, 0, Soft, Coarse, 300 * time.Millisecond, 70 * time.Second, 5 * time.Hour}
 	rapid.Check(t, func(t *rapid.T) {
 		w, now := New(), time.Duration(0)
 		all := make([]entry, 30)
@@ -165,6 +165,13 @@
 				w.Start(&ts[i%n], after(i), Coarse, nobody)
 			}
 		})
+		b.Run(name("wheel-soft"), func(b *testing.B) {
+			w, ts := New(), make([]Timer, n)
+			b.ReportAllocs()
+			for i := range b.N {
+				w.Start(&ts[i%n], after(i), Soft, nobody)
+			}
+		})
 		b.Run(name("wheel-exact"), func(b *testing.B) {
 			w, ts := New(), make([]Timer, n)
 			b.ReportAllocs()
