Tests of the hard cases of idle connections; storms in the load tool; wire figures in the console

Need: evictions that cross commands, answers due on evicted connections, half frames across limits, pauses of the process, storms, lack of descriptors and peers that never read had no tests; operators could not see connections.

The console's state shows connections by front, class and reason, and timers.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -143,6 +143,28 @@
 	}
 }
 
+// shown is what the console shows of the fronts. It asks the loop.
+func (f *fronts) shown(wire *loop.Loop) console.Wire {
+	done := make(chan console.Wire, 1)
+	wire.Post(func() {
+		st := wire.Stats()
+		w := console.Wire{Fronts: map[string]conns.Stats{}, Timers: st.Timers, Fired: st.Fired}
+		for name, t := range f.tables {
+			w.Fronts[name] = t.Stats()
+		}
+		done <- w
+	})
+	select {
+	case w := <-done:
+		return w
+	case <-time.After(shownLimit): // the loop has ended
+		return console.Wire{}
+	}
+}
+
+// shownLimit is how long the console waits for the loop.
+const shownLimit = time.Second
+
 // follow takes up a configuration that was read again.
 func (f *fronts) follow(core *sender.Sender, cfg config.Config) error {
 	if (f.registry == nil) != (cfg.Discovery == "") {
@@ -239,7 +261,7 @@
 		if !filepath.IsAbs(path) {
 			path = filepath.Join(cfg.State, path)
 		}
-		ln, err := console.Listen(path, core)
+		ln, err := console.Listen(path, core, func() console.Wire { return f.shown(r.Loop) })
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/internal/app/idle_test.go
@@ -0,0 +1,189 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"brackendale/internal/config"
+	"brackendale/internal/standin"
+
+	"github.com/rabbitmq/amqp091-go"
+)
+
+// appliance serves a file of its own in this process until the test ends or a signal comes.
+type appliance struct {
+	t          *testing.T
+	file       string
+	amqp, resp string
+	done       chan error
+}
+
+const applianceFile = `[limits]
+sockets = 200
+[clients]
+share = %v
+targets = 0.1
+per_address = %d
+[amqp]
+listen = %q
+exchange = "messages"
+heartbeat_s = 0
+[resp]
+listen = %q
+finals = "127.0.0.1:9"
+[[class]]
+name = "note"
+effect = "repeatable"
+aim_ms = 1000
+deadline_ms = 9000
+worth = 1
+[[route]]
+name = "partner"
+dest = 1
+proto = "http"
+dial = "127.0.0.1:9"
+`
+
+func (a *appliance) write(share float64, perAddress int) {
+	a.t.Helper()
+	if err := os.WriteFile(a.file, fmt.Appendf(nil, applianceFile, share, perAddress, a.amqp, a.resp), 0o600); err != nil {
+		a.t.Fatal(err)
+	}
+}
+
+func serveAppliance(t *testing.T) *appliance {
+	t.Helper()
+	free := func() string {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		return ln.Addr().String()
+	}
+	dir := t.TempDir()
+	t.Setenv("LB_STATE", dir)
+	a := &appliance{t: t, file: filepath.Join(dir, "a.toml"), amqp: free(), resp: free(), done: make(chan error, 1)}
+	a.write(0.5, 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { a.done <- Serve(ctx, a.file) }()
+	t.Cleanup(cancel)
+	for began := time.Now(); ; time.Sleep(5 * time.Millisecond) {
+		if c, err := net.Dial("tcp", a.resp); err == nil {
+			_ = c.Close()
+			return a
+		} else if time.Since(began) > standin.Long {
+			t.Fatal(err)
+		}
+	}
+}
+
+// clients opens AMQP connections with a channel each, and says how each was closed.
+func (a *appliance) clients(n int) chan *amqp091.Error {
+	a.t.Helper()
+	closed := make(chan *amqp091.Error, n)
+	for range n {
+		c, err := amqp091.Dial("amqp://guest:guest@" + a.amqp + "/")
+		if err != nil {
+			a.t.Fatal(err)
+		}
+		if _, err := c.Channel(); err != nil {
+			a.t.Fatal(err)
+		}
+		one := c.NotifyClose(make(chan *amqp091.Error, 1))
+		go func() { closed <- <-one }()
+	}
+	return closed
+}
+
+func (a *appliance) want(closed chan *amqp091.Error, n int) {
+	a.t.Helper()
+	for i := range n {
+		select {
+		case err := <-closed:
+			if err == nil || err.Code != amqp091.ConnectionForced {
+				a.t.Fatal("closed without the word for it:", err)
+			}
+		case <-time.After(standin.Long):
+			a.t.Fatal("only so many were told:", i)
+		}
+	}
+}
+
+// A lower bound that is read again while more are there ends the idle ones with word of it, down to the bound; the
+// others go on, and an address then finds its own bound.
+func TestReloadLowersTheBound(t *testing.T) {
+	a := serveAppliance(t)
+	closed := a.clients(60)
+	a.write(0.1, 20)
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	a.want(closed, 40)
+	if _, err := amqp091.Dial("amqp://guest:guest@" + a.amqp + "/"); err == nil {
+		t.Fatal("one more was let in")
+	}
+	if len(closed) > 0 {
+		t.Fatal("more were ended than the bound asks for")
+	}
+}
+
+// At SIGTERM every client is told, on both fronts, and the program ends by itself.
+func TestTermTellsAll(t *testing.T) {
+	a := serveAppliance(t)
+	closed := a.clients(60)
+	var resp []net.Conn
+	for range 20 {
+		c, err := net.Dial("tcp", a.resp)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.SetDeadline(time.Now().Add(standin.Long))
+		if _, err := fmt.Fprint(c, "*1\r\n$4\r\nPING\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		b := make([]byte, 7)
+		if _, err := c.Read(b); err != nil || string(b) != "+PONG\r\n" {
+			t.Fatal(string(b), err)
+		}
+		resp = append(resp, c)
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	a.want(closed, 60)
+	for _, c := range resp {
+		if n, err := c.Read(make([]byte, 1)); n != 0 || os.IsTimeout(err) {
+			t.Fatal(n, err)
+		}
+	}
+	select {
+	case err := <-a.done:
+		if err != nil {
+			t.Fatal(err)
+		}
+	case <-time.After(standin.Long):
+		t.Fatal("it does not end")
+	}
+}
+
+// A budget that the process's limit on open files cannot meet is told with the key and both figures.
+func TestDescriptorsThatAreNotThere(t *testing.T) {
+	c := config.Config{Limits: config.Limits{Sockets: 5000}}
+	if err := c.Descriptors(5000); err != nil {
+		t.Fatal(err)
+	}
+	err := c.Descriptors(1024)
+	for _, want := range []string{"limits.sockets", "5000", "1024"} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"brackendale/internal/net/conns"
 	"brackendale/sender"
 )
 
@@ -25,11 +26,20 @@
 type Reply struct {
 	Error string        `json:"error,omitempty"`
 	State *sender.State `json:"state,omitempty"`
+	Wire  *Wire         `json:"wire,omitempty"`
+}
+
+// Wire is what the fronts show: their clients' connections, and the loop's timers.
+type Wire struct {
+	Fronts map[string]conns.Stats `json:"fronts"`
+	Timers int                    `json:"timers"` // that are set
+	Fired  uint64                 `json:"fired"`  // since the start
 }
 
 // Listen serves the control socket at path, for this user alone. A socket that a killed process left
 // behind is taken over; one that still answers is not.
-func Listen(path string, core *sender.Sender) (net.Listener, error) {
+// wire asks the fronts' goroutine; it may wait for it.
+func Listen(path string, core *sender.Sender, wire func() Wire) (net.Listener, error) {
 	if c, err := net.Dial("unix", path); err == nil {
 		_ = c.Close()
 		return nil, fmt.Errorf("console: %s is in use", path)
@@ -62,7 +72,7 @@
 			case room <- struct{}{}:
 				go func() {
 					defer func() { <-room }()
-					serve(c, core)
+					serve(c, core, wire)
 				}()
 			default:
 				_ = c.Close()
@@ -72,7 +82,7 @@
 	return ln, nil
 }
 
-func serve(c net.Conn, core *sender.Sender) {
+func serve(c net.Conn, core *sender.Sender, wire func() Wire) {
 	defer c.Close()
 	in := bufio.NewScanner(c)
 	in.Buffer(make([]byte, 0, 256), maxLine)
@@ -82,6 +92,10 @@
 		core.Post(func() { done <- answer(core, line) })
 		select {
 		case r := <-done:
+			if r.State != nil {
+				w := wire()
+				r.Wire = &w
+			}
 			if json.NewEncoder(c).Encode(r) != nil {
 				return
 			}
--- a/internal/console/terminal.go
+++ b/internal/console/terminal.go
@@ -2,13 +2,16 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/url"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -51,7 +54,7 @@
 	if r.Error != "" {
 		return errors.New(r.Error)
 	}
-	err := show(out, r.State, t.last)
+	err := show(out, r.State, t.last, r.Wire)
 	t.last = r.State
 	return err
 }
@@ -111,8 +114,17 @@
 	return dial
 }
 
+// listed words counts by name.
+func listed(counts map[string]int) string {
+	var list []string
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		list = append(list, fmt.Sprintf("%s %d", name, counts[name]))
+	}
+	return cmp.Or(strings.Join(list, ", "), "-")
+}
+
 // show writes a state as tables; rates are against the state before, where there is one.
-func show(out io.Writer, s, last *sender.State) error {
+func show(out io.Writer, s, last *sender.State, wire *Wire) error {
 	if last == nil {
 		last = s
 	}
@@ -133,6 +145,14 @@
 	fmt.Fprintf(w, "all\t%d\t%d\t%d\t%d\t%d\t%d\n", s.Taken, s.Refused, s.Sent, s.Delivered, s.Back, s.Failed)
 	fmt.Fprintf(w, "rate\t%s\t%s\t%s\t%s\t%s\t%s\n\n", rate(s.Taken, last.Taken), rate(s.Refused, last.Refused), rate(s.Sent, last.Sent),
 		rate(s.Delivered, last.Delivered), rate(s.Back, last.Back), rate(s.Failed, last.Failed))
+	if wire != nil {
+		fmt.Fprintf(w, "clients\topen\tof\tcame\tdoing\tgone\n")
+		for _, name := range slices.Sorted(maps.Keys(wire.Fronts)) {
+			f := wire.Fronts[name]
+			fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%s\t%s\n", name, f.Open, f.Most, f.Came, listed(f.Doing), listed(f.Gone))
+		}
+		fmt.Fprintf(w, "timers\t%d set\t%d fired\n\n", wire.Timers, wire.Fired)
+	}
 	fmt.Fprintln(w, "dest\ttarget\tproto\tdial\thealth\tout\tgood\tlost\tlast")
 	for _, r := range s.Routes {
 		health := r.Health
--- a/internal/load/command/command.go
+++ b/internal/load/command/command.go
@@ -45,6 +45,7 @@
 		&cli.DurationFlag{Name: "beat", Value: 10 * time.Second, Usage: "AMQP heartbeats, in whole seconds; 0: none"},
 		&cli.DurationFlag{Name: "ping", Value: 0, Usage: "between two PINGs of an idle RESP client; 0: none"},
 		&cli.IntFlag{Name: "at-once", Value: 128, Usage: "connects under way for each sender"},
+		&cli.BoolFlag{Name: "storms", Usage: "after the last step: all idle clients speak at once; half are reset and come back"},
 		&cli.FloatFlag{Name: "rate", Value: 200, Usage: "active messages a second"},
 		&cli.IntFlag{Name: "clients", Value: 16, Usage: "active connections for each sender"},
 		&cli.Int64Flag{Name: "dest", Value: 1, Usage: "the active messages' destination"},
@@ -63,7 +64,7 @@
 	}
 	p := load.Plan{Proto: load.Proto(c.String("proto")), Addr: c.String("addr"), Pid: c.Int("pid"), Sources: load.Sources(8),
 		Steps: steps, Each: c.Duration("each"), Warm: c.Duration("warm"), Beat: c.Duration("beat").Truncate(time.Second),
-		Ping: c.Duration("ping"), AtOnce: c.Int("at-once")}
+		Ping: c.Duration("ping"), Storms: c.Bool("storms"), AtOnce: c.Int("at-once")}
 	p.Active = load.Active{Proto: p.Proto, Addr: p.Addr, Rate: c.Float("rate"), Clients: c.Int("clients"), Dest: c.Int64("dest"),
 		Class: c.String("class"), Exchange: c.String("exchange"), Body: c.Int("body")}
 	switch {
--- a/internal/load/idle.go
+++ b/internal/load/idle.go
@@ -51,6 +51,7 @@
 	timer timers.Timer
 	up    bool
 	done  bool
+	reset bool   // by this side
 	last  string // the sender's last word, when it closes
 }
 
@@ -184,7 +185,7 @@
 	} else {
 		m.c.opening--
 	}
-	if m.c.closing {
+	if m.c.closing || m.reset {
 		m.c.changed()
 		return
 	}
@@ -256,17 +257,18 @@
 	}
 }
 
-// drop ends the given share of the crowd at once and does not open others in their place until grow.
-func (i *idle) drop(share float64) {
+// reset ends half of the crowd at once by resets; grow lets as many come back.
+func (i *idle) reset() {
 	done := make(chan bool)
 	i.r.Post(func() {
-		n := int(share * float64(len(i.members)))
+		n := len(i.members) / 2
 		i.want = len(i.members) - n
 		for m := range i.members {
 			if n--; n < 0 {
 				break
 			}
-			m.conn.Close()
+			m.reset = true
+			m.conn.Reset()
 		}
 		close(done)
 	})
--- a/internal/load/plot.go
+++ b/internal/load/plot.go
@@ -19,6 +19,9 @@
 	var p50, p99, p999 plotter.XYs
 	top := 0.0
 	for _, s := range rep.Steps {
+		if s.Name != "" { // a storm: no point of the curve
+			continue
+		}
 		x := float64(s.Idle)
 		p50 = append(p50, plotter.XY{X: x, Y: s.Taken.P50})
 		p99 = append(p99, plotter.XY{X: x, Y: s.Taken.P99})
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -30,6 +30,7 @@
 	Beat    time.Duration `json:"beat_ns"` // AMQP heartbeats asked for
 	Ping    time.Duration `json:"ping_ns"` // between PINGs of an idle RESP client
 	AtOnce  int           `json:"at_once"` // connects under way
+	Storms  bool          `json:"storms"`  // after the last step, all idle clients speak at once, and half are reset and come back
 	Active  Active        `json:"active"`
 
 	// Gate, if not nil, is asked before each step is measured, once its connections are open.
@@ -38,8 +39,30 @@
 	Progress func(open, want int) `json:"-"`
 }
 
+// stage is one step of a plan, with what happens while it is measured.
+type stage struct {
+	name string
+	idle int
+	act  func(*idle) error
+}
+
+func (p *Plan) stages() (list []stage) {
+	for _, n := range p.Steps {
+		list = append(list, stage{idle: n})
+	}
+	if n := list[len(list)-1].idle; p.Storms {
+		list = append(list, stage{"all speak at once", n, func(i *idle) error { i.all(); return nil }},
+			stage{"half reset and back", n, func(i *idle) error {
+				i.reset()
+				return i.grow(n, 10*time.Second, func(int) {})
+			}})
+	}
+	return list
+}
+
 // Step is what one step showed.
 type Step struct {
+	Name      string  `json:"name,omitempty"`
 	Idle      int     `json:"idle"`
 	Opened    int     `json:"opened"`     // for this step
 	OpenS     float64 `json:"open_s"`     // that took
@@ -89,7 +112,8 @@
 	defer active.stop()
 	time.Sleep(p.Warm)
 	var first Step
-	for i, n := range p.Steps {
+	for i, st := range p.stages() {
+		n := st.idle
 		before, _ := crowd.counts()
 		began := time.Now()
 		err := crowd.grow(n, 10*time.Second, func(open int) {
@@ -100,7 +124,7 @@
 		if err != nil {
 			return rep, fmt.Errorf("load: step %d: %w", n, err)
 		}
-		s := Step{Idle: n, Opened: n - before.Open, OpenS: time.Since(began).Seconds()}
+		s := Step{Name: st.name, Idle: n, Opened: n - before.Open, OpenS: time.Since(began).Seconds()}
 		if s.OpenS > 0 && s.Opened > 0 {
 			s.AcceptS = float64(s.Opened) / s.OpenS
 		}
@@ -113,11 +137,22 @@
 		cpu0, at := cpu(p.Pid), time.Now()
 		missed := active.missed.Load()
 		active.swap()
+		acted := make(chan error, 1)
+		go func() {
+			if st.act == nil {
+				acted <- nil
+				return
+			}
+			acted <- st.act(crowd)
+		}()
 		select {
 		case <-time.After(p.Each):
 		case <-ctx.Done():
 			return rep, ctx.Err()
 		}
+		if err := <-acted; err != nil {
+			return rep, fmt.Errorf("load: %s: %w", st.name, err)
+		}
 		t := active.swap()
 		took := time.Since(at)
 		now, why := crowd.counts()
@@ -152,7 +187,7 @@
 
 func (rep *Report) findKnee() {
 	for _, s := range rep.Steps {
-		if s.Taken.P99 > kneeRatio*rep.Steps[0].Taken.P99 {
+		if s.Name == "" && s.Taken.P99 > kneeRatio*rep.Steps[0].Taken.P99 {
 			rep.Knee = s.Idle
 			return
 		}
@@ -165,9 +200,9 @@
 		"ended99", "conn/s", "B each", "cpu", "beats", "lost")
 	for _, s := range rep.Steps {
 		if err == nil {
-			_, err = fmt.Fprintf(w, "%8d %8.0f %8.2f %8.2f %8.2f %8.2f %8.2f %8.0f %8.0f %6.0f%% %7d %6d\n", s.Idle,
+			_, err = fmt.Fprintf(w, "%8d %8.0f %8.2f %8.2f %8.2f %8.2f %8.2f %8.0f %8.0f %6.0f%% %7d %6d  %s\n", s.Idle,
 				float64(s.Taken.Count)/rep.Plan.Each.Seconds(), s.Taken.P50, s.Taken.P99, s.Taken.P999, s.Taken.Max, s.Ended.P99,
-				s.AcceptS, s.PerConn, 100*s.CPU, s.Beats, s.Lost+int(s.Failed))
+				s.AcceptS, s.PerConn, 100*s.CPU, s.Beats, s.Lost+int(s.Failed), s.Name)
 		}
 	}
 	if err == nil && rep.Knee > 0 {
--- a/internal/load/senders.go
+++ b/internal/load/senders.go
@@ -68,18 +68,19 @@
 func (s Senders) measure(all []*worker) (Report, error) {
 	var mu sync.Mutex
 	open := map[*worker]int{}
-	for step := range len(s.Plan.Steps) + 1 {
+	stages := s.Plan.stages()
+	for step := range len(stages) + 1 {
 		if err := each(all, func(w *worker) error {
 			return w.until(func(m message) bool {
 				mu.Lock()
 				defer mu.Unlock()
-				if m.Open > 0 && s.Plan.Progress != nil && step < len(s.Plan.Steps) {
+				if m.Open > 0 && s.Plan.Progress != nil && step < len(stages) {
 					open[w] = m.Open
 					n := 0
 					for _, o := range open {
 						n += o
 					}
-					s.Plan.Progress(n, s.Plan.Steps[step])
+					s.Plan.Progress(n, stages[step].idle)
 				}
 				return m.Ready
 			})
@@ -123,8 +124,9 @@
 
 func (s Senders) merge(reps []*Report) (Report, error) {
 	rep := Report{Plan: s.Plan, Cores: reps[0].Cores}
-	for i, n := range s.Plan.Steps {
-		sum := Step{Idle: n, taken: hdrhistogram.New(1, maxLatency, 3), ended: hdrhistogram.New(1, maxLatency, 3)}
+	for i, st := range s.Plan.stages() {
+		n := st.idle
+		sum := Step{Name: st.name, Idle: n, taken: hdrhistogram.New(1, maxLatency, 3), ended: hdrhistogram.New(1, maxLatency, 3)}
 		for _, r := range reps {
 			x := r.Steps[i]
 			for raw, into := range map[*[]byte]*hdrhistogram.Histogram{&x.TakenHist: sum.taken, &x.EndedHist: sum.ended} {
--- a/internal/net/amqpfront/front_test.go
+++ b/internal/net/amqpfront/front_test.go
@@ -195,16 +195,26 @@
 	})
 }
 
-// dial opens a client with channel 1 in confirm mode.
-func dial(t *testing.T, addr string) *client {
+// dialRaw opens a client that has said which protocol it speaks.
+func dialRaw(t *testing.T, addr string) (*client, error) {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
 	t.Cleanup(func() { _ = c.Close() })
 	cl := &client{newSide(c), t}
 	_, _ = cl.Write([]byte(amqp.Preamble))
+	return cl, nil
+}
+
+// dial opens a client with channel 1 in confirm mode.
+func dial(t *testing.T, addr string) *client {
+	t.Helper()
+	cl, err := dialRaw(t, addr)
+	if err != nil {
+		t.Fatal(err)
+	}
 	cl.want(amqp.ConnStart)
 	cl.method(0, amqp.ConnStartOk, amqp.Table{}, "PLAIN", "\x00guest\x00guest", "en_US")
 	cl.want(amqp.ConnTune)
--- a/internal/net/conns/table.go
+++ b/internal/net/conns/table.go
@@ -26,6 +26,11 @@
 	classes = iota
 )
 
+var classNames = [classes]string{"fresh", "idle", "held", "partial", "stuck", "busy"}
+
+// String words a class.
+func (c Class) String() string { return classNames[c] }
+
 // Reason is why a connection goes, or a newcomer is not taken.
 type Reason uint8
 
@@ -169,11 +174,30 @@
 // Counts is the number of connections of each class.
 func (t *Table) Counts() [classes]int { return t.counts }
 
-// Gone is how many connections, and newcomers, went for each reason; Came is how many were taken.
-func (t *Table) Gone(r Reason) uint64 { return t.gone[r] }
+// Stats is what an operator sees of a table.
+type Stats struct {
+	Open  int            `json:"open"`
+	Most  int            `json:"most"`  // as the table's own limit
+	Doing map[string]int `json:"doing"` // connections by class
+	Came  uint64         `json:"came"`  // newcomers that were taken
+	Gone  map[string]int `json:"gone"`  // connections ended, and newcomers turned away, by reason
+}
 
-// Came is how many newcomers were taken.
-func (t *Table) Came() uint64 { return t.came }
+// Stats tells it.
+func (t *Table) Stats() Stats {
+	s := Stats{Open: t.n, Most: min(t.lim.Most, t.room.most), Came: t.came, Doing: map[string]int{}, Gone: map[string]int{}}
+	for c, n := range t.counts {
+		if n > 0 {
+			s.Doing[Class(c).String()] = n
+		}
+	}
+	for r, n := range t.gone {
+		if n > 0 {
+			s.Gone[Reason(r).String()] = int(n)
+		}
+	}
+	return s
+}
 
 // Each calls f for each connection; f may remove the one it is told of.
 func (t *Table) Each(f func(*Entry)) {
--- a/internal/net/reactor/reactor.go
+++ b/internal/net/reactor/reactor.go
@@ -234,6 +234,14 @@
 	c.r.Post(func() { c.down(net.ErrClosed) })
 }
 
+// Reset ends the connection at once by a reset; Down follows.
+func (c *Conn) Reset() {
+	if nc := c.nc.Load(); nc != nil && !c.dead {
+		_ = nc.SetLinger(1, 0)
+	}
+	c.Close()
+}
+
 // Local tells a failure to connect that is this machine's own: no descriptor, port or buffer left. It says
 // nothing of the peer.
 func Local(err error) bool {
