--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -98,6 +98,10 @@
 		log.Error().Err(err).Msg("reload: the old configuration stands")
 		return
 	}
+	if err := descriptors(&cfg, log); err != nil {
+		log.Error().Err(err).Msg("reload: the old configuration stands")
+		return
+	}
 	wire.Post(func() {
 		if err := f.follow(core, cfg); err != nil {
 			log.Error().Err(err).Msg("reload: the old configuration stands")
--- a/internal/app/idle_test.go
+++ b/internal/app/idle_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -59,6 +60,17 @@
 }
 
 func serveAppliance(t *testing.T) *appliance {
+	t.Helper()
+	a := newAppliance(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { a.done <- Serve(ctx, a.file) }()
+	t.Cleanup(cancel)
+	a.ready()
+	return a
+}
+
+// newAppliance writes an appliance's file.
+func newAppliance(t *testing.T) *appliance {
 	t.Helper()
 	free := func() string {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -72,15 +84,18 @@
 	t.Setenv("LB_STATE", dir)
 	a := &appliance{t: t, file: filepath.Join(dir, "a.toml"), amqp: free(), resp: free(), done: make(chan error, 1)}
 	a.write(0.5, 0)
-	ctx, cancel := context.WithCancel(context.Background())
-	go func() { a.done <- Serve(ctx, a.file) }()
-	t.Cleanup(cancel)
+	return a
+}
+
+// ready waits until the fronts listen.
+func (a *appliance) ready() {
+	a.t.Helper()
 	for began := time.Now(); ; time.Sleep(5 * time.Millisecond) {
-		if c, err := net.Dial("tcp", a.resp); err == nil {
+		if c, err := net.Dial("tcp", a.amqp); err == nil {
 			_ = c.Close()
-			return a
+			return
 		} else if time.Since(began) > standin.Long {
-			t.Fatal(err)
+			a.t.Fatal(err)
 		}
 	}
 }
@@ -117,6 +132,56 @@
 	}
 }
 
+// TestMain serves in a process of its own where a test asks for one.
+func TestMain(m *testing.M) {
+	if file := os.Getenv("BRACKENDALE_TEST_SERVE"); file != "" {
+		if err := Serve(context.Background(), file); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// A process that is stopped for longer than two heartbeats and goes on has its clients still: what they said
+// meanwhile lies unread, and no limit that passed is taken for their silence.
+func TestStopAndContinue(t *testing.T) {
+	a := newAppliance(t)
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), "BRACKENDALE_TEST_SERVE="+a.file)
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Process.Kill(); _ = c.Wait() }()
+	a.ready()
+	conn, err := amqp091.DialConfig("amqp://guest:guest@"+a.amqp+"/", amqp091.Config{Heartbeat: time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	closed := conn.NotifyClose(make(chan *amqp091.Error, 1))
+	if err := c.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2500 * time.Millisecond) // the client's own patience is three seconds
+	if err := c.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Channel(); err != nil {
+		t.Fatal("it was ended:", err)
+	}
+	time.Sleep(1500 * time.Millisecond) // the timers that were due in the pause have had their turn, and the next too
+	select {
+	case err := <-closed:
+		t.Fatal("it was ended:", err)
+	default:
+	}
+	if _, err := conn.Channel(); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // A lower bound that is read again while more are there ends the idle ones with word of it, down to the bound; the
 // others go on, and an address then finds its own bound.
 func TestReloadLowersTheBound(t *testing.T) {
--- a/internal/console/terminal.go
+++ b/internal/console/terminal.go
@@ -38,23 +38,31 @@
 // Close ends it.
 func (t *Terminal) Close() error { return t.conn.Close() }
 
-// Do sends one command and shows what the sender is like after it.
-func (t *Terminal) Do(command string, out io.Writer) error {
+// Ask sends one command and returns what the sender is like after it.
+func (t *Terminal) Ask(command string) (r Reply, err error) {
 	if strings.ContainsAny(command, "\r\n") {
-		return errors.New("console: a command is one line")
+		return r, errors.New("console: a command is one line")
 	}
 	_ = t.conn.SetDeadline(time.Now().Add(5 * time.Second))
 	if _, err := fmt.Fprintln(t.conn, command); err != nil {
-		return fmt.Errorf("console: %w", err)
+		return r, fmt.Errorf("console: %w", err)
 	}
-	var r Reply
 	if err := t.in.Decode(&r); err != nil {
-		return fmt.Errorf("console: %w", err)
+		return r, fmt.Errorf("console: %w", err)
 	}
 	if r.Error != "" {
-		return errors.New(r.Error)
+		return r, errors.New(r.Error)
+	}
+	return r, nil
+}
+
+// Do sends one command and shows what the sender is like after it.
+func (t *Terminal) Do(command string, out io.Writer) error {
+	r, err := t.Ask(command)
+	if err != nil {
+		return err
 	}
-	err := show(out, r.State, t.last, r.Wire)
+	err = show(out, r.State, t.last, r.Wire)
 	t.last = r.State
 	return err
 }
--- a/internal/load/command/command.go
+++ b/internal/load/command/command.go
@@ -36,6 +36,7 @@
 		&cli.StringFlag{Name: "proto", Value: "amqp", Usage: "the clients' protocol: amqp or resp"},
 		&cli.StringFlag{Name: "addr", Usage: "a running sender's `ADDRESS`; it must serve --dest and --class"},
 		&cli.IntFlag{Name: "pid", Usage: "its process, for memory and processor time"},
+		&cli.StringFlag{Name: "socket", Usage: "its console's `PATH`, for the timers that have fired"},
 		&cli.IntFlag{Name: "senders", Value: 1, Usage: "how many are started where --addr is not given"},
 		&cli.IntFlag{Name: "pin", Value: -1, Usage: "the `CORE` that the started senders share"},
 		&cli.IntFlag{Name: "memory-mb", Value: 192, Usage: "the started senders' memory limit"},
@@ -62,7 +63,7 @@
 	if err != nil {
 		return fmt.Errorf("load idle: --step: %w", err)
 	}
-	p := load.Plan{Proto: load.Proto(c.String("proto")), Addr: c.String("addr"), Pid: c.Int("pid"), Sources: load.Sources(8),
+	p := load.Plan{Proto: load.Proto(c.String("proto")), Addr: c.String("addr"), Pid: c.Int("pid"), Socket: c.String("socket"), Sources: load.Sources(8),
 		Steps: steps, Each: c.Duration("each"), Warm: c.Duration("warm"), Beat: c.Duration("beat").Truncate(time.Second),
 		Ping: c.Duration("ping"), Storms: c.Bool("storms"), AtOnce: c.Int("at-once")}
 	p.Active = load.Active{Proto: p.Proto, Addr: p.Addr, Rate: c.Float("rate"), Clients: c.Int("clients"), Dest: c.Int64("dest"),
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -12,6 +13,7 @@
 	"strings"
 	"time"
 
+	"brackendale/internal/console"
 	"brackendale/internal/net/loop"
 	"brackendale/internal/net/reactor"
 
@@ -22,15 +24,17 @@
 type Plan struct {
 	Proto   Proto         `json:"proto"`
 	Addr    string        `json:"addr"`
-	Pid     int           `json:"pid,omitempty"` // of the sender; 0: its memory and processor time are not told
+	Socket  string        `json:"socket,omitempty"` // of the sender's console; empty: its timers are not told
+	Pid     int           `json:"pid,omitempty"`    // of the sender; 0: its memory and processor time are not told
 	Sources []string      `json:"-"`
-	Steps   []int         `json:"steps"`   // idle connections, one after another
-	Each    time.Duration `json:"each_ns"` // of measuring, for each step
-	Warm    time.Duration `json:"warm_ns"` // of active load before the first step
-	Beat    time.Duration `json:"beat_ns"` // AMQP heartbeats asked for
-	Ping    time.Duration `json:"ping_ns"` // between PINGs of an idle RESP client
-	AtOnce  int           `json:"at_once"` // connects under way
-	Storms  bool          `json:"storms"`  // after the last step, all idle clients speak at once, and half are reset and come back
+	Steps   []int         `json:"steps"`    // idle connections, one after another
+	Each    time.Duration `json:"each_ns"`  // of measuring, for each step
+	Warm    time.Duration `json:"warm_ns"`  // of active load before the first step
+	Beat    time.Duration `json:"beat_ns"`  // AMQP heartbeats asked for
+	Ping    time.Duration `json:"ping_ns"`  // between PINGs of an idle RESP client
+	AtOnce  int           `json:"at_once"`  // connects under way
+	Limit   time.Duration `json:"limit_ns"` // without one more connection, after which a step has failed; 0: 10 s
+	Storms  bool          `json:"storms"`   // after the last step, all idle clients speak at once, and half are reset and come back
 	Active  Active        `json:"active"`
 
 	// Gate, if not nil, is asked before each step is measured, once its connections are open.
@@ -71,12 +75,13 @@
 	Ended     Latency `json:"ended"`      // until its final answer; AMQP alone
 	Refused   int64   `json:"refused"`
 	Failed    int64   `json:"failed"`
-	Missed    int64   `json:"missed"`     // not sent in time by the load itself
-	Lost      int     `json:"lost"`       // idle connections that ended by themselves
-	Beats     int     `json:"beats"`      // heartbeats and PINGs that idle clients sent meanwhile
-	RSS       int64   `json:"rss_bytes"`  // of the sender, after the step
-	PerConn   float64 `json:"bytes_each"` // of RSS above the first step's, for each idle connection
-	CPU       float64 `json:"cpu"`        // of one core, while measuring
+	Missed    int64   `json:"missed"`       // not sent in time by the load itself
+	Lost      int     `json:"lost"`         // idle connections that ended by themselves
+	Fired     int     `json:"timers_fired"` // by the sender meanwhile
+	Beats     int     `json:"beats"`        // heartbeats and PINGs that idle clients sent meanwhile
+	RSS       int64   `json:"rss_bytes"`    // of the sender, after the step
+	PerConn   float64 `json:"bytes_each"`   // of RSS above the first step's, for each idle connection
+	CPU       float64 `json:"cpu"`          // of one core, while measuring
 	TakenHist []byte  `json:"taken_hist,omitempty"`
 	EndedHist []byte  `json:"ended_hist,omitempty"`
 
@@ -97,6 +102,7 @@
 // Run measures. The connections stay open from step to step.
 func Run(ctx context.Context, p Plan) (Report, error) {
 	rep := Report{Plan: p, Cores: cores(p.Pid)}
+	limit := cmp.Or(p.Limit, 10*time.Second)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	l := loop.New()
@@ -116,7 +122,7 @@
 		n := st.idle
 		before, _ := crowd.counts()
 		began := time.Now()
-		err := crowd.grow(n, 10*time.Second, func(open int) {
+		err := crowd.grow(n, limit, func(open int) {
 			if p.Progress != nil {
 				p.Progress(open, n)
 			}
@@ -134,6 +140,10 @@
 			}
 		}
 		was, _ := crowd.counts()
+		fired0, err := fired(p.Socket)
+		if err != nil {
+			return rep, err
+		}
 		cpu0, at := cpu(p.Pid), time.Now()
 		missed := active.missed.Load()
 		active.swap()
@@ -156,6 +166,11 @@
 		t := active.swap()
 		took := time.Since(at)
 		now, why := crowd.counts()
+		fired1, err := fired(p.Socket)
+		if err != nil {
+			return rep, err
+		}
+		s.Fired = int(fired1 - fired0)
 		s.Lost, s.Beats, s.Missed = now.Lost-was.Lost, now.Sent-was.Sent, active.missed.Load()-missed
 		t.note(func() {
 			s.Refused, s.Failed = t.refused, t.failed
@@ -196,13 +211,13 @@
 
 // Table writes the report for people.
 func (rep *Report) Table(w io.Writer) error {
-	_, err := fmt.Fprintf(w, "%8s %8s %8s %8s %8s %8s %8s %8s %8s %7s %7s %6s\n", "idle", "taken/s", "p50 ms", "p99 ms", "p99.9", "max",
-		"ended99", "conn/s", "B each", "cpu", "beats", "lost")
+	_, err := fmt.Fprintf(w, "%8s %8s %8s %8s %8s %8s %8s %8s %8s %7s %7s %7s %6s\n", "idle", "taken/s", "p50 ms", "p99 ms", "p99.9", "max",
+		"ended99", "conn/s", "B each", "cpu", "timers", "beats", "lost")
 	for _, s := range rep.Steps {
 		if err == nil {
-			_, err = fmt.Fprintf(w, "%8d %8.0f %8.2f %8.2f %8.2f %8.2f %8.2f %8.0f %8.0f %6.0f%% %7d %6d  %s\n", s.Idle,
+			_, err = fmt.Fprintf(w, "%8d %8.0f %8.2f %8.2f %8.2f %8.2f %8.2f %8.0f %8.0f %6.0f%% %7d %7d %6d  %s\n", s.Idle,
 				float64(s.Taken.Count)/rep.Plan.Each.Seconds(), s.Taken.P50, s.Taken.P99, s.Taken.P999, s.Taken.Max, s.Ended.P99,
-				s.AcceptS, s.PerConn, 100*s.CPU, s.Beats, s.Lost+int(s.Failed), s.Name)
+				s.AcceptS, s.PerConn, 100*s.CPU, s.Fired, s.Beats, s.Lost+int(s.Failed), s.Name)
 		}
 	}
 	if err == nil && rep.Knee > 0 {
@@ -213,6 +228,23 @@
 	return err
 }
 
+// fired asks a sender's console how many timers have come due.
+func fired(socket string) (uint64, error) {
+	if socket == "" {
+		return 0, nil
+	}
+	t, err := console.Dial(socket)
+	if err != nil {
+		return 0, err
+	}
+	defer t.Close()
+	r, err := t.Ask("state")
+	if err != nil || r.Wire == nil {
+		return 0, err
+	}
+	return r.Wire.Fired, nil
+}
+
 // rss is a process's resident memory in bytes.
 func rss(pid int) int64 {
 	return 1024 * field("/proc/"+strconv.Itoa(pid)+"/status", "VmRSS:")
--- a/internal/load/senders.go
+++ b/internal/load/senders.go
@@ -139,6 +139,7 @@
 			sum.Opened += x.Opened
 			sum.OpenS = max(sum.OpenS, x.OpenS)
 			sum.Refused, sum.Failed, sum.Missed = sum.Refused+x.Refused, sum.Failed+x.Failed, sum.Missed+x.Missed
+			sum.Fired += x.Fired
 			sum.Lost, sum.Beats, sum.RSS, sum.CPU = sum.Lost+x.Lost, sum.Beats+x.Beats, sum.RSS+x.RSS, sum.CPU+x.CPU
 		}
 		if sum.Taken, sum.Ended = latency(sum.taken), latency(sum.ended); sum.OpenS > 0 {
@@ -223,6 +224,7 @@
 		}
 	}
 	p := s.Plan
+	p.Socket = filepath.Join(dir, "console")
 	p.Addr, p.Active.Addr, p.Pid = addr, addr, w.sender.Process.Pid
 	p.Active.Rate /= float64(s.Count)
 	p.Steps = slices.Clone(p.Steps)
@@ -280,7 +282,9 @@
 [clients]
 share = 0.95
 targets = 0.01
-%s[sender]
+%s[console]
+socket = "console"
+[sender]
 slots = 64
 hold = 4000
 [[class]]
--- a/internal/net/reactor/limits_test.go
+++ b/internal/net/reactor/limits_test.go
@@ -81,6 +81,20 @@
 	}
 }
 
+// An accept flood is let in at the rate that is set, and a pause is made up for by a tenth of a second's worth.
+func TestAcceptRate(t *testing.T) {
+	var p pacer
+	for _, start := range []time.Duration{time.Hour, 2 * time.Hour} {
+		let, now := 0, start
+		for ; now < start+time.Second; let++ {
+			now += p.wait(now, 1000)
+		}
+		if let < 1090 || let > 1110 {
+			t.Fatal("newcomers in a second:", let)
+		}
+	}
+}
+
 // Peers that never read share a bound: the one that is written to above it goes, and one that reads stays.
 func TestPeersThatNeverRead(t *testing.T) {
 	r, do := start(t)
--- a/internal/net/reactor/listen.go
+++ b/internal/net/reactor/listen.go
@@ -50,15 +50,11 @@
 
 func (l *Listener) serve() {
 	room := make(chan struct{}, maxComing)
-	next := time.Now()
+	var p pacer
 	for {
 		room <- struct{}{}
 		if rate := l.perSec.Load(); rate > 0 {
-			if earliest := time.Now().Add(-burst); next.Before(earliest) {
-				next = earliest
-			}
-			next = next.Add(time.Second / time.Duration(rate))
-			time.Sleep(time.Until(next))
+			time.Sleep(p.wait(l.r.Now(), int(rate)))
 		}
 		sock, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -90,6 +86,16 @@
 	}
 }
 
+// pacer spaces newcomers out. It reads no clock.
+type pacer struct{ next time.Duration }
+
+// wait tells how long the next newcomer has to wait at so many a second. Time in which nobody came is made up for by
+// as much as burst.
+func (p *pacer) wait(now time.Duration, perSecond int) time.Duration {
+	p.next = max(p.next, now-burst) + time.Second/time.Duration(perSecond)
+	return max(0, p.next-now)
+}
+
 func (l *Listener) reserve() {
 	if l.word == nil || l.spare != nil {
 		return
