After a pause of the process nobody's silence counts for a second

Cause: when a stopped process goes on, timers are due at once, and what clients said meanwhile is in neither the socket nor the loop's queue while the engine is between its read and its hand-over; a heartbeat's limit could end a client that lives. Found in reading, when a test of SIGSTOP failed for its own client's patience.

Change: the loop notes a turn that comes more than a second late; for a second after it no heartbeat or limit ends a connection.

--- a/internal/app/idle_test.go
+++ b/internal/app/idle_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"brackendale/internal/config"
+	"brackendale/internal/net/amqp"
 	"brackendale/internal/standin"
 
 	"github.com/rabbitmq/amqp091-go"
@@ -155,30 +156,59 @@
 	}
 	defer func() { _ = c.Process.Kill(); _ = c.Wait() }()
 	a.ready()
-	conn, err := amqp091.DialConfig("amqp://guest:guest@"+a.amqp+"/", amqp091.Config{Heartbeat: time.Second})
+	conn, err := net.Dial("tcp", a.amqp)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	closed := conn.NotifyClose(make(chan *amqp091.Error, 1))
+	_ = conn.SetDeadline(time.Now().Add(standin.Long))
+	var buf []byte
+	want := func(k amqp.Key) { // passes over heartbeats
+		t.Helper()
+		for {
+			f, n, err := amqp.ParseFrame(buf, amqp.FrameMax)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if buf = buf[n:]; n > 0 && f.Kind == amqp.FrameMethod {
+				if m, err := amqp.ParseMethod(f.Payload); err != nil || m.Key != k {
+					t.Fatal(m, err)
+				}
+				return
+			}
+			if n == 0 {
+				part := make([]byte, 4096)
+				n, err := conn.Read(part)
+				if err != nil {
+					t.Fatalf("waiting for %s: %v", k, err)
+				}
+				buf = append(buf, part[:n]...)
+			}
+		}
+	}
+	say := func(b []byte) { _, _ = conn.Write(b) } // a peer that went is seen by the next read
+	say([]byte(amqp.Preamble))
+	want(amqp.ConnStart)
+	say(amqp.AppendMethod(nil, 0, amqp.ConnStartOk, amqp.Table{}, "PLAIN", "\x00a\x00b", "en_US"))
+	want(amqp.ConnTune)
+	say(amqp.AppendMethod(nil, 0, amqp.ConnTuneOk, 8, amqp.FrameMin, 1))
+	say(amqp.AppendMethod(nil, 0, amqp.ConnOpen, "/", "", false))
+	want(amqp.ConnOpenOk)
 	if err := c.Process.Signal(syscall.SIGSTOP); err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(2500 * time.Millisecond) // the client's own patience is three seconds
+	beat := amqp.AppendFrame(nil, amqp.FrameBeat, 0, nil)
+	for range 10 { // for longer than two heartbeats
+		say(beat)
+		time.Sleep(300 * time.Millisecond)
+	}
 	if err := c.Process.Signal(syscall.SIGCONT); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := conn.Channel(); err != nil {
-		t.Fatal("it was ended:", err)
-	}
-	time.Sleep(1500 * time.Millisecond) // the timers that were due in the pause have had their turn, and the next too
-	select {
-	case err := <-closed:
-		t.Fatal("it was ended:", err)
-	default:
-	}
-	if _, err := conn.Channel(); err != nil {
-		t.Fatal(err)
+	for id := range uint16(8) { // the timers that were due in the pause have their turn, and the next too
+		say(amqp.AppendMethod(nil, id+1, amqp.ChanOpen, ""))
+		want(amqp.ChanOpenOk)
+		time.Sleep(200 * time.Millisecond)
 	}
 }
 
--- a/internal/net/amqpfront/peer.go
+++ b/internal/net/amqpfront/peer.go
@@ -71,12 +71,12 @@
 }
 
 // pulse sends a heartbeat, unless something else was written of late (section 4.2.7 of the specification lets any
-// octet stand for one), and ends a connection that was silent for two of their times. What lies unread in its
-// socket, as after a pause of this process, is word of it.
+// octet stand for one), and ends a connection that was silent for two of their times. After a pause of this process
+// its word may lie unread in the socket, or be on its way from there.
 func (p *peer) pulse(on timers.Handler) {
 	now := p.loop.Now()
 	if now-p.heard > 2*p.beat {
-		if p.conn.Quiet() {
+		if p.conn.Quiet() && !p.loop.Stalled() {
 			p.conn.Close()
 			return
 		}
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -40,6 +40,9 @@
 	clock *time.Timer
 	until time.Duration // what the clock is set to; 0: not set
 
+	seen  time.Duration // the last turn
+	doubt time.Duration // until then Stalled holds
+
 	fired atomic.Uint64
 }
 
@@ -84,6 +87,17 @@
 	l.Post(func() { l.wheel.Start(&timers.Timer{}, at, 0, timers.Func(f)) })
 }
 
+// A turn that comes so long after the last one follows a pause of the process, or one with nothing to do; for grace
+// after it, what peers said meanwhile may still be on its way through the engine.
+const (
+	stallGap   = time.Second
+	stallGrace = time.Second
+)
+
+// Stalled tells whether silence just now may be this process's own: nobody is to be ended for it. Only for the loop's
+// goroutine.
+func (l *Loop) Stalled() bool { return l.Now() < l.doubt }
+
 // Stats is what the loop has done.
 type Stats struct {
 	Timers int    // that are set
@@ -112,6 +126,10 @@
 
 // turn runs what is there and tells whether there is more.
 func (l *Loop) turn() bool {
+	if now := l.Now(); now-l.seen > stallGap {
+		l.doubt = now + stallGrace
+	}
+	defer func() { l.seen = l.Now() }()
 	l.mu.Lock()
 	reads := l.reads
 	l.reads = nil
--- a/internal/net/loop/loop_test.go
+++ b/internal/net/loop/loop_test.go
@@ -33,6 +33,23 @@
 	}
 }
 
+// After a pause of the process nobody's silence counts for a while; in a loop that turns all the time it does.
+func TestStalled(t *testing.T) {
+	l := New()
+	l.turn()
+	if l.Stalled() {
+		t.Fatal("a loop that has just begun has missed nothing")
+	}
+	l.seen -= 2 * stallGap // as if it had stood still
+	if l.turn(); !l.Stalled() {
+		t.Fatal("the pause was not seen")
+	}
+	l.doubt -= 2 * stallGrace
+	if l.turn(); l.Stalled() {
+		t.Fatal("it never ends")
+	}
+}
+
 // What is posted goes before what is read, and a crowd that speaks at once lets it in between.
 func TestPostedGoesFirst(t *testing.T) {
 	l := New()
--- a/internal/net/platform/ingress.go
+++ b/internal/net/platform/ingress.go
@@ -86,9 +86,8 @@
 
 // Due ends what has gone over a limit. What lies unread in its socket counts as word of it.
 func (in *Ingress) Due(*timers.Timer) {
-	more := in.table.Expire(in.r.Now(), sweepPortion, conns.Unread, conns.End)
 	gap := sweepGap
-	if more {
+	if !in.r.Stalled() && in.table.Expire(in.r.Now(), sweepPortion, conns.Unread, conns.End) {
 		gap = 0
 	}
 	if in.table.Len() > 0 {
