Serve more of AMQP 0-9-1: one grammar of all methods, queues, get, recover, direct reply-to

Need: of 21 scenes of a client library 9 worked; exchange.declare, queue.purge, delete and bind, basic.get, recover, channel.flow, no-ack, direct reply-to and a 17th channel were refused, and most methods could not even be read.

The front serves the exchange as it is declared, exclusive, auto-delete and bounded queues (x-max-length, x-message-ttl, x-expires), purge, delete, get, recover, no-ack, direct reply-to, flow, consumer cancel, AMQPLAIN, update-secret, and channels up to amqp.channels.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -254,7 +254,8 @@
 	}
 	if cfg.AMQP.Listen != "" {
 		in := amqpfront.NewIngress(core, r, amqpfront.Options{User: cfg.AMQP.User, Password: cfg.AMQP.Password,
-			Exchange: cfg.AMQP.Exchange, Heartbeat: time.Duration(cfg.AMQP.HeartbeatS) * time.Second}, table(amqpfront.Front))
+			Exchange: cfg.AMQP.Exchange, Heartbeat: time.Duration(cfg.AMQP.HeartbeatS) * time.Second,
+			Channels: cfg.AMQP.Channels}, table(amqpfront.Front))
 		core.AddIngress(amqpfront.Front, in)
 		if err := listen(cfg.AMQP.Listen, amqpfront.TurnedAway, in.Accept); err != nil {
 			return nil, err
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -50,6 +50,7 @@
 	Password   string `toml:"password"`
 	Exchange   string `toml:"exchange"`
 	HeartbeatS int    `toml:"heartbeat_s"`
+	Channels   int    `toml:"channels"` // of one connection
 
 	FirstS float64 `toml:"first_s"` // for the handshake; 0: any time
 	FrameS float64 `toml:"frame_s"` // for one frame, from its first byte to its last; 0: any time
@@ -163,6 +164,8 @@
 		return fault("limits.sockets", "%d is under 32", l.Sockets)
 	case !(l.DiskMB >= 0.05):
 		return fault("limits.disk_mb", "%v is under 0.05", l.DiskMB)
+	case c.AMQP.Listen != "" && (c.AMQP.Channels < 1 || c.AMQP.Channels > 2047):
+		return fault("amqp.channels", "%d is not from 1 to 2047", c.AMQP.Channels)
 	case c.AMQP.HeartbeatS < 0 || c.AMQP.HeartbeatS > 3600:
 		return fault("amqp.heartbeat_s", "%d is not from 0 to 3600", c.AMQP.HeartbeatS)
 	}
@@ -236,7 +239,7 @@
 // appliance reads the appliance's file; alone tells that it gives the settings too.
 func (c *Config) appliance(path string, alone bool) error {
 	f := file{Name: c.Name, State: c.State, Listen: c.Listen, Discovery: c.Discovery, Limits: c.Limits}
-	f.AMQP = AMQP{HeartbeatS: 10, FirstS: 10, FrameS: 10}
+	f.AMQP = AMQP{HeartbeatS: 10, Channels: 64, FirstS: 10, FrameS: 10}
 	f.Resp = Resp{FirstS: 10, CommandS: 2}
 	if f.Clients = platformClients; alone {
 		f.Clients = applianceClients
--- /dev/null
+++ b/internal/net/amqp/grammar.go
@@ -0,0 +1,159 @@
+package amqp
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// grammar is the whole of AMQP 0-9-1's methods, one a line: who may send it, its class and name, its number, and its
+// arguments by name and kind. It is the one description that encoder, decoder, constants' test and fronts go by.
+// Sources: the specification's section 1 (classes and methods) of the generated reference; for confirm, nack, blocked,
+// update-secret, exchange.bind and unbind RabbitMQ's documented extensions.
+//
+// Senders: S the server, C the client, B both. An = behind the number names the method that answers it, where one must.
+// Kinds: o octet, s short, l long, L longlong, b bit (packed with its neighbours), S short string, X long string,
+// T table. A * at the end says that a content follows.
+const grammar = `
+S connection.start 10.10 =start-ok version-major:o version-minor:o server-properties:T mechanisms:X locales:X
+C connection.start-ok 10.11 client-properties:T mechanism:S response:X locale:S
+S connection.secure 10.20 =secure-ok challenge:X
+C connection.secure-ok 10.21 response:X
+S connection.tune 10.30 =tune-ok channel-max:s frame-max:l heartbeat:s
+C connection.tune-ok 10.31 channel-max:s frame-max:l heartbeat:s
+C connection.open 10.40 =open-ok virtual-host:S reserved-1:S reserved-2:b
+S connection.open-ok 10.41 reserved-1:S
+B connection.close 10.50 =close-ok reply-code:s reply-text:S class-id:s method-id:s
+B connection.close-ok 10.51
+S connection.blocked 10.60 reason:S
+S connection.unblocked 10.61
+C connection.update-secret 10.70 =update-secret-ok new-secret:X reason:S
+S connection.update-secret-ok 10.71
+C channel.open 20.10 =open-ok reserved-1:S
+S channel.open-ok 20.11 reserved-1:X
+B channel.flow 20.20 =flow-ok active:b
+B channel.flow-ok 20.21 active:b
+B channel.close 20.40 =close-ok reply-code:s reply-text:S class-id:s method-id:s
+B channel.close-ok 20.41
+C exchange.declare 40.10 =declare-ok reserved-1:s exchange:S type:S passive:b durable:b auto-delete:b internal:b no-wait:b arguments:T
+S exchange.declare-ok 40.11
+C exchange.delete 40.20 =delete-ok reserved-1:s exchange:S if-unused:b no-wait:b
+S exchange.delete-ok 40.21
+C exchange.bind 40.30 =bind-ok reserved-1:s destination:S source:S routing-key:S no-wait:b arguments:T
+S exchange.bind-ok 40.31
+C exchange.unbind 40.40 =unbind-ok reserved-1:s destination:S source:S routing-key:S no-wait:b arguments:T
+S exchange.unbind-ok 40.51
+C queue.declare 50.10 =declare-ok reserved-1:s queue:S passive:b durable:b exclusive:b auto-delete:b no-wait:b arguments:T
+S queue.declare-ok 50.11 queue:S message-count:l consumer-count:l
+C queue.bind 50.20 =bind-ok reserved-1:s queue:S exchange:S routing-key:S no-wait:b arguments:T
+S queue.bind-ok 50.21
+C queue.purge 50.30 =purge-ok reserved-1:s queue:S no-wait:b
+S queue.purge-ok 50.31 message-count:l
+C queue.delete 50.40 =delete-ok reserved-1:s queue:S if-unused:b if-empty:b no-wait:b
+S queue.delete-ok 50.41 message-count:l
+C queue.unbind 50.50 =unbind-ok reserved-1:s queue:S exchange:S routing-key:S arguments:T
+S queue.unbind-ok 50.51
+C basic.qos 60.10 =qos-ok prefetch-size:l prefetch-count:s global:b
+S basic.qos-ok 60.11
+C basic.consume 60.20 =consume-ok reserved-1:s queue:S consumer-tag:S no-local:b no-ack:b exclusive:b no-wait:b arguments:T
+S basic.consume-ok 60.21 consumer-tag:S
+B basic.cancel 60.30 =cancel-ok consumer-tag:S no-wait:b
+B basic.cancel-ok 60.31 consumer-tag:S
+C basic.publish 60.40 reserved-1:s exchange:S routing-key:S mandatory:b immediate:b *
+S basic.return 60.50 reply-code:s reply-text:S exchange:S routing-key:S *
+S basic.deliver 60.60 consumer-tag:S delivery-tag:L redelivered:b exchange:S routing-key:S *
+C basic.get 60.70 reserved-1:s queue:S no-ack:b
+S basic.get-ok 60.71 delivery-tag:L redelivered:b exchange:S routing-key:S message-count:l *
+S basic.get-empty 60.72 reserved-1:S
+B basic.ack 60.80 delivery-tag:L multiple:b
+C basic.reject 60.90 delivery-tag:L requeue:b
+C basic.recover-async 60.100 requeue:b
+C basic.recover 60.110 =recover-ok requeue:b
+S basic.recover-ok 60.111
+B basic.nack 60.120 delivery-tag:L multiple:b requeue:b
+C confirm.select 85.10 =select-ok no-wait:b
+S confirm.select-ok 85.11
+C tx.select 90.10 =select-ok
+S tx.select-ok 90.11
+C tx.commit 90.20 =commit-ok
+S tx.commit-ok 90.21
+C tx.rollback 90.30 =rollback-ok
+S tx.rollback-ok 90.31
+`
+
+// Spec is what the grammar says of one method.
+type Spec struct {
+	Key
+	Name       string // as class.method
+	Args       []Arg
+	FromServer bool // the server may send it
+	FromClient bool
+	Content    bool // a header and a body follow
+	Answer     Key  // what must answer it; 0: nothing
+	kinds      string
+}
+
+// Arg is one argument's name and kind.
+type Arg struct {
+	Name string
+	Kind byte // o, s, l, L, b, S, X or T
+}
+
+var specs, byName = readGrammar(grammar)
+
+// SpecOf returns what the grammar says of a method; ok is false for one that it does not know.
+func SpecOf(k Key) (s *Spec, ok bool) {
+	s, ok = specs[k]
+	return s, ok
+}
+
+// Specs calls f for each method.
+func Specs(f func(*Spec)) {
+	for _, s := range specs {
+		f(s)
+	}
+}
+
+// String is the method's name, or its numbers where it has none.
+func (k Key) String() string {
+	if s, ok := specs[k]; ok {
+		return s.Name
+	}
+	return fmt.Sprintf("method %d.%d", k.Class(), k.ID())
+}
+
+// readGrammar panics on a fault: the text is this package's own.
+func readGrammar(text string) (map[Key]*Spec, map[string]*Spec) {
+	all, names := map[Key]*Spec{}, map[string]*Spec{}
+	answers := map[*Spec]string{}
+	for line := range strings.Lines(strings.TrimSpace(text)) {
+		f := strings.Fields(line)
+		class, id, _ := strings.Cut(f[2], ".")
+		s := &Spec{Name: f[1], Key: key(number(class), number(id)), FromServer: f[0] != "C", FromClient: f[0] != "S"}
+		for _, arg := range f[3:] {
+			name, kind, _ := strings.Cut(arg, ":")
+			switch {
+			case arg == "*":
+				s.Content = true
+			case arg[0] == '=':
+				answers[s] = strings.Split(s.Name, ".")[0] + "." + arg[1:]
+			default:
+				s.Args = append(s.Args, Arg{name, kind[0]})
+				s.kinds += kind
+			}
+		}
+		all[s.Key], names[s.Name] = s, s
+	}
+	for s, name := range answers {
+		s.Answer = names[name].Key
+	}
+	return all, names
+}
+
+func number(text string) uint32 {
+	n, err := strconv.ParseUint(text, 10, 16)
+	if err != nil {
+		panic(err)
+	}
+	return uint32(n)
+}
--- a/internal/net/amqp/methods.go
+++ b/internal/net/amqp/methods.go
@@ -20,52 +20,73 @@
 
 // The methods that are known, by class and number.
 const (
-	ConnStart     = Key(10<<16 | 10)
-	ConnStartOk   = Key(10<<16 | 11)
-	ConnTune      = Key(10<<16 | 30)
-	ConnTuneOk    = Key(10<<16 | 31)
-	ConnOpen      = Key(10<<16 | 40)
-	ConnOpenOk    = Key(10<<16 | 41)
-	ConnClose     = Key(10<<16 | 50)
-	ConnCloseOk   = Key(10<<16 | 51)
-	ConnBlocked   = Key(10<<16 | 60)
-	ConnUnblocked = Key(10<<16 | 61)
-	ChanOpen      = Key(20<<16 | 10)
-	ChanOpenOk    = Key(20<<16 | 11)
-	ChanFlow      = Key(20<<16 | 20)
-	ChanFlowOk    = Key(20<<16 | 21)
-	ChanClose     = Key(20<<16 | 40)
-	ChanCloseOk   = Key(20<<16 | 41)
-	QueueDeclare  = Key(50<<16 | 10)
-	QueueOk       = Key(50<<16 | 11)
-	Qos           = Key(60<<16 | 10)
-	QosOk         = Key(60<<16 | 11)
-	Consume       = Key(60<<16 | 20)
-	ConsumeOk     = Key(60<<16 | 21)
-	Cancel        = Key(60<<16 | 30)
-	CancelOk      = Key(60<<16 | 31)
-	Publish       = Key(60<<16 | 40)
-	Return        = Key(60<<16 | 50)
-	Deliver       = Key(60<<16 | 60)
-	Ack           = Key(60<<16 | 80)
-	Reject        = Key(60<<16 | 90)
-	Nack          = Key(60<<16 | 120)
-	ConfirmSelect = Key(85<<16 | 10)
-	ConfirmOk     = Key(85<<16 | 11)
+	ConnStart         = Key(10<<16 | 10)
+	ConnStartOk       = Key(10<<16 | 11)
+	ConnTune          = Key(10<<16 | 30)
+	ConnTuneOk        = Key(10<<16 | 31)
+	ConnOpen          = Key(10<<16 | 40)
+	ConnOpenOk        = Key(10<<16 | 41)
+	ConnClose         = Key(10<<16 | 50)
+	ConnCloseOk       = Key(10<<16 | 51)
+	ConnBlocked       = Key(10<<16 | 60)
+	ConnUnblocked     = Key(10<<16 | 61)
+	ConnSecure        = Key(10<<16 | 20)
+	ConnSecureOk      = Key(10<<16 | 21)
+	ConnSecret        = Key(10<<16 | 70)
+	ConnSecretOk      = Key(10<<16 | 71)
+	ChanOpen          = Key(20<<16 | 10)
+	ChanOpenOk        = Key(20<<16 | 11)
+	ChanFlow          = Key(20<<16 | 20)
+	ChanFlowOk        = Key(20<<16 | 21)
+	ChanClose         = Key(20<<16 | 40)
+	ChanCloseOk       = Key(20<<16 | 41)
+	ExchangeDeclare   = Key(40<<16 | 10)
+	ExchangeDeclareOk = Key(40<<16 | 11)
+	ExchangeDelete    = Key(40<<16 | 20)
+	ExchangeDeleteOk  = Key(40<<16 | 21)
+	ExchangeBind      = Key(40<<16 | 30)
+	ExchangeBindOk    = Key(40<<16 | 31)
+	ExchangeUnbind    = Key(40<<16 | 40)
+	ExchangeUnbindOk  = Key(40<<16 | 51)
+	QueueDeclare      = Key(50<<16 | 10)
+	QueueOk           = Key(50<<16 | 11)
+	QueueBind         = Key(50<<16 | 20)
+	QueueBindOk       = Key(50<<16 | 21)
+	QueuePurge        = Key(50<<16 | 30)
+	QueuePurgeOk      = Key(50<<16 | 31)
+	QueueDelete       = Key(50<<16 | 40)
+	QueueDeleteOk     = Key(50<<16 | 41)
+	QueueUnbind       = Key(50<<16 | 50)
+	QueueUnbindOk     = Key(50<<16 | 51)
+	Qos               = Key(60<<16 | 10)
+	QosOk             = Key(60<<16 | 11)
+	Consume           = Key(60<<16 | 20)
+	ConsumeOk         = Key(60<<16 | 21)
+	Cancel            = Key(60<<16 | 30)
+	CancelOk          = Key(60<<16 | 31)
+	Publish           = Key(60<<16 | 40)
+	Return            = Key(60<<16 | 50)
+	Deliver           = Key(60<<16 | 60)
+	Get               = Key(60<<16 | 70)
+	GetOk             = Key(60<<16 | 71)
+	GetEmpty          = Key(60<<16 | 72)
+	Ack               = Key(60<<16 | 80)
+	Reject            = Key(60<<16 | 90)
+	Nack              = Key(60<<16 | 120)
+	ConfirmSelect     = Key(85<<16 | 10)
+	ConfirmOk         = Key(85<<16 | 11)
+	RecoverAsync      = Key(60<<16 | 100)
+	Recover           = Key(60<<16 | 110)
+	RecoverOk         = Key(60<<16 | 111)
+	TxSelect          = Key(90<<16 | 10)
+	TxSelectOk        = Key(90<<16 | 11)
+	TxCommit          = Key(90<<16 | 20)
+	TxCommitOk        = Key(90<<16 | 21)
+	TxRollback        = Key(90<<16 | 30)
+	TxRollbackOk      = Key(90<<16 | 31)
 )
 
-// signatures gives the arguments of each method: o octet, s short, l long, L longlong, b bit (packed),
-// S short string, X long string, T table.
-var signatures = map[Key]string{
-	ConnStart: "ooTXX", ConnStartOk: "TSXS", ConnTune: "sls", ConnTuneOk: "sls", ConnOpen: "SSb", ConnOpenOk: "S",
-	ConnClose: "sSss", ConnCloseOk: "", ConnBlocked: "S", ConnUnblocked: "",
-	ChanOpen: "S", ChanOpenOk: "X", ChanFlow: "b", ChanFlowOk: "b", ChanClose: "sSss", ChanCloseOk: "",
-	QueueDeclare: "sSbbbbbT", QueueOk: "Sll", Qos: "lsb", QosOk: "", Consume: "sSSbbbbT", ConsumeOk: "S",
-	Cancel: "Sb", CancelOk: "S", Publish: "sSSbb", Return: "sSSS", Deliver: "SLbSS", Ack: "Lb", Reject: "Lb",
-	Nack: "Lbb", ConfirmSelect: "b", ConfirmOk: "",
-}
-
-func hasContent(k Key) bool { return k == Publish || k == Return || k == Deliver }
+func hasContent(k Key) bool { s, ok := specs[k]; return ok && s.Content }
 
 // Table is a field table.
 type Table map[string]any
@@ -95,12 +116,13 @@
 	if r.bad {
 		return nil, Errorf(SyntaxError, "a method without its number")
 	}
-	sig, ok := signatures[m.Key]
+	spec, ok := specs[m.Key]
 	if !ok {
 		return nil, &Fault{NotImplemented, fmt.Sprintf("method %d.%d", m.Class(), m.ID()), m.Key}
 	}
 	bits, left := uint64(0), 0
-	for _, k := range sig {
+	m.args = make([]any, 0, len(spec.Args))
+	for _, k := range spec.kinds {
 		if k == 'b' {
 			if left == 0 {
 				bits, left = r.int(1), 8
@@ -128,7 +150,7 @@
 		}
 	}
 	if r.bad || len(r.b) > 0 {
-		return nil, &Fault{SyntaxError, fmt.Sprintf("malformed arguments of method %d.%d", m.Class(), m.ID()), m.Key}
+		return nil, &Fault{SyntaxError, "malformed arguments of " + m.Key.String(), m.Key}
 	}
 	return m, nil
 }
@@ -138,7 +160,11 @@
 	return AppendFrame(out, FrameMethod, channel, func(b []byte) []byte {
 		b = binary.BigEndian.AppendUint32(b, uint32(k))
 		bit := 8
-		for i, kind := range signatures[k] {
+		s, ok := specs[k]
+		if !ok { // a method that nobody knows has no arguments either
+			return b
+		}
+		for i, kind := range s.kinds {
 			if kind == 'b' {
 				if bit == 8 {
 					b, bit = append(b, 0), 0
@@ -306,6 +332,16 @@
 	return b
 }
 
+// ParseTable reads the fields of a table that comes without its length, as AMQPLAIN's response does.
+func ParseTable(b []byte) (Table, error) {
+	r := &reader{b: append(binary.BigEndian.AppendUint32(nil, uint32(len(b))), b...)}
+	t := r.table(0)
+	if r.bad {
+		return nil, Errorf(SyntaxError, "malformed table")
+	}
+	return t, nil
+}
+
 // reader takes a payload apart; bad is set once it does not hold what is asked of it.
 type reader struct {
 	b   []byte
--- a/internal/net/amqpfront/ingress.go
+++ b/internal/net/amqpfront/ingress.go
@@ -18,7 +18,6 @@
 
 // The bounds of what clients may hold.
 const (
-	maxChannels  = 16
 	maxConsumers = 64 // of one channel
 	maxQueues    = 1024
 	maxName      = 128 // bytes of an id, a key or the name of a queue
@@ -30,6 +29,7 @@
 	User, Password string        // both empty: any client may come
 	Exchange       string        // that clients publish to; the routing key is the destination
 	Heartbeat      time.Duration // offered to clients
+	Channels       int           // of one connection, 1 to 2047
 }
 
 // Limits are the front's for so many connections. A handshake and a frame have 10 s each. A connection that has
@@ -49,27 +49,37 @@
 // Ingress serves AMQP clients. A publish is a message handed in, its confirm says that it was taken on,
 // and its one final answer goes to the queue that its reply-to names, until a client has acknowledged it.
 type Ingress struct {
-	core   *sender.Sender
-	r      *reactor.Reactor
-	opt    Options
-	table  *conns.Table
-	queues map[string]*queue
-	named  int
-	sweeps timers.Timer
-	batch  []*sender.Exchange // of the read that is being handled, which is one client's
+	core    *sender.Sender
+	r       *reactor.Reactor
+	opt     Options
+	table   *conns.Table
+	queues  map[string]*queue
+	named   int
+	sweeps  timers.Timer
+	pressed string             // why publishers should hold back; empty: they need not
+	batch   []*sender.Exchange // of the read that is being handled, which is one client's
 }
 
 // queue holds the answers for one reply-to. It lives while it has answers or consumers.
 type queue struct {
-	name      string
-	answers   []*answer
-	consumers []*consumer
+	queueLimits
+	timer      timers.Timer
+	used       time.Duration // it was declared, consumed from or asked
+	in         *Ingress
+	name       string
+	owner      *session // whose alone it is
+	direct     bool     // of direct reply-to: what its channel does not hear is dropped
+	declared   bool
+	autoDelete bool
+	answers    []*answer
+	consumers  []*consumer
 }
 
 type answer struct {
 	id, note, end string
 	waitMs        int64
 	again         bool // it was out before
+	since         time.Duration
 }
 
 // NewIngress makes the clients' side with a table of its own.
@@ -101,7 +111,7 @@
 // Due ends what has gone over a limit.
 func (in *Ingress) Due(*timers.Timer) {
 	gap := sweepGap
-	if in.table.Expire(in.r.Now(), sweepPortion, conns.Unread, conns.End) {
+	if !in.r.Stalled() && in.table.Expire(in.r.Now(), sweepPortion, conns.Unread, conns.End) {
 		gap = 0
 	}
 	if in.table.Len() > 0 {
@@ -118,6 +128,23 @@
 	})
 }
 
+// Pressure tells the clients that can hear it that publishers should hold back, or that they need not any more.
+func (in *Ingress) Pressure(on bool, why string) {
+	if in.pressed = ""; on {
+		in.pressed = why
+	}
+	in.table.Each(func(e *conns.Entry) {
+		s, ok := e.Owner().(*session)
+		switch {
+		case !ok || !s.blocks || s.stage != open:
+		case on:
+			s.method(0, amqp.ConnBlocked, why)
+		default:
+			s.method(0, amqp.ConnUnblocked)
+		}
+	})
+}
+
 // Owes tells that every end is told here.
 func (in *Ingress) Owes(string) bool { return true }
 
@@ -142,6 +169,10 @@
 // Tell puts an end on the queue of its reply-to, once.
 func (in *Ingress) Tell(id, note, end string, waitMs int64) {
 	replyTo, _, _ := strings.Cut(note, "\x00")
+	if strings.HasPrefix(replyTo, directReplyTo+".") && in.queues[replyTo] == nil {
+		in.core.Settle(id) // its channel has gone, and nobody else may ask
+		return
+	}
 	q := in.queue(replyTo)
 	same := func(a *answer) bool { return a.id == id }
 	if slices.ContainsFunc(q.answers, same) {
@@ -152,14 +183,18 @@
 			return
 		}
 	}
-	q.answers = append(q.answers, &answer{id: id, note: note, end: end, waitMs: waitMs})
+	q.answers = append(q.answers, &answer{id: id, note: note, end: end, waitMs: waitMs, since: in.r.Now()})
 	q.pump()
+	q.bound()
 }
 
 func (in *Ingress) queue(name string) *queue {
 	q := in.queues[name]
 	if q == nil {
-		q = &queue{name: name}
+		if len(in.queues) >= maxQueues {
+			in.forget()
+		}
+		q = &queue{in: in, name: name}
 		in.queues[name] = q
 	}
 	return q
@@ -167,11 +202,23 @@
 
 // tidy forgets a queue that nobody needs.
 func (in *Ingress) tidy(q *queue) {
-	if len(q.answers) == 0 && len(q.consumers) == 0 {
+	if len(q.answers) == 0 && len(q.consumers) == 0 && !q.declared && in.queues[q.name] == q {
+		in.r.Disarm(&q.timer)
 		delete(in.queues, q.name)
 	}
 }
 
+// forget drops the record of a queue that was declared and is not in use: any name may be used without.
+func (in *Ingress) forget() {
+	for _, q := range in.queues {
+		if q.owner == nil && len(q.answers) == 0 && len(q.consumers) == 0 {
+			in.r.Disarm(&q.timer)
+			delete(in.queues, q.name)
+			return
+		}
+	}
+}
+
 // pump delivers answers to consumers in turn, as far as they may have more.
 func (q *queue) pump() {
 	for len(q.answers) > 0 {
@@ -187,9 +234,21 @@
 }
 
 type consumer struct {
-	ch  *channel
-	tag string
-	q   *queue
+	ch        *channel
+	tag       string
+	q         *queue
+	noAck     bool
+	exclusive bool
+}
+
+// ended lets go of a queue that lived for its consumers.
+func (c *consumer) ended() {
+	c.q.used = c.q.in.r.Now()
+	c.q.bound()
+	if c.q.autoDelete && len(c.q.consumers) == 0 {
+		c.q.declared = false // answers that wait are owed, and stay
+	}
+	c.q.in.tidy(c.q)
 }
 
 func (c *consumer) ready() bool {
@@ -197,7 +256,7 @@
 	if c.ch.prefetch > 0 {
 		most = min(most, c.ch.prefetch)
 	}
-	return len(c.ch.unacked) < most
+	return !c.ch.paused && (c.noAck || len(c.ch.unacked) < most)
 }
 
 type delivery struct {
@@ -210,24 +269,43 @@
 var states = map[string]string{sender.Delivered: "delivered", sender.Returned: "refused", sender.Abandoned: "failed"}
 
 func (c *consumer) deliver(a *answer) {
-	c.ch.delivered++
-	c.ch.unacked = append(c.ch.unacked, delivery{c.ch.delivered, c.q, a})
-	c.ch.s.owe(1)
+	again := a.again
+	tag := c.ch.out(c.q, a, c.noAck)
+	p, body := a.content()
+	c.ch.s.write(amqp.Content(c.ch.id, amqp.Deliver, []any{c.tag, tag, again, "", c.q.name}, p, body, c.ch.s.max)...)
+}
+
+// out books an answer that leaves on a channel. One that needs no acknowledgement has been heard with that.
+func (ch *channel) out(q *queue, a *answer, noAck bool) (tag uint64) {
+	ch.delivered++
+	a.again = true
+	if noAck {
+		ch.s.in.core.Settle(a.id)
+	} else {
+		ch.unacked = append(ch.unacked, delivery{ch.delivered, q, a})
+		ch.s.owe(1)
+	}
+	return ch.delivered
+}
+
+// content words an answer.
+func (a *answer) content() (*amqp.Props, []byte) {
 	_, correlation, _ := strings.Cut(a.note, "\x00")
 	p := &amqp.Props{CorrelationID: correlation, MessageID: a.id, Type: states[a.end], Headers: amqp.Table{}}
 	if a.end == sender.Returned {
 		p.Headers["retry-after-ms"] = a.waitMs
 	}
-	args := []any{c.tag, c.ch.delivered, a.again, "", c.q.name}
-	a.again = true
-	c.ch.s.write(amqp.Content(c.ch.id, amqp.Deliver, args, p, []byte(states[a.end]), c.ch.s.max)...)
+	return p, []byte(states[a.end])
 }
 
 type channel struct {
 	s         *session
 	id        uint16
 	confirm   bool
-	closing   bool // a close was sent: all but its answer is passed over
+	paused    bool   // by channel.flow
+	last      string // the queue that was declared last
+	direct    string // the queue of its direct reply-to
+	closing   bool   // a close was sent: all but its answer is passed over
 	closed    bool
 	published uint64
 	delivered uint64
@@ -264,18 +342,23 @@
 	}
 	ch.requeue(ch.unacked)
 	for _, c := range ch.consumers {
-		ch.s.in.tidy(c.q)
+		if c.q.direct {
+			c.q.discard()
+		}
+		c.ended()
 	}
 	ch.unacked, ch.consumers, ch.pending = nil, nil, nil
 }
 
 // requeue puts answers back in their order, before those that were never out.
 func (ch *channel) requeue(list []delivery) {
+	in := ch.s.in
 	for _, d := range slices.Backward(list) {
-		d.q.answers = append([]*answer{d.a}, d.q.answers...)
+		q := in.queue(d.q.name) // it may have been deleted, and be there anew
+		q.answers = append([]*answer{d.a}, q.answers...)
 	}
 	for _, d := range list {
-		d.q.pump()
+		in.queue(d.q.name).pump()
 	}
 }
 
--- /dev/null
+++ b/internal/net/amqpfront/queuelimits.go
@@ -0,0 +1,108 @@
+package amqpfront
+
+import (
+	"strings"
+	"time"
+
+	"brackendale/internal/net/amqp"
+	"brackendale/internal/timers"
+)
+
+// queueLimits are what a client asked for when it declared a queue; zero values are no limit. The arguments' names and
+// meanings are RabbitMQ's.
+type queueLimits struct {
+	most    int           // x-max-length: answers that wait; the oldest gives way
+	ttl     time.Duration // x-message-ttl: an answer waits no longer than this; below 0: it is handed out at once or not at all
+	expires time.Duration // x-expires: the queue lives no longer than this without being used
+}
+
+// maxLimit bounds the times that a client may ask for, as RabbitMQ does.
+const maxLimit = 10 * 365 * 24 * time.Hour
+
+// readLimits takes the limits out of a declaration's arguments. What cannot be honoured is refused and named.
+func readLimits(args amqp.Table, bad complain) (l queueLimits, err error) {
+	for name, v := range args {
+		n, whole := v.(int64)
+		ms := time.Duration(n) * time.Millisecond
+		valid := whole && n >= 0 && n <= int64(maxLimit/time.Millisecond)
+		switch name {
+		case "x-max-length":
+			if valid = valid && n >= 1 && n <= maxAnswers; valid {
+				l.most = int(n)
+			}
+		case "x-message-ttl":
+			if l.ttl = ms; n == 0 {
+				l.ttl = -1
+			}
+		case "x-expires":
+			valid = valid && n > 0
+			l.expires = ms
+		case "x-overflow":
+			if v != "drop-head" {
+				return l, bad(amqp.NotImplemented, "x-overflow: the oldest answer gives way (drop-head)")
+			}
+			valid = true
+		case "x-queue-type":
+			if v != "classic" {
+				return l, bad(amqp.NotImplemented, "x-queue-type: queues are classic")
+			}
+			valid = true
+		default:
+			if strings.HasPrefix(name, "x-") {
+				return l, bad(amqp.NotImplemented, "argument %s is not served", name)
+			}
+			valid = true
+		}
+		if !valid {
+			return l, bad(amqp.PreconditionFailed, "argument %s: %v is out of its range", name, v)
+		}
+	}
+	return l, nil
+}
+
+// maxAnswers is the largest x-max-length.
+const maxAnswers = 1 << 20
+
+// bound lets go of what is over the queue's limits, and sets its timer for what will be. What a client bounded itself
+// counts as heard.
+func (q *queue) bound() {
+	now, old := q.in.r.Now(), 0
+	if q.most > 0 {
+		old = max(0, len(q.answers)-q.most)
+	}
+	for q.ttl != 0 && old < len(q.answers) && now-q.answers[old].since >= q.ttl {
+		old++
+	}
+	if old > 0 {
+		late := q.answers[:old]
+		q.answers = q.answers[old:]
+		ids := make([]string, old)
+		for i, a := range late {
+			ids[i] = a.id
+		}
+		q.in.core.Settle(ids...)
+	}
+	var next time.Duration
+	if q.ttl > 0 && len(q.answers) > 0 {
+		next = q.answers[0].since + q.ttl
+	}
+	if q.expires > 0 && len(q.consumers) == 0 && (next == 0 || q.used+q.expires < next) {
+		next = q.used + q.expires
+	}
+	if next > 0 {
+		q.in.r.Arm(&q.timer, next-now, timers.Soft, q)
+	}
+}
+
+// Due ends answers and queues whose time is over.
+func (q *queue) Due(*timers.Timer) {
+	if q.in.queues[q.name] != q {
+		return
+	}
+	if q.expires > 0 && len(q.consumers) == 0 && q.in.r.Now()-q.used >= q.expires {
+		q.discard()
+		q.in.remove(q)
+		return
+	}
+	q.bound()
+}
--- a/internal/net/amqpfront/session.go
+++ b/internal/net/amqpfront/session.go
@@ -30,12 +30,15 @@
 type session struct {
 	conns.Entry
 	peer
-	in    *Ingress
-	asm   amqp.Assembly // of channel 0
-	chans []*channel    // in the order of their numbers
-	stage uint8
-	begun bool // a frame has come in part
-	owing int  // publishes without their confirm, and answers out, over all channels
+	in      *Ingress
+	asm     amqp.Assembly // of channel 0
+	chans   []*channel    // in the order of their numbers
+	owns    []*queue      // that are this connection's alone
+	stage   uint8
+	cancels bool // the client can be told that a consumer has ended
+	blocks  bool // the client can be told that publishers should hold back
+	begun   bool // a frame has come in part
+	owing   int  // publishes without their confirm, and answers out, over all channels
 }
 
 // find is the place of a channel among those that are open, and the channel if it is there.
@@ -127,9 +130,9 @@
 		s.stage = starting
 		b = bytes.Clone(b[len(amqp.Preamble):])
 		s.rest.Drop()
-		caps := amqp.Table{"publisher_confirms": true, "basic.nack": true, "consumer_cancel_notify": false,
+		caps := amqp.Table{"publisher_confirms": true, "basic.nack": true, "consumer_cancel_notify": true, "connection.blocked": true,
 			"authentication_failure_close": true}
-		s.method(0, amqp.ConnStart, 0, 9, amqp.Table{"product": "brackendale", "capabilities": caps}, "PLAIN", "en_US")
+		s.method(0, amqp.ConnStart, 0, 9, amqp.Table{"product": "brackendale", "capabilities": caps}, "PLAIN AMQPLAIN", "en_US")
 	}
 	if err := s.frames(b, s.frame); err != nil {
 		s.fail(0, err)
@@ -150,6 +153,11 @@
 	for _, ch := range s.chans {
 		ch.drop()
 	}
+	for _, q := range s.owns { // what they still hold is owed, to whoever asks by the name
+		q.owner, q.declared = nil, false
+		s.in.tidy(q)
+	}
+	s.owns = nil
 }
 
 // fail answers a fault with the close of the channel or of the connection.
@@ -211,17 +219,20 @@
 func (s *session) connection(m *amqp.Message) error {
 	switch {
 	case m.Key == amqp.ConnStartOk && s.stage == starting:
-		if m.Str(1) != "PLAIN" || !s.in.allowed(m.Str(2)) {
+		if !s.in.login(m.Str(1), m.Str(2)) {
 			return &amqp.Fault{Code: amqp.AccessRefused, Text: "login refused", Method: m.Key}
 		}
 		s.stage = tuning
-		s.method(0, amqp.ConnTune, maxChannels, amqp.FrameMax, int(s.in.opt.Heartbeat/time.Second))
+		caps, _ := m.Table(0)["capabilities"].(amqp.Table)
+		s.cancels, _ = caps["consumer_cancel_notify"].(bool)
+		s.blocks, _ = caps["connection.blocked"].(bool)
+		s.method(0, amqp.ConnTune, s.in.opt.Channels, amqp.FrameMax, int(s.in.opt.Heartbeat/time.Second))
 	case m.Key == amqp.ConnTuneOk && s.stage == tuning:
 		most, beat := m.Int(1), time.Duration(m.Int(2))*time.Second
 		if most == 0 {
 			most = amqp.FrameMax
 		}
-		if m.Int(0) > maxChannels || most > amqp.FrameMax || most < amqp.FrameMin {
+		if int(m.Int(0)) > s.in.opt.Channels || most > amqp.FrameMax || most < amqp.FrameMin {
 			return &amqp.Fault{Code: amqp.NotAllowed, Text: "limits outside of what was offered", Method: m.Key}
 		}
 		s.stage, s.max = opening, uint32(most)
@@ -233,6 +244,14 @@
 		s.stage = open
 		s.stand()
 		s.method(0, amqp.ConnOpenOk, "")
+		if s.in.pressed != "" && s.blocks {
+			s.method(0, amqp.ConnBlocked, s.in.pressed)
+		}
+	case m.Key == amqp.ConnSecret && s.stage == open:
+		if !s.in.secret(m.Str(0)) {
+			return &amqp.Fault{Code: amqp.AccessRefused, Text: "the new secret is not the user's", Method: m.Key}
+		}
+		s.method(0, amqp.ConnSecretOk)
 	case m.Key == amqp.ConnClose:
 		s.method(0, amqp.ConnCloseOk)
 		s.stage = ending
@@ -244,14 +263,42 @@
 	return nil
 }
 
-func (in *Ingress) allowed(login string) bool {
-	if in.opt.User == "" && in.opt.Password == "" {
-		return true
+// login checks a response of one of the mechanisms that are offered: PLAIN (RFC 4616), whose first part, on whose
+// behalf the client acts, must be empty or the user's own; and AMQPLAIN, a table with LOGIN and PASSWORD.
+func (in *Ingress) login(mechanism, response string) bool {
+	var user, password string
+	switch mechanism {
+	case "PLAIN":
+		f := strings.Split(response, "\x00")
+		if len(f) != 3 || f[0] != "" && f[0] != f[1] {
+			return false
+		}
+		user, password = f[1], f[2]
+	case "AMQPLAIN":
+		t, err := amqp.ParseTable([]byte(response))
+		if err != nil {
+			return false
+		}
+		u, ok1 := t["LOGIN"].(string)
+		p, ok2 := t["PASSWORD"].(string)
+		if !ok1 || !ok2 {
+			return false
+		}
+		user, password = u, p
+	default:
+		return false
 	}
-	want := "\x00" + in.opt.User + "\x00" + in.opt.Password
-	return subtle.ConstantTimeCompare([]byte(login), []byte(want)) == 1
+	return in.open() || same(user, in.opt.User) && in.secret(password)
 }
 
+// open tells that any client may come.
+func (in *Ingress) open() bool { return in.opt.User == "" && in.opt.Password == "" }
+
+func (in *Ingress) secret(password string) bool { return in.open() || same(password, in.opt.Password) }
+
+// same compares in a time that does not tell how much is right.
+func same(a, b string) bool { return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1 }
+
 func (s *session) channel(id uint16, ch *channel, m *amqp.Message) error {
 	bad := func(code uint16, format string, args ...any) error {
 		return &amqp.Fault{Code: code, Text: fmt.Sprintf(format, args...), Method: m.Key}
@@ -260,7 +307,7 @@
 		return bad(amqp.CommandInvalid, "the connection is not open")
 	}
 	if m.Key == amqp.ChanOpen {
-		if ch != nil || id > maxChannels {
+		if ch != nil || int(id) > s.in.opt.Channels {
 			return bad(amqp.ChannelError, "channel %d cannot be opened", id)
 		}
 		i, _ := s.find(id)
@@ -276,8 +323,22 @@
 		ch.drop()
 		s.forget(id)
 		s.method(id, amqp.ChanCloseOk)
-	case amqp.ChanFlow: // answers are held back by prefetch alone
-		return bad(amqp.NotImplemented, "flow; use prefetch")
+	case amqp.ChanFlow: // of answers: what is out already comes
+		ch.paused = !m.Bool(0)
+		s.method(id, amqp.ChanFlowOk, m.Bool(0))
+		for _, c := range slices.Clone(ch.consumers) {
+			c.q.pump()
+		}
+	case amqp.ExchangeDeclare, amqp.ExchangeDelete, amqp.ExchangeBind, amqp.ExchangeUnbind:
+		return s.exchange(ch, m, bad)
+	case amqp.QueueDeclare, amqp.QueueBind, amqp.QueuePurge, amqp.QueueDelete, amqp.QueueUnbind:
+		return s.queueMethod(ch, m, bad)
+	case amqp.Get:
+		return s.get(ch, m, bad)
+	case amqp.Recover, amqp.RecoverAsync:
+		return s.recover(ch, m, bad)
+	case amqp.TxSelect, amqp.TxCommit, amqp.TxRollback:
+		return bad(amqp.NotImplemented, "%s; publishes are confirmed one by one", m.Key)
 	case amqp.ConfirmSelect:
 		if ch.confirm = true; !m.Bool(0) {
 			s.method(id, amqp.ConfirmOk)
@@ -288,8 +349,6 @@
 		for _, c := range ch.consumers {
 			c.q.pump()
 		}
-	case amqp.QueueDeclare:
-		return s.declare(id, m, bad)
 	case amqp.Consume:
 		return s.consume(ch, m, bad)
 	case amqp.Cancel:
@@ -297,7 +356,7 @@
 			if c.tag == m.Str(0) {
 				ch.consumers = append(ch.consumers[:i:i], ch.consumers[i+1:]...)
 				c.q.remove(c)
-				s.in.tidy(c.q)
+				c.ended()
 				break
 			}
 		}
@@ -329,36 +388,30 @@
 
 type complain func(code uint16, format string, args ...any) error
 
-// declare answers for a queue of answers: any name may be used, and one is made up where none is given.
-func (s *session) declare(id uint16, m *amqp.Message, bad complain) error {
-	name := m.Str(1)
+func (s *session) consume(ch *channel, m *amqp.Message, bad complain) error {
+	name, tag, noAck, exclusive := m.Str(1), m.Str(2), m.Bool(4), m.Bool(5)
 	if name == "" {
-		s.in.named++
-		name = fmt.Sprintf("answers-%x-%d", s.in.core.Now(), s.in.named)
+		name = ch.last
 	}
-	if len(name) > maxName {
-		return bad(amqp.PreconditionFailed, "the name is too long")
-	}
-	q, count, users := s.in.queues[name], 0, 0
-	if q == nil && m.Bool(2) {
-		return bad(amqp.NotFound, "no queue %q", name)
-	}
-	if q != nil {
-		count, users = len(q.answers), len(q.consumers)
-	}
-	if !m.Bool(6) {
-		s.method(id, amqp.QueueOk, name, count, users)
+	direct := name == directReplyTo
+	if direct {
+		if name = ch.direct; name == "" {
+			s.in.named++
+			name = fmt.Sprintf("%s.%x-%d", directReplyTo, s.in.core.Now(), s.in.named)
+		}
 	}
-	return nil
-}
-
-func (s *session) consume(ch *channel, m *amqp.Message, bad complain) error {
-	name, tag := m.Str(1), m.Str(2)
+	old, err := s.reach(name, bad)
 	switch {
+	case err != nil:
+		return err
 	case name == "" || len(name) > maxName:
 		return bad(amqp.NotFound, "no queue %q", name)
-	case m.Bool(4): // the answer is kept until it is acknowledged
-		return bad(amqp.NotImplemented, "no-ack")
+	case direct && !noAck:
+		return bad(amqp.PreconditionFailed, "direct reply-to is consumed with no-ack")
+	case direct && ch.direct != "":
+		return bad(amqp.PreconditionFailed, "direct reply-to is consumed already")
+	case old != nil && len(old.consumers) > 0 && (exclusive || old.consumers[0].exclusive):
+		return bad(amqp.AccessRefused, "queue %q has a consumer, and one is to be alone", name)
 	case len(ch.consumers) >= maxConsumers || s.in.queues[name] == nil && len(s.in.queues) >= maxQueues:
 		return bad(amqp.ResourceError, "too many consumers or queues")
 	}
@@ -370,7 +423,10 @@
 			return bad(amqp.NotAllowed, "consumer tag %q is in use", tag)
 		}
 	}
-	c := &consumer{ch, tag, s.in.queue(name)}
+	c := &consumer{ch: ch, tag: tag, q: s.in.queue(name), noAck: noAck, exclusive: exclusive}
+	if direct {
+		ch.direct, c.q.direct = name, true
+	}
 	ch.consumers = append(ch.consumers, c)
 	c.q.consumers = append(c.q.consumers, c)
 	if !m.Bool(6) {
@@ -384,6 +440,12 @@
 // class, its app-id the tenant, its expiration the time in milliseconds that it may take.
 func (s *session) publish(ch *channel, m *amqp.Message, bad complain) error {
 	core, p := s.in.core, m.Props
+	if p.ReplyTo == directReplyTo {
+		if ch.direct == "" {
+			return bad(amqp.PreconditionFailed, "direct reply-to without a consumer on this channel")
+		}
+		p.ReplyTo = ch.direct
+	}
 	if m.Str(1) != s.in.opt.Exchange {
 		return bad(amqp.NotFound, "no exchange %q", m.Str(1))
 	}
--- /dev/null
+++ b/internal/net/amqpfront/topology.go
@@ -0,0 +1,229 @@
+package amqpfront
+
+import (
+	"fmt"
+	"slices"
+
+	"brackendale/internal/net/amqp"
+)
+
+// directReplyTo is the pseudo-queue of RabbitMQ's "Direct reply-to": whoever consumes from it without acknowledging gets
+// the answers to what the same channel publishes with it as reply-to, and nobody keeps them beyond the channel.
+const directReplyTo = "amq.rabbitmq.reply-to"
+
+// exchange answers for the exchange class. There is one exchange, which the file names: it can be declared as it is,
+// and nothing else can be made, bound or removed by clients.
+func (s *session) exchange(ch *channel, m *amqp.Message, bad complain) error {
+	name := m.Str(1)
+	switch m.Key {
+	case amqp.ExchangeDeclare:
+		passive := m.Bool(3)
+		switch {
+		case name == "" && !passive:
+			return bad(amqp.AccessRefused, "the default exchange cannot be declared")
+		case name != s.in.opt.Exchange && name != "" && passive:
+			return bad(amqp.NotFound, "no exchange %q", name)
+		case name != s.in.opt.Exchange && name != "":
+			return bad(amqp.AccessRefused, "exchanges are made in the sender's file, and %q is not there", name)
+		case !passive && (m.Str(2) != "direct" || !m.Bool(4) || m.Bool(5) || m.Bool(6)):
+			return bad(amqp.PreconditionFailed, "exchange %q is direct, durable, and neither auto-delete nor internal", name)
+		}
+		s.reply(ch, m.Bool(7), amqp.ExchangeDeclareOk)
+	case amqp.ExchangeDelete:
+		if name != s.in.opt.Exchange {
+			return bad(amqp.NotFound, "no exchange %q", name)
+		}
+		return bad(amqp.AccessRefused, "exchange %q is the sender's own", name)
+	default:
+		return bad(amqp.NotImplemented, "%s: what the exchange takes goes to destinations, by its routing key", m.Key)
+	}
+	return nil
+}
+
+// reply answers a method, unless the client asked for no answer.
+func (s *session) reply(ch *channel, noWait bool, k amqp.Key, args ...any) {
+	if !noWait {
+		s.method(ch.id, k, args...)
+	}
+}
+
+// reach finds a queue that this connection may use; nil without a fault where there is none of that name.
+func (s *session) reach(name string, bad complain) (*queue, error) {
+	q := s.in.queues[name]
+	if q != nil && q.owner != nil && q.owner != s {
+		return nil, bad(amqp.ResourceLocked, "queue %q is another connection's own", name)
+	}
+	return q, nil
+}
+
+// queueMethod answers for the queue class. Queues hold answers; any name may be used, with or without a declaration.
+func (s *session) queueMethod(ch *channel, m *amqp.Message, bad complain) error {
+	name := m.Str(1)
+	if name == "" && m.Key != amqp.QueueDeclare {
+		name = ch.last // section 3.1.5.3: the last queue that was declared on the channel
+	}
+	if m.Key == amqp.QueueDeclare {
+		return s.declare(ch, m, bad)
+	}
+	q, err := s.reach(name, bad)
+	if err != nil {
+		return err
+	}
+	switch m.Key {
+	case amqp.QueuePurge:
+		if q == nil {
+			return bad(amqp.NotFound, "no queue %q", name)
+		}
+		s.reply(ch, m.Bool(2), amqp.QueuePurgeOk, q.discard())
+		s.in.tidy(q)
+	case amqp.QueueDelete:
+		n := 0
+		if q != nil {
+			if m.Bool(2) && len(q.consumers) > 0 {
+				return bad(amqp.PreconditionFailed, "queue %q is in use", name)
+			}
+			if m.Bool(3) && len(q.answers) > 0 {
+				return bad(amqp.PreconditionFailed, "queue %q is not empty", name)
+			}
+			n = q.discard()
+			s.in.remove(q)
+		}
+		s.reply(ch, m.Bool(4), amqp.QueueDeleteOk, n)
+	default: // bind, unbind
+		exchange := m.Str(2)
+		switch {
+		case q == nil:
+			return bad(amqp.NotFound, "no queue %q", name)
+		case exchange == "":
+			return bad(amqp.AccessRefused, "the default exchange has a binding for each queue, and no others")
+		case exchange != s.in.opt.Exchange:
+			return bad(amqp.NotFound, "no exchange %q", exchange)
+		}
+		return bad(amqp.NotImplemented, "%s: what the exchange takes goes to destinations; answers go to the queue that reply-to names", m.Key)
+	}
+	return nil
+}
+
+// declare makes a queue for answers, or finds it there as it is asked for.
+func (s *session) declare(ch *channel, m *amqp.Message, bad complain) error {
+	name, passive, exclusive, autoDelete := m.Str(1), m.Bool(2), m.Bool(4), m.Bool(5)
+	if name == "" && !passive {
+		s.in.named++
+		name = fmt.Sprintf("answers-%x-%d", s.in.core.Now(), s.in.named)
+	}
+	if len(name) > maxName {
+		return bad(amqp.PreconditionFailed, "the name is too long")
+	}
+	if name == directReplyTo {
+		s.reply(ch, m.Bool(6), amqp.QueueOk, name, 0, 0)
+		return nil
+	}
+	q, err := s.reach(name, bad)
+	var lim queueLimits
+	if err == nil && !passive {
+		lim, err = readLimits(m.Table(7), bad)
+	}
+	switch {
+	case err != nil:
+		return err
+	case q == nil && passive:
+		return bad(amqp.NotFound, "no queue %q", name)
+	case q == nil && len(s.in.queues) >= maxQueues:
+		return bad(amqp.ResourceError, "too many queues")
+	case q != nil && !passive && q.declared && ((q.owner != nil) != exclusive || q.autoDelete != autoDelete || q.queueLimits != lim):
+		return bad(amqp.PreconditionFailed, "queue %q is there with other properties", name)
+	}
+	if !passive {
+		if q = s.in.queue(name); !q.declared {
+			q.declared, q.autoDelete, q.queueLimits = true, autoDelete, lim
+			if exclusive {
+				q.owner = s
+				s.owns = append(s.owns, q)
+			}
+		}
+		ch.last = name
+		q.used = s.loop.Now()
+		q.bound()
+	}
+	s.reply(ch, m.Bool(6), amqp.QueueOk, name, len(q.answers), len(q.consumers))
+	return nil
+}
+
+// discard takes all answers that wait off a queue: its client says that it does not want to hear them.
+func (q *queue) discard() int {
+	ids := make([]string, len(q.answers))
+	for i, a := range q.answers {
+		ids[i] = a.id
+	}
+	q.answers = nil
+	if len(ids) > 0 {
+		q.in.core.Settle(ids...)
+	}
+	return len(ids)
+}
+
+// remove ends a queue: its consumers are told, those at least whose clients said that they can be.
+func (in *Ingress) remove(q *queue) {
+	for _, c := range q.consumers {
+		c.ch.consumers = slices.DeleteFunc(c.ch.consumers, func(o *consumer) bool { return o == c })
+		if c.ch.s.cancels {
+			c.ch.s.method(c.ch.id, amqp.Cancel, c.tag, true)
+		}
+	}
+	q.consumers = nil
+	if q.owner != nil {
+		q.owner.owns = slices.DeleteFunc(q.owner.owns, func(o *queue) bool { return o == q })
+	}
+	in.r.Disarm(&q.timer)
+	if in.queues[q.name] == q {
+		delete(in.queues, q.name)
+	}
+}
+
+// get hands out one answer by itself.
+func (s *session) get(ch *channel, m *amqp.Message, bad complain) error {
+	name, noAck := m.Str(1), m.Bool(2)
+	if name == "" {
+		name = ch.last
+	}
+	q, err := s.reach(name, bad)
+	if q != nil {
+		q.used = s.loop.Now()
+		q.bound()
+	}
+	switch {
+	case err != nil:
+		return err
+	case q == nil:
+		return bad(amqp.NotFound, "no queue %q", name)
+	case len(q.answers) == 0:
+		s.method(ch.id, amqp.GetEmpty, "")
+		return nil
+	case !noAck && len(ch.unacked) >= maxUnacked:
+		return bad(amqp.ResourceError, "too many answers are out without an acknowledgement")
+	}
+	a := q.answers[0]
+	q.answers = q.answers[1:]
+	again := a.again
+	tag := ch.out(q, a, noAck)
+	p, body := a.content()
+	args := []any{tag, again, "", q.name, len(q.answers)}
+	s.write(amqp.Content(ch.id, amqp.GetOk, args, p, body, s.max)...)
+	s.in.tidy(q)
+	return nil
+}
+
+// recover hands back all that is out on a channel: it comes again, marked as redelivered.
+func (s *session) recover(ch *channel, m *amqp.Message, bad complain) error {
+	if !m.Bool(0) {
+		return bad(amqp.NotImplemented, "%s without requeue: answers come again to whoever consumes", m.Key)
+	}
+	list := ch.unacked
+	ch.unacked = nil
+	s.owe(-len(list))
+	if m.Key == amqp.Recover {
+		s.method(ch.id, amqp.RecoverOk)
+	}
+	ch.requeue(list)
+	return nil
+}
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -145,6 +145,9 @@
 	return s.bytes+int64(bytes+promised)+2*perMsg+block <= s.most*3/4
 }
 
+// Fill is how much of the room for messages is taken: 1 where Room has none for a further one.
+func (s *Spool) Fill() float64 { return float64(s.bytes+2*perMsg+block) / float64(s.most*3/4) }
+
 // Need is what an entry takes for good, with what it may still need.
 func Need(e *Entry) int {
 	if e.Heard {
--- /dev/null
+++ b/sender/pressure_test.go
@@ -0,0 +1,52 @@
+package sender
+
+import "testing"
+
+// Pressure is told at the high mark and taken back at the low one, and not in between.
+func TestPressure(t *testing.T) {
+	var p pressure
+	for i, c := range []struct {
+		a, b        float64
+		changed, on bool
+	}{
+		{0.5, 0.89, false, false}, {0.1, 0.9, true, true}, {0.95, 0.1, false, true}, {0.71, 0.8, false, true},
+		{0.70, 0.3, true, false}, {0.85, 0.89, false, false}, {1, 1, true, true}, {0, 0, true, false},
+	} {
+		if got := p.judge(level{"a", c.a}, level{"b", c.b}); got != c.changed || p.on != c.on || p.on == (p.why == "") {
+			t.Fatalf("step %d: %v, %+v", i, got, p)
+		}
+	}
+}
+
+// A front that can say so hears once that clients should hold back, and once that they need not any more; a nearly full
+// journal is reason enough.
+func TestPressureIsTold(t *testing.T) {
+	s, f := begin(t, t.TempDir(), 1<<20)
+	told := &pressed{stub: f}
+	s.AddIngress("g", told)
+	for _, on := range []bool{true, false} {
+		s.Pause(on)
+		f.round(t)
+		f.round(t)
+	}
+	if len(told.on) != 2 || !told.on[0] || told.on[1] {
+		t.Fatal(told.on)
+	}
+	s, f = begin(t, t.TempDir(), 64<<10)
+	told = &pressed{stub: f}
+	s.AddIngress("g", told)
+	big := exchange(s, "big", 9e6)
+	big.Body = make([]byte, 20<<10)
+	f.round(t, big)
+	if len(told.on) != 1 || s.spool.Fill() < highMark {
+		t.Fatal(told.on, s.spool.Fill())
+	}
+}
+
+// pressed is a front that can tell its clients to hold back.
+type pressed struct {
+	*stub
+	on []bool
+}
+
+func (p *pressed) Pressure(on bool, _ string) { p.on = append(p.on, on) }
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -64,6 +64,7 @@
 	stats    State
 	seen     map[string]*RouteState
 	held     map[string]bool // targets that the operator holds
+	pressed  pressure
 }
 
 // maxEnds is how many of the last ends are kept to be shown.
@@ -156,6 +157,7 @@
 func (s *Sender) turn() error {
 	s.take()
 	err := s.round()
+	s.press()
 	if batch := s.carry; len(batch) > 0 && err == nil {
 		s.carry = nil
 		s.opt.Carry(func() {
--- a/sender/types.go
+++ b/sender/types.go
@@ -42,6 +42,12 @@
 	Notices
 }
 
+// Pressed is an Ingress whose clients can be told to hold back. It is told when that changes; messages that come all
+// the same are judged as ever.
+type Pressed interface {
+	Pressure(on bool, why string)
+}
+
 // Notices tells clients the ends of what was taken on.
 type Notices interface {
 	// Owes tells whether such an end must be told. If not, the exchange is over with it.
