--- a/internal/net/amqpfront/ingress.go
+++ b/internal/net/amqpfront/ingress.go
@@ -8,6 +8,7 @@
 
 	"brackendale/internal/net/amqp"
 	"brackendale/internal/net/conns"
+	"brackendale/internal/net/door"
 	"brackendale/internal/net/reactor"
 	"brackendale/internal/timers"
 	"brackendale/sender"
@@ -39,12 +40,8 @@
 	return conns.Limits{Most: most, Keep: 1, First: limit, Whole: limit}
 }
 
-// sweepGap is how often the table is asked whether a connection has gone over a limit, and sweepPortion how many
-// are ended at once.
-const (
-	sweepGap     = 500 * time.Millisecond
-	sweepPortion = 64
-)
+// sweepGap is how often the table is asked whether a connection has gone over a limit.
+const sweepGap = 500 * time.Millisecond
 
 // Ingress serves AMQP clients. A publish is a message handed in, its confirm says that it was taken on,
 // and its one final answer goes to the queue that its reply-to names, until a client has acknowledged it.
@@ -55,7 +52,7 @@
 	table   *conns.Table
 	queues  map[string]*queue
 	named   int
-	sweeps  timers.Timer
+	door    *door.Door
 	pressed string             // why publishers should hold back; empty: they need not
 	batch   []*sender.Exchange // of the read that is being handled, which is one client's
 }
@@ -84,7 +81,7 @@
 
 // NewIngress makes the clients' side with a table of its own.
 func NewIngress(core *sender.Sender, r *reactor.Reactor, opt Options, table *conns.Table) *Ingress {
-	return &Ingress{core: core, r: r, opt: opt, table: table, queues: map[string]*queue{}}
+	return &Ingress{core: core, r: r, opt: opt, table: table, door: door.New(r, table, sweepGap), queues: map[string]*queue{}}
 }
 
 // TurnedAway is what a newcomer without room is told. The specification lets a connection be closed at any time.
@@ -95,30 +92,12 @@
 func (in *Ingress) Accept(c *reactor.Conn) reactor.Handler {
 	s := &session{in: in, peer: newPeer(in.r.Loop)}
 	s.conn = c
-	victim, _, ok := in.table.Admit(&s.Entry, s, c.From(), in.r.Now())
-	if victim != nil {
-		victim.Owner().Evict(conns.ForNewcomer)
-	}
-	if !ok {
+	if !in.door.Admit(&s.Entry, s, c) {
 		return in.r.Farewell(TurnedAway)
 	}
-	if !in.sweeps.Set() {
-		in.r.Arm(&in.sweeps, sweepGap, timers.Coarse, in)
-	}
 	return s
 }
 
-// Due ends what has gone over a limit.
-func (in *Ingress) Due(*timers.Timer) {
-	gap := sweepGap
-	if !in.r.Stalled() && in.table.Expire(in.r.Now(), sweepPortion, conns.Unread, conns.End) {
-		gap = 0
-	}
-	if in.table.Len() > 0 {
-		in.r.Arm(&in.sweeps, gap, timers.Coarse, in)
-	}
-}
-
 // Close ends all connections, with word that the sender goes away.
 func (in *Ingress) Close() {
 	in.table.Each(func(e *conns.Entry) {
--- a/internal/net/platform/ingress.go
+++ b/internal/net/platform/ingress.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"brackendale/internal/net/conns"
+	"brackendale/internal/net/door"
 	"brackendale/internal/net/reactor"
 	"brackendale/internal/net/resp"
 	"brackendale/internal/net/rest"
-	"brackendale/internal/timers"
 	"brackendale/sender"
 )
 
@@ -30,12 +30,8 @@
 		Whole: patience}
 }
 
-// sweepGap is how often the table is asked whether a connection has gone over a limit, and sweepPortion how many
-// are ended at once; the rest follow after what came meanwhile.
-const (
-	sweepGap     = 250 * time.Millisecond
-	sweepPortion = 64
-)
+// sweepGap is how often the table is asked whether a connection has gone over a limit.
+const sweepGap = 250 * time.Millisecond
 
 // TurnedAway is what a newcomer without room is told: to come again in half a second.
 var TurnedAway = []byte("-BUSY 500\r\n")
@@ -49,7 +45,7 @@
 	notices *notices
 	table   *conns.Table
 	polite  bool // newcomers without room are told to come again
-	sweeps  timers.Timer
+	door    *door.Door
 
 	// Of the read that is being handled, which is one client's.
 	words [][]byte
@@ -59,7 +55,7 @@
 // NewIngress makes the clients' side with a table of its own; ends are told to the agent at discovery. polite says
 // that newcomers who are turned away hear when to come again.
 func NewIngress(core *sender.Sender, r *reactor.Reactor, discovery string, table *conns.Table, polite bool) *Ingress {
-	return &Ingress{core: core, r: r, table: table, polite: polite, notices: newNotices(core, r, discovery)}
+	return &Ingress{core: core, r: r, table: table, door: door.New(r, table, sweepGap), polite: polite, notices: newNotices(core, r, discovery)}
 }
 
 // Move tells ends to another agent from here on.
@@ -68,15 +64,8 @@
 // Accept takes a client's connection. When there is no room, one with no request open goes for it.
 func (in *Ingress) Accept(c *reactor.Conn) reactor.Handler {
 	cl := &client{in: in, conn: c}
-	victim, _, ok := in.table.Admit(&cl.Entry, cl, c.From(), in.r.Now())
-	if victim != nil {
-		victim.Owner().Evict(conns.ForNewcomer)
-	}
 	switch {
-	case ok:
-		if !in.sweeps.Set() {
-			in.r.Arm(&in.sweeps, sweepGap, timers.Coarse, in)
-		}
+	case in.door.Admit(&cl.Entry, cl, c):
 		return cl
 	case in.polite:
 		return in.r.Farewell(TurnedAway)
@@ -84,17 +73,6 @@
 	return nil
 }
 
-// Due ends what has gone over a limit. What lies unread in its socket counts as word of it.
-func (in *Ingress) Due(*timers.Timer) {
-	gap := sweepGap
-	if !in.r.Stalled() && in.table.Expire(in.r.Now(), sweepPortion, conns.Unread, conns.End) {
-		gap = 0
-	}
-	if in.table.Len() > 0 {
-		in.r.Arm(&in.sweeps, gap, timers.Coarse, in)
-	}
-}
-
 // client is one connection. Answers leave in the order of the commands.
 type client struct {
 	conns.Entry
