An answer that comes back to its queue is held to the queue's time limit again

Cause: the timer of a queue with x-message-ttl found nothing to end while the answer was out, and was not set anew when the answer was handed back by recover, nack or a closed channel; it stayed until the next answer came.

Change: handing back looks at the queue's limits too; the test failed before (one answer waited) and passes now.

--- a/internal/net/amqpfront/ingress.go
+++ b/internal/net/amqpfront/ingress.go
@@ -337,7 +337,9 @@
 		q.answers = append([]*answer{d.a}, q.answers...)
 	}
 	for _, d := range list {
-		in.queue(d.q.name).pump()
+		q := in.queue(d.q.name)
+		q.pump()
+		q.bound() // its time may have passed while it was out
 	}
 }
 
--- a/internal/net/amqpfront/topology_test.go
+++ b/internal/net/amqpfront/topology_test.go
@@ -308,6 +308,29 @@
 	}
 }
 
+// An answer that comes back to its queue after its time has passed is not kept there: the queue's timer had nothing to
+// end while the answer was out.
+func TestLimitOfAnAnswerThatComesBack(t *testing.T) {
+	b := newBroker(t)
+	addr, _ := start(t, t.TempDir(), b)
+	c := dial(t, addr)
+	c.method(1, amqp.QueueDeclare, 0, "answers", false, false, false, false, false, amqp.Table{"x-message-ttl": int64(300)})
+	c.want(amqp.QueueOk)
+	c.consume()
+	c.publish("m", "once")
+	c.want(amqp.Ack)
+	c.want(amqp.Deliver)
+	time.Sleep(500 * time.Millisecond) // out for longer than it may wait
+	c.method(1, amqp.Cancel, "me", false)
+	c.want(amqp.CancelOk)
+	c.method(1, amqp.Recover, true)
+	c.want(amqp.RecoverOk)
+	c.method(1, amqp.QueueDeclare, 0, "answers", true, false, false, false, false, amqp.Table{})
+	if x := c.want(amqp.QueueOk); x.Int(1) != 0 {
+		t.Fatal("it waits again:", x.Int(1))
+	}
+}
+
 // A consumer whose queue is deleted is told, and flow holds answers back until it is let on again.
 func TestCancelAndFlow(t *testing.T) {
 	b := newBroker(t)
