--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -53,8 +53,12 @@
 	recEnd
 	recGone
 	recHeard
+	recGroup // other records, all of which stand or none
 )
 
+// MaxGroup bounds what the messages of a group may need together, in bytes.
+const MaxGroup = maxRec / 2
+
 var table = crc32.MakeTable(crc32.Castagnoli)
 
 // Spool is the open journal. It belongs to one goroutine.
@@ -185,6 +189,16 @@
 // Gone forgets a message: nothing more is owed.
 func (s *Spool) Gone(id string) { s.change(recGone, id, 0, "") }
 
+// Group makes one record of all that record makes: after a restart all of it is there, or none.
+func (s *Spool) Group(record func()) {
+	at := len(s.buf)
+	record()
+	if len(s.buf) > at {
+		inner := append([]byte{recGroup}, s.buf[at:]...)
+		s.buf = frame(s.buf[:at], inner)
+	}
+}
+
 func (s *Spool) change(kind byte, id string, n int64, text string) {
 	if s.live[id] == nil {
 		return
@@ -259,7 +273,11 @@
 	if len(raw) < len(magic) || string(raw[:len(magic)]) != magic {
 		return 0
 	}
-	at := len(magic)
+	return int64(len(magic) + s.records(raw[len(magic):], s.apply))
+}
+
+// records hands each sound record over and returns how many bytes they take; it ends at the first that is not.
+func (s *Spool) records(raw []byte, apply func([]byte) bool) (at int) {
 	for len(raw)-at >= head {
 		n := int(binary.LittleEndian.Uint32(raw[at:]))
 		sum := binary.LittleEndian.Uint32(raw[at+4:])
@@ -267,18 +285,22 @@
 			break
 		}
 		p := raw[at+head : at+head+n]
-		if crc32.Checksum(p, table) != sum || !s.apply(p) {
+		if crc32.Checksum(p, table) != sum || !apply(p) {
 			break
 		}
 		at += head + n
 	}
-	return int64(at)
+	return at
 }
 
 // apply changes the entries by one record; false means that it makes no sense.
 func (s *Spool) apply(p []byte) bool {
 	r := reader{b: p}
 	kind := r.byte()
+	if kind == recGroup { // its checksum was right, and so all of it was written
+		flat := func(p []byte) bool { return len(p) > 0 && p[0] != recGroup && s.apply(p) }
+		return s.records(r.b, flat) == len(r.b)
+	}
 	if kind == recTaken {
 		e := &Entry{ID: r.text(), Class: r.text(), Tenant: r.text(), Key: r.text(), Front: r.text(),
 			Note: r.text(), Dest: r.int(), Deadline: r.int(), Attempts: int(r.int()), FirstRun: r.int(),
--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -89,6 +89,37 @@
 	}
 }
 
+// A group that the end of the process tore is not there at all.
+func TestTornGroup(t *testing.T) {
+	dir := t.TempDir()
+	s := open(t, dir, budget)
+	s.Take(&Entry{ID: "old", End: "delivered"})
+	flush(t, s)
+	before := s.size
+	s.Group(func() {
+		s.Take(&Entry{ID: "a", Body: []byte("body")})
+		s.Take(&Entry{ID: "b"})
+		s.Gone("old")
+	})
+	flush(t, s)
+	raw, err := os.ReadFile(filepath.Join(dir, fileName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for cut := int(before); cut <= len(raw); cut++ {
+		torn := t.TempDir()
+		if err := os.WriteFile(filepath.Join(torn, fileName), raw[:cut], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s := open(t, torn, budget)
+		whole := cut == len(raw)
+		if (s.Get("a") != nil) != whole || (s.Get("b") != nil) != whole || (s.Get("old") == nil) != whole {
+			t.Fatalf("cut at %d: %s", cut, list(s))
+		}
+		_ = s.Close()
+	}
+}
+
 // The folder stays inside its budget at every moment, the new file of a compaction included.
 func TestBudget(t *testing.T) {
 	const small = 256 << 10
--- /dev/null
+++ b/sender/group.go
@@ -0,0 +1,129 @@
+package sender
+
+import (
+	"brackendale/internal/spool"
+	"brackendale/logic"
+)
+
+// Group is what a client hands in, and what it has heard, as one: all of it or none, also over a restart. Its messages
+// are judged one by one, in one step; when one of them is refused, none is taken on and nothing counts as heard.
+type Group struct {
+	Front  string
+	Offers []*Exchange
+	Settle []string // ids whose ends have arrived
+	Ref    any      // the ingress's own, for the answer
+
+	fresh []*Exchange // of the offers, those that the step decides on
+}
+
+// Grouped is an Ingress that hands in groups.
+type Grouped interface {
+	// AnswerGroup tells what became of a group, once it is written down. Its messages have no answers of their own.
+	AnswerGroup(g *Group, v Verdict, waitMs int64)
+}
+
+// OfferGroup hands in a group; its ingress gets one answer, after the step.
+func (s *Sender) OfferGroup(g *Group) { s.Post(func() { s.offerGroup(g) }) }
+
+func (s *Sender) offerGroup(g *Group) {
+	need := 0
+	for _, x := range g.Offers {
+		over, v, waitMs := s.admit(x, g.fresh, need)
+		if over && v != Taken {
+			s.answerGroup(g, v, waitMs)
+			return
+		}
+		if !over {
+			g.fresh = append(g.fresh, x)
+			need += spool.Need(entry(x))
+		}
+	}
+	if need > spool.MaxGroup { // never so for a front that keeps to its own bound
+		s.answerGroup(g, Failed, 0)
+		return
+	}
+	for _, x := range g.fresh {
+		x.group = g
+		s.hand(x)
+	}
+	s.groups = append(s.groups, g)
+}
+
+func (s *Sender) answerGroup(g *Group, v Verdict, waitMs int64) {
+	for range g.Offers {
+		s.count(v)
+	}
+	if in, ok := s.fronts[g.Front].(Grouped); ok {
+		s.carry = append(s.carry, func() { in.AnswerGroup(g, v, waitMs) })
+	}
+}
+
+// early is the answer to an offer that its own step ended: it was never taken on.
+type early struct {
+	v    Verdict
+	wait int64
+}
+
+// whole makes the groups of a step all or none. Where a message of a group has ended at once the others end with it:
+// what the module wants done with them is left out of its actions, and it hears that they have gone. groups that stand
+// are returned with the actions that are left.
+func (s *Sender) whole(groups []*Group, ended map[string]early, acts []logic.Action) ([]*Group, []logic.Action) {
+	var stand []*Group
+	out := map[string]bool{} // messages of groups that do not stand; true: an attempt was wanted
+	for _, g := range groups {
+		why, refused := early{}, false
+		for _, x := range g.fresh {
+			if e, ok := ended[x.ID]; ok {
+				refused = true
+				why.v, why.wait = max(why.v, e.v), max(why.wait, e.wait)
+			}
+		}
+		if !refused {
+			stand = append(stand, g)
+			continue
+		}
+		for _, x := range g.fresh {
+			if _, over := ended[x.ID]; !over {
+				ended[x.ID] = why
+				out[x.ID] = false
+			}
+		}
+		s.answerGroup(g, why.v, why.wait)
+	}
+	if len(out) == 0 {
+		return stand, acts
+	}
+	var left []logic.Action
+	var gone []logic.Event
+	for _, a := range acts {
+		if _, ok := out[a.ID]; !ok {
+			left = append(left, a)
+		} else if a.Kind == logic.Issue {
+			out[a.ID] = true
+			gone = append(gone, logic.Event{Kind: logic.Reported, ID: a.ID, Addr: a.Addr, Reason: Moot, Finished: true})
+		}
+	}
+	for id, issued := range out {
+		if !issued {
+			gone = append(gone, logic.Event{Kind: logic.Left, ID: id})
+		}
+	}
+	s.Post(func() { s.events = append(s.events, gone...) })
+	return stand, left
+}
+
+// write records a group that stands, as one record.
+func (s *Sender) write(g *Group) {
+	s.spool.Group(func() {
+		for _, x := range g.fresh {
+			s.open++
+			s.spool.Take(entry(x))
+		}
+		for _, id := range g.Settle {
+			s.settle(id)
+		}
+	})
+	for _, x := range g.Offers {
+		s.again(x)
+	}
+}
--- /dev/null
+++ b/sender/group_test.go
@@ -0,0 +1,68 @@
+package sender
+
+import (
+	"fmt"
+	"testing"
+)
+
+func (f *stub) AnswerGroup(g *Group, v Verdict, _ int64) {
+	f.said = append(f.said, fmt.Sprintf("group of %d: %d", len(g.Offers), v))
+}
+
+func (f *stub) group(t *testing.T, g *Group) {
+	t.Helper()
+	g.Front = "f"
+	f.s.OfferGroup(g)
+	f.round(t)
+}
+
+// A group of which the module, the hold or the books refuse one message is refused whole: nothing of it is written, sent
+// or heard, and the module holds nothing of it either.
+func TestGroupAllOrNone(t *testing.T) {
+	s, f := begin(t, t.TempDir(), 1<<20)
+	f.keep = true
+	f.round(t, exchange(s, "old", 9e6))
+	s.Report(Outcome{ID: "old", N: 0, Target: "a", Reason: Good})
+	f.round(t)
+	f.expect(t, "old 0", "old delivered")
+	f.hops = nil
+	for _, g := range []*Group{
+		{Offers: []*Exchange{exchange(s, "a", 9e6), exchange(s, "late", 0)}, Settle: []string{"old"}},
+		{Offers: []*Exchange{exchange(s, "a", 9e6), exchange(s, "a", 9e6)}, Settle: []string{"old"}},
+		{Offers: []*Exchange{exchange(s, "a", 9e6), exchange(s, "b", 9e6), exchange(s, "c", 9e6), exchange(s, "d", 9e6)}},
+	} {
+		f.group(t, g)
+		f.expect(t, fmt.Sprintf("group of %d: 1", len(g.Offers)))
+		f.round(t) // the module hears that they have gone
+		if len(f.hops) > 0 || s.spool.Get("a") != nil || s.open != 0 || s.spool.Get("old").Heard {
+			t.Fatal(len(f.hops), s.open)
+		}
+	}
+	f.group(t, &Group{Offers: []*Exchange{exchange(s, "a", 9e6), exchange(s, "b", 9e6), exchange(s, "old", 9e6)}, Settle: []string{"old"}})
+	f.expect(t, "group of 3: 0", "old delivered")
+	if len(f.hops) != 2 || s.open != 2 || !s.spool.Get("old").Heard {
+		t.Fatal(len(f.hops), s.open)
+	}
+	s.Report(Outcome{ID: "a", N: 0, Target: "a", Reason: Good}, Outcome{ID: "b", N: 0, Target: "a", Reason: Good})
+	f.round(t)
+	f.expect(t, "a delivered", "b delivered")
+}
+
+// The sender ends between the journal and the commit's answer: all of the group is there in the next life.
+func TestGroupNextLife(t *testing.T) {
+	dir := t.TempDir()
+	s, f := begin(t, dir, 1<<20)
+	s.Routes("whole", []Route{}) // nothing leaves
+	f.round(t)
+	s.OfferGroup(&Group{Front: "f", Offers: []*Exchange{exchange(s, "a", 9e6), exchange(s, "b", 9e6)}})
+	s.opt.Carry = func(func()) {} // the answer is lost
+	f.round(t)
+	f.expect(t)
+	_ = s.spool.Close()
+	s, f = begin(t, dir, 1<<20)
+	s.restore()
+	f.round(t)
+	if len(f.hops) == 0 || s.open != 2 || s.spool.Get("a") == nil || s.spool.Get("b") == nil {
+		t.Fatal(len(f.hops), s.open)
+	}
+}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -56,6 +56,7 @@
 	over     recent // ids that were taken on and are over
 	events   []logic.Event
 	offers   []*Exchange
+	groups   []*Group
 	promised int // bytes of the offers
 	open     int // taken on and not ended
 	tell     []*spool.Entry
@@ -101,7 +102,7 @@
 	return s, nil
 }
 
-// AddIngress adds a client's side under a name that stays the same over restarts.
+// AddIngress adds a client's side under a name that stays the same over restarts: before Run, or posted.
 func (s *Sender) AddIngress(name string, in Ingress) { s.fronts[name] = in }
 
 // AddEgress adds the egress for the routes of a protocol.
@@ -208,33 +209,49 @@
 }
 
 func (s *Sender) offer(x *Exchange) {
-	if e := s.spool.Get(x.ID); e != nil && e.Front != x.Front { // another front's id
-		s.answer(x, Failed, 0)
-		return
-	} else if e != nil { // the client did not hear the answer: it is held, or has its end
-		s.answer(x, Taken, 0)
-		if e.End != "" {
-			s.tell = append(s.tell, e)
+	if over, v, waitMs := s.admit(x, nil, 0); over {
+		s.answer(x, v, waitMs)
+		if v == Taken {
+			s.again(x)
 		}
 		return
 	}
+	s.hand(x)
+}
+
+// admit judges an offer before the module is asked; over tells that it needs no step, and its verdict. ahead are those
+// that come with it in a group, and need is what they take.
+func (s *Sender) admit(x *Exchange, ahead []*Exchange, need int) (over bool, v Verdict, waitMs int64) {
+	if e := s.spool.Get(x.ID); e != nil && e.Front != x.Front { // another front's id
+		return true, Failed, 0
+	} else if e != nil { // the client did not hear the answer: it is held, or has its end
+		return true, Taken, 0
+	}
 	if s.over.has(x.ID) { // it was taken on, and has had its end
-		s.answer(x, Taken, 0)
-		return
+		return true, Taken, 0
 	}
-	need := spool.Need(entry(x))
+	need += spool.Need(entry(x))
 	cap := s.opt.Settings.Caps.OpenCap
-	if cap > 0 && s.open+len(s.offers) >= cap || !s.spool.Room(need, s.promised) || s.stats.Paused {
-		s.answer(x, Busy, refusedMs)
-		return
+	if cap > 0 && s.open+len(s.offers)+len(ahead) >= cap || !s.spool.Room(need, s.promised) || s.stats.Paused {
+		return true, Busy, refusedMs
 	}
-	for _, o := range s.offers {
-		if o.ID == x.ID {
-			s.answer(x, Busy, refusedMs)
-			return
-		}
+	same := func(o *Exchange) bool { return o.ID == x.ID }
+	if slices.ContainsFunc(s.offers, same) || slices.ContainsFunc(ahead, same) {
+		return true, Busy, refusedMs
 	}
-	s.promised += need
+	return false, Taken, 0
+}
+
+// again tells once more the end of a message that was handed in a second time, if it has one.
+func (s *Sender) again(x *Exchange) {
+	if e := s.spool.Get(x.ID); e != nil && e.End != "" {
+		s.tell = append(s.tell, e)
+	}
+}
+
+// hand lets the next step decide on an offer.
+func (s *Sender) hand(x *Exchange) {
+	s.promised += spool.Need(entry(x))
 	s.offers = append(s.offers, x)
 	s.events = append(s.events, logic.Event{Kind: logic.Arrived, ID: x.ID, Class: x.Class, Tenant: x.Tenant,
 		Dest: x.Dest, Deadline: x.Deadline})
@@ -402,12 +419,16 @@
 	})
 }
 
-func (s *Sender) answer(x *Exchange, v Verdict, waitMs int64) {
+func (s *Sender) count(v Verdict) {
 	if v == Taken {
 		s.stats.Taken++
 	} else {
 		s.stats.Refused++
 	}
+}
+
+func (s *Sender) answer(x *Exchange, v Verdict, waitMs int64) {
+	s.count(v)
 	if in := s.fronts[x.Front]; in != nil {
 		s.carry = append(s.carry, func() { in.Answer(x, v, waitMs) })
 	}
@@ -445,15 +466,11 @@
 
 // round is one step of the module, its record in the spool, and then its actions.
 func (s *Sender) round() error {
-	events, offers := s.events, s.offers
-	s.events, s.offers, s.promised, s.last = nil, nil, 0, time.Now()
+	events, offers, groups := s.events, s.offers, s.groups
+	s.events, s.offers, s.groups, s.promised, s.last = nil, nil, nil, 0, time.Now()
 	acts := s.relay.Step(s.Now(), events)
 
 	// What one round takes and ends at once was never taken on: its client hears that and nothing is kept.
-	type early struct {
-		v    Verdict
-		wait int64
-	}
 	ended := map[string]early{}
 	for _, a := range acts {
 		switch a.Kind {
@@ -463,8 +480,12 @@
 			ended[a.ID] = early{Failed, 0}
 		}
 	}
+	groups, acts = s.whole(groups, ended, acts)
+	for _, g := range groups {
+		s.write(g)
+	}
 	for _, x := range offers {
-		if _, ok := ended[x.ID]; !ok && x.Front != "" {
+		if _, ok := ended[x.ID]; !ok && x.Front != "" && x.group == nil {
 			s.open++
 			s.spool.Take(entry(x))
 		}
@@ -482,8 +503,11 @@
 		// Room was kept for all of this: without the record no promise can be kept any more.
 		return fmt.Errorf("the spool cannot be written: %w", err)
 	}
+	for _, g := range groups {
+		s.answerGroup(g, Taken, 0)
+	}
 	for _, x := range offers {
-		if x.Front != "" {
+		if x.Front != "" && x.group == nil {
 			e, ok := ended[x.ID]
 			if !ok {
 				e.v = Taken
--- a/sender/types.go
+++ b/sender/types.go
@@ -15,6 +15,8 @@
 	Front                  string // the name under which its ingress was added
 	Note                   string // what that ingress wants back with the end
 	Ref                    any    // the ingress's own, for the answer; not kept over a restart
+
+	group *Group // that it came in
 }
 
 // Verdict is the answer to an exchange that was handed in.
