TLS on connections, certificates of the site, accounts and virtual hosts as pure policy

Clients and brokers spoke plainly only; there was one login with its password in the file.

reactor.layer runs crypto/tls over the engine: a goroutine for the handshake alone, and half of the cores for those that compute at once. keys reads, judges, makes and revokes certificates (brackendale keys); access decides logins, hosts and patterns, with bcrypt beside the wire's goroutine (brackendale passwd).

Tests: handshakes expired, of another name, another CA, revoked, missing and truncated, by a virtual clock; cut at each of 2,043 bytes that a server hears and every seventh that a client hears, each refused and told, the listener serving on.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -10,7 +10,8 @@
 func Command() *cli.Command {
 	return &cli.Command{
 		Name: "brackendale", Usage: "a sender that delivers messages to partner systems",
-		Commands: []*cli.Command{serveCommand(), checkCommand(), consoleCommand(), importNginxCommand(), loadCommand(),
+		Commands: []*cli.Command{serveCommand(), checkCommand(), consoleCommand(), importNginxCommand(), loadCommand(), keysCommand(),
+			passwdCommand(),
 			versionCommand()},
 	}
 }
--- a/internal/net/reactor/listen.go
+++ b/internal/net/reactor/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -27,6 +28,7 @@
 	r      *Reactor
 	accept func(*Conn) Handler
 	word   []byte
+	tls    *tls.Config // nil: plain
 	perSec atomic.Int64
 	spare  *os.File // a descriptor kept for the moment when there is no other
 }
@@ -34,12 +36,22 @@
 // Listen accepts connections; accept names the handler of each, or nil to turn it away. word, if not nil, is what a
 // newcomer is told when this process or machine has no descriptor left for it.
 func (r *Reactor) Listen(network, addr string, word []byte, accept func(*Conn) Handler) (*Listener, error) {
+	return r.listen(network, addr, word, nil, accept)
+}
+
+// ListenTLS accepts connections that must be secured before their handlers hear of anything. A certificate may be
+// changed by the configuration's own callbacks.
+func (r *Reactor) ListenTLS(network, addr string, cfg *tls.Config, accept func(*Conn) Handler) (*Listener, error) {
+	return r.listen(network, addr, nil, cfg, accept)
+}
+
+func (r *Reactor) listen(network, addr string, word []byte, cfg *tls.Config, accept func(*Conn) Handler) (*Listener, error) {
 	lc := net.ListenConfig{KeepAlive: -1} // idle clients are heard by their protocol, or not at all
 	ln, err := lc.Listen(context.Background(), network, addr)
 	if err != nil {
 		return nil, fmt.Errorf("listening on %s: %w", addr, err)
 	}
-	l := &Listener{Listener: ln, r: r, accept: accept, word: word}
+	l := &Listener{Listener: ln, r: r, accept: accept, word: word, tls: cfg}
 	l.reserve()
 	go l.serve()
 	return l, nil
@@ -75,13 +87,13 @@
 		}
 		l.r.Post(func() {
 			<-room
-			c := &Conn{r: l.r}
+			c := &Conn{r: l.r, shielded: l.tls != nil}
 			c.nc.Store(nc)
 			if c.h = l.accept(c); c.h == nil {
 				_ = nc.Close()
 				return
 			}
-			c.up(nc, nil)
+			c.up(nc, nil, l.tls, true)
 		})
 	}
 }
--- a/internal/net/reactor/reactor.go
+++ b/internal/net/reactor/reactor.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -58,6 +59,9 @@
 	most   int64        // bound of unsent
 	room   sync.Cond
 
+	// Refused, where it is set before the first connection, hears of handshakes that failed, on the loop's goroutine.
+	Refused func(*HandshakeError)
+
 	streak    int // reads, counted by the engine's goroutine
 	farewells int // newcomers that are being turned away with a word
 }
@@ -72,6 +76,9 @@
 	written atomic.Int64
 	unseen  atomic.Int32 // reads that its handler has not been given
 	dead    bool
+
+	layer    *layer // nil: the peer speaks plainly
+	shielded bool   // a layer will be put on once the connection is taken
 }
 
 // read is what one read brought, on its way to the loop.
@@ -140,7 +147,9 @@
 		r.room.L.Unlock()
 	}
 	c.unseen.Add(-1)
-	if !c.dead {
+	if !c.dead && c.layer != nil {
+		c.layer.feed(b)
+	} else if !c.dead {
 		c.h.Data(c, b)
 	}
 	rest.Put(b)
@@ -158,17 +167,27 @@
 // standard library connects: the engine's own dialling reads an IPv4 address out of the first four bytes
 // of its sixteen-byte form, which are zeros, so that every connect went to this machine's first address.
 func (r *Reactor) Dial(addr string, limit time.Duration, h Handler) *Conn {
-	return r.DialFrom("", addr, limit, h)
+	return r.dial("", addr, limit, nil, h)
+}
+
+// DialTLS opens a connection under TLS; Up is told once both sides have agreed. limit is of the connect alone: the
+// handler ends a handshake that takes too long.
+func (r *Reactor) DialTLS(addr string, limit time.Duration, cfg *tls.Config, h Handler) *Conn {
+	return r.dial("", addr, limit, cfg, h)
 }
 
 // DialFrom opens a connection from one of this machine's addresses; the empty one is any.
 func (r *Reactor) DialFrom(from, addr string, limit time.Duration, h Handler) *Conn {
+	return r.dial(from, addr, limit, nil, h)
+}
+
+func (r *Reactor) dial(from, addr string, limit time.Duration, cfg *tls.Config, h Handler) *Conn {
 	d := net.Dialer{KeepAlive: -1}
 	if from != "" {
 		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(from)}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	c := &Conn{r: r, h: h, cancel: cancel}
+	c := &Conn{r: r, h: h, cancel: cancel, shielded: cfg != nil}
 	go func() {
 		var nc *nbio.Conn
 		sock, err := d.DialContext(ctx, "tcp", addr)
@@ -178,18 +197,22 @@
 				_ = sock.Close()
 			}
 		}
-		r.Post(func() { c.up(nc, err) })
+		r.Post(func() { c.up(nc, err, cfg, false) })
 	}()
 	return c
 }
 
 // up hands an open socket to the engine, unless its owner has closed it meanwhile.
-func (c *Conn) up(nc *nbio.Conn, err error) {
+func (c *Conn) up(nc *nbio.Conn, err error, cfg *tls.Config, server bool) {
 	c.cancel = nil
 	if err == nil && c.dead {
 		_ = nc.Close()
 		return
 	}
+	if err == nil && cfg != nil {
+		c.nc.Store(nc)
+		c.secure(cfg, server) // before the engine reads
+	}
 	if err == nil {
 		err = c.attach(nc)
 	}
@@ -197,7 +220,9 @@
 		c.down(err)
 		return
 	}
-	c.h.Up(c)
+	if cfg == nil {
+		c.h.Up(c)
+	}
 }
 
 func (c *Conn) attach(nc *nbio.Conn) error {
@@ -216,10 +241,16 @@
 		return
 	}
 	c.dead = true
-	c.r.unsent.Add(c.written.Load() - c.queued)
 	if err == nil {
 		err = io.EOF
 	}
+	if c.layer != nil {
+		if !c.layer.open {
+			err = c.refused(err)
+		}
+		c.layer.end(net.ErrClosed)
+	}
+	c.r.unsent.Add(c.written.Load() - c.queued)
 	c.h.Down(c, err)
 }
 
@@ -229,6 +260,9 @@
 		c.cancel()
 	}
 	if nc := c.nc.Load(); nc != nil {
+		if c.layer != nil && !c.dead {
+			c.layer.goodbye()
+		}
 		_ = nc.Close()
 	}
 	c.r.Post(func() { c.down(net.ErrClosed) })
@@ -275,7 +309,7 @@
 	return errors.Is(err, syscall.EAGAIN) && c.unseen.Load() == 0
 }
 
-// Mark is the place in the stream that the next write starts from.
+// Mark is the place in the stream that the next write starts from, in bytes of the wire: under TLS of its records.
 func (c *Conn) Mark() int64 { return c.queued }
 
 // Sent tells whether all that was written before a mark has left for the socket.
@@ -286,6 +320,17 @@
 // after it here, one by one, through its buffered write. With unsent bytes before them it buffers all of
 // them and reports them as written: then they go one by one from the start.
 func (c *Conn) Write(pieces ...[]byte) error {
+	if c.layer == nil {
+		return c.raw(pieces...)
+	}
+	if c.dead {
+		return net.ErrClosed
+	}
+	return c.layer.seal(pieces)
+}
+
+// raw writes as it is.
+func (c *Conn) raw(pieces ...[]byte) error {
 	nc := c.nc.Load()
 	if nc == nil || c.dead {
 		return net.ErrClosed
