Serve AMQP transactions, virtual hosts, accounts, EXTERNAL and TLS; follow them on SIGHUP

tx was refused with 540, hosts other than / with 530, logins other than one password with 403, and TLS was not spoken, either way.

Each virtual host is a front of its own to the core, with queues of its own; sessions ask a grant for each key and queue; tx offers groups; amqps:// routes have a CA, a name and a certificate of their own; SIGHUP follows accounts, hosts, permissions, keys and the revocation list, and what is open goes on unless its right is gone.

amqp091-go: transactions and TLS with passwords, certificates and three reloads pass. A broker killed at every byte of 1,434 connections, plain and under TLS: no charge applied twice, one answer each. Idle session record 304 to 320 bytes.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -4,17 +4,20 @@
 import (
 	"cmp"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"path/filepath"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"brackendale/internal/config"
 	"brackendale/internal/console"
+	"brackendale/internal/keys"
 	"brackendale/internal/net/amqpfront"
 	"brackendale/internal/net/conns"
 	"brackendale/internal/net/loop"
@@ -64,6 +67,7 @@
 		return err
 	}
 	defer r.Stop()
+	r.Refused = (&refusals{log: log, now: wire.Now}).tell
 	f, err := newFronts(core, r, cfg)
 	if err != nil {
 		return err
@@ -100,7 +104,7 @@
 		time.Sleep(min(lastWords, stopAfter-time.Since(began))) // what was written leaves
 		cancel()
 	}()
-	log.Info().Str("listen", cfg.Listen).Str("amqp", cfg.AMQP.Listen).Int("endpoints", len(cfg.Known.Hosts)).Msg("serving")
+	log.Info().Str("listen", cfg.Listen).Str("amqp", cfg.AMQP.Listen).Str("amqps", cfg.AMQP.TLS.Listen).Int("endpoints", len(cfg.Known.Hosts)).Msg("serving")
 	go wire.Run(ctx)
 	return core.Run(ctx)
 }
@@ -148,10 +152,13 @@
 // fronts are the sides that the configuration asks for, joined to the core. They belong to the loop.
 type fronts struct {
 	ends      []func()
-	registry  *platform.Registry // nil where the routes are the appliance's own
-	clients   *platform.Ingress  // nil without a RESP2 front
-	room      *conns.Room        // that all clients share
-	targets   *conns.Room        // that all egress targets share
+	amqp      *amqpfront.Ingress // nil without an AMQP front
+	brokers   *amqpfront.Egress
+	secure    atomic.Pointer[tls.Config] // of the AMQP front, as it was read last
+	registry  *platform.Registry         // nil where the routes are the appliance's own
+	clients   *platform.Ingress          // nil without a RESP2 front
+	room      *conns.Room                // that all clients share
+	targets   *conns.Room                // that all egress targets share
 	tables    map[string]*conns.Table
 	listeners []*reactor.Listener
 }
@@ -197,6 +204,11 @@
 	if f.clients != nil {
 		f.clients.Move(finals(cfg))
 	}
+	if f.amqp != nil {
+		f.amqp.Follow(cfg.Policy)
+		f.secure.Store(cfg.Secure.Server)
+	}
+	f.brokers.Secure(cfg.Secure.Targets)
 	f.room.SetMost(cfg.ClientSockets())
 	f.targets.SetMost(cfg.TargetSockets())
 	for name, t := range f.tables {
@@ -231,6 +243,43 @@
 	return l
 }
 
+// serverTLS is the listener's configuration: each handshake goes by what was read last.
+func (f *fronts) serverTLS() *tls.Config {
+	return &tls.Config{MinVersion: tls.VersionTLS12, GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+		if cfg := f.secure.Load(); cfg != nil {
+			return cfg, nil
+		}
+		return nil, errors.New("no keys are configured any more")
+	}}
+}
+
+// refusals logs handshakes that failed: a crowd of them must not fill the log.
+type refusals struct {
+	log   zerolog.Logger
+	now   func() time.Duration
+	since time.Duration
+	told  int
+	quiet int // that were not told
+}
+
+// refusalsPerS is how many are told in a second; of the others the number is.
+const refusalsPerS = 10
+
+func (r *refusals) tell(e *reactor.HandshakeError) {
+	if now := r.now(); now-r.since >= time.Second {
+		if r.quiet > 0 {
+			r.log.Warn().Int("more", r.quiet).Msg("tls refused")
+		}
+		r.since, r.told, r.quiet = now, 0, 0
+	}
+	if r.told++; r.told > refusalsPerS {
+		r.quiet++
+		return
+	}
+	reason, ours := keys.Explain(e.Err)
+	r.log.Warn().Str("peer", e.Peer).Str("reason", reason).Bool("ours", ours).AnErr("cause", e.Err).Msg("tls refused")
+}
+
 func newFronts(core *sender.Sender, r *reactor.Reactor, cfg config.Config) (*fronts, error) {
 	f := &fronts{room: conns.NewRoom(cfg.ClientSockets()), targets: conns.NewRoom(cfg.TargetSockets()),
 		tables: map[string]*conns.Table{}}
@@ -238,8 +287,7 @@
 		f.tables[front] = f.room.NewTable(limits(front, cfg))
 		return f.tables[front]
 	}
-	listen := func(addr string, word []byte, accept func(*reactor.Conn) reactor.Handler) error {
-		ln, err := r.Listen("tcp", addr, word, accept)
+	follow := func(ln *reactor.Listener, err error) error {
 		if err == nil {
 			ln.SetRate(cfg.Clients.AcceptPerS)
 			f.listeners = append(f.listeners, ln)
@@ -247,8 +295,13 @@
 		}
 		return err
 	}
+	listen := func(addr string, word []byte, accept func(*reactor.Conn) reactor.Handler) error {
+		return follow(r.Listen("tcp", addr, word, accept))
+	}
 	core.AddEgress(platform.Proto, platform.NewEgress(core, r, cfg.Settings, f.targets))
-	core.AddEgress(amqpfront.Proto, amqpfront.NewEgress(core, r, time.Duration(cfg.Settings.Caps.ConnectTimeoutUs)*time.Microsecond, f.targets))
+	f.brokers = amqpfront.NewEgress(core, r, time.Duration(cfg.Settings.Caps.ConnectTimeoutUs)*time.Microsecond, f.targets)
+	f.brokers.Secure(cfg.Secure.Targets)
+	core.AddEgress(amqpfront.Proto, f.brokers)
 	if cfg.Discovery == "" {
 		core.Routes("whole", platform.Routes(cfg.Known))
 	} else {
@@ -267,13 +320,20 @@
 		}
 		f.ends = append(f.ends, f.clients.CloseIdle)
 	}
-	if cfg.AMQP.Listen != "" {
-		in := amqpfront.NewIngress(core, r, amqpfront.Options{User: cfg.AMQP.User, Password: cfg.AMQP.Password,
-			Exchange: cfg.AMQP.Exchange, Heartbeat: time.Duration(cfg.AMQP.HeartbeatS) * time.Second,
+	if cfg.AMQP.Serves() {
+		in := amqpfront.NewIngress(core, r, amqpfront.Options{Policy: cfg.Policy, Heartbeat: time.Duration(cfg.AMQP.HeartbeatS) * time.Second,
 			Channels: cfg.AMQP.Channels}, table(amqpfront.Front))
-		core.AddIngress(amqpfront.Front, in)
-		if err := listen(cfg.AMQP.Listen, amqpfront.TurnedAway, in.Accept); err != nil {
-			return nil, err
+		f.amqp = in
+		if cfg.AMQP.Listen != "" {
+			if err := listen(cfg.AMQP.Listen, amqpfront.TurnedAway, in.Accept); err != nil {
+				return nil, err
+			}
+		}
+		if f.secure.Store(cfg.Secure.Server); cfg.AMQP.TLS.Listen != "" {
+			ln, err := r.ListenTLS("tcp", cfg.AMQP.TLS.Listen, f.serverTLS(), in.Accept)
+			if err := follow(ln, err); err != nil {
+				return nil, err
+			}
 		}
 		f.ends = append(f.ends, in.Close)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 
+	"brackendale/internal/access"
 	"brackendale/internal/net/amqp"
 	"brackendale/logic"
 
@@ -43,20 +44,6 @@
 	Proto  string  `json:"-"` // of the appliance's routes: http or amqp
 }
 
-// AMQP is the AMQP front; it is off without an address to listen on.
-type AMQP struct {
-	Listen     string `toml:"listen"`
-	User       string `toml:"user"`
-	Password   string `toml:"password"`
-	Exchange   string `toml:"exchange"`
-	HeartbeatS int    `toml:"heartbeat_s"`
-	Channels   int    `toml:"channels"` // of one connection
-
-	FirstS float64 `toml:"first_s"` // for the handshake; 0: any time
-	FrameS float64 `toml:"frame_s"` // for one frame, from its first byte to its last; 0: any time
-	IdleS  float64 `toml:"idle_s"`  // that a client may hand in and be told nothing; 0: it stays
-}
-
 // Console is the local control socket; it is off without a path.
 type Console struct {
 	Socket string `toml:"socket"`
@@ -76,6 +63,8 @@
 	Clients   Clients        `json:"-"`
 	Resp      Resp           `json:"-"`
 	Console   Console        `json:"-"`
+	Policy    *access.Policy `json:"-"` // of the AMQP front
+	Secure    Secure         `json:"-"`
 }
 
 // Seed is a seed in hexadecimal.
@@ -148,7 +137,7 @@
 	for _, a := range []struct {
 		key, addr string
 		must      bool
-	}{{"LB_LISTEN", c.Listen, c.AMQP.Listen == "" && c.Resp.Listen == ""}, {"discovery (LB_DISCOVERY)", c.Discovery, c.Listen != ""},
+	}{{"LB_LISTEN", c.Listen, !c.AMQP.Serves() && c.Resp.Listen == ""}, {"discovery (LB_DISCOVERY)", c.Discovery, c.Listen != ""},
 		{"amqp.listen", c.AMQP.Listen, false}} {
 		if _, _, err := net.SplitHostPort(a.addr); err != nil && (a.must || a.addr != "") {
 			return fault(a.key, "%q: %w", a.addr, err)
@@ -164,7 +153,7 @@
 		return fault("limits.sockets", "%d is under 32", l.Sockets)
 	case !(l.DiskMB >= 0.05):
 		return fault("limits.disk_mb", "%v is under 0.05", l.DiskMB)
-	case c.AMQP.Listen != "" && (c.AMQP.Channels < 1 || c.AMQP.Channels > 2047):
+	case c.AMQP.Serves() && (c.AMQP.Channels < 1 || c.AMQP.Channels > 2047):
 		return fault("amqp.channels", "%d is not from 1 to 2047", c.AMQP.Channels)
 	case c.AMQP.HeartbeatS < 0 || c.AMQP.HeartbeatS > 3600:
 		return fault("amqp.heartbeat_s", "%d is not from 0 to 3600", c.AMQP.HeartbeatS)
@@ -234,6 +223,8 @@
 	Proto string `toml:"proto"` // http or amqp
 	Dial  string `toml:"dial"`
 	Drain bool   `toml:"drain,omitempty"`
+
+	TLS *RouteTLS `toml:"tls,omitempty"`
 }
 
 // appliance reads the appliance's file; alone tells that it gives the settings too.
@@ -255,6 +246,12 @@
 	}
 	c.Name, c.State, c.Listen, c.Discovery, c.Limits = f.Name, f.State, f.Listen, f.Discovery, f.Limits
 	c.AMQP, c.Console, c.Clients, c.Resp = f.AMQP, f.Console, f.Clients, f.Resp
+	if err := c.amqpPolicy(path); err != nil {
+		return err
+	}
+	if err := c.amqpKeys(path, f.Route); err != nil {
+		return err
+	}
 	if !alone {
 		if len(f.Class)+len(f.Kind)+len(f.Route) > 0 || md.IsDefined("sender") {
 			return fault(path+": class, kind, route, sender", "belong to the platform where LB_CONFIG is set")
--- a/internal/net/amqpfront/egress.go
+++ b/internal/net/amqpfront/egress.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/tls"
+	"net"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -33,6 +35,7 @@
 	links   map[string]*link
 	out     map[string]*pub
 	table   *conns.Table
+	tls     map[string]*tls.Config // by route
 }
 
 // NewEgress makes the brokers' side; its connections take their descriptors from room.
@@ -44,6 +47,19 @@
 		table: room.NewTargets()}
 }
 
+// Secure takes up how routes' targets are judged. Connections that are open stay as they are. Only for the loop's
+// goroutine once the egress serves.
+func (e *Egress) Secure(byRoute map[string]*tls.Config) { e.tls = byRoute }
+
+// keyOf tells connections apart: by all that makes one different from another before its first publish.
+func keyOf(route string, t amqp.Target) string {
+	key := t.Addr + t.VHost + t.User
+	if t.TLS { // what is judged there is the route's own
+		key += "\x00" + route
+	}
+	return key
+}
+
 // pub is one hop that is out.
 type pub struct {
 	e        *Egress
@@ -69,7 +85,7 @@
 			continue
 		}
 		e.r.Arm(&p.timer, time.Duration(h.LimitUs)*time.Microsecond, 0, timers.Func(func() { p.giveUp(sender.Late) }))
-		if p.link = e.link(t); p.link == nil { // no descriptor is left within the budget: that says nothing of the broker
+		if p.link = e.link(to.Addr, t); p.link == nil { // no descriptor is left within the budget: that says nothing of the broker
 			p.report(sender.Moot, 0)
 			continue
 		}
@@ -92,7 +108,7 @@
 	if err != nil {
 		return
 	}
-	if l := e.links[t.Addr+t.VHost+t.User]; l != nil && l.free() {
+	if l := e.links[keyOf(to.Addr, t)]; l != nil && l.free() {
 		l.bye(&amqp.Fault{Code: amqp.ReplySuccess, Text: "idle"})
 	}
 }
@@ -106,8 +122,8 @@
 	}
 }
 
-func (e *Egress) link(t amqp.Target) *link {
-	key := t.Addr + t.VHost + t.User
+func (e *Egress) link(route string, t amqp.Target) *link {
+	key := keyOf(route, t)
 	l := e.links[key]
 	if l == nil {
 		l = &link{peer: newPeer(e.r.Loop), e: e, key: key, to: t}
@@ -119,7 +135,14 @@
 			return nil
 		}
 		e.links[key] = l
-		l.conn = e.r.Dial(t.Addr, e.connect, l)
+		if cfg := e.tls[route]; t.TLS && cfg != nil {
+			l.conn = e.r.DialTLS(t.Addr, e.connect, cfg, l)
+		} else if t.TLS { // of a list that says nothing of keys: this machine's CAs judge it
+			host, _, _ := net.SplitHostPort(t.Addr)
+			l.conn = e.r.DialTLS(t.Addr, e.connect, &tls.Config{ServerName: host, MinVersion: tls.VersionTLS12}, l)
+		} else {
+			l.conn = e.r.Dial(t.Addr, e.connect, l)
+		}
 		e.r.Arm(&l.timer, 2*e.connect, timers.Coarse, l) // of the connect and the handshake
 	}
 	return l
@@ -417,11 +440,8 @@
 		props.Headers = amqp.Table{"idempotency-key": p.hop.Key}
 	}
 	pieces := amqp.Content(ch.id, amqp.Publish, []any{0, p.to.Exchange, p.to.RoutingKey, true, false}, props, p.hop.Body, l.max)
-	p.end = l.conn.Mark()
-	for _, x := range pieces {
-		p.end += int64(len(x))
-	}
 	l.write(pieces...)
+	p.end = l.conn.Mark() // behind its last byte, as it stands on the wire
 }
 
 func (l *link) channel(i int, ch *lane, m *amqp.Message) error {
--- a/internal/net/amqpfront/ingress.go
+++ b/internal/net/amqpfront/ingress.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"brackendale/internal/access"
 	"brackendale/internal/net/amqp"
 	"brackendale/internal/net/conns"
 	"brackendale/internal/net/door"
@@ -27,10 +28,9 @@
 
 // Options is what an ingress is told.
 type Options struct {
-	User, Password string        // both empty: any client may come
-	Exchange       string        // that clients publish to; the routing key is the destination
-	Heartbeat      time.Duration // offered to clients
-	Channels       int           // of one connection, 1 to 2047
+	Policy    *access.Policy // users and virtual hosts
+	Heartbeat time.Duration  // offered to clients
+	Channels  int            // of one connection, 1 to 2047
 }
 
 // Limits are the front's for so many connections. A handshake and a frame have 10 s each. A connection that has
@@ -50,10 +50,11 @@
 	r       *reactor.Reactor
 	opt     Options
 	table   *conns.Table
-	queues  map[string]*queue
-	named   int
+	policy  *access.Policy
+	checker *access.Checker
+	hosts   map[string]*host
 	door    *door.Door
-	pressed string             // why publishers should hold back; empty: they need not
+	txBytes int                // that wait for commits
 	batch   []*sender.Exchange // of the read that is being handled, which is one client's
 }
 
@@ -63,6 +64,7 @@
 	timer      timers.Timer
 	used       time.Duration // it was declared, consumed from or asked
 	in         *Ingress
+	vh         *host
 	name       string
 	owner      *session // whose alone it is
 	direct     bool     // of direct reply-to: what its channel does not hear is dropped
@@ -79,9 +81,12 @@
 	since         time.Duration
 }
 
-// NewIngress makes the clients' side with a table of its own.
+// NewIngress makes the clients' side with a table of its own, and joins it to the core.
 func NewIngress(core *sender.Sender, r *reactor.Reactor, opt Options, table *conns.Table) *Ingress {
-	return &Ingress{core: core, r: r, opt: opt, table: table, door: door.New(r, table, sweepGap), queues: map[string]*queue{}}
+	in := &Ingress{core: core, r: r, opt: opt, table: table, door: door.New(r, table, sweepGap), hosts: map[string]*host{},
+		checker: access.NewChecker()}
+	in.Follow(opt.Policy)
+	return in
 }
 
 // TurnedAway is what a newcomer without room is told. The specification lets a connection be closed at any time.
@@ -93,6 +98,9 @@
 	s := &session{in: in, peer: newPeer(in.r.Loop)}
 	s.conn = c
 	if !in.door.Admit(&s.Entry, s, c) {
+		if c.Secured() { // a word would cost a handshake
+			return nil
+		}
 		return in.r.Farewell(TurnedAway)
 	}
 	return s
@@ -107,95 +115,18 @@
 	})
 }
 
-// Pressure tells the clients that can hear it that publishers should hold back, or that they need not any more.
-func (in *Ingress) Pressure(on bool, why string) {
-	if in.pressed = ""; on {
-		in.pressed = why
-	}
-	in.table.Each(func(e *conns.Entry) {
-		s, ok := e.Owner().(*session)
-		switch {
-		case !ok || !s.blocks || s.stage != open:
-		case on:
-			s.method(0, amqp.ConnBlocked, why)
-		default:
-			s.method(0, amqp.ConnUnblocked)
-		}
-	})
-}
-
-// Owes tells that every end is told here.
-func (in *Ingress) Owes(string) bool { return true }
-
-// Remembers tells that an id that comes again must not run again.
-func (in *Ingress) Remembers() bool { return true }
-
-// Answer confirms a publish that was taken on, and refuses the others.
-func (in *Ingress) Answer(x *sender.Exchange, v sender.Verdict, _ int64) {
-	p, ok := x.Ref.(*publish)
-	if !ok || p.ch.closed {
-		return
-	}
-	p.ch.pending = slices.DeleteFunc(p.ch.pending, func(o *sender.Exchange) bool { return o == x })
-	p.ch.s.owe(-1)
-	if v == sender.Taken {
-		p.ch.s.method(p.ch.id, amqp.Ack, p.tag, false)
-		return
-	}
-	p.ch.s.method(p.ch.id, amqp.Nack, p.tag, false, false)
-}
-
-// Tell puts an end on the queue of its reply-to, once.
-func (in *Ingress) Tell(id, note, end string, waitMs int64) {
-	replyTo, _, _ := strings.Cut(note, "\x00")
-	if strings.HasPrefix(replyTo, directReplyTo+".") && in.queues[replyTo] == nil {
-		in.core.Settle(id) // its channel has gone, and nobody else may ask
-		return
-	}
-	q := in.queue(replyTo)
-	same := func(a *answer) bool { return a.id == id }
-	if slices.ContainsFunc(q.answers, same) {
-		return
+// has tells whether the answer to a message is there, or out.
+func (q *queue) has(id string) bool {
+	if slices.ContainsFunc(q.answers, func(a *answer) bool { return a.id == id }) {
+		return true
 	}
 	for _, c := range q.consumers {
-		if slices.ContainsFunc(c.ch.unacked, func(d delivery) bool { return d.a.id == id }) {
-			return
-		}
-	}
-	q.answers = append(q.answers, &answer{id: id, note: note, end: end, waitMs: waitMs, since: in.r.Now()})
-	q.pump()
-	q.bound()
-}
-
-func (in *Ingress) queue(name string) *queue {
-	q := in.queues[name]
-	if q == nil {
-		if len(in.queues) >= maxQueues {
-			in.forget()
-		}
-		q = &queue{in: in, name: name}
-		in.queues[name] = q
-	}
-	return q
-}
-
-// tidy forgets a queue that nobody needs.
-func (in *Ingress) tidy(q *queue) {
-	if len(q.answers) == 0 && len(q.consumers) == 0 && !q.declared && in.queues[q.name] == q {
-		in.r.Disarm(&q.timer)
-		delete(in.queues, q.name)
-	}
-}
-
-// forget drops the record of a queue that was declared and is not in use: any name may be used without.
-func (in *Ingress) forget() {
-	for _, q := range in.queues {
-		if q.owner == nil && len(q.answers) == 0 && len(q.consumers) == 0 {
-			in.r.Disarm(&q.timer)
-			delete(in.queues, q.name)
-			return
+		if slices.ContainsFunc(c.ch.unacked, func(d delivery) bool { return d.a.id == id }) ||
+			c.ch.tx != nil && slices.ContainsFunc(c.ch.tx.acks, func(d txAck) bool { return d.a.id == id }) {
+			return true
 		}
 	}
+	return false
 }
 
 // pump delivers answers to consumers in turn, as far as they may have more.
@@ -227,15 +158,24 @@
 	if c.q.autoDelete && len(c.q.consumers) == 0 {
 		c.q.declared = false // answers that wait are owed, and stay
 	}
-	c.q.in.tidy(c.q)
+	c.q.vh.tidy(c.q)
 }
 
 func (c *consumer) ready() bool {
 	most := maxUnacked
 	if c.ch.prefetch > 0 {
-		most = min(most, c.ch.prefetch)
+		most = min(most, int(c.ch.prefetch))
+	}
+	return !c.ch.paused && (c.noAck || c.ch.outNow() < most)
+}
+
+// outNow counts the answers that are out; an acknowledgement counts once it is committed.
+func (ch *channel) outNow() int {
+	n := len(ch.unacked)
+	if ch.tx != nil {
+		n += len(ch.tx.acks)
 	}
-	return !c.ch.paused && (c.noAck || len(c.ch.unacked) < most)
+	return n
 }
 
 type delivery struct {
@@ -280,19 +220,26 @@
 type channel struct {
 	s         *session
 	id        uint16
+	prefetch  uint16
 	confirm   bool
-	paused    bool   // by channel.flow
+	paused    bool // by channel.flow
+	closing   bool // a close was sent: all but its answer is passed over
+	closed    bool
+	commits   int32  // what is owed for commits without their answer
 	last      string // the queue that was declared last
 	direct    string // the queue of its direct reply-to
-	closing   bool   // a close was sent: all but its answer is passed over
-	closed    bool
 	published uint64
 	delivered uint64
-	prefetch  int
 	consumers []*consumer
 	unacked   []delivery
 	pending   []*sender.Exchange // offered, and not answered
 	asm       amqp.Assembly
+	tx        *txState // nil: every publish and acknowledgement counts by itself
+}
+
+// answered takes a publish off those that wait.
+func (ch *channel) answered(x *sender.Exchange) {
+	ch.pending = slices.DeleteFunc(ch.pending, func(o *sender.Exchange) bool { return o == x })
 }
 
 // publish is where an exchange's confirm goes.
@@ -306,8 +253,13 @@
 	if ch.closed {
 		return
 	}
+	if ch.tx != nil {
+		ch.rollback()
+		ch.tx = nil
+	}
 	ch.closed = true
-	ch.s.owe(-len(ch.pending) - len(ch.unacked))
+	ch.s.owe(-len(ch.pending) - len(ch.unacked) - int(ch.commits))
+	ch.commits = 0
 	batch := &ch.s.in.batch
 	for _, x := range ch.pending {
 		if i := slices.Index(*batch, x); i >= 0 { // never handed in
@@ -319,7 +271,7 @@
 	for _, c := range ch.consumers {
 		c.q.consumers = slices.DeleteFunc(c.q.consumers, func(o *consumer) bool { return o == c })
 	}
-	ch.requeue(ch.unacked)
+	ch.s.vh.requeue(ch.unacked)
 	for _, c := range ch.consumers {
 		if c.q.direct {
 			c.q.discard()
@@ -329,20 +281,6 @@
 	ch.unacked, ch.consumers, ch.pending = nil, nil, nil
 }
 
-// requeue puts answers back in their order, before those that were never out.
-func (ch *channel) requeue(list []delivery) {
-	in := ch.s.in
-	for _, d := range slices.Backward(list) {
-		q := in.queue(d.q.name) // it may have been deleted, and be there anew
-		q.answers = append([]*answer{d.a}, q.answers...)
-	}
-	for _, d := range list {
-		q := in.queue(d.q.name)
-		q.pump()
-		q.bound() // its time may have passed while it was out
-	}
-}
-
 // settle takes deliveries off by tag; 0 with multiple means all.
 func (ch *channel) settle(k amqp.Key, tag uint64, multiple, requeue bool) error {
 	var hit, rest []delivery
@@ -357,9 +295,15 @@
 		return &amqp.Fault{Code: amqp.PreconditionFailed, Text: "unknown delivery tag " + strconv.FormatUint(tag, 10), Method: k}
 	}
 	ch.unacked = rest
+	if ch.tx != nil {
+		for _, d := range hit {
+			ch.tx.acks = append(ch.tx.acks, txAck{d, requeue})
+		}
+		return nil
+	}
 	ch.s.owe(-len(hit))
 	if requeue {
-		ch.requeue(hit)
+		ch.s.vh.requeue(hit)
 	} else {
 		ids := make([]string, len(hit))
 		for i, d := range hit {
--- /dev/null
+++ b/internal/net/amqpfront/login.go
@@ -0,0 +1,135 @@
+package amqpfront
+
+import (
+	"errors"
+	"strings"
+
+	"brackendale/internal/access"
+	"brackendale/internal/net/amqp"
+)
+
+// The mechanisms (RFC 4422 names them). EXTERNAL is offered to clients that came with a certificate that holds.
+const (
+	mechPlain    = "PLAIN"
+	mechAMQPlain = "AMQPLAIN"
+	mechExternal = "EXTERNAL"
+)
+
+func (s *session) mechanisms() string {
+	list := mechPlain + " " + mechAMQPlain
+	if s.conn.Peer() != nil {
+		list += " " + mechExternal
+	}
+	return list
+}
+
+// errLogin is all that a client is told of a login that was not right.
+var errLogin = &amqp.Fault{Code: amqp.AccessRefused, Text: "login refused", Method: amqp.ConnStartOk}
+
+// login judges the response to one of the mechanisms, and goes on with ok at once or later. By PLAIN (RFC 4616) the
+// first part, on whose behalf the client acts, must be empty or the user's own; AMQPLAIN is a table with LOGIN and
+// PASSWORD; by EXTERNAL the certificate tells the user, whose name the client may say.
+func (s *session) login(mechanism, response string) error {
+	user, password, ok := credentials(mechanism, response)
+	p := s.in.policy
+	switch {
+	case mechanism == mechExternal:
+		u, ok := p.Holder(s.conn.Peer())
+		if !ok || response != "" && response != u.Name && response != "\x00*\x00*" { // the last: amqp091-go's word for nobody
+			return errLogin
+		}
+		s.admitted(u.Name)
+		return nil
+	case !ok:
+		return errLogin
+	case p.Open():
+		s.admitted(user)
+		return nil
+	}
+	u, _ := p.User(user)
+	s.stage = checking
+	return s.check(u, password, func(ok bool) {
+		if !ok {
+			s.fail(0, errLogin)
+			return
+		}
+		s.admitted(user)
+	})
+}
+
+// check compares a password, and tells done unless the connection has ended meanwhile.
+func (s *session) check(u access.User, password string, done func(bool)) error {
+	err := s.in.checker.Check(u.Hash, password, func(ok bool) {
+		s.loop.Post(func() {
+			if s.stage != ending && !s.conn.Dead() {
+				done(ok)
+			}
+		})
+	})
+	if errors.Is(err, access.ErrCrowd) {
+		return amqp.Errorf(amqp.ResourceError, "%v; come again in a second", err)
+	}
+	return err
+}
+
+func credentials(mechanism, response string) (user, password string, ok bool) {
+	switch mechanism {
+	case mechPlain:
+		f := strings.Split(response, "\x00")
+		if len(f) == 3 && (f[0] == "" || f[0] == f[1]) {
+			return f[1], f[2], true
+		}
+	case mechAMQPlain:
+		if t, err := amqp.ParseTable([]byte(response)); err == nil {
+			u, ok1 := t["LOGIN"].(string)
+			p, ok2 := t["PASSWORD"].(string)
+			return u, p, ok1 && ok2
+		}
+	}
+	return "", "", false
+}
+
+// admitted goes on with the handshake of a user who is known.
+func (s *session) admitted(user string) {
+	s.grant = s.in.policy.Lobby(user)
+	s.stage = tuning
+	s.method(0, amqp.ConnTune, s.in.opt.Channels, amqp.FrameMax, int(s.in.opt.Heartbeat.Seconds()))
+}
+
+// enter opens a virtual host.
+func (s *session) enter(name string) error {
+	g := s.in.policy.Enter(s.grant.User(), name)
+	if g == nil {
+		if _, known := s.in.hosts[name]; known {
+			return &amqp.Fault{Code: amqp.NotAllowed, Text: "this user may not enter the virtual host", Method: amqp.ConnOpen}
+		}
+		return &amqp.Fault{Code: amqp.NotAllowed, Text: "no such virtual host", Method: amqp.ConnOpen}
+	}
+	s.grant, s.vh = g, s.in.hosts[g.Host().Name]
+	s.stage = open
+	s.stand()
+	s.method(0, amqp.ConnOpenOk, "")
+	if s.vh.pressed != "" && s.blocks {
+		s.method(0, amqp.ConnBlocked, s.vh.pressed)
+	}
+	return nil
+}
+
+// secret answers for update-secret: the new one must be the user's, who stays the same.
+func (s *session) secret(password string) error {
+	u, ok := s.in.policy.User(s.grant.User())
+	if s.in.policy.Open() {
+		s.method(0, amqp.ConnSecretOk)
+		return nil
+	}
+	if !ok {
+		u = access.User{}
+	}
+	return s.check(u, password, func(ok bool) {
+		if ok {
+			s.method(0, amqp.ConnSecretOk)
+			return
+		}
+		s.fail(0, &amqp.Fault{Code: amqp.AccessRefused, Text: "the new secret is not the user's", Method: amqp.ConnSecret})
+	})
+}
--- a/internal/net/amqpfront/queuelimits.go
+++ b/internal/net/amqpfront/queuelimits.go
@@ -96,12 +96,12 @@
 
 // Due ends answers and queues whose time is over.
 func (q *queue) Due(*timers.Timer) {
-	if q.in.queues[q.name] != q {
+	if q.vh.queues[q.name] != q {
 		return
 	}
 	if q.expires > 0 && len(q.consumers) == 0 && q.in.r.Now()-q.used >= q.expires {
 		q.discard()
-		q.in.remove(q)
+		q.vh.remove(q)
 		return
 	}
 	q.bound()
--- a/internal/net/amqpfront/session.go
+++ b/internal/net/amqpfront/session.go
@@ -2,13 +2,13 @@
 
 import (
 	"bytes"
-	"crypto/subtle"
 	"fmt"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"brackendale/internal/access"
 	"brackendale/internal/net/amqp"
 	"brackendale/internal/net/conns"
 	"brackendale/internal/net/reactor"
@@ -20,6 +20,7 @@
 const (
 	greeting = iota
 	starting
+	checking // the password
 	tuning
 	opening
 	open
@@ -31,6 +32,8 @@
 	conns.Entry
 	peer
 	in      *Ingress
+	vh      *host         // that it has opened
+	grant   *access.Grant // what it may do there; before that, who it is
 	asm     amqp.Assembly // of channel 0
 	chans   []*channel    // in the order of their numbers
 	owns    []*queue      // that are this connection's alone
@@ -132,7 +135,7 @@
 		s.rest.Drop()
 		caps := amqp.Table{"publisher_confirms": true, "basic.nack": true, "consumer_cancel_notify": true, "connection.blocked": true,
 			"authentication_failure_close": true}
-		s.method(0, amqp.ConnStart, 0, 9, amqp.Table{"product": "brackendale", "capabilities": caps}, "PLAIN AMQPLAIN", "en_US")
+		s.method(0, amqp.ConnStart, 0, 9, amqp.Table{"product": "brackendale", "capabilities": caps}, s.mechanisms(), "en_US")
 	}
 	if err := s.frames(b, s.frame); err != nil {
 		s.fail(0, err)
@@ -155,7 +158,7 @@
 	}
 	for _, q := range s.owns { // what they still hold is owed, to whoever asks by the name
 		q.owner, q.declared = nil, false
-		s.in.tidy(q)
+		s.vh.tidy(q)
 	}
 	s.owns = nil
 }
@@ -219,14 +222,10 @@
 func (s *session) connection(m *amqp.Message) error {
 	switch {
 	case m.Key == amqp.ConnStartOk && s.stage == starting:
-		if !s.in.login(m.Str(1), m.Str(2)) {
-			return &amqp.Fault{Code: amqp.AccessRefused, Text: "login refused", Method: m.Key}
-		}
-		s.stage = tuning
 		caps, _ := m.Table(0)["capabilities"].(amqp.Table)
 		s.cancels, _ = caps["consumer_cancel_notify"].(bool)
 		s.blocks, _ = caps["connection.blocked"].(bool)
-		s.method(0, amqp.ConnTune, s.in.opt.Channels, amqp.FrameMax, int(s.in.opt.Heartbeat/time.Second))
+		return s.login(m.Str(1), m.Str(2))
 	case m.Key == amqp.ConnTuneOk && s.stage == tuning:
 		most, beat := m.Int(1), time.Duration(m.Int(2))*time.Second
 		if most == 0 {
@@ -238,20 +237,9 @@
 		s.stage, s.max = opening, uint32(most)
 		s.keepAlive(beat, s)
 	case m.Key == amqp.ConnOpen && s.stage == opening:
-		if v := m.Str(0); v != "/" && v != "" {
-			return &amqp.Fault{Code: amqp.NotAllowed, Text: "no such virtual host", Method: m.Key}
-		}
-		s.stage = open
-		s.stand()
-		s.method(0, amqp.ConnOpenOk, "")
-		if s.in.pressed != "" && s.blocks {
-			s.method(0, amqp.ConnBlocked, s.in.pressed)
-		}
+		return s.enter(m.Str(0))
 	case m.Key == amqp.ConnSecret && s.stage == open:
-		if !s.in.secret(m.Str(0)) {
-			return &amqp.Fault{Code: amqp.AccessRefused, Text: "the new secret is not the user's", Method: m.Key}
-		}
-		s.method(0, amqp.ConnSecretOk)
+		return s.secret(m.Str(0))
 	case m.Key == amqp.ConnClose:
 		s.method(0, amqp.ConnCloseOk)
 		s.stage = ending
@@ -263,42 +251,6 @@
 	return nil
 }
 
-// login checks a response of one of the mechanisms that are offered: PLAIN (RFC 4616), whose first part, on whose
-// behalf the client acts, must be empty or the user's own; and AMQPLAIN, a table with LOGIN and PASSWORD.
-func (in *Ingress) login(mechanism, response string) bool {
-	var user, password string
-	switch mechanism {
-	case "PLAIN":
-		f := strings.Split(response, "\x00")
-		if len(f) != 3 || f[0] != "" && f[0] != f[1] {
-			return false
-		}
-		user, password = f[1], f[2]
-	case "AMQPLAIN":
-		t, err := amqp.ParseTable([]byte(response))
-		if err != nil {
-			return false
-		}
-		u, ok1 := t["LOGIN"].(string)
-		p, ok2 := t["PASSWORD"].(string)
-		if !ok1 || !ok2 {
-			return false
-		}
-		user, password = u, p
-	default:
-		return false
-	}
-	return in.open() || same(user, in.opt.User) && in.secret(password)
-}
-
-// open tells that any client may come.
-func (in *Ingress) open() bool { return in.opt.User == "" && in.opt.Password == "" }
-
-func (in *Ingress) secret(password string) bool { return in.open() || same(password, in.opt.Password) }
-
-// same compares in a time that does not tell how much is right.
-func same(a, b string) bool { return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1 }
-
 func (s *session) channel(id uint16, ch *channel, m *amqp.Message) error {
 	bad := func(code uint16, format string, args ...any) error {
 		return &amqp.Fault{Code: code, Text: fmt.Sprintf(format, args...), Method: m.Key}
@@ -338,13 +290,16 @@
 	case amqp.Recover, amqp.RecoverAsync:
 		return s.recover(ch, m, bad)
 	case amqp.TxSelect, amqp.TxCommit, amqp.TxRollback:
-		return bad(amqp.NotImplemented, "%s; publishes are confirmed one by one", m.Key)
+		return s.transact(ch, m, bad)
 	case amqp.ConfirmSelect:
+		if ch.tx != nil {
+			return bad(amqp.PreconditionFailed, "the channel has transactions, and cannot have publisher confirms too")
+		}
 		if ch.confirm = true; !m.Bool(0) {
 			s.method(id, amqp.ConfirmOk)
 		}
 	case amqp.Qos:
-		ch.prefetch = int(m.Int(1))
+		ch.prefetch = uint16(m.Int(1))
 		s.method(id, amqp.QosOk)
 		for _, c := range ch.consumers {
 			c.q.pump()
@@ -396,8 +351,8 @@
 	direct := name == directReplyTo
 	if direct {
 		if name = ch.direct; name == "" {
-			s.in.named++
-			name = fmt.Sprintf("%s.%x-%d", directReplyTo, s.in.core.Now(), s.in.named)
+			s.vh.named++
+			name = fmt.Sprintf("%s.%x-%d", directReplyTo, s.in.core.Now(), s.vh.named)
 		}
 	}
 	old, err := s.reach(name, bad)
@@ -412,7 +367,7 @@
 		return bad(amqp.PreconditionFailed, "direct reply-to is consumed already")
 	case old != nil && len(old.consumers) > 0 && (exclusive || old.consumers[0].exclusive):
 		return bad(amqp.AccessRefused, "queue %q has a consumer, and one is to be alone", name)
-	case len(ch.consumers) >= maxConsumers || s.in.queues[name] == nil && len(s.in.queues) >= maxQueues:
+	case len(ch.consumers) >= maxConsumers || s.vh.queues[name] == nil && len(s.vh.queues) >= maxQueues:
 		return bad(amqp.ResourceError, "too many consumers or queues")
 	}
 	if tag == "" {
@@ -423,7 +378,7 @@
 			return bad(amqp.NotAllowed, "consumer tag %q is in use", tag)
 		}
 	}
-	c := &consumer{ch: ch, tag: tag, q: s.in.queue(name), noAck: noAck, exclusive: exclusive}
+	c := &consumer{ch: ch, tag: tag, q: s.vh.queue(name), noAck: noAck, exclusive: exclusive}
 	if direct {
 		ch.direct, c.q.direct = name, true
 	}
@@ -446,22 +401,35 @@
 		}
 		p.ReplyTo = ch.direct
 	}
-	if m.Str(1) != s.in.opt.Exchange {
+	if m.Str(1) != s.grant.Host().Exchange {
 		return bad(amqp.NotFound, "no exchange %q", m.Str(1))
 	}
-	if !ch.confirm { // without it a client would never hear of a refusal
-		return bad(amqp.PreconditionFailed, "confirm.select must come first")
+	if !s.grant.Publish(m.Str(2)) {
+		return bad(amqp.AccessRefused, "user %q may not publish with the key %q", s.grant.User(), m.Str(2))
+	}
+	if p.UserID != "" && p.UserID != s.grant.User() && !s.in.policy.Open() {
+		return bad(amqp.PreconditionFailed, "user-id %q is not the connection's user", p.UserID)
+	}
+	if !ch.confirm && ch.tx == nil { // without it a client would never hear of a refusal
+		return bad(amqp.PreconditionFailed, "confirm.select or tx.select must come first")
 	}
 	if m.Bool(4) {
 		return bad(amqp.NotImplemented, "immediate")
 	}
 	ch.published++
 	dest, err := strconv.ParseInt(m.Str(2), 10, 64)
-	if err != nil || !core.Serves(dest) {
+	if err != nil || !s.grant.Reaches(dest) || !core.Serves(dest) {
 		if !m.Bool(3) {
 			return bad(amqp.NotFound, "no destination %q", m.Str(2))
 		}
-		s.write(amqp.Content(ch.id, amqp.Return, []any{amqp.NoRoute, "NO_ROUTE", m.Str(1), m.Str(2)}, p, m.Body, s.max)...)
+		if ch.tx != nil {
+			if !ch.txRoom(len(m.Body) + txEach) {
+				return bad(amqp.PreconditionFailed, "too much waits for its commit")
+			}
+			ch.tx.returns = append(ch.tx.returns, m)
+			return nil
+		}
+		s.giveBack(ch, m)
 		s.method(ch.id, amqp.Ack, ch.published, false)
 		return nil
 	}
@@ -484,22 +452,36 @@
 		return bad(amqp.PreconditionFailed, "message-id is missing or no plain word")
 	case p.ReplyTo == "" || len(p.ReplyTo) > maxName:
 		return bad(amqp.PreconditionFailed, "reply-to is missing or too long")
+	case p.ReplyTo != ch.direct && !s.grant.Read(p.ReplyTo):
+		return bad(amqp.AccessRefused, "user %q may not read the answers' queue %q", s.grant.User(), p.ReplyTo)
 	case lane.Effect == "by_key" && key == "":
 		return bad(amqp.PreconditionFailed, "header idempotency-key is missing")
 	case key != "" && !word(key) || len(p.AppID) > maxName:
 		return bad(amqp.PreconditionFailed, "idempotency-key or app-id is no plain word")
-	case s.in.queues[p.ReplyTo] == nil && len(s.in.queues) >= maxQueues:
+	case s.vh.queues[p.ReplyTo] == nil && len(s.vh.queues) >= maxQueues:
 		return bad(amqp.ResourceError, "too many queues")
 	}
 	x := &sender.Exchange{ID: p.MessageID, Class: p.Type, Tenant: p.AppID, Key: key, Dest: dest,
-		Deadline: core.Now() + limit, Body: m.Body, Front: Front, Note: p.ReplyTo + "\x00" + p.CorrelationID,
+		Deadline: core.Now() + limit, Body: m.Body, Front: s.vh.front, Note: p.ReplyTo + "\x00" + p.CorrelationID,
 		Ref: &publish{ch, ch.published}}
+	if ch.tx != nil {
+		if !ch.txRoom(len(m.Body) + txEach) {
+			return bad(amqp.PreconditionFailed, "too much waits for its commit")
+		}
+		ch.tx.offers = append(ch.tx.offers, x)
+		return nil
+	}
 	ch.pending = append(ch.pending, x)
 	s.in.batch = append(s.in.batch, x)
 	s.owe(1)
 	return nil
 }
 
+// giveBack returns a mandatory message that has no route.
+func (s *session) giveBack(ch *channel, m *amqp.Message) {
+	s.write(amqp.Content(ch.id, amqp.Return, []any{amqp.NoRoute, "NO_ROUTE", m.Str(1), m.Str(2)}, m.Props, m.Body, s.max)...)
+}
+
 // word tells whether an id or key can be passed on in any protocol's head.
 func word(s string) bool {
 	return s != "" && len(s) <= maxName && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r >= 0x7f })
--- a/internal/net/amqpfront/topology.go
+++ b/internal/net/amqpfront/topology.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 
 	"brackendale/internal/net/amqp"
 )
@@ -21,16 +22,16 @@
 		switch {
 		case name == "" && !passive:
 			return bad(amqp.AccessRefused, "the default exchange cannot be declared")
-		case name != s.in.opt.Exchange && name != "" && passive:
+		case name != s.grant.Host().Exchange && name != "" && passive:
 			return bad(amqp.NotFound, "no exchange %q", name)
-		case name != s.in.opt.Exchange && name != "":
+		case name != s.grant.Host().Exchange && name != "":
 			return bad(amqp.AccessRefused, "exchanges are made in the sender's file, and %q is not there", name)
 		case !passive && (m.Str(2) != "direct" || !m.Bool(4) || m.Bool(5) || m.Bool(6)):
 			return bad(amqp.PreconditionFailed, "exchange %q is direct, durable, and neither auto-delete nor internal", name)
 		}
 		s.reply(ch, m.Bool(7), amqp.ExchangeDeclareOk)
 	case amqp.ExchangeDelete:
-		if name != s.in.opt.Exchange {
+		if name != s.grant.Host().Exchange {
 			return bad(amqp.NotFound, "no exchange %q", name)
 		}
 		return bad(amqp.AccessRefused, "exchange %q is the sender's own", name)
@@ -49,7 +50,10 @@
 
 // reach finds a queue that this connection may use; nil without a fault where there is none of that name.
 func (s *session) reach(name string, bad complain) (*queue, error) {
-	q := s.in.queues[name]
+	if own := strings.HasPrefix(name, directReplyTo+"."); !own && name != "" && !s.grant.Read(name) {
+		return nil, bad(amqp.AccessRefused, "user %q may not use the queue %q", s.grant.User(), name)
+	}
+	q := s.vh.queues[name]
 	if q != nil && q.owner != nil && q.owner != s {
 		return nil, bad(amqp.ResourceLocked, "queue %q is another connection's own", name)
 	}
@@ -75,7 +79,7 @@
 			return bad(amqp.NotFound, "no queue %q", name)
 		}
 		s.reply(ch, m.Bool(2), amqp.QueuePurgeOk, q.discard())
-		s.in.tidy(q)
+		s.vh.tidy(q)
 	case amqp.QueueDelete:
 		n := 0
 		if q != nil {
@@ -86,7 +90,7 @@
 				return bad(amqp.PreconditionFailed, "queue %q is not empty", name)
 			}
 			n = q.discard()
-			s.in.remove(q)
+			s.vh.remove(q)
 		}
 		s.reply(ch, m.Bool(4), amqp.QueueDeleteOk, n)
 	default: // bind, unbind
@@ -96,7 +100,7 @@
 			return bad(amqp.NotFound, "no queue %q", name)
 		case exchange == "":
 			return bad(amqp.AccessRefused, "the default exchange has a binding for each queue, and no others")
-		case exchange != s.in.opt.Exchange:
+		case exchange != s.grant.Host().Exchange:
 			return bad(amqp.NotFound, "no exchange %q", exchange)
 		}
 		return bad(amqp.NotImplemented, "%s: what the exchange takes goes to destinations; answers go to the queue that reply-to names", m.Key)
@@ -108,8 +112,8 @@
 func (s *session) declare(ch *channel, m *amqp.Message, bad complain) error {
 	name, passive, exclusive, autoDelete := m.Str(1), m.Bool(2), m.Bool(4), m.Bool(5)
 	if name == "" && !passive {
-		s.in.named++
-		name = fmt.Sprintf("answers-%x-%d", s.in.core.Now(), s.in.named)
+		s.vh.named++
+		name = fmt.Sprintf("answers-%x-%d", s.in.core.Now(), s.vh.named)
 	}
 	if len(name) > maxName {
 		return bad(amqp.PreconditionFailed, "the name is too long")
@@ -128,13 +132,13 @@
 		return err
 	case q == nil && passive:
 		return bad(amqp.NotFound, "no queue %q", name)
-	case q == nil && len(s.in.queues) >= maxQueues:
+	case q == nil && len(s.vh.queues) >= maxQueues:
 		return bad(amqp.ResourceError, "too many queues")
 	case q != nil && !passive && q.declared && ((q.owner != nil) != exclusive || q.autoDelete != autoDelete || q.queueLimits != lim):
 		return bad(amqp.PreconditionFailed, "queue %q is there with other properties", name)
 	}
 	if !passive {
-		if q = s.in.queue(name); !q.declared {
+		if q = s.vh.queue(name); !q.declared {
 			q.declared, q.autoDelete, q.queueLimits = true, autoDelete, lim
 			if exclusive {
 				q.owner = s
@@ -163,7 +167,7 @@
 }
 
 // remove ends a queue: its consumers are told, those at least whose clients said that they can be.
-func (in *Ingress) remove(q *queue) {
+func (h *host) remove(q *queue) {
 	for _, c := range q.consumers {
 		c.ch.consumers = slices.DeleteFunc(c.ch.consumers, func(o *consumer) bool { return o == c })
 		if c.ch.s.cancels {
@@ -174,9 +178,9 @@
 	if q.owner != nil {
 		q.owner.owns = slices.DeleteFunc(q.owner.owns, func(o *queue) bool { return o == q })
 	}
-	in.r.Disarm(&q.timer)
-	if in.queues[q.name] == q {
-		delete(in.queues, q.name)
+	h.in.r.Disarm(&q.timer)
+	if h.queues[q.name] == q {
+		delete(h.queues, q.name)
 	}
 }
 
@@ -199,7 +203,7 @@
 	case len(q.answers) == 0:
 		s.method(ch.id, amqp.GetEmpty, "")
 		return nil
-	case !noAck && len(ch.unacked) >= maxUnacked:
+	case !noAck && ch.outNow() >= maxUnacked:
 		return bad(amqp.ResourceError, "too many answers are out without an acknowledgement")
 	}
 	a := q.answers[0]
@@ -209,7 +213,7 @@
 	p, body := a.content()
 	args := []any{tag, again, "", q.name, len(q.answers)}
 	s.write(amqp.Content(ch.id, amqp.GetOk, args, p, body, s.max)...)
-	s.in.tidy(q)
+	s.vh.tidy(q)
 	return nil
 }
 
@@ -224,6 +228,6 @@
 	if m.Key == amqp.Recover {
 		s.method(ch.id, amqp.RecoverOk)
 	}
-	ch.requeue(list)
+	s.vh.requeue(list)
 	return nil
 }
