Make a step cheaper: no closure per word, no timer per id, records written in place

Of 68 allocations that a message cost on its way through the front and the core, most were the core's: a closure for each answer and end, a timer for each remembered id, a buffer for each field of a record, and new lists for each step.

Fronts are told typed words; one heap and one timer forget ids; records are written where they stand and not parsed again; lists of a step serve the next.

--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -194,22 +194,23 @@
 	at := len(s.buf)
 	record()
 	if len(s.buf) > at {
-		inner := append([]byte{recGroup}, s.buf[at:]...)
-		s.buf = frame(s.buf[:at], inner)
+		inner := slices.Clone(s.buf[at:])
+		out, at := begin(s.buf[:at])
+		s.buf = finish(append(append(out, recGroup), inner...), at)
 	}
 }
 
 func (s *Spool) change(kind byte, id string, n int64, text string) {
-	if s.live[id] == nil {
+	e := s.live[id]
+	if e == nil {
 		return
 	}
-	var p []byte
-	p = append(p, kind)
-	p = appendText(p, id)
-	p = binary.AppendVarint(p, n)
-	p = appendText(p, text)
-	s.buf = frame(s.buf, p)
-	s.apply(p)
+	out, at := begin(s.buf)
+	out = append(out, kind)
+	out = appendText(out, id)
+	out = binary.AppendVarint(out, n)
+	s.buf = finish(appendText(out, text), at)
+	s.alter(e, kind, n, text)
 }
 
 // Flush writes what the round has recorded, in one write.
@@ -314,13 +315,19 @@
 		return true
 	}
 	id, n, text := r.text(), r.int(), r.text()
-	if r.bad {
+	if r.bad || kind < recHop || kind > recHeard {
 		return false
 	}
 	e := s.live[id]
 	if e == nil {
 		return false
 	}
+	s.alter(e, kind, n, text)
+	return true
+}
+
+// alter changes an entry as a record says.
+func (s *Spool) alter(e *Entry, kind byte, n int64, text string) {
 	switch kind {
 	case recHop:
 		e.Attempts++
@@ -343,39 +350,41 @@
 			e.Body = nil
 		}
 		s.bytes -= int64(Need(e))
-		delete(s.live, id)
-	default:
-		return false
+		delete(s.live, e.ID)
 	}
-	return !r.bad
 }
 
 func (e *Entry) append(out []byte) []byte {
-	p := []byte{recTaken}
-	for _, t := range []string{e.ID, e.Class, e.Tenant, e.Key, e.Front, e.Note} {
-		p = appendText(p, t)
-	}
-	for _, n := range []int64{e.Dest, e.Deadline, int64(e.Attempts), e.FirstRun} {
-		p = binary.AppendVarint(p, n)
-	}
-	p = appendText(p, e.Zone)
-	p = binary.AppendVarint(p, e.OpenAt)
-	p = appendText(p, e.OpenZone)
-	p = appendText(p, e.End)
-	p = binary.AppendVarint(p, e.WaitMs)
+	out, at := begin(out)
+	out = append(out, recTaken)
+	for _, t := range [...]string{e.ID, e.Class, e.Tenant, e.Key, e.Front, e.Note} {
+		out = appendText(out, t)
+	}
+	for _, n := range [...]int64{e.Dest, e.Deadline, int64(e.Attempts), e.FirstRun} {
+		out = binary.AppendVarint(out, n)
+	}
+	out = appendText(out, e.Zone)
+	out = binary.AppendVarint(out, e.OpenAt)
+	out = appendText(out, e.OpenZone)
+	out = appendText(out, e.End)
+	out = binary.AppendVarint(out, e.WaitMs)
 	heard := int64(0)
 	if e.Heard {
 		heard = 1
 	}
-	p = binary.AppendVarint(p, heard)
-	p = appendText(p, string(e.Body))
-	return frame(out, p)
+	out = binary.AppendVarint(out, heard)
+	out = binary.AppendUvarint(out, uint64(len(e.Body)))
+	return finish(append(out, e.Body...), at)
 }
 
-func frame(out, p []byte) []byte {
-	out = binary.LittleEndian.AppendUint32(out, uint32(len(p)))
-	out = binary.LittleEndian.AppendUint32(out, crc32.Checksum(p, table))
-	return append(out, p...)
+// begin leaves room for a record's head, which finish fills in.
+func begin(out []byte) ([]byte, int) { return append(out, make([]byte, head)...), len(out) }
+
+func finish(out []byte, at int) []byte {
+	p := out[at+head:]
+	binary.LittleEndian.PutUint32(out[at:], uint32(len(p)))
+	binary.LittleEndian.PutUint32(out[at+4:], crc32.Checksum(p, table))
+	return out
 }
 
 func appendText(p []byte, t string) []byte {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -899,6 +899,9 @@
 		}
 		cost := ep.fee + r.lotCost(ep) + loadCost*float64(ep.busy) + illCost*rt.ill
 		for _, b := range []blame{ep.blames[0], ep.blames[1], ep.blames[2+m.lane.n]} {
+			if b.n == 0 {
+				continue
+			}
 			cost += strikeCost * float64(min(b.n, 3)) * math.Exp(float64(b.at-r.now)/paceTauUs)
 		}
 		for _, c := range rt.calls { // no answer yet: a failure in the making
@@ -930,6 +933,9 @@
 // lotCost spreads many senders over a destination's routes, by each one's own lot and by told weights:
 // by fees alone all would flood the cheapest one, and each sees too little of it to notice.
 func (r *Relay) lotCost(ep *endpoint) float64 {
+	if r.many == 0 { // nobody else draws
+		return 0
+	}
 	sum, own := 0.0, cmp.Or(ep.route.hint, 1)
 	for _, o := range ep.route.dest.eps {
 		sum += cmp.Or(o.route.hint, 1)
--- a/sender/group.go
+++ b/sender/group.go
@@ -54,7 +54,7 @@
 		s.count(v)
 	}
 	if in, ok := s.fronts[g.Front].(Grouped); ok {
-		s.carry = append(s.carry, func() { in.AnswerGroup(g, v, waitMs) })
+		s.tellLater(func() { in.AnswerGroup(g, v, waitMs) })
 	}
 }
 
--- a/sender/pressure.go
+++ b/sender/pressure.go
@@ -55,7 +55,7 @@
 	for name, in := range s.fronts {
 		if p, ok := in.(Pressed); ok {
 			s.log.Info().Str("front", name).Bool("on", on).Str("why", why).Msg("pressure")
-			s.carry = append(s.carry, func() { p.Pressure(on, why) })
+			s.tellLater(func() { p.Pressure(on, why) })
 		}
 	}
 }
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -56,11 +56,14 @@
 	over     recent // ids that were taken on and are over
 	events   []logic.Event
 	offers   []*Exchange
+	coming   map[string]bool // the offers' ids
 	groups   []*Group
 	promised int // bytes of the offers
 	open     int // taken on and not ended
 	tell     []*spool.Entry
-	carry    []func() // for the fronts, at the end of this step
+	carry    []word // for the fronts, at the end of this step
+	old      later  // ids that are remembered, by when they are forgotten
+	oldTimer *time.Timer
 	last     time.Time
 	stats    State
 	seen     map[string]*RouteState
@@ -90,7 +93,7 @@
 	s := &Sender{opt: opt, relay: relay, spool: sp, log: opt.Log, started: time.Now(),
 		tick: time.Duration(opt.Settings.TickUs) * time.Microsecond, wake: make(chan struct{}, 1),
 		fronts: map[string]Ingress{}, carriers: map[string]Egress{}, routes: map[string]Route{},
-		lanes: map[string]logic.Lane{}, kinds: map[string]int{}, seen: map[string]*RouteState{}, held: map[string]bool{}}
+		lanes: map[string]logic.Lane{}, kinds: map[string]int{}, coming: map[string]bool{}, seen: map[string]*RouteState{}, held: map[string]bool{}}
 	for _, l := range opt.Settings.Lanes {
 		s.lanes[l.Name] = l
 	}
@@ -160,10 +163,10 @@
 	err := s.round()
 	s.press()
 	if batch := s.carry; len(batch) > 0 && err == nil {
-		s.carry = nil
+		s.carry = make([]word, 0, min(len(batch), keepMost))
 		s.opt.Carry(func() {
-			for _, f := range batch {
-				f()
+			for i := range batch {
+				batch[i].say()
 			}
 		})
 	}
@@ -235,8 +238,7 @@
 	if cap > 0 && s.open+len(s.offers)+len(ahead) >= cap || !s.spool.Room(need, s.promised) || s.stats.Paused {
 		return true, Busy, refusedMs
 	}
-	same := func(o *Exchange) bool { return o.ID == x.ID }
-	if slices.ContainsFunc(s.offers, same) || slices.ContainsFunc(ahead, same) {
+	if s.coming[x.ID] || slices.ContainsFunc(ahead, func(o *Exchange) bool { return o.ID == x.ID }) {
 		return true, Busy, refusedMs
 	}
 	return false, Taken, 0
@@ -253,6 +255,7 @@
 func (s *Sender) hand(x *Exchange) {
 	s.promised += spool.Need(entry(x))
 	s.offers = append(s.offers, x)
+	s.coming[x.ID] = true
 	s.events = append(s.events, logic.Event{Kind: logic.Arrived, ID: x.ID, Class: x.Class, Tenant: x.Tenant,
 		Dest: x.Dest, Deadline: x.Deadline})
 }
@@ -358,7 +361,7 @@
 	}
 	for proto, c := range s.carriers {
 		if changed := by[proto]; len(changed) > 0 {
-			s.carry = append(s.carry, func() { c.Routes(changed) })
+			s.tellLater(func() { c.Routes(changed) })
 		}
 	}
 	s.events = append(s.events, e)
@@ -405,10 +408,32 @@
 // forgetLater drops an id that is remembered once its class would not let the message live any more,
 // counted twice: from its deadline on.
 func (s *Sender) forgetLater(e *spool.Entry) {
-	left := e.Deadline + s.lanes[e.Class].HardLimitUs - s.Now()
-	time.AfterFunc(time.Duration(max(0, left))*time.Microsecond, func() {
-		s.Post(func() { s.gone(e.ID) })
-	})
+	at := e.Deadline + s.lanes[e.Class].HardLimitUs
+	if s.old.add(at, e.ID) {
+		s.ring(at)
+	}
+}
+
+// ring sets the one timer of what is to be forgotten. It may be late: an id that is kept longer does no harm.
+func (s *Sender) ring(at int64) {
+	d := max(forgetGap, time.Duration(at-s.Now())*time.Microsecond)
+	if s.oldTimer == nil {
+		s.oldTimer = time.AfterFunc(d, func() { s.Post(s.forget) })
+		return
+	}
+	s.oldTimer.Reset(d)
+}
+
+// forgetGap is the least time between two times of forgetting.
+const forgetGap = 20 * time.Millisecond
+
+func (s *Sender) forget() {
+	for _, id := range s.old.take(s.Now()) {
+		s.gone(id)
+	}
+	if len(s.old) > 0 {
+		s.ring(s.old[0].at)
+	}
 }
 
 // Stop is called once at a planned end: from here only hops start that should end before the time given.
@@ -430,7 +455,7 @@
 func (s *Sender) answer(x *Exchange, v Verdict, waitMs int64) {
 	s.count(v)
 	if in := s.fronts[x.Front]; in != nil {
-		s.carry = append(s.carry, func() { in.Answer(x, v, waitMs) })
+		s.carry = append(s.carry, word{in: in, exchange: x, verdict: v, waitMs: waitMs})
 	}
 }
 
@@ -441,8 +466,10 @@
 		return
 	}
 	s.open--
+	if len(s.stats.Ends) == maxEnds {
+		s.stats.Ends = slices.Delete(s.stats.Ends, 0, 1)
+	}
 	s.stats.Ends = append(s.stats.Ends, EndState{e.ID, e.Class, end, waitMs, time.Now()})
-	s.stats.Ends = s.stats.Ends[max(0, len(s.stats.Ends)-maxEnds):]
 	switch end {
 	case Delivered:
 		s.stats.Delivered++
@@ -468,7 +495,9 @@
 func (s *Sender) round() error {
 	events, offers, groups := s.events, s.offers, s.groups
 	s.events, s.offers, s.groups, s.promised, s.last = nil, nil, nil, 0, time.Now()
+	clear(s.coming)
 	acts := s.relay.Step(s.Now(), events)
+	defer s.reuse(events, offers)
 
 	// What one round takes and ends at once was never taken on: its client hears that and nothing is kept.
 	ended := map[string]early{}
@@ -519,8 +548,7 @@
 	s.tell = nil
 	for _, e := range tell {
 		if in := s.fronts[e.Front]; in != nil {
-			id, note, end, waitMs := e.ID, e.Note, e.End, e.WaitMs
-			s.carry = append(s.carry, func() { in.Tell(id, note, end, waitMs) })
+			s.carry = append(s.carry, word{in: in, id: e.ID, note: e.Note, end: e.End, waitMs: e.WaitMs})
 		}
 	}
 	for _, a := range acts {
@@ -528,7 +556,7 @@
 	}
 	for _, c := range calls {
 		if out := s.carriers[c.to.Proto]; out != nil {
-			s.carry = append(s.carry, func() { out.Send(c.to, c.hops) })
+			s.tellLater(func() { out.Send(c.to, c.hops) })
 			continue
 		}
 		for _, h := range c.hops { // no egress for its protocol: it never left
@@ -538,6 +566,22 @@
 	return nil
 }
 
+// keepMost bounds the lists that one step leaves to the next.
+const keepMost = 4096
+
+// reuse gives the lists of a step that is over to the next, unless that has begun its own: the module and the fronts keep
+// what is in them, but not them.
+func (s *Sender) reuse(events []logic.Event, offers []*Exchange) {
+	if s.events == nil && cap(events) <= keepMost {
+		clear(events)
+		s.events = events[:0]
+	}
+	if s.offers == nil && cap(offers) <= keepMost {
+		clear(offers)
+		s.offers = offers[:0]
+	}
+}
+
 // call is what travels together.
 type call struct {
 	to   Route
@@ -583,11 +627,11 @@
 		})
 	case logic.Recall:
 		for _, c := range s.carriers {
-			s.carry = append(s.carry, func() { c.Recall(a.ID, a.N) })
+			s.tellLater(func() { c.Recall(a.ID, a.N) })
 		}
 	case logic.FreeLinks:
 		if to, ok := s.routes[a.Addr]; ok && s.carriers[to.Proto] != nil {
-			s.carry = append(s.carry, func() { s.carriers[to.Proto].Trim(to) })
+			s.tellLater(func() { s.carriers[to.Proto].Trim(to) })
 		}
 	case logic.WriteLog:
 		s.log.Info().Msg(a.Text)
--- /dev/null
+++ b/sender/words.go
@@ -0,0 +1,27 @@
+package sender
+
+// word is one thing that a front is told: an answer, the end of a message, or whatever call says. Records of one kind
+// cost no closures, of which a busy step would make thousands.
+type word struct {
+	in       Ingress
+	exchange *Exchange // Answer
+	verdict  Verdict
+	id, note string // Tell
+	end      string
+	waitMs   int64
+	call     func()
+}
+
+func (w *word) say() {
+	switch {
+	case w.call != nil:
+		w.call()
+	case w.exchange != nil:
+		w.in.Answer(w.exchange, w.verdict, w.waitMs)
+	default:
+		w.in.Tell(w.id, w.note, w.end, w.waitMs)
+	}
+}
+
+// tellLater keeps a call for the end of the step.
+func (s *Sender) tellLater(call func()) { s.carry = append(s.carry, word{call: call}) }
