Read AMQP arguments when asked for, let writes of a turn leave together, widen confirms

Each confirm and each answer was a write of its own, each argument was boxed and each property copied.

Methods keep the frame's bytes and read arguments in place; the properties of a header share one string; what one turn writes to a connection leaves in one write; confirms in a row become one with multiple where none before waits. A publish that was not handed to the socket never is once it was given up: Cut drops it, and under TLS the first byte that leaves counts as sent.

--- a/internal/access/access.go
+++ b/internal/access/access.go
@@ -219,14 +219,17 @@
 // Host is the host that it is for.
 func (g *Grant) Host() Host { return g.host }
 
+// Exchange is the host's.
+func (g *Grant) Exchange() string { return g.host.Exchange }
+
 // Reaches tells whether a destination belongs to the host.
 func (g *Grant) Reaches(dest int64) bool {
 	return len(g.host.Destinations) == 0 || slices.Contains(g.host.Destinations, dest)
 }
 
 // Publish tells whether messages with that routing key may be handed in.
-func (g *Grant) Publish(key string) bool {
-	return g.all || g.publish != nil && g.publish.MatchString(key)
+func (g *Grant) Publish(key []byte) bool {
+	return g.all || g.publish != nil && g.publish.Match(key)
 }
 
 // Read tells whether a queue of that name may be used.
--- a/internal/net/amqp/amqp.go
+++ b/internal/net/amqp/amqp.go
@@ -3,6 +3,7 @@
 package amqp
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 )
@@ -110,51 +111,64 @@
 
 // AppendFrame writes a frame whose payload fill appends.
 func AppendFrame(out []byte, kind byte, channel uint16, fill func([]byte) []byte) []byte {
-	at := len(out)
-	out = append(out, kind, byte(channel>>8), byte(channel), 0, 0, 0, 0)
+	out, at := beginFrame(out, kind, channel)
 	if fill != nil {
 		out = fill(out)
 	}
+	return endFrame(out, at)
+}
+
+func beginFrame(out []byte, kind byte, channel uint16) ([]byte, int) {
+	return append(out, kind, byte(channel>>8), byte(channel), 0, 0, 0, 0), len(out)
+}
+
+func endFrame(out []byte, at int) []byte {
 	binary.BigEndian.PutUint32(out[at+3:], uint32(len(out)-at-headSize))
 	return append(out, frameEnd)
 }
 
-// Content gives the pieces of a publish-like method with its header and body, for one gathered write.
-// The body is not copied.
-func Content(channel uint16, method Key, args []any, p *Props, body []byte, frameMax uint32) [][]byte {
-	head := AppendMethod(nil, channel, method, args...)
-	head = AppendFrame(head, FrameHeader, channel, func(b []byte) []byte { return p.append(b, uint64(len(body))) })
-	pieces := [][]byte{head}
+// AppendMessage writes a method with its content, in frames of at most frameMax bytes.
+func AppendMessage(out []byte, channel uint16, k Key, p *Props, body []byte, frameMax uint32, args ...any) []byte {
+	return appendContent(AppendMethod(out, channel, k, args...), channel, p, body, frameMax)
+}
+
+func appendContent(out []byte, channel uint16, p *Props, body []byte, frameMax uint32) []byte {
+	out, at := beginFrame(out, FrameHeader, channel)
+	out = endFrame(p.append(out, uint64(len(body))), at)
 	for most := int(frameMax) - headSize - 1; len(body) > 0; {
 		n := min(most, len(body))
-		lead := []byte{FrameBody, byte(channel >> 8), byte(channel), 0, 0, 0, 0}
-		binary.BigEndian.PutUint32(lead[3:], uint32(n))
-		pieces = append(pieces, lead, body[:n], []byte{frameEnd})
+		out, at = beginFrame(out, FrameBody, channel)
+		out = endFrame(append(out, body[:n]...), at)
 		body = body[n:]
 	}
-	return pieces
+	return out
 }
 
 // Assembly puts the frames of one channel together: a method, and its content where it has one.
 type Assembly struct {
-	method *Method
-	props  *Props
-	size   uint64
-	body   []byte
+	part *content
+	size uint64 // of the body, once the header has come
+}
+
+// content is a message that has not come whole.
+type content struct {
+	Message
+	props Props
 }
 
-// Message is a method, with its content where it has one.
+// Message is a method, with its content where it has one. Without one its bytes are the frame's.
 type Message struct {
-	*Method
+	Method
 	Props *Props
 	Body  []byte
 }
 
 // Add takes the next frame of the channel; the message is nil until it is whole.
 func (a *Assembly) Add(f Frame) (*Message, error) {
+	p := a.part
 	switch f.Kind {
 	case FrameMethod:
-		if a.method != nil {
+		if p != nil {
 			return nil, Errorf(UnexpectedFrame, "a method inside a content")
 		}
 		m, err := ParseMethod(f.Payload)
@@ -164,37 +178,36 @@
 		if !hasContent(m.Key) {
 			return &Message{Method: m}, nil
 		}
-		a.method = m
+		m.raw = bytes.Clone(m.raw) // it outlives the frame
+		a.part = &content{Message: Message{Method: m}}
 		return nil, nil
 	case FrameHeader:
-		if a.method == nil || a.props != nil {
+		if p == nil || p.Props != nil {
 			return nil, Errorf(UnexpectedFrame, "a content header out of place")
 		}
-		p, size, err := parseHeader(f.Payload, a.method.Key)
+		size, err := p.props.parse(f.Payload, p.Key)
 		if err != nil {
 			return nil, err
 		}
 		if size > MaxBody {
-			m := a.method.Key
 			*a = Assembly{}
-			return nil, &Fault{ContentTooLarge, fmt.Sprintf("a body of %d bytes, above %d", size, MaxBody), m}
+			return nil, &Fault{ContentTooLarge, fmt.Sprintf("a body of %d bytes, above %d", size, MaxBody), p.Key}
 		}
-		a.props, a.size = p, size
+		p.Props, a.size = &p.props, size
 	case FrameBody:
-		if a.props == nil {
+		if p == nil || p.Props == nil {
 			return nil, Errorf(UnexpectedFrame, "a body out of place")
 		}
-		if uint64(len(a.body)+len(f.Payload)) > a.size {
+		if uint64(len(p.Body)+len(f.Payload)) > a.size {
 			return nil, Errorf(FrameError, "a body longer than its header says")
 		}
-		a.body = append(a.body, f.Payload...)
+		p.Body = append(p.Body, f.Payload...)
 	default:
 		return nil, Errorf(UnexpectedFrame, "a frame out of place")
 	}
-	if a.props == nil || uint64(len(a.body)) < a.size {
+	if p.Props == nil || uint64(len(p.Body)) < a.size {
 		return nil, nil
 	}
-	m := &Message{a.method, a.props, a.body}
 	*a = Assembly{}
-	return m, nil
+	return &p.Message, nil
 }
--- a/internal/net/amqp/amqp_test.go
+++ b/internal/net/amqp/amqp_test.go
@@ -12,9 +12,7 @@
 	b := AppendMethod(nil, 0, ConnStart, 0, 9, Table{"a": Table{"b": true, "n": int64(-4)}, "s": "x"}, "PLAIN", "en_US")
 	b = AppendMethod(b, 3, QueueDeclare, 0, "q", true, false, true, false, true, Table{})
 	p := &Props{MessageID: "m", ReplyTo: "q", Headers: Table{"k": "v"}, DeliveryMode: 2, Timestamp: 5, AppID: "t", Expiration: "9"}
-	for _, piece := range Content(3, Publish, []any{0, "ex", "7", true, false}, p, bytes.Repeat([]byte("body"), 3000), FrameMin) {
-		b = append(b, piece...)
-	}
+	b = append(b, AppendMessage(nil, 3, Publish, p, bytes.Repeat([]byte("body"), 3000), FrameMin, 0, "ex", "7", true, false)...)
 	b = AppendMethod(b, 3, Nack, uint64(1)<<40, false, true)
 	return AppendFrame(b, FrameBeat, 0, nil)
 }
--- a/internal/net/amqp/grammar_test.go
+++ b/internal/net/amqp/grammar_test.go
@@ -73,13 +73,13 @@
 			for i, a := range s.Args {
 				same := false
 				if a.Kind != 'T' {
-					same = m.args[i] == args[i]
+					same = m.Arg(i) == args[i]
 				} else {
 					want, got := args[i].(Table), m.Table(i)
 					same = got["a"] == want["a"] && got["s"] == "x" && got["in"].(Table)["yes"] == true
 				}
 				if !same {
-					t.Fatalf("%s %s: %v, not %v", s.Name, a.Name, m.args[i], args[i])
+					t.Fatalf("%s %s: %v, not %v", s.Name, a.Name, m.Arg(i), args[i])
 				}
 			}
 		}
--- a/internal/net/amqp/methods.go
+++ b/internal/net/amqp/methods.go
@@ -91,70 +91,155 @@
 // Table is a field table.
 type Table map[string]any
 
-// Method is one method with its arguments: uint64, bool, string or Table, in their order.
+// Method is one method. Its arguments are read when they are asked for: most are looked at once, and some never.
 type Method struct {
 	Key
-	args []any
+	kinds string
+	raw   []byte // the arguments, which ParseMethod has checked
+}
+
+// arg finds an argument: what follows its first byte, and the bit in it where it is one.
+func (m *Method) arg(i int) (kind byte, b []byte, bit uint8) {
+	b = m.raw
+	bits := uint8(8) // taken of the octet of bits before
+	for k := 0; k < len(m.kinds); k++ {
+		kind = m.kinds[k]
+		if kind == 'b' {
+			if bits == 8 {
+				bits = 0
+			}
+			if k == i {
+				return kind, b, bits
+			}
+			if bits++; bits == 8 || k+1 == len(m.kinds) || m.kinds[k+1] != 'b' {
+				b, bits = b[1:], 8
+			}
+			continue
+		}
+		if k == i {
+			return kind, b, 0
+		}
+		b = b[span(kind, b):]
+	}
+	return 0, nil, 0
+}
+
+// span is how many bytes an argument takes, more than b has where b is too short.
+func span(kind byte, b []byte) int {
+	switch kind {
+	case 'o':
+		return 1
+	case 's':
+		return 2
+	case 'l':
+		return 4
+	case 'L':
+		return 8
+	case 'S':
+		if len(b) > 0 {
+			return 1 + int(b[0])
+		}
+		return 1
+	}
+	if len(b) >= 4 {
+		return int(min(uint64(4)+uint64(binary.BigEndian.Uint32(b)), math.MaxInt32))
+	}
+	return 4
 }
 
 // Int returns a numeric argument.
-func (m *Method) Int(i int) uint64 { x, _ := m.args[i].(uint64); return x }
+func (m *Method) Int(i int) (n uint64) {
+	kind, b, _ := m.arg(i)
+	switch kind {
+	case 'o', 's', 'l', 'L':
+		for _, x := range b[:span(kind, b)] {
+			n = n<<8 | uint64(x)
+		}
+	}
+	return n
+}
 
 // Bool returns a bit.
-func (m *Method) Bool(i int) bool { x, _ := m.args[i].(bool); return x }
+func (m *Method) Bool(i int) bool {
+	kind, b, bit := m.arg(i)
+	return kind == 'b' && b[0]>>bit&1 == 1
+}
+
+// Bytes returns the bytes of a string argument, which are the frame's.
+func (m *Method) Bytes(i int) []byte {
+	switch kind, b, _ := m.arg(i); kind {
+	case 'S':
+		return b[1:span(kind, b)]
+	case 'X':
+		return b[4:span(kind, b)]
+	}
+	return nil
+}
 
 // Str returns a string argument.
-func (m *Method) Str(i int) string { x, _ := m.args[i].(string); return x }
+func (m *Method) Str(i int) string { return string(m.Bytes(i)) }
 
 // Table returns a table argument.
-func (m *Method) Table(i int) Table { x, _ := m.args[i].(Table); return x }
+func (m *Method) Table(i int) Table {
+	if kind, b, _ := m.arg(i); kind == 'T' {
+		return (&reader{b: b}).table(0)
+	}
+	return nil
+}
 
-// ParseMethod reads the payload of a method frame.
-func ParseMethod(b []byte) (*Method, error) {
-	r := &reader{b: b}
-	m := &Method{Key: key(uint32(r.int(2)), uint32(r.int(2)))}
-	if r.bad {
-		return nil, Errorf(SyntaxError, "a method without its number")
+// Arg returns an argument as what it is: uint64, bool, string or Table.
+func (m *Method) Arg(i int) any {
+	switch kind, _, _ := m.arg(i); kind {
+	case 'b':
+		return m.Bool(i)
+	case 'S', 'X':
+		return m.Str(i)
+	case 'T':
+		return m.Table(i)
+	}
+	return m.Int(i)
+}
+
+// ParseMethod reads the payload of a method frame, of which the method keeps the bytes.
+func ParseMethod(b []byte) (Method, error) {
+	if len(b) < 4 {
+		return Method{}, Errorf(SyntaxError, "a method without its number")
 	}
+	m := Method{Key: Key(binary.BigEndian.Uint32(b)), raw: b[4:]}
 	spec, ok := specs[m.Key]
 	if !ok {
-		return nil, &Fault{NotImplemented, fmt.Sprintf("method %d.%d", m.Class(), m.ID()), m.Key}
-	}
-	bits, left := uint64(0), 0
-	m.args = make([]any, 0, len(spec.Args))
-	for _, k := range spec.kinds {
-		if k == 'b' {
-			if left == 0 {
-				bits, left = r.int(1), 8
+		return m, &Fault{NotImplemented, fmt.Sprintf("method %d.%d", m.Class(), m.ID()), m.Key}
+	}
+	m.kinds = spec.kinds
+	rest, bits := m.raw, 0
+	for i := range len(spec.kinds) {
+		kind := spec.kinds[i]
+		if kind == 'b' {
+			if bits++; bits == 8 || i+1 == len(spec.kinds) || spec.kinds[i+1] != 'b' {
+				kind, bits = 'o', 0
+			} else {
+				continue
 			}
-			m.args = append(m.args, bits&1 == 1)
-			bits, left = bits>>1, left-1
-			continue
 		}
-		left = 0
-		switch k {
-		case 'o':
-			m.args = append(m.args, r.int(1))
-		case 's':
-			m.args = append(m.args, r.int(2))
-		case 'l':
-			m.args = append(m.args, r.int(4))
-		case 'L':
-			m.args = append(m.args, r.int(8))
-		case 'S':
-			m.args = append(m.args, r.text(1))
-		case 'X':
-			m.args = append(m.args, r.text(4))
-		case 'T':
-			m.args = append(m.args, r.table(0))
+		n := span(kind, rest)
+		if n > len(rest) {
+			return m, malformed(m.Key)
 		}
+		if kind == 'T' && n > 4 {
+			if r := (&reader{b: rest[:n]}); r.table(0) == nil || r.bad {
+				return m, malformed(m.Key)
+			}
+		}
+		rest = rest[n:]
 	}
-	if r.bad || len(r.b) > 0 {
-		return nil, &Fault{SyntaxError, "malformed arguments of " + m.Key.String(), m.Key}
+	if len(rest) > 0 {
+		return m, malformed(m.Key)
 	}
 	return m, nil
 }
 
+func malformed(k Key) error { return &Fault{SyntaxError, "malformed arguments of " + k.String(), k} }
+
 // AppendMethod writes a method frame. Numbers may be of any whole type.
 func AppendMethod(out []byte, channel uint16, k Key, args ...any) []byte {
 	return AppendFrame(out, FrameMethod, channel, func(b []byte) []byte {
@@ -197,6 +282,13 @@
 	})
 }
 
+// WidenAck makes the basic.ack at the end of b one with multiple set, up to a tag.
+func WidenAck(b []byte, tag uint64) {
+	at := len(b) - 10 // the tag, the octet of bits, the frame's end
+	binary.BigEndian.PutUint64(b[at:], tag)
+	b[at+8] = 1
+}
+
 func whole(x any) uint64 {
 	switch x := x.(type) {
 	case int:
@@ -208,7 +300,7 @@
 	case uint64:
 		return x
 	}
-	panic(fmt.Sprintf("amqp: %T is no whole number", x)) // a fault of the caller's own text
+	panic("amqp: an argument is no whole number") // a fault of the caller's own text; naming it would have every argument allocated
 }
 
 // Props are the properties of a basic content.
@@ -222,41 +314,63 @@
 	Type, UserID, AppID, ClusterID     string
 }
 
-// fields lists the properties in the order of their flags.
-func (p *Props) fields() []any {
-	return []any{&p.ContentType, &p.ContentEncoding, &p.Headers, &p.DeliveryMode, &p.Priority, &p.CorrelationID,
-		&p.ReplyTo, &p.Expiration, &p.MessageID, &p.Timestamp, &p.Type, &p.UserID, &p.AppID, &p.ClusterID}
-}
+// sharedHeader is the largest content header whose properties share one copy of its text: a larger one would be kept
+// whole for as long as one of them is.
+const sharedHeader = 1 << 10
 
-func parseHeader(b []byte, of Key) (*Props, uint64, error) {
+// parse reads a content header into p.
+func (p *Props) parse(b []byte, of Key) (uint64, error) {
 	r := &reader{b: b}
 	class, _, size, flags := r.int(2), r.int(2), r.int(8), r.int(2)
 	if r.bad {
-		return nil, 0, Errorf(SyntaxError, "a content header that is too short")
+		return 0, Errorf(SyntaxError, "a content header that is too short")
 	}
 	if uint16(class) != of.Class() {
-		return nil, 0, Errorf(UnexpectedFrame, "a content header of class %d", class)
+		return 0, Errorf(UnexpectedFrame, "a content header of class %d", class)
 	}
-	p := &Props{}
-	for i, f := range p.fields() {
-		if flags>>(15-i)&1 == 0 {
-			continue
+	text := ""
+	if len(r.b) <= sharedHeader {
+		text = string(r.b)
+	}
+	left := len(r.b)
+	has := func(bit uint) bool { return flags>>(15-bit)&1 != 0 }
+	str := func(bit uint, to *string) {
+		if !has(bit) {
+			return
 		}
-		switch f := f.(type) {
-		case *string:
-			*f = r.text(1)
-		case *byte:
-			*f = byte(r.int(1))
-		case *uint64:
-			*f = r.int(8)
-		case *Table:
-			*f = r.table(0)
+		x := r.take(r.int(1))
+		if at := left - len(r.b); text != "" && !r.bad {
+			*to = text[at-len(x) : at]
+		} else {
+			*to = string(x)
 		}
 	}
+	str(0, &p.ContentType)
+	str(1, &p.ContentEncoding)
+	if has(2) {
+		p.Headers = r.table(0)
+	}
+	if has(3) {
+		p.DeliveryMode = byte(r.int(1))
+	}
+	if has(4) {
+		p.Priority = byte(r.int(1))
+	}
+	str(5, &p.CorrelationID)
+	str(6, &p.ReplyTo)
+	str(7, &p.Expiration)
+	str(8, &p.MessageID)
+	if has(9) {
+		p.Timestamp = r.int(8)
+	}
+	str(10, &p.Type)
+	str(11, &p.UserID)
+	str(12, &p.AppID)
+	str(13, &p.ClusterID)
 	if r.bad || len(r.b) > 0 || flags&3 != 0 {
-		return nil, 0, Errorf(SyntaxError, "malformed properties")
+		return 0, Errorf(SyntaxError, "malformed properties")
 	}
-	return p, size, nil
+	return size, nil
 }
 
 func (p *Props) append(b []byte, size uint64) []byte {
@@ -265,30 +379,38 @@
 	b = binary.BigEndian.AppendUint64(b, size)
 	at, flags := len(b), uint16(0)
 	b = append(b, 0, 0)
-	for i, f := range p.fields() {
-		n := len(b)
-		switch f := f.(type) {
-		case *string:
-			if *f != "" {
-				b = appendShort(b, *f)
-			}
-		case *byte:
-			if *f != 0 {
-				b = append(b, *f)
-			}
-		case *uint64:
-			if *f != 0 {
-				b = binary.BigEndian.AppendUint64(b, *f)
-			}
-		case *Table:
-			if len(*f) > 0 {
-				b = appendTable(b, *f)
-			}
-		}
-		if len(b) > n {
-			flags |= 1 << (15 - i)
+	str := func(bit int, s string) {
+		if s != "" {
+			flags |= 1 << (15 - bit)
+			b = appendShort(b, s)
 		}
 	}
+	str(0, p.ContentType)
+	str(1, p.ContentEncoding)
+	if len(p.Headers) > 0 {
+		flags |= 1 << 13
+		b = appendTable(b, p.Headers)
+	}
+	if p.DeliveryMode != 0 {
+		flags |= 1 << 12
+		b = append(b, p.DeliveryMode)
+	}
+	if p.Priority != 0 {
+		flags |= 1 << 11
+		b = append(b, p.Priority)
+	}
+	str(5, p.CorrelationID)
+	str(6, p.ReplyTo)
+	str(7, p.Expiration)
+	str(8, p.MessageID)
+	if p.Timestamp != 0 {
+		flags |= 1 << 6
+		b = binary.BigEndian.AppendUint64(b, p.Timestamp)
+	}
+	str(10, p.Type)
+	str(11, p.UserID)
+	str(12, p.AppID)
+	str(13, p.ClusterID)
 	binary.BigEndian.PutUint16(b[at:], flags)
 	return b
 }
--- a/internal/net/amqpfront/cut_test.go
+++ b/internal/net/amqpfront/cut_test.go
@@ -133,9 +133,7 @@
 			for len(ends) < len(brokers) {
 				for ; open < 60 && next < len(brokers); next++ {
 					p := &amqp.Props{MessageID: fmt.Sprint("m", next), Type: "once", ReplyTo: "answers"}
-					for _, b := range amqp.Content(1, amqp.Publish, []any{0, "messages", fmt.Sprint(next), false, false}, p, make([]byte, 50), amqp.FrameMin) {
-						_, _ = cl.Write(b)
-					}
+					_, _ = cl.Write(amqp.AppendMessage(nil, 1, amqp.Publish, p, make([]byte, 50), amqp.FrameMin, 0, "messages", fmt.Sprint(next), false, false))
 					open++
 				}
 				_, m, err := cl.next()
--- a/internal/net/amqpfront/egress.go
+++ b/internal/net/amqpfront/egress.go
@@ -188,8 +188,8 @@
 		p.report(sender.NoConn, 0)
 		return
 	}
-	if !p.sent() { // half a message stands in the stream
-		l.conn.Close()
+	if !p.sent() { // half a message stands in the stream, or none: not one byte more may leave
+		l.conn.Cut()
 		p.report(sender.NoConn, 0)
 		return
 	}
@@ -234,6 +234,7 @@
 	most    int // channels
 	lanes   []*lane
 	waiting []*pub
+	fresh   []*pub        // published in this turn, and not yet handed to the socket
 	asm     amqp.Assembly // of channel 0
 }
 
@@ -421,6 +422,9 @@
 			opening++
 		}
 	}
+	if l.conn.Flush() != nil { // publishes are not kept for the end of the turn: their time runs
+		l.conn.Close()
+	}
 	for ; opening < len(l.waiting) && len(l.lanes) < l.most; opening++ {
 		id := uint16(1)
 		for slices.ContainsFunc(l.lanes, func(c *lane) bool { return c.id == id }) {
@@ -439,9 +443,8 @@
 	if p.hop.Key != "" {
 		props.Headers = amqp.Table{"idempotency-key": p.hop.Key}
 	}
-	pieces := amqp.Content(ch.id, amqp.Publish, []any{0, p.to.Exchange, p.to.RoutingKey, true, false}, props, p.hop.Body, l.max)
-	l.write(pieces...)
-	p.end = l.conn.Mark() // behind its last byte, as it stands on the wire
+	l.content(ch.id, amqp.Publish, props, p.hop.Body, 0, p.to.Exchange, p.to.RoutingKey, true, false)
+	p.end = l.conn.Mark() // behind its last byte
 }
 
 func (l *link) channel(i int, ch *lane, m *amqp.Message) error {
--- /dev/null
+++ b/internal/net/amqpfront/flow_test.go
@@ -0,0 +1,148 @@
+package amqpfront
+
+import (
+	"bytes"
+	"fmt"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"brackendale/internal/access"
+	"brackendale/internal/net/amqp"
+	"brackendale/internal/net/conns"
+	"brackendale/internal/net/reactor"
+	"brackendale/internal/standin"
+	"brackendale/logic"
+	"brackendale/sender"
+)
+
+// atOnce is an egress whose targets deliver at once: what is measured with it is the front, the core and the journal.
+type atOnce struct{ core *sender.Sender }
+
+func (e atOnce) Send(to sender.Route, hops []sender.Hop) {
+	list := make([]sender.Outcome, len(hops))
+	for i, h := range hops {
+		list[i] = sender.Outcome{ID: h.ID, N: h.N, Target: to.Addr, Reason: sender.Good}
+	}
+	e.core.Report(list...)
+}
+func (atOnce) Recall(string, int)    {}
+func (atOnce) Trim(sender.Route)     {}
+func (atOnce) Routes([]sender.Route) {}
+
+// BenchmarkFlow is messages through the front: published, confirmed, answered and acknowledged, with so many open at once.
+// b.N counts messages; run it with -cpu 1 for one core, which the client shares.
+func BenchmarkFlow(b *testing.B) {
+	const window, dests = 3000, 16
+	var core *sender.Sender
+	settings := standin.Settings()
+	settings.Caps.OpenCap, settings.Family.Workers, settings.Family.PerCall = 2*window, window, []int{64}
+	addr, _ := standin.StartWith(b, b.TempDir(), settings, 1<<30, func(c *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
+		core = c
+		in := NewIngress(c, r, Options{Policy: access.Anyone("messages"), Channels: 16}, conns.NewRoom(10).NewTable(Limits(10)))
+		c.AddEgress("now", atOnce{c})
+		var routes []sender.Route
+		for i := range dests {
+			routes = append(routes, sender.Route{Endpoint: logic.Endpoint{Addr: fmt.Sprint("t", i), Kind: "k", Dest: int64(10 + i), State: "live"}, Proto: "now"})
+		}
+		c.Routes("whole", routes)
+		return in.Accept
+	})
+	_ = core
+	cl := dialAs(b, addr, amqp.Table{}, 0)
+	cl.consume()
+	_ = cl.SetDeadline(time.Now().Add(5 * time.Minute))
+	const mark = "m0000000000"
+	frame := amqp.AppendMessage(nil, 1, amqp.Publish, &amqp.Props{MessageID: mark, Type: "safe", ReplyTo: "answers", CorrelationID: mark},
+		make([]byte, 200), amqp.FrameMin, 0, "messages", "10", false, false)
+	key := bytes.Index(frame, []byte("\x0210")) + 1
+	publish := func(out []byte, i int) []byte {
+		id := fmt.Appendf(nil, "m%010d", i)
+		at := len(out)
+		out = append(out, frame...)
+		out[at+key+1] = byte('0' + (10+i%dests)%10)
+		out[at+key] = byte('0' + (10+i%dests)/10)
+		for k := bytes.Index(out[at:], []byte(mark)); k >= 0; k = bytes.Index(out[at:], []byte(mark)) {
+			copy(out[at+k:], id)
+			at += k + len(mark)
+		}
+		return out
+	}
+	var open, nacks atomic.Int64
+	room := make(chan struct{}, 1)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	b.ResetTimer()
+	began := time.Now()
+	go func() {
+		var out []byte
+		for sent := 0; sent < b.N; {
+			n := min(64, b.N-sent, window-int(open.Load()))
+			if n <= 0 {
+				<-room
+				continue
+			}
+			out = out[:0]
+			for i := range n {
+				out = publish(out, sent+i)
+			}
+			sent += n
+			open.Add(int64(n))
+			if _, err := cl.Write(out); err != nil {
+				return
+			}
+		}
+	}()
+	in, buf := make([]byte, 0, 256<<10), make([]byte, 64<<10)
+	for ended := 0; ended < b.N; {
+		n, err := cl.Read(buf)
+		if err != nil {
+			b.Fatal(err)
+		}
+		in = append(in, buf[:n]...)
+		at, last := 0, uint64(0)
+		done := 0
+		for {
+			f, n, err := amqp.ParseFrame(in[at:], amqp.FrameMax)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if n == 0 {
+				break
+			}
+			at += n
+			if f.Kind != amqp.FrameMethod {
+				continue
+			}
+			switch k := amqp.Key(uint32(f.Payload[0])<<24 | uint32(f.Payload[1])<<16 | uint32(f.Payload[2])<<8 | uint32(f.Payload[3])); k {
+			case amqp.Deliver:
+				last++
+				done++
+			case amqp.Nack:
+				nacks.Add(1)
+				done++
+			case amqp.ChanClose, amqp.ConnClose:
+				b.Fatalf("%s %q", k, f.Payload)
+			}
+		}
+		in = append(in[:0], in[at:]...)
+		if last > 0 {
+			cl.method(1, amqp.Ack, 0, true)
+		}
+		if ended += done; done > 0 {
+			open.Add(int64(-done))
+			select {
+			case room <- struct{}{}:
+			default:
+			}
+		}
+	}
+	b.StopTimer()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(b.N)/time.Since(began).Seconds(), "msg/s")
+	b.ReportMetric(float64(after.Mallocs-before.Mallocs)/float64(b.N), "allocs/msg")
+	b.ReportMetric(float64(after.TotalAlloc-before.TotalAlloc)/float64(b.N), "B/msg")
+	b.ReportMetric(float64(nacks.Load())/float64(b.N), "refused/msg")
+}
--- a/internal/net/amqpfront/front_test.go
+++ b/internal/net/amqpfront/front_test.go
@@ -202,7 +202,7 @@
 }
 
 // dialRaw opens a client that has said which protocol it speaks.
-func dialRaw(t *testing.T, addr string) (*client, error) {
+func dialRaw(t testing.TB, addr string) (*client, error) {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
@@ -218,7 +218,7 @@
 func dial(t *testing.T, addr string) *client { t.Helper(); return dialAs(t, addr, amqp.Table{}, 0) }
 
 // dialAs does so with the client's properties and heartbeats.
-func dialAs(t *testing.T, addr string, properties amqp.Table, beat int) *client {
+func dialAs(t testing.TB, addr string, properties amqp.Table, beat int) *client {
 	t.Helper()
 	cl, err := dialRaw(t, addr)
 	if err != nil {
@@ -239,7 +239,7 @@
 
 type client struct {
 	*side
-	t *testing.T
+	t testing.TB
 }
 
 func (c *client) want(k amqp.Key) *amqp.Message {
@@ -265,9 +265,7 @@
 	for _, f := range change {
 		f(p)
 	}
-	for _, b := range amqp.Content(1, amqp.Publish, []any{0, "messages", "7", false, false}, p, make([]byte, 9000), amqp.FrameMin) {
-		_, _ = c.Write(b)
-	}
+	_, _ = c.Write(amqp.AppendMessage(nil, 1, amqp.Publish, p, make([]byte, 9000), amqp.FrameMin, 0, "messages", "7", false, false))
 }
 
 // answer reads one final answer and gives its end.
@@ -334,9 +332,7 @@
 			s.method(ch, amqp.Nack, tag, false, false)
 		}},
 		{"a returned charge never ran, though it is acked", "once", "delivered", 1, func(s *side, ch uint16, m *amqp.Message, tag uint64) {
-			for _, b := range amqp.Content(ch, amqp.Return, []any{amqp.NoRoute, "NO_ROUTE", "records", "in"}, m.Props, m.Body, amqp.FrameMin) {
-				_, _ = s.Write(b)
-			}
+			_, _ = s.Write(amqp.AppendMessage(nil, ch, amqp.Return, m.Props, m.Body, amqp.FrameMin, amqp.NoRoute, "NO_ROUTE", "records", "in"))
 			s.method(ch, amqp.Ack, tag, false)
 		}},
 		{"an ack of no publish is no delivery", "once", "failed", 0, func(s *side, ch uint16, _ *amqp.Message, tag uint64) {
@@ -507,9 +503,7 @@
 	prop := func(f func(*amqp.Props)) func(c *client) { return func(c *client) { c.publish("m", "key", f) } }
 	content := func(exchange, key string, size int, bits ...bool) func(c *client) {
 		return func(c *client) {
-			for _, p := range amqp.Content(1, amqp.Publish, []any{0, exchange, key, false, bits != nil}, &amqp.Props{}, make([]byte, size), amqp.FrameMin) {
-				_, _ = c.Write(p)
-			}
+			_, _ = c.Write(amqp.AppendMessage(nil, 1, amqp.Publish, &amqp.Props{}, make([]byte, size), amqp.FrameMin, 0, exchange, key, false, bits != nil))
 		}
 	}
 	raw := func(b ...byte) func(c *client) { return func(c *client) { _, _ = c.Write(b) } }
--- a/internal/net/amqpfront/host.go
+++ b/internal/net/amqpfront/host.go
@@ -16,6 +16,7 @@
 	name    string
 	front   string
 	queues  map[string]*queue
+	holds   map[string]struct{} // ids whose ends are in a queue or out on a channel
 	named   int
 	pressed string // why publishers should hold back; empty: they need not
 }
@@ -35,7 +36,7 @@
 	in.policy = p
 	for _, h := range p.Hosts() {
 		if in.hosts[h.Name] == nil {
-			v := &host{in: in, name: h.Name, front: frontOf(h.Name), queues: map[string]*queue{}}
+			v := &host{in: in, name: h.Name, front: frontOf(h.Name), queues: map[string]*queue{}, holds: map[string]struct{}{}}
 			in.hosts[h.Name] = v
 			in.core.Post(func() { in.core.AddIngress(v.front, v) })
 		}
@@ -83,10 +84,10 @@
 	if !ok || p.ch.closed {
 		return
 	}
-	p.ch.answered(x)
+	all := p.ch.answered(x)
 	p.ch.s.owe(-1)
 	if v == sender.Taken {
-		p.ch.s.method(p.ch.id, amqp.Ack, p.tag, false)
+		p.ch.s.ack(p.ch.id, p.tag, all)
 		return
 	}
 	p.ch.s.method(p.ch.id, amqp.Nack, p.tag, false, false)
@@ -99,15 +100,29 @@
 		h.in.core.Settle(id) // its channel has gone, and nobody else may ask
 		return
 	}
-	q := h.queue(replyTo)
-	if q.has(id) {
+	if _, again := h.holds[id]; again {
 		return
 	}
+	h.holds[id] = struct{}{}
+	q := h.queue(replyTo)
 	q.answers = append(q.answers, &answer{id: id, note: note, end: end, waitMs: waitMs, since: h.in.r.Now()})
 	q.pump()
 	q.bound()
 }
 
+// settle books that ends have been heard.
+func (h *host) settle(ids ...string) {
+	h.release(ids...)
+	h.in.core.Settle(ids...)
+}
+
+// release forgets ends that are neither in a queue nor out any more.
+func (h *host) release(ids ...string) {
+	for _, id := range ids {
+		delete(h.holds, id)
+	}
+}
+
 func (h *host) queue(name string) *queue {
 	q := h.queues[name]
 	if q == nil {
--- a/internal/net/amqpfront/ingress.go
+++ b/internal/net/amqpfront/ingress.go
@@ -1,6 +1,7 @@
 package amqpfront
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"strings"
@@ -56,6 +57,8 @@
 	door    *door.Door
 	txBytes int                // that wait for commits
 	batch   []*sender.Exchange // of the read that is being handled, which is one client's
+	lastAck lastAck
+	props   amqp.Props // of the answer that is being worded
 }
 
 // queue holds the answers for one reply-to. It lives while it has answers or consumers.
@@ -115,20 +118,6 @@
 	})
 }
 
-// has tells whether the answer to a message is there, or out.
-func (q *queue) has(id string) bool {
-	if slices.ContainsFunc(q.answers, func(a *answer) bool { return a.id == id }) {
-		return true
-	}
-	for _, c := range q.consumers {
-		if slices.ContainsFunc(c.ch.unacked, func(d delivery) bool { return d.a.id == id }) ||
-			c.ch.tx != nil && slices.ContainsFunc(c.ch.tx.acks, func(d txAck) bool { return d.a.id == id }) {
-			return true
-		}
-	}
-	return false
-}
-
 // pump delivers answers to consumers in turn, as far as they may have more.
 func (q *queue) pump() {
 	for len(q.answers) > 0 {
@@ -187,11 +176,14 @@
 // states words the ends for clients.
 var states = map[string]string{sender.Delivered: "delivered", sender.Returned: "refused", sender.Abandoned: "failed"}
 
+// bodies are the same as contents.
+var bodies = map[string][]byte{sender.Delivered: []byte("delivered"), sender.Returned: []byte("refused"), sender.Abandoned: []byte("failed")}
+
 func (c *consumer) deliver(a *answer) {
 	again := a.again
 	tag := c.ch.out(c.q, a, c.noAck)
-	p, body := a.content()
-	c.ch.s.write(amqp.Content(c.ch.id, amqp.Deliver, []any{c.tag, tag, again, "", c.q.name}, p, body, c.ch.s.max)...)
+	p, body := c.q.vh.content(a)
+	c.ch.s.content(c.ch.id, amqp.Deliver, p, body, c.tag, tag, again, "", c.q.name)
 }
 
 // out books an answer that leaves on a channel. One that needs no acknowledgement has been heard with that.
@@ -199,7 +191,7 @@
 	ch.delivered++
 	a.again = true
 	if noAck {
-		ch.s.in.core.Settle(a.id)
+		ch.s.vh.settle(a.id)
 	} else {
 		ch.unacked = append(ch.unacked, delivery{ch.delivered, q, a})
 		ch.s.owe(1)
@@ -207,14 +199,14 @@
 	return ch.delivered
 }
 
-// content words an answer.
-func (a *answer) content() (*amqp.Props, []byte) {
+// content words an answer; what it returns is good until the next is worded.
+func (h *host) content(a *answer) (*amqp.Props, []byte) {
 	_, correlation, _ := strings.Cut(a.note, "\x00")
-	p := &amqp.Props{CorrelationID: correlation, MessageID: a.id, Type: states[a.end], Headers: amqp.Table{}}
+	h.in.props = amqp.Props{CorrelationID: correlation, MessageID: a.id, Type: states[a.end]}
 	if a.end == sender.Returned {
-		p.Headers["retry-after-ms"] = a.waitMs
+		h.in.props.Headers = amqp.Table{"retry-after-ms": a.waitMs}
 	}
-	return p, []byte(states[a.end])
+	return &h.in.props, bodies[a.end]
 }
 
 type channel struct {
@@ -237,13 +229,22 @@
 	tx        *txState // nil: every publish and acknowledgement counts by itself
 }
 
-// answered takes a publish off those that wait.
-func (ch *channel) answered(x *sender.Exchange) {
-	ch.pending = slices.DeleteFunc(ch.pending, func(o *sender.Exchange) bool { return o == x })
+// answered takes a publish off those that wait, and tells whether none before it waits any more. Answers come in the
+// order of the publishes but where the core knew one of them.
+func (ch *channel) answered(x *sender.Exchange) (all bool) {
+	i := slices.Index(ch.pending, x)
+	if i > 0 {
+		ch.pending = slices.Delete(ch.pending, i, i+1)
+	} else if i == 0 {
+		ch.pending[0] = nil
+		ch.pending = ch.pending[1:]
+	}
+	return i == 0
 }
 
-// publish is where an exchange's confirm goes.
+// publish is an exchange that knows where its confirm goes.
 type publish struct {
+	sender.Exchange
 	ch  *channel
 	tag uint64
 }
@@ -283,33 +284,39 @@
 
 // settle takes deliveries off by tag; 0 with multiple means all.
 func (ch *channel) settle(k amqp.Key, tag uint64, multiple, requeue bool) error {
-	var hit, rest []delivery
-	for _, d := range ch.unacked {
-		if d.tag == tag || multiple && (d.tag < tag || tag == 0) {
-			hit = append(hit, d)
-		} else {
-			rest = append(rest, d)
+	from, found := slices.BinarySearchFunc(ch.unacked, tag, func(d delivery, tag uint64) int { return cmp.Compare(d.tag, tag) })
+	to := from
+	if found {
+		to++
+	}
+	if multiple {
+		if from = 0; tag == 0 {
+			to = len(ch.unacked)
 		}
 	}
+	hit := ch.unacked[from:to]
 	if len(hit) == 0 && !(multiple && tag == 0) {
 		return &amqp.Fault{Code: amqp.PreconditionFailed, Text: "unknown delivery tag " + strconv.FormatUint(tag, 10), Method: k}
 	}
-	ch.unacked = rest
 	if ch.tx != nil {
 		for _, d := range hit {
 			ch.tx.acks = append(ch.tx.acks, txAck{d, requeue})
 		}
+		ch.unacked = slices.Delete(ch.unacked, from, to)
 		return nil
 	}
 	ch.s.owe(-len(hit))
 	if requeue {
+		hit = slices.Clone(hit)
+		ch.unacked = slices.Delete(ch.unacked, from, to)
 		ch.s.vh.requeue(hit)
 	} else {
 		ids := make([]string, len(hit))
 		for i, d := range hit {
 			ids[i] = d.a.id
 		}
-		ch.s.in.core.Settle(ids...)
+		ch.unacked = slices.Delete(ch.unacked, from, to)
+		ch.s.vh.settle(ids...)
 	}
 	for _, c := range ch.consumers { // there is room for more
 		c.q.pump()
--- a/internal/net/amqpfront/login_test.go
+++ b/internal/net/amqpfront/login_test.go
@@ -109,9 +109,7 @@
 	}
 	put := func(c *client, id, exchange, key, replyTo string) *amqp.Message {
 		p := &amqp.Props{MessageID: id, Type: "once", ReplyTo: replyTo}
-		for _, x := range amqp.Content(1, amqp.Publish, []any{0, exchange, key, false, false}, p, nil, amqp.FrameMin) {
-			_, _ = c.Write(x)
-		}
+		_, _ = c.Write(amqp.AppendMessage(nil, 1, amqp.Publish, p, nil, amqp.FrameMin, 0, exchange, key, false, false))
 		_, m, err := c.next()
 		if err != nil {
 			t.Fatal(err)
--- a/internal/net/amqpfront/peer.go
+++ b/internal/net/amqpfront/peer.go
@@ -51,14 +51,23 @@
 	}
 }
 
-func (p *peer) write(pieces ...[]byte) {
-	if p.said = p.loop.Now(); p.conn.Write(pieces...) != nil {
+// write lets bytes leave with this turn.
+func (p *peer) write(b []byte) { p.put(append(p.conn.Buffer(), b...)) }
+
+// put takes back the connection's buffer with what was appended.
+func (p *peer) put(b []byte) {
+	if p.said = p.loop.Now(); p.conn.Gathered(b) != nil {
 		p.conn.Close()
 	}
 }
 
 func (p *peer) method(channel uint16, k amqp.Key, args ...any) {
-	p.write(amqp.AppendMethod(nil, channel, k, args...))
+	p.put(amqp.AppendMethod(p.conn.Buffer(), channel, k, args...))
+}
+
+// content writes a method with its content.
+func (p *peer) content(channel uint16, k amqp.Key, props *amqp.Props, body []byte, args ...any) {
+	p.put(amqp.AppendMessage(p.conn.Buffer(), channel, k, props, body, p.max, args...))
 }
 
 var heartbeat = amqp.AppendFrame(nil, amqp.FrameBeat, 0, nil)
--- a/internal/net/amqpfront/queuelimits.go
+++ b/internal/net/amqpfront/queuelimits.go
@@ -80,7 +80,7 @@
 		for i, a := range late {
 			ids[i] = a.id
 		}
-		q.in.core.Settle(ids...)
+		q.vh.settle(ids...)
 	}
 	var next time.Duration
 	if q.ttl > 0 && len(q.answers) > 0 {
--- a/internal/net/amqpfront/session.go
+++ b/internal/net/amqpfront/session.go
@@ -401,10 +401,10 @@
 		}
 		p.ReplyTo = ch.direct
 	}
-	if m.Str(1) != s.grant.Host().Exchange {
+	if string(m.Bytes(1)) != s.grant.Exchange() {
 		return bad(amqp.NotFound, "no exchange %q", m.Str(1))
 	}
-	if !s.grant.Publish(m.Str(2)) {
+	if !s.grant.Publish(m.Bytes(2)) {
 		return bad(amqp.AccessRefused, "user %q may not publish with the key %q", s.grant.User(), m.Str(2))
 	}
 	if p.UserID != "" && p.UserID != s.grant.User() && !s.in.policy.Open() {
@@ -417,7 +417,7 @@
 		return bad(amqp.NotImplemented, "immediate")
 	}
 	ch.published++
-	dest, err := strconv.ParseInt(m.Str(2), 10, 64)
+	dest, err := strconv.ParseInt(string(m.Bytes(2)), 10, 64)
 	if err != nil || !s.grant.Reaches(dest) || !core.Serves(dest) {
 		if !m.Bool(3) {
 			return bad(amqp.NotFound, "no destination %q", m.Str(2))
@@ -461,25 +461,48 @@
 	case s.vh.queues[p.ReplyTo] == nil && len(s.vh.queues) >= maxQueues:
 		return bad(amqp.ResourceError, "too many queues")
 	}
-	x := &sender.Exchange{ID: p.MessageID, Class: p.Type, Tenant: p.AppID, Key: key, Dest: dest,
+	x := &publish{ch: ch, tag: ch.published}
+	x.Exchange = sender.Exchange{ID: p.MessageID, Class: p.Type, Tenant: p.AppID, Key: key, Dest: dest,
 		Deadline: core.Now() + limit, Body: m.Body, Front: s.vh.front, Note: p.ReplyTo + "\x00" + p.CorrelationID,
-		Ref: &publish{ch, ch.published}}
+		Ref: x}
 	if ch.tx != nil {
 		if !ch.txRoom(len(m.Body) + txEach) {
 			return bad(amqp.PreconditionFailed, "too much waits for its commit")
 		}
-		ch.tx.offers = append(ch.tx.offers, x)
+		ch.tx.offers = append(ch.tx.offers, &x.Exchange)
 		return nil
 	}
-	ch.pending = append(ch.pending, x)
-	s.in.batch = append(s.in.batch, x)
+	ch.pending = append(ch.pending, &x.Exchange)
+	s.in.batch = append(s.in.batch, &x.Exchange)
 	s.owe(1)
 	return nil
 }
 
+// ack confirms a publish. all says that none before it waits for its answer: then the confirm can stand for those before
+// it too, and one that is still in the buffer of this turn is made to.
+func (s *session) ack(id uint16, tag uint64, all bool) {
+	b := s.conn.Buffer()
+	if last := s.in.lastAck; all && last.conn == s.conn && last.id == id && last.end == len(b) && last.end > 0 {
+		amqp.WidenAck(b, tag)
+		s.put(b)
+	} else {
+		s.method(id, amqp.Ack, tag, false)
+	}
+	if s.in.lastAck = (lastAck{}); all {
+		s.in.lastAck = lastAck{s.conn, id, len(s.conn.Buffer())}
+	}
+}
+
+// lastAck is the confirm that stands at the very end of a connection's buffer, if any does.
+type lastAck struct {
+	conn *reactor.Conn
+	id   uint16
+	end  int
+}
+
 // giveBack returns a mandatory message that has no route.
 func (s *session) giveBack(ch *channel, m *amqp.Message) {
-	s.write(amqp.Content(ch.id, amqp.Return, []any{amqp.NoRoute, "NO_ROUTE", m.Str(1), m.Str(2)}, m.Props, m.Body, s.max)...)
+	s.content(ch.id, amqp.Return, m.Props, m.Body, amqp.NoRoute, "NO_ROUTE", m.Str(1), m.Str(2))
 }
 
 // word tells whether an id or key can be passed on in any protocol's head.
--- a/internal/net/amqpfront/topology.go
+++ b/internal/net/amqpfront/topology.go
@@ -161,7 +161,7 @@
 	}
 	q.answers = nil
 	if len(ids) > 0 {
-		q.in.core.Settle(ids...)
+		q.vh.settle(ids...)
 	}
 	return len(ids)
 }
@@ -210,9 +210,8 @@
 	q.answers = q.answers[1:]
 	again := a.again
 	tag := ch.out(q, a, noAck)
-	p, body := a.content()
-	args := []any{tag, again, "", q.name, len(q.answers)}
-	s.write(amqp.Content(ch.id, amqp.GetOk, args, p, body, s.max)...)
+	p, body := s.vh.content(a)
+	s.content(ch.id, amqp.GetOk, p, body, tag, again, "", q.name, len(q.answers))
 	s.vh.tidy(q)
 	return nil
 }
--- a/internal/net/amqpfront/tx.go
+++ b/internal/net/amqpfront/tx.go
@@ -109,6 +109,8 @@
 	for _, a := range c.acks {
 		if v != sender.Taken || a.requeue {
 			again = append(again, a.delivery)
+		} else {
+			h.release(a.a.id)
 		}
 	}
 	if !ch.closed {
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -35,6 +35,8 @@
 	reads []Task // what clients and targets said
 	wake  chan struct{}
 
+	later []Task // at the end of this turn's portion
+
 	began time.Time
 	wheel *timers.Wheel
 	clock *time.Timer
@@ -69,6 +71,19 @@
 	}
 }
 
+// Later runs a task at the end of the portion that is being handled, before the loop lets go of its core or sleeps. Only
+// for the loop's goroutine.
+func (l *Loop) Later(t Task) { l.later = append(l.later, t) }
+
+// settle runs what was kept for the end of a portion.
+func (l *Loop) settle() {
+	for i := 0; i < len(l.later); i++ {
+		l.later[i].Do()
+		l.later[i] = nil
+	}
+	l.later = l.later[:0]
+}
+
 // Now is the steady time since the loop was made. Any goroutine may call it.
 func (l *Loop) Now() time.Duration { return time.Since(l.began) }
 
@@ -143,10 +158,12 @@
 		}
 		reads = reads[n:]
 		l.timers()
+		l.settle()
 		runtime.Gosched() // on one core the decisions and the sockets wait for this goroutine to let go
 	}
 	l.posted()
 	more := l.timers()
+	l.settle()
 	if more {
 		runtime.Gosched()
 	}
--- /dev/null
+++ b/internal/net/reactor/gather.go
@@ -0,0 +1,80 @@
+package reactor
+
+import (
+	"net"
+	"sync"
+)
+
+// gather is what is written to one connection in one turn of the loop and leaves together, in one write.
+type gather struct {
+	c *Conn
+	b []byte
+}
+
+// The bounds of what is gathered: how much leaves before the turn is over, and how large a buffer is kept for others.
+const (
+	gatherMost = 32 << 10
+	gatherKeep = 64 << 10
+)
+
+var gathers = sync.Pool{New: func() any { return &gather{b: make([]byte, 0, 1024)} }}
+
+// Buffer is what has been gathered and not left. Append to it, and hand it to Gathered.
+func (c *Conn) Buffer() []byte {
+	if c.out == nil {
+		return nil
+	}
+	return c.out.b
+}
+
+// Gathered takes the buffer back with what was appended. It leaves at the end of the loop's turn, or with the next
+// Write, Flush or Close. As with Write, an error means that the peer does not read, or has gone.
+func (c *Conn) Gathered(b []byte) error {
+	if c.dead || c.nc.Load() == nil {
+		return net.ErrClosed
+	}
+	if c.out == nil {
+		g, _ := gathers.Get().(*gather)
+		g.c, g.b = c, append(g.b[:0], b...)
+		c.out = g
+		c.r.Later(g)
+	} else {
+		c.out.b = b
+	}
+	if len(c.out.b) >= gatherMost {
+		return c.Flush()
+	}
+	return nil
+}
+
+// Flush lets go of what was gathered.
+func (c *Conn) Flush() error {
+	g := c.out
+	if g == nil || len(g.b) == 0 {
+		return nil
+	}
+	b := g.b
+	g.b = g.b[:0]
+	return c.send(b)
+}
+
+// Do ends the turn: what was gathered leaves, and the buffer goes back.
+func (g *gather) Do() {
+	c := g.c
+	if !c.dead {
+		if c.Flush() != nil {
+			c.Close()
+		}
+	}
+	c.out, g.c = nil, nil
+	if cap(g.b) <= gatherKeep {
+		gathers.Put(g)
+	}
+}
+
+// drop forgets what was gathered: its connection has ended.
+func (c *Conn) drop() {
+	if c.out != nil {
+		c.out.b = c.out.b[:0]
+	}
+}
--- a/internal/net/reactor/reactor.go
+++ b/internal/net/reactor/reactor.go
@@ -77,8 +77,9 @@
 	unseen  atomic.Int32 // reads that its handler has not been given
 	dead    bool
 
-	layer    *layer // nil: the peer speaks plainly
-	shielded bool   // a layer will be put on once the connection is taken
+	shielded bool    // a layer will be put on once the connection is taken
+	layer    *layer  // nil: the peer speaks plainly
+	out      *gather // nil: nothing is gathered
 }
 
 // read is what one read brought, on its way to the loop.
@@ -241,6 +242,7 @@
 		return
 	}
 	c.dead = true
+	c.drop()
 	if err == nil {
 		err = io.EOF
 	}
@@ -260,6 +262,9 @@
 		c.cancel()
 	}
 	if nc := c.nc.Load(); nc != nil {
+		if !c.dead {
+			_ = c.Flush() // it ends in any case
+		}
 		if c.layer != nil && !c.dead {
 			c.layer.goodbye()
 		}
@@ -268,6 +273,12 @@
 	c.r.Post(func() { c.down(net.ErrClosed) })
 }
 
+// Cut ends the connection at once; what was gathered and has not left never does.
+func (c *Conn) Cut() {
+	c.drop()
+	c.Close()
+}
+
 // Reset ends the connection at once by a reset; Down follows.
 func (c *Conn) Reset() {
 	if nc := c.nc.Load(); nc != nil && !c.dead {
@@ -309,8 +320,16 @@
 	return errors.Is(err, syscall.EAGAIN) && c.unseen.Load() == 0
 }
 
-// Mark is the place in the stream that the next write starts from, in bytes of the wire: under TLS of its records.
-func (c *Conn) Mark() int64 { return c.queued }
+// Mark is the place in the stream behind all that was written or gathered, in bytes of the wire. Under TLS nobody knows
+// yet where gathered bytes will end: there it is the first byte that leaves with them, so that Sent errs towards "sent".
+func (c *Conn) Mark() int64 {
+	switch n := len(c.Buffer()); {
+	case n > 0 && c.layer != nil:
+		return c.queued + 1
+	default:
+		return c.queued + int64(n)
+	}
+}
 
 // Sent tells whether all that was written before a mark has left for the socket.
 func (c *Conn) Sent(mark int64) bool { return c.written.Load() >= mark }
@@ -320,6 +339,13 @@
 // after it here, one by one, through its buffered write. With unsent bytes before them it buffers all of
 // them and reports them as written: then they go one by one from the start.
 func (c *Conn) Write(pieces ...[]byte) error {
+	if err := c.Flush(); err != nil {
+		return err
+	}
+	return c.send(pieces...)
+}
+
+func (c *Conn) send(pieces ...[]byte) error {
 	if c.layer == nil {
 		return c.raw(pieces...)
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -37,8 +37,15 @@
 func Start(t *testing.T, dir string, join func(*sender.Sender, *reactor.Reactor) func(*reactor.Conn) reactor.Handler) (
 	addr string, kill func()) {
 	t.Helper()
+	return StartWith(t, dir, Settings(), 2<<20, join)
+}
+
+// StartWith does so with settings, and bytes of disk, of the caller's.
+func StartWith(t testing.TB, dir string, set logic.Settings, disk int64,
+	join func(*sender.Sender, *reactor.Reactor) func(*reactor.Conn) reactor.Handler) (addr string, kill func()) {
+	t.Helper()
 	l := loop.New()
-	core, err := sender.New(sender.Options{Settings: Settings(), Dir: dir, Disk: 2 << 20, Log: zerolog.Nop(), Carry: l.Post})
+	core, err := sender.New(sender.Options{Settings: set, Dir: dir, Disk: disk, Log: zerolog.Nop(), Carry: l.Post})
 	if err != nil {
 		t.Fatal(err)
 	}
