--- /dev/null
+++ b/internal/load/command/conformance.go
@@ -0,0 +1,52 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"brackendale/internal/load"
+
+	"github.com/urfave/cli/v3"
+)
+
+func conformanceCommand() *cli.Command {
+	return &cli.Command{Name: "conformance", Usage: "play the AMQP suite against a sender that it starts, and tell scene by scene",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "md", Usage: "write the table to `FILE` instead of printing it"},
+			&cli.StringFlag{Name: "program", Usage: "another `SENDER` than the one beside this program"}},
+		Action: conformance}
+}
+
+func conformance(ctx context.Context, c *cli.Command) error {
+	program := c.String("program")
+	if program == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return fmt.Errorf("load conformance: %w", err)
+		}
+		program = filepath.Join(filepath.Dir(self), "brackendale")
+	}
+	rep, err := load.Conformance(ctx, program, io.Discard)
+	if err != nil {
+		return err
+	}
+	out := c.Root().Writer
+	if file := c.String("md"); file != "" {
+		f, err := os.Create(file)
+		if err != nil {
+			return fmt.Errorf("load conformance: %w", err)
+		}
+		defer f.Close()
+		out = f
+	}
+	if err := rep.Markdown(out, "brackendale load conformance --md docs/amqp-conformance.md"); err != nil {
+		return fmt.Errorf("load conformance: %w", err)
+	}
+	if n := rep.Failed(); n > 0 {
+		return errors.New(fmt.Sprint("load conformance: ", n, " scenes did not go as written"))
+	}
+	return nil
+}
--- a/internal/load/senders.go
+++ b/internal/load/senders.go
@@ -213,15 +213,8 @@
 	if err := startOn(s.Pin, w.sender); err != nil {
 		return w, fmt.Errorf("load: starting a sender: %w", err)
 	}
-	for began := time.Now(); ; time.Sleep(20 * time.Millisecond) {
-		c, err := net.Dial("tcp", addr)
-		if err == nil {
-			_ = c.Close()
-			break
-		}
-		if time.Since(began) > 10*time.Second {
-			return w, fmt.Errorf("load: the sender does not listen: %w", err)
-		}
+	if err := listens(addr); err != nil {
+		return w, err
 	}
 	p := s.Plan
 	p.Socket = filepath.Join(dir, "console")
--- a/internal/net/amqpfront/session.go
+++ b/internal/net/amqpfront/session.go
@@ -198,7 +198,7 @@
 	m, err := asm.Add(f)
 	if s.stage == ending || ch != nil && ch.closing { // only the answer to the close counts
 		*asm = amqp.Assembly{}
-		if m != nil && m.Key == amqp.ConnCloseOk {
+		if m != nil && m.Key == amqp.ConnCloseOk && s.stage == ending && f.Channel == 0 {
 			s.conn.Close()
 		} else if m != nil && m.Key == amqp.ChanCloseOk && ch != nil {
 			s.forget(f.Channel)
