Share channels to brokers, hold back from consumers that do not read, bound half-sent contents

Each hop had a channel of its own; a consumer without acknowledgements that read nothing was sent answers until 512 KiB waited, was then cut, and all of them counted as heard; 2,047 channels of one connection could each hold 64 KiB of a content never ended.

Repeatable messages share channels (32 on each) by a pure ledger of tags; charges and keyed ones stay alone; giving one up on a shared channel waits 200 ms for the others; channel numbers go round. Consumers stop at 64 KiB unread and go on when some has left; half-sent contents have 4 MiB together. Certificates about to expire are told at the start, by check and on SIGHUP.

--- /dev/null
+++ b/internal/access/access_test.go
@@ -0,0 +1,116 @@
+package access
+
+import (
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"errors"
+	"strings"
+	"testing"
+)
+
+func TestNewNamesTheFaultyKey(t *testing.T) {
+	hash, err := Hash("s3")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lab := User{Name: "lab", Hash: hash}
+	may := func(p Permission) []Host { return []Host{{Name: "h", Permissions: []Permission{p}}} }
+	for want, c := range map[string]struct {
+		users []User
+		hosts []Host
+	}{
+		"user[0].name":                       {[]User{{Hash: hash}}, nil},
+		"user[1].name":                       {[]User{lab, lab}, nil},
+		"user[0].password":                   {[]User{{Name: "lab"}}, nil},
+		"user[1].password":                   {[]User{lab, {Name: "b", Hash: "s3"}}, nil},
+		"user[1].certificate":                {[]User{{Name: "a", Certificate: "c"}, {Name: "b", Certificate: "c"}}, nil},
+		"vhost[0].name":                      {nil, []Host{{}}},
+		"vhost[1].name":                      {nil, []Host{{Name: "h"}, {Name: "h"}}},
+		"vhost[0].exchange":                  {nil, []Host{{Name: "h", Exchange: strings.Repeat("x", 128)}}},
+		"vhost[0].permission[0].user":        {[]User{lab}, may(Permission{User: "nobody"})},
+		"vhost[0].permission[0].publish":     {[]User{lab}, may(Permission{User: "lab", Publish: "("})},
+		"vhost[0].permission[0].read":        {[]User{lab}, may(Permission{User: "lab", Read: "a)|(b"})},
+		"vhost[0].permission[1].user":        {[]User{lab}, []Host{{Name: "h", Permissions: []Permission{{User: "lab"}, {User: "lab"}}}}},
+		"user[0].password: is no bcrypt has": {[]User{{Name: "a", Hash: strings.Replace(hash, "$10$", "$31$", 1)}}, nil}, // a check would take hours
+	} {
+		_, err := New(c.users, c.hosts)
+		var e *Error
+		if !errors.As(err, &e) || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%s: %v", want, err)
+		}
+	}
+}
+
+func TestGrants(t *testing.T) {
+	p, err := New([]User{{Name: "a", Hash: Plain("x"), Certificate: "robot"}, {Name: "b", Hash: Plain("y")}}, []Host{
+		{Name: Root, Exchange: "m"}, {Name: "h", Destinations: []int64{1, 2}, Permissions: []Permission{{User: "a", Publish: "1|2", Read: "a.*"}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.Open() || p.Enter("b", "h") != nil || p.Enter("nobody", Root) != nil || p.Enter("a", "nowhere") != nil {
+		t.Error("somebody was let in")
+	}
+	if g := p.Enter("b", ""); g == nil || g.Host().Name != Root || !g.Publish([]byte("9")) || !g.Read("q") || !g.Reaches(9) || g.User() != "b" {
+		t.Error(g)
+	}
+	g := p.Enter("a", "h")
+	for key, want := range map[string]bool{"1": true, "2": true, "12": false, "3": false, "": false} {
+		if g.Publish([]byte(key)) != want {
+			t.Error(key)
+		}
+	}
+	if !g.Read("abc") || g.Read("ba") || g.Reaches(3) || !g.Reaches(2) {
+		t.Error("patterns and destinations are not of the whole")
+	}
+	if g := p.Lobby("a"); g.User() != "a" || g.Read("a") || g.Publish([]byte("1")) {
+		t.Error("something is allowed in the lobby")
+	}
+	for _, c := range []struct {
+		cert *x509.Certificate
+		want string
+	}{{nil, ""}, {&x509.Certificate{Subject: pkix.Name{CommonName: "robot"}}, "a"}, {&x509.Certificate{DNSNames: []string{"x", "robot"}}, "a"},
+		{&x509.Certificate{Subject: pkix.Name{CommonName: "thief"}}, ""}, {&x509.Certificate{}, ""}} {
+		if u, ok := p.Holder(c.cert); u.Name != c.want || ok != (c.want != "") {
+			t.Error(c.cert, u.Name)
+		}
+	}
+	open := Anyone("m")
+	if g := open.Enter("whoever", Root); !open.Open() || g == nil || !g.Publish(nil) || open.Enter("whoever", "h") != nil {
+		t.Error("the open policy")
+	}
+}
+
+func TestChecker(t *testing.T) {
+	c := NewChecker()
+	hash, err := Hash("s3")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ask := func(hash, password string) bool {
+		got := make(chan bool, 1)
+		if err := c.Check(hash, password, func(ok bool) { got <- ok }); err != nil {
+			t.Fatal(err)
+		}
+		return <-got
+	}
+	for range 2 { // the second is remembered
+		if !ask(hash, "s3") || ask(hash, "s4") || ask("", "s3") || ask("", "") || !ask(Plain("x"), "x") || ask(Plain("x"), "plain:x") {
+			t.Fatal("a wrong answer")
+		}
+	}
+	if len(c.verified) != 1 {
+		t.Error(len(c.verified), "are remembered")
+	}
+	crowd := 0
+	for range 3 * maxChecks {
+		if err := c.Check(hash, "wrong", func(bool) {}); err != nil {
+			crowd++
+		}
+	}
+	if crowd < maxChecks { // far more than can be checked while they come
+		t.Error(crowd, "were turned away")
+	}
+	if !ask(hash, "s3") {
+		t.Error("one that is remembered waits behind the crowd")
+	}
+}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -104,6 +104,7 @@
 		time.Sleep(min(lastWords, stopAfter-time.Since(began))) // what was written leaves
 		cancel()
 	}()
+	renew(log, cfg)
 	log.Info().Str("listen", cfg.Listen).Str("amqp", cfg.AMQP.Listen).Str("amqps", cfg.AMQP.TLS.Listen).Int("endpoints", len(cfg.Known.Hosts)).Msg("serving")
 	go wire.Run(ctx)
 	return core.Run(ctx)
@@ -126,6 +127,7 @@
 			log.Error().Err(err).Msg("reload: the old configuration stands")
 			return
 		}
+		renew(log, cfg)
 		log.Info().Str("discovery", cfg.Discovery).Int("endpoints", len(cfg.Known.Hosts)).Msg("reloaded")
 	})
 }
@@ -253,6 +255,13 @@
 	}}
 }
 
+// renew warns of certificates that are about to expire.
+func renew(log zerolog.Logger, cfg config.Config) {
+	for of, at := range cfg.Secure.Renew(time.Now()) {
+		log.Warn().Str("of", of).Time("expires", at).Msg("certificate to be renewed")
+	}
+}
+
 // refusals logs handshakes that failed: a crowd of them must not fill the log.
 type refusals struct {
 	log   zerolog.Logger
--- a/internal/config/amqp.go
+++ b/internal/config/amqp.go
@@ -78,6 +78,25 @@
 	Targets map[string]*tls.Config // by route; for those that speak TLS
 }
 
+// renewIn is how long before its end a certificate is to be renewed.
+const renewIn = 30 * 24 * time.Hour
+
+// Renew lists the certificates of this side that should be renewed by now, with when they expire: of the listener (amqp)
+// and of routes, by their names.
+func (s *Secure) Renew(now time.Time) map[string]time.Time {
+	list := map[string]time.Time{}
+	see := func(of string, cfg *tls.Config) {
+		if at := keys.Expires(cfg); !at.IsZero() && at.Sub(now) < renewIn {
+			list[of] = at
+		}
+	}
+	see("amqp", s.Server)
+	for name, cfg := range s.Targets {
+		see("route "+name, cfg)
+	}
+	return list
+}
+
 // Serves tells whether there is an AMQP front.
 func (a *AMQP) Serves() bool { return a.Listen != "" || a.TLS.Listen != "" }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -113,6 +113,14 @@
 		{"", class + swap(route, "dest", "kind=\"k\"\ndest"), nil, "route[0].kind"},
 		{"", "[sender]\nslots=0\n" + class + route, nil, "sender"},
 		{good, class + route, nil, "class, kind, route, sender"},
+		{"", swap(class, "[[class", "user=\"u\"\n[[amqp.account]]\nname=\"a\"\ncertificate=\"c\"\n[[class") + route, nil, "amqp.user"},
+		{"", swap(class, "[[class", "[[amqp.account]]\nname=\"a\"\npassword=\"plain\"\n[[class") + route, nil, "amqp.account[0].password"},
+		{"", swap(class, "[[class", "[[amqp.vhost]]\nname=\"\"\n[[class") + route, nil, "amqp.vhost[0].name"},
+		{"", swap(class, "[[class", "[[amqp.vhost]]\nname=\"h\"\n[[amqp.vhost.permission]]\nuser=\"x\"\n[[class") + route, nil, "amqp.vhost[0].permission[0].user"},
+		{"", swap(class, "[[class", "[amqp.tls]\ncert=\"c\"\n[[class") + route, nil, "amqp.tls.listen"},
+		{"", swap(class, "[[class", "[amqp.tls]\nlisten=\"127.0.0.1:6\"\ncert=\"nowhere\"\nkey=\"nowhere\"\n[[class") + route, nil, "amqp.tls"},
+		{"", class + route + "[route.tls]\nca=\"x\"\n", nil, "route[0].tls"},
+		{"", class + swap(swap(route, "http", "amqp"), "127.0.0.1:1", "amqps://h/?key=k") + "[route.tls]\nca=\"nowhere\"\n", nil, "route[0].tls"},
 	} {
 		_, err := load(t, c.platform, c.file, c.env)
 		var ke *KeyError
--- a/internal/keys/load.go
+++ b/internal/keys/load.go
@@ -142,6 +142,14 @@
 	return errors.New("the list is signed by none of the CAs that are believed")
 }
 
+// Expires tells when the certificate that a side shows of itself does; zero where it shows none.
+func Expires(cfg *tls.Config) time.Time {
+	if cfg == nil || len(cfg.Certificates) == 0 || cfg.Certificates[0].Leaf == nil {
+		return time.Time{}
+	}
+	return cfg.Certificates[0].Leaf.NotAfter
+}
+
 // ReadCerts reads all certificates of a PEM file; there must be one at least.
 func ReadCerts(path string) ([]*x509.Certificate, error) {
 	raw, err := os.ReadFile(path)
--- a/internal/net/amqp/amqp.go
+++ b/internal/net/amqp/amqp.go
@@ -163,6 +163,14 @@
 	Body  []byte
 }
 
+// Pending is how many bytes of a content that is not whole are held.
+func (a *Assembly) Pending() int {
+	if a.part == nil {
+		return 0
+	}
+	return len(a.part.raw) + cap(a.part.Body)
+}
+
 // Add takes the next frame of the channel; the message is nil until it is whole.
 func (a *Assembly) Add(f Frame) (*Message, error) {
 	p := a.part
--- a/internal/net/amqpfront/conformance_test.go
+++ b/internal/net/amqpfront/conformance_test.go
@@ -46,14 +46,16 @@
 func startInstant(t testing.TB) (addr string, kill func()) {
 	set := standin.Settings()
 	set.Caps.OpenCap = 100_000
-	return standin.StartWith(t, t.TempDir(), set, 256<<20, func(c *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
-		in := NewIngress(c, r, Options{Policy: access.Anyone("messages"), Heartbeat: time.Minute, Channels: 64}, conns.NewRoom(1000).NewTable(Limits(1000)))
-		c.AddEgress("now", atOnce{c})
-		var routes []sender.Route
-		for _, dest := range []int64{1, 7} {
-			routes = append(routes, sender.Route{Endpoint: logic.Endpoint{Addr: fmt.Sprint("t", dest), Kind: "k", Dest: dest, State: "live"}, Proto: "now"})
-		}
-		c.Routes("whole", routes)
-		return in.Accept
-	})
+	return standin.StartWith(t, t.TempDir(), set, 256<<20, joinInstant)
+}
+
+func joinInstant(c *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
+	in := NewIngress(c, r, Options{Policy: access.Anyone("messages"), Heartbeat: time.Minute, Channels: 64}, conns.NewRoom(1000).NewTable(Limits(1000)))
+	c.AddEgress("now", atOnce{c})
+	var routes []sender.Route
+	for _, dest := range []int64{1, 7} {
+		routes = append(routes, sender.Route{Endpoint: logic.Endpoint{Addr: fmt.Sprint("t", dest), Kind: "k", Dest: dest, State: "live"}, Proto: "now"})
+	}
+	c.Routes("whole", routes)
+	return in.Accept
 }
--- a/internal/net/amqpfront/cut_test.go
+++ b/internal/net/amqpfront/cut_test.go
@@ -6,10 +6,8 @@
 	"net"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"brackendale/internal/access"
-	"brackendale/internal/keys"
 	"brackendale/internal/net/amqp"
 	"brackendale/internal/net/conns"
 	"brackendale/internal/net/reactor"
@@ -82,35 +80,42 @@
 }
 
 // The broker is killed at every byte that it hears or says, of the TLS handshake (every few), the AMQP handshake, the
-// publish and its confirm. No charge is applied twice, none that is told as delivered is missing, and every message has
+// publish and its confirm, its return or the close of its channel. No charge is applied twice, none that is told as delivered is missing, and every message has
 // one final answer.
 func TestBrokerKilledAtEveryByte(t *testing.T) {
-	site, err := keys.Make(t.TempDir(), "site", 10, time.Now)
-	if err != nil {
-		t.Fatal(err)
+	server, client := siteKeys(t)
+	returns := func(s *side, ch uint16, m *amqp.Message, tag uint64) { // it never ran
+		_, _ = s.Write(amqp.AppendMessage(nil, ch, amqp.Return, m.Props, m.Body, amqp.FrameMin, amqp.NoRoute, "NO_ROUTE", "records", "in"))
+		s.method(ch, amqp.Ack, tag, false)
 	}
-	f, err := site.Server([]string{"127.0.0.1"}, 10)
-	if err != nil {
-		t.Fatal(err)
-	}
-	server, err := keys.Server(f, false, time.Now)
-	if err != nil {
-		t.Fatal(err)
-	}
-	client, err := keys.Client(keys.Files{CA: f.CA}, "127.0.0.1", time.Now)
-	if err != nil {
-		t.Fatal(err)
+	closes := func(s *side, ch uint16, _ *amqp.Message, _ uint64) {
+		s.method(ch, amqp.ChanClose, amqp.PreconditionFailed, "no", 60, 40)
 	}
 	for name, c := range map[string]struct {
 		secure     *tls.Config
 		scheme     string
 		step, most int
-	}{"plain": {nil, "amqp", 1, 480}, "under TLS": {server, "amqps", 11, 2600}} {
+		first      func(s *side, ch uint16, m *amqp.Message, tag uint64) // what it does with the first publish; nil: takes it
+	}{"plain": {nil, "amqp", 1, 480, nil}, "under TLS": {server, "amqps", 11, 2600, nil}, "in a return": {nil, "amqp", 2, 640, returns},
+		"in a close": {nil, "amqp", 2, 480, closes}} {
 		t.Run(name, func(t *testing.T) {
 			var brokers []*broker
 			for cut := 0; cut < c.most; cut += c.step {
 				brokers = append(brokers, brokerCut(t, cut, -1, c.secure), brokerCut(t, -1, cut, c.secure))
 			}
+			for _, b := range brokers {
+				var did atomic.Bool
+				if c.first != nil {
+					b.publish = func(s *side, ch uint16, m *amqp.Message, tag uint64) {
+						if did.CompareAndSwap(false, true) {
+							c.first(s, ch, m, tag)
+							return
+						}
+						b.apply(m)
+						s.method(ch, amqp.Ack, tag, false)
+					}
+				}
+			}
 			addr, _ := standin.Start(t, t.TempDir(), func(core *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
 				in := NewIngress(core, r, Options{Policy: access.Anyone("messages"), Channels: 16}, conns.NewRoom(10).NewTable(Limits(10)))
 				e := NewEgress(core, r, standin.Long, conns.NewRoom(len(brokers)))
@@ -161,7 +166,14 @@
 				}
 				tally[fmt.Sprint(ends[id], b.count(id))]++
 			}
-			if tally["failed1"] == 0 || tally["delivered1"] < len(brokers)/2 { // the cuts lay where they were meant to
+			lay := tally["failed1"] > 0 && tally["delivered1"] > len(brokers)/2 // the cuts, where they were meant to
+			switch name {
+			case "in a return":
+				lay = tally["delivered1"] > len(brokers)/2 && tally["failed1"] == 0
+			case "in a close":
+				lay = tally["failed0"] == len(brokers) // it may have run, wherever the cut was
+			}
+			if !lay {
 				t.Error(tally)
 			}
 			t.Log(tally)
--- a/internal/net/amqpfront/egress.go
+++ b/internal/net/amqpfront/egress.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/tls"
 	"net"
 	"net/netip"
@@ -20,14 +21,21 @@
 // Proto is the protocol of routes that this egress serves.
 const Proto = "amqp"
 
-// maxTargetChannels bounds the channels of one connection to a broker.
-const maxTargetChannels = 64
+// maxTargetChannels bounds the channels of one connection to a broker, and perLane the publishes that share one.
+const (
+	maxTargetChannels = 64
+	perLane           = 32
+)
+
+// yieldLimit is how long a channel on which something was given up waits for what else is on it.
+const yieldLimit = 200 * time.Millisecond
 
 // brokerBeat is the heartbeat asked of brokers where they want none or a longer one.
 const brokerBeat = 10 * time.Second
 
-// Egress publishes hops to brokers. A hop has a channel of its own while it is out, so that giving it up
-// and a broker's closing of a channel concern that hop alone.
+// Egress publishes hops to brokers. Messages that may be repeated share channels, one publish behind another. One that
+// must not has a channel of its own while it is out, so that giving another up, and a broker's closing of a channel,
+// never concern it.
 type Egress struct {
 	core    *sender.Sender
 	r       *reactor.Reactor
@@ -71,14 +79,15 @@
 	ch       *lane  // nil while it waits for one
 	end      int64  // where its last byte stands in the connection's stream
 	returned uint16 // the code with which the broker gave it back
-	why      string // the reason to report once its channel is closed
+	why      string // it was given up: the reason to report once its channel is closed
+	shares   bool   // it may be on a channel with others
 }
 
 // Send publishes hops, each by itself.
 func (e *Egress) Send(to sender.Route, hops []sender.Hop) {
 	t, err := amqp.ParseURL(to.Dial)
 	for _, h := range hops {
-		p := &pub{e: e, hop: h, route: to.Addr, to: t}
+		p := &pub{e: e, hop: h, route: to.Addr, to: t, shares: e.core.Lane(h.Class).Effect == "repeatable"}
 		e.out[h.ID] = p
 		if err != nil { // the configuration is checked for this; a registry's list is not
 			p.report(sender.NoConn, 0)
@@ -156,7 +165,7 @@
 	delete(p.e.out, p.hop.ID)
 	p.e.r.Disarm(&p.timer)
 	if p.ch != nil {
-		p.ch.pub = nil
+		p.ch.ledger.drop(p)
 	}
 	if p.link != nil && p.link.free() {
 		p.link.Move(conns.Idle, p.e.r.Now())
@@ -193,33 +202,66 @@
 		p.report(sender.NoConn, 0)
 		return
 	}
-	if ch.state == laneClosing {
+	if p.why != "" {
 		return
 	}
-	ch.state, p.why = laneClosing, reason
+	p.why = reason
+	l.yield(ch)
+}
+
+// yield closes a channel on which nothing is wanted any more. While others on it are, it takes no more and waits for
+// them, for a moment; what is out then is given up with it.
+func (l *link) yield(ch *lane) {
+	switch {
+	case ch.state == laneClosing:
+	case len(ch.ledger.out) == 0: // all that was given up was confirmed after all
+		l.loop.Disarm(&ch.hung)
+		ch.state = laneFree
+	case !ch.ledger.wanted():
+		l.shut(ch)
+	case ch.state != laneYielding:
+		ch.state = laneYielding
+		l.e.r.Arm(&ch.hung, yieldLimit, 0, timers.Func(func() { l.shut(ch) }))
+	}
+}
+
+// shut closes a channel: with the broker's answer nothing on it can run any more.
+func (l *link) shut(ch *lane) {
+	ch.state = laneClosing
 	l.method(ch.id, amqp.ChanClose, amqp.ReplySuccess, "given up", 0, 0)
-	p.e.r.Arm(&ch.hung, p.e.connect, 0, timers.Func(l.conn.Close)) // a broker that does not even close a channel is hung
+	l.e.r.Arm(&ch.hung, l.e.connect, 0, timers.Func(l.conn.Close)) // a broker that does not even close a channel is hung
 }
 
 // The states of a channel to a broker.
 const (
 	laneOpening = iota
 	laneFree
+	laneYielding // it has no room, and waits for what is wanted on it
 	laneClosing
 )
 
-// lane is one channel to a broker, with one publish out at most.
+// lane is one channel to a broker.
 type lane struct {
 	id     uint16
 	state  int
-	paused bool   // by channel.flow
-	tag    uint64 // of the last publish
-	pub    *pub
+	paused bool // by channel.flow
+	ledger ledger
 	asm    amqp.Assembly
 	hung   timers.Timer // runs until its close is answered
 }
 
-func (c *lane) busy() bool { return c.pub != nil }
+func (c *lane) busy() bool { return len(c.ledger.out) > 0 }
+
+// takes tells whether a publish may go out on the channel now.
+func (c *lane) takes(p *pub) bool {
+	switch {
+	case c.state != laneFree || c.paused:
+		return false
+	case !c.busy():
+		return true
+	}
+	return p.shares && c.ledger.out[0].pub.shares && len(c.ledger.out) < perLane
+}
 
 // link is one connection to a broker.
 type link struct {
@@ -231,7 +273,8 @@
 	ready   bool
 	blocked bool
 	ending  bool
-	most    int // channels
+	most    int    // channels
+	last    uint16 // the number of the one that was opened last
 	lanes   []*lane
 	waiting []*pub
 	fresh   []*pub        // published in this turn, and not yet handed to the socket
@@ -304,8 +347,8 @@
 	}
 	for _, ch := range l.lanes {
 		l.loop.Disarm(&ch.hung)
-		if ch.pub != nil {
-			ch.pub.lost(reason)
+		for _, e := range slices.Clone(ch.ledger.out) {
+			e.pub.lost(reason)
 		}
 	}
 }
@@ -411,33 +454,50 @@
 	if !l.ready || l.blocked || l.ending {
 		return
 	}
-	opening := 0
-	for _, ch := range l.lanes {
-		if ch.state == laneFree && !ch.paused && ch.pub == nil && len(l.waiting) > 0 {
-			p := l.waiting[0]
-			l.waiting = l.waiting[1:]
-			l.publish(ch, p)
+	var left []*pub
+	lanes, shared := 0, 0 // that what is left wants
+	for _, p := range l.waiting {
+		if i := slices.IndexFunc(l.lanes, func(c *lane) bool { return c.takes(p) }); i >= 0 {
+			l.publish(l.lanes[i], p)
+			continue
 		}
-		if ch.state == laneOpening {
-			opening++
+		if left = append(left, p); !p.shares {
+			lanes++
+		} else if shared++; shared%perLane == 1 {
+			lanes++
 		}
 	}
+	l.waiting = left
 	if l.conn.Flush() != nil { // publishes are not kept for the end of the turn: their time runs
 		l.conn.Close()
 	}
-	for ; opening < len(l.waiting) && len(l.lanes) < l.most; opening++ {
-		id := uint16(1)
-		for slices.ContainsFunc(l.lanes, func(c *lane) bool { return c.id == id }) {
-			id++
+	for _, ch := range l.lanes {
+		if ch.state == laneOpening {
+			lanes--
+		}
+	}
+	for ; lanes > 0 && len(l.lanes) < l.most; lanes-- {
+		l.open()
+	}
+}
+
+// open opens a channel. Numbers go round, so that a word that comes late for one that was closed meets no other.
+func (l *link) open() {
+	for {
+		if l.last++; int(l.last) > l.most {
+			l.last = 1
+		}
+		if !slices.ContainsFunc(l.lanes, func(c *lane) bool { return c.id == l.last }) {
+			break
 		}
-		l.lanes = append(l.lanes, &lane{id: id})
-		l.method(id, amqp.ChanOpen, "")
 	}
+	l.lanes = append(l.lanes, &lane{id: l.last})
+	l.method(l.last, amqp.ChanOpen, "")
 }
 
 func (l *link) publish(ch *lane, p *pub) {
-	ch.tag++
-	ch.pub, p.ch = p, ch
+	ch.ledger.add(p)
+	p.ch = ch
 	left := max(1, (p.hop.Deadline-l.e.core.Now())/1000)
 	props := &amqp.Props{MessageID: p.hop.ID, Type: p.hop.Class, DeliveryMode: 2, Expiration: strconv.FormatInt(left, 10)}
 	if p.hop.Key != "" {
@@ -448,7 +508,6 @@
 }
 
 func (l *link) channel(i int, ch *lane, m *amqp.Message) error {
-	p := ch.pub
 	switch m.Key {
 	case amqp.ChanOpenOk:
 		l.method(ch.id, amqp.ConfirmSelect, false)
@@ -460,31 +519,36 @@
 		ch.paused = !m.Bool(0)
 		l.method(ch.id, amqp.ChanFlowOk, m.Bool(0))
 	case amqp.Return:
-		if p != nil {
+		if p := ch.ledger.find(m.Props.MessageID); p != nil {
 			p.returned = uint16(m.Int(0))
 		}
 		return nil
 	case amqp.Ack, amqp.Nack:
-		if tag := m.Int(0); tag > ch.tag { // of no publish: nothing that this broker says is to be trusted
+		hit, ok := ch.ledger.settle(m.Int(0), m.Bool(1))
+		if !ok {
 			return &amqp.Fault{Code: amqp.PreconditionFailed, Text: "unknown delivery tag", Method: m.Key}
-		} else if p == nil || tag < ch.tag && !(tag == 0 && m.Bool(1)) {
-			return nil
 		}
-		p.confirmed(m.Key)
+		for _, p := range hit {
+			p.confirmed(m.Key)
+		}
+		if ch.state == laneYielding {
+			l.yield(ch)
+		}
 	case amqp.ChanClose:
 		l.method(ch.id, amqp.ChanCloseOk)
 		l.drop(i)
-		if p != nil {
-			p.lost(lossOf(m.Int(0)))
-		} else if ch.state == laneOpening && len(l.waiting) > 0 {
+		if ch.state == laneOpening && len(l.waiting) > 0 {
 			p := l.waiting[0]
 			l.waiting = l.waiting[1:]
 			p.report(refusedBy(m.Int(0)), 0)
 		}
+		for _, e := range slices.Clone(ch.ledger.out) {
+			e.pub.lost(lossOf(m.Int(0)))
+		}
 	case amqp.ChanCloseOk:
 		l.drop(i)
-		if p != nil {
-			p.report(p.why, 0)
+		for _, e := range slices.Clone(ch.ledger.out) {
+			e.pub.report(cmp.Or(e.pub.why, sender.Called), 0) // the others had their time to be confirmed
 		}
 	default:
 		return &amqp.Fault{Code: amqp.CommandInvalid, Text: "out of place", Method: m.Key}
--- a/internal/net/amqpfront/flow_test.go
+++ b/internal/net/amqpfront/flow_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"runtime"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,6 +17,8 @@
 	"brackendale/internal/standin"
 	"brackendale/logic"
 	"brackendale/sender"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 // atOnce is an egress whose targets deliver at once: what is measured with it is the front, the core and the journal.
@@ -33,12 +37,25 @@
 
 // BenchmarkFlow is messages through the front: published, confirmed, answered and acknowledged, with so many open at once.
 // b.N counts messages; run it with -cpu 1 for one core, which the client shares.
-func BenchmarkFlow(b *testing.B) {
+func BenchmarkFlow(b *testing.B) { flow(b, 0, false) }
+
+// BenchmarkFlowTLS is the same under TLS, of which both ends are on the core.
+func BenchmarkFlowTLS(b *testing.B) { flow(b, 0, true) }
+
+// BenchmarkConfirm is the time from when a publish is due to its confirm, at a steady rate.
+func BenchmarkConfirm(b *testing.B) {
+	for _, rate := range []int{5_000, 10_000, 30_000} {
+		b.Run(strconv.Itoa(rate), func(b *testing.B) { flow(b, rate, false) })
+	}
+}
+
+// flow publishes at a rate, or as fast as the window lets it.
+func flow(b *testing.B, rate int, secure bool) {
 	const window, dests = 3000, 16
 	var core *sender.Sender
 	settings := standin.Settings()
 	settings.Caps.OpenCap, settings.Family.Workers, settings.Family.PerCall = 2*window, window, []int{64}
-	addr, _ := standin.StartWith(b, b.TempDir(), settings, 1<<30, func(c *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
+	addr := startFlow(b, settings, secure, func(c *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
 		core = c
 		in := NewIngress(c, r, Options{Policy: access.Anyone("messages"), Channels: 16}, conns.NewRoom(10).NewTable(Limits(10)))
 		c.AddEgress("now", atOnce{c})
@@ -50,7 +67,7 @@
 		return in.Accept
 	})
 	_ = core
-	cl := dialAs(b, addr, amqp.Table{}, 0)
+	cl := dialFlow(b, addr, secure)
 	cl.consume()
 	_ = cl.SetDeadline(time.Now().Add(5 * time.Minute))
 	const mark = "m0000000000"
@@ -69,7 +86,17 @@
 		}
 		return out
 	}
+	// The first fifth comes four times as slowly, since the module tries a destination that it does not know with care, and
+	// what comes until the second has passed is not counted.
+	warm := b.N / 5
+	at := func(i int) time.Duration {
+		if i < warm {
+			return time.Duration(i) * 4 * time.Second / time.Duration(rate)
+		}
+		return time.Duration(warm*4+i-warm) * time.Second / time.Duration(rate)
+	}
 	var open, nacks atomic.Int64
+	due, confirms := make([]int64, b.N+1), hdrhistogram.New(1, 60_000_000, 3)
 	room := make(chan struct{}, 1)
 	var before, after runtime.MemStats
 	runtime.GC()
@@ -80,10 +107,19 @@
 		var out []byte
 		for sent := 0; sent < b.N; {
 			n := min(64, b.N-sent, window-int(open.Load()))
-			if n <= 0 {
+			if rate > 0 {
+				time.Sleep(at(sent) - time.Since(began))
+				for n = 1; n < b.N-sent && at(sent+n) <= time.Since(began); n++ {
+				}
+			} else if n <= 0 {
 				<-room
 				continue
 			}
+			for i := range n {
+				if due[sent+i+1] = time.Since(began).Microseconds(); rate > 0 {
+					due[sent+i+1] = at(sent + i).Microseconds()
+				}
+			}
 			out = out[:0]
 			for i := range n {
 				out = publish(out, sent+i)
@@ -96,6 +132,7 @@
 		}
 	}()
 	in, buf := make([]byte, 0, 256<<10), make([]byte, 64<<10)
+	acked := uint64(0)
 	for ended := 0; ended < b.N; {
 		n, err := cl.Read(buf)
 		if err != nil {
@@ -120,6 +157,17 @@
 			case amqp.Deliver:
 				last++
 				done++
+			case amqp.Ack:
+				now, tag := time.Since(began).Microseconds(), binary.BigEndian.Uint64(f.Payload[4:])
+				if f.Payload[12] == 0 {
+					acked = tag - 1
+				}
+				for ; acked < tag; acked++ {
+					if rate > 0 && int(acked) < 2*warm {
+						continue
+					}
+					_ = confirms.RecordValue(max(1, now-due[acked+1])) // within its bounds
+				}
 			case amqp.Nack:
 				nacks.Add(1)
 				done++
@@ -144,5 +192,6 @@
 	b.ReportMetric(float64(b.N)/time.Since(began).Seconds(), "msg/s")
 	b.ReportMetric(float64(after.Mallocs-before.Mallocs)/float64(b.N), "allocs/msg")
 	b.ReportMetric(float64(after.TotalAlloc-before.TotalAlloc)/float64(b.N), "B/msg")
+	b.ReportMetric(float64(confirms.ValueAtQuantile(99))/1000, "p99-ms")
 	b.ReportMetric(float64(nacks.Load())/float64(b.N), "refused/msg")
 }
--- /dev/null
+++ b/internal/net/amqpfront/flowhelp_test.go
@@ -0,0 +1,140 @@
+package amqpfront
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"brackendale/internal/keys"
+	"brackendale/internal/net/amqp"
+	"brackendale/internal/net/loop"
+	"brackendale/internal/net/reactor"
+	"brackendale/internal/standin"
+	"brackendale/internal/testkit"
+	"brackendale/logic"
+	"brackendale/sender"
+
+	"github.com/rs/zerolog"
+)
+
+// siteKeys are those of one server and of whoever believes its CA.
+func siteKeys(t testing.TB) (server, client *tls.Config) {
+	t.Helper()
+	site, err := keys.Make(t.TempDir(), "site", 10, time.Now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := site.Server([]string{"127.0.0.1"}, 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if server, err = keys.Server(f, false, time.Now); err != nil {
+		t.Fatal(err)
+	}
+	if client, err = keys.Client(keys.Files{CA: f.CA}, "127.0.0.1", time.Now); err != nil {
+		t.Fatal(err)
+	}
+	return server, client
+}
+
+var flowKeys *tls.Config // of the client
+
+// startFlow begins a sender for a benchmark, plainly or under TLS.
+func startFlow(b *testing.B, set logic.Settings, secure bool, join func(*sender.Sender, *reactor.Reactor) func(*reactor.Conn) reactor.Handler) string {
+	if !secure {
+		addr, _ := standin.StartWith(b, b.TempDir(), set, 1<<30, join)
+		return addr
+	}
+	server, client := siteKeys(b)
+	flowKeys = client
+	l := loop.New()
+	core, err := sender.New(sender.Options{Settings: set, Dir: b.TempDir(), Disk: 1 << 30, Log: zerolog.Nop(), Carry: l.Post})
+	if err != nil {
+		b.Fatal(err)
+	}
+	r, err := reactor.New(l, 8<<20)
+	if err != nil {
+		b.Fatal(err)
+	}
+	ln, err := r.ListenTLS("tcp", "127.0.0.1:0", server, join(core, r))
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go l.Run(ctx)
+	go func() { done <- core.Run(ctx) }()
+	b.Cleanup(func() { cancel(); <-done; _ = ln.Close(); r.Stop() })
+	return ln.Addr().String()
+}
+
+// dialFlow opens a client with channel 1 in confirm mode.
+func dialFlow(b *testing.B, addr string, secure bool) *client {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = conn.Close() })
+	if secure {
+		conn = tls.Client(conn, flowKeys)
+	}
+	cl := &client{newSide(conn), b}
+	_, _ = cl.Write([]byte(amqp.Preamble))
+	cl.shake(amqp.Table{}, 0)
+	return cl
+}
+
+// BenchmarkHandshakeTLS is one TLS handshake and AMQP opening after another, both ends on the core.
+func BenchmarkHandshakeTLS(b *testing.B) { handshakes(b, true) }
+
+// BenchmarkHandshake is the same without TLS.
+func BenchmarkHandshake(b *testing.B) { handshakes(b, false) }
+
+func handshakes(b *testing.B, secure bool) {
+	addr := startFlow(b, standin.Settings(), secure, joinInstant)
+	b.ResetTimer()
+	for range b.N {
+		_ = dialFlow(b, addr, secure).Close()
+	}
+}
+
+// BenchmarkBytes is what idle things take of the heap: a connection with a channel, each further channel, a queue that is
+// declared, and a connection under TLS (both of whose ends are here).
+func BenchmarkBytes(b *testing.B) {
+	const n = 2000
+	for range b.N {
+		_, sessions, each := inMemory(n)
+		before := testkit.HeapBytes()
+		for i, s := range sessions {
+			s.chans = append(s.chans, &channel{s: s, id: uint16(i)})
+		}
+		channels := testkit.HeapBytes() - before
+		h := &host{in: sessions[0].in, queues: map[string]*queue{}, holds: map[string]struct{}{}}
+		before = testkit.HeapBytes()
+		for i := range maxQueues {
+			h.queue("answers-" + strconv.Itoa(i)).declared = true
+		}
+		queues := testkit.HeapBytes() - before
+		runtime.KeepAlive(sessions)
+		runtime.KeepAlive(h)
+		b.ReportMetric(float64(each), "B/connection")
+		b.ReportMetric(float64(channels)/n, "B/channel")
+		b.ReportMetric(float64(queues)/maxQueues, "B/queue")
+	}
+	const conns = 400
+	heap := func(secure bool) uint64 {
+		addr := startFlow(b, standin.Settings(), secure, joinInstant)
+		dialFlow(b, addr, secure)
+		before := testkit.HeapBytes()
+		for range conns {
+			dialFlow(b, addr, secure)
+		}
+		return testkit.HeapBytes() - before
+	}
+	plain := heap(false)
+	b.ReportMetric((float64(heap(true))-float64(plain))/conns, "B/tls-both-ends")
+}
--- a/internal/net/amqpfront/front_test.go
+++ b/internal/net/amqpfront/front_test.go
@@ -224,6 +224,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	cl.shake(properties, beat)
+	return cl
+}
+
+// shake opens the connection and channel 1 in confirm mode.
+func (cl *client) shake(properties amqp.Table, beat int) {
+	cl.t.Helper()
 	cl.want(amqp.ConnStart)
 	cl.method(0, amqp.ConnStartOk, properties, "PLAIN", "\x00guest\x00guest", "en_US")
 	cl.want(amqp.ConnTune)
@@ -234,7 +241,6 @@
 	cl.want(amqp.ChanOpenOk)
 	cl.method(1, amqp.ConfirmSelect, false)
 	cl.want(amqp.ConfirmOk)
-	return cl
 }
 
 type client struct {
--- a/internal/net/amqpfront/ingress.go
+++ b/internal/net/amqpfront/ingress.go
@@ -25,6 +25,8 @@
 	maxQueues    = 1024
 	maxName      = 128 // bytes of an id, a key or the name of a queue
 	maxUnacked   = 256 // answers out on one channel at most, whatever prefetch says
+
+	maxPartial = 4 << 20 // bytes of contents that have not come whole, of all clients
 )
 
 // Options is what an ingress is told.
@@ -56,6 +58,7 @@
 	hosts   map[string]*host
 	door    *door.Door
 	txBytes int                // that wait for commits
+	partial int                // bytes of contents that have not come whole
 	batch   []*sender.Exchange // of the read that is being handled, which is one client's
 	lastAck lastAck
 	props   amqp.Props // of the answer that is being worded
@@ -155,7 +158,7 @@
 	if c.ch.prefetch > 0 {
 		most = min(most, int(c.ch.prefetch))
 	}
-	return !c.ch.paused && (c.noAck || c.ch.outNow() < most)
+	return !c.ch.paused && (c.noAck || c.ch.outNow() < most) && !c.ch.s.conn.Backed()
 }
 
 // outNow counts the answers that are out; an acknowledgement counts once it is committed.
@@ -259,6 +262,8 @@
 		ch.tx = nil
 	}
 	ch.closed = true
+	ch.s.in.partial -= ch.asm.Pending()
+	ch.asm = amqp.Assembly{}
 	ch.s.owe(-len(ch.pending) - len(ch.unacked) - int(ch.commits))
 	ch.commits = 0
 	batch := &ch.s.in.batch
--- a/internal/net/amqpfront/session.go
+++ b/internal/net/amqpfront/session.go
@@ -92,6 +92,15 @@
 // Quiet tells whether all that has come was handled.
 func (s *session) Quiet() bool { return s.conn.Quiet() }
 
+// Drained delivers what was held back while the client did not read.
+func (s *session) Drained(*reactor.Conn) {
+	for _, ch := range s.chans {
+		for _, c := range slices.Clone(ch.consumers) {
+			c.q.pump()
+		}
+	}
+}
+
 // Evict ends the connection, which is out of its table, with a word that fits.
 func (s *session) Evict(why conns.Reason) {
 	if s.stage < open {
@@ -153,8 +162,12 @@
 	s.stop()
 	s.rest.Drop()
 	s.in.table.Remove(&s.Entry)
+	s.in.partial -= s.asm.Pending()
+	s.asm = amqp.Assembly{}
 	for _, ch := range s.chans {
 		ch.drop()
+		s.in.partial -= ch.asm.Pending() // that came while it was being closed
+		ch.asm = amqp.Assembly{}
 	}
 	for _, q := range s.owns { // what they still hold is owed, to whoever asks by the name
 		q.owner, q.declared = nil, false
@@ -189,14 +202,23 @@
 	if f.Channel != 0 && ch == nil && s.stage == open && f.Kind != amqp.FrameMethod {
 		return amqp.Errorf(amqp.ChannelError, "channel %d is not open", f.Channel)
 	}
-	asm := &s.asm
+	asm, kept := &s.asm, true
 	if ch != nil {
 		asm = &ch.asm
 	} else if f.Channel != 0 { // at most a method may come on it
-		asm = &amqp.Assembly{}
+		asm, kept = &amqp.Assembly{}, false
 	}
+	was := asm.Pending()
 	m, err := asm.Add(f)
+	if kept {
+		if s.in.partial += asm.Pending() - was; s.in.partial > maxPartial && err == nil {
+			err = amqp.Errorf(amqp.ResourceError, "too many contents are half sent")
+		}
+	}
 	if s.stage == ending || ch != nil && ch.closing { // only the answer to the close counts
+		if kept {
+			s.in.partial -= asm.Pending()
+		}
 		*asm = amqp.Assembly{}
 		if m != nil && m.Key == amqp.ConnCloseOk && s.stage == ending && f.Channel == 0 {
 			s.conn.Close()
--- a/internal/net/reactor/reactor.go
+++ b/internal/net/reactor/reactor.go
@@ -77,9 +77,10 @@
 	unseen  atomic.Int32 // reads that its handler has not been given
 	dead    bool
 
-	shielded bool    // a layer will be put on once the connection is taken
-	layer    *layer  // nil: the peer speaks plainly
-	out      *gather // nil: nothing is gathered
+	backed   atomic.Bool // its handler waits for the peer to read
+	shielded bool        // a layer will be put on once the connection is taken
+	layer    *layer      // nil: the peer speaks plainly
+	out      *gather     // nil: nothing is gathered
 }
 
 // read is what one read brought, on its way to the loop.
@@ -106,6 +107,9 @@
 		if c, ok := nc.Session().(*Conn); ok {
 			c.written.Add(int64(n))
 			r.unsent.Add(-int64(n))
+			if c.backed.CompareAndSwap(true, false) {
+				r.Read(loop.Func(c.drained))
+			}
 		}
 	})
 	if err := r.engine.Start(); err != nil {
@@ -304,6 +308,31 @@
 	return netip.Addr{}
 }
 
+// Drainer is a handler that holds back what it would say to a peer that does not read.
+type Drainer interface {
+	// Drained says that some of what waited has left.
+	Drained(c *Conn)
+}
+
+// backlog is how many bytes may wait for a peer before Backed holds: far under what ends a connection.
+const backlog = 64 << 10
+
+// Backed tells whether so much waits for the peer that more should not be said yet. If so, a Drainer is told when some of
+// it has left.
+func (c *Conn) Backed() bool {
+	if c.queued-c.written.Load()+int64(len(c.Buffer())) < backlog {
+		return false
+	}
+	c.backed.Store(true)
+	return c.queued-c.written.Load()+int64(len(c.Buffer())) >= backlog // it may have left just before
+}
+
+func (c *Conn) drained() {
+	if d, ok := c.h.(Drainer); ok && !c.dead {
+		d.Drained(c)
+	}
+}
+
 // Loop is what the connection's handler runs on.
 func (c *Conn) Loop() *loop.Loop { return c.r.Loop }
 
--- a/internal/net/reactor/secure_test.go
+++ b/internal/net/reactor/secure_test.go
@@ -7,12 +7,14 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"brackendale/internal/keys"
 	"brackendale/internal/net/loop"
+	"brackendale/internal/testkit"
 )
 
 const long = 20 * time.Second // ends a hang
@@ -24,7 +26,7 @@
 	refused        atomic.Int32
 }
 
-func newPair(t *testing.T) *pair {
+func newPair(t testing.TB) *pair {
 	t.Helper()
 	site, err := keys.Make(t.TempDir(), "site", 10, time.Now)
 	if err != nil {
@@ -87,7 +89,7 @@
 	e.down <- err
 }
 
-func (p *pair) listen(t *testing.T) (string, *echo) {
+func (p *pair) listen(t testing.TB) (string, *echo) {
 	t.Helper()
 	e := &echo{down: make(chan error, 10_000)}
 	ln, err := p.r.ListenTLS("tcp", "127.0.0.1:0", p.server, func(*Conn) Handler { return e })
@@ -232,3 +234,51 @@
 	}
 	return n, nil
 }
+
+// BenchmarkSecure is handshakes one after another with a word each way, the heap of idle connections, and an echo of 4 KiB
+// writes; both ends are here.
+func BenchmarkSecure(b *testing.B) {
+	p := newPair(b)
+	addr, _ := p.listen(b)
+	dial := func() net.Conn {
+		c, err := tls.Dial("tcp", addr, p.client)
+		if err != nil {
+			b.Fatal(err)
+		}
+		word := make([]byte, 8)
+		_, _ = c.Write(word)
+		if _, err := io.ReadFull(c, word); err != nil {
+			b.Fatal(err)
+		}
+		return c
+	}
+	b.Run("handshake", func(b *testing.B) {
+		for range b.N {
+			_ = dial().Close()
+		}
+	})
+	b.Run("heap", func(b *testing.B) {
+		before := testkit.HeapBytes()
+		var keep []net.Conn
+		for range 400 {
+			keep = append(keep, dial())
+		}
+		b.ReportMetric(float64(testkit.HeapBytes()-before)/400, "B/both-ends")
+		runtime.KeepAlive(keep)
+	})
+	b.Run("echo", func(b *testing.B) {
+		c := dial()
+		b.SetBytes(4096)
+		go func() {
+			out := make([]byte, 4096)
+			for range b.N {
+				if _, err := c.Write(out); err != nil {
+					return
+				}
+			}
+		}()
+		if _, err := io.CopyN(io.Discard, c, int64(b.N)*4096); err != nil {
+			b.Fatal(err)
+		}
+	})
+}
