--- a/internal/net/amqpfront/flowhelp_test.go
+++ b/internal/net/amqpfront/flowhelp_test.go
@@ -18,6 +18,7 @@
 	"brackendale/logic"
 	"brackendale/sender"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rs/zerolog"
 )
 
@@ -138,3 +139,61 @@
 	plain := heap(false)
 	b.ReportMetric((float64(heap(true))-float64(plain))/conns, "B/tls-both-ends")
 }
+
+// BenchmarkBeside is how long one message at a time waits for its confirm on one connection, alone and while another
+// connection has hundreds open all the time.
+func BenchmarkBeside(b *testing.B) {
+	for name, crowd := range map[string]int{"alone": 0, "beside": 500} {
+		b.Run(name, func(b *testing.B) {
+			set := standin.Settings()
+			set.Caps.OpenCap, set.Family.Workers, set.Family.PerCall = 4000, 1000, []int{64}
+			addr := startFlow(b, set, false, joinInstant)
+			if crowd > 0 {
+				go hurry(dialFlow(b, addr, false), crowd)
+			}
+			one, h := dialFlow(b, addr, false), hdrhistogram.New(1, 60_000_000, 3)
+			refused := 0
+			_ = one.SetDeadline(time.Now().Add(5 * time.Minute))
+			b.ResetTimer()
+			for i := range b.N {
+				began := time.Now()
+				one.publish("one"+strconv.Itoa(i), "safe", func(p *amqp.Props) { p.ReplyTo = "mine" })
+				_, m, err := one.next()
+				if err != nil {
+					b.Fatal(err)
+				}
+				if m.Key != amqp.Ack {
+					refused++
+				}
+				_ = h.RecordValue(max(1, time.Since(began).Microseconds())) // within its bounds
+				time.Sleep(time.Millisecond)
+			}
+			b.ReportMetric(float64(h.ValueAtQuantile(99))/1000, "p99-ms")
+			b.ReportMetric(float64(refused)/float64(b.N), "refused/msg")
+		})
+	}
+}
+
+// hurry keeps so many messages open, until its connection ends.
+func hurry(c *client, window int) {
+	c.consume()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Minute))
+	sent, open := 0, 0
+	for {
+		for ; open < window; open++ {
+			sent++
+			c.publish("h"+strconv.Itoa(sent), "safe")
+		}
+		_, m, err := c.next()
+		if err != nil {
+			return
+		}
+		switch m.Key {
+		case amqp.Deliver:
+			open--
+			c.method(1, amqp.Ack, m.Int(1), false)
+		case amqp.Nack:
+			open--
+		}
+	}
+}
