Refuse a plain password behind the mark of the file's one plain login

An account's password of the form plain:x was taken as a password in clear, since the mark that wraps amqp.password was not kept for it. It is refused by its key now; a row of the table of bad keys failed before.

--- a/internal/config/amqp.go
+++ b/internal/config/amqp.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"brackendale/internal/access"
@@ -110,7 +111,10 @@
 	if a.User != "" || a.Password != "" {
 		users = append(users, access.User{Name: a.User, Hash: access.Plain(a.Password)})
 	}
-	for _, u := range a.Users {
+	for i, u := range a.Users {
+		if strings.HasPrefix(u.Password, access.Plain("")) { // the mark of the one plain password is not for the file
+			return fault(fmt.Sprintf("%s: amqp.account[%d].password", path, i), "is no bcrypt hash: brackendale passwd makes one")
+		}
 		users = append(users, access.User{Name: u.Name, Hash: u.Password, Certificate: u.Certificate})
 	}
 	var hosts []access.Host
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -115,6 +115,7 @@
 		{good, class + route, nil, "class, kind, route, sender"},
 		{"", swap(class, "[[class", "user=\"u\"\n[[amqp.account]]\nname=\"a\"\ncertificate=\"c\"\n[[class") + route, nil, "amqp.user"},
 		{"", swap(class, "[[class", "[[amqp.account]]\nname=\"a\"\npassword=\"plain\"\n[[class") + route, nil, "amqp.account[0].password"},
+		{"", swap(class, "[[class", "[[amqp.account]]\nname=\"a\"\npassword=\"plain:x\"\n[[class") + route, nil, "amqp.account[0].password"},
 		{"", swap(class, "[[class", "[[amqp.vhost]]\nname=\"\"\n[[class") + route, nil, "amqp.vhost[0].name"},
 		{"", swap(class, "[[class", "[[amqp.vhost]]\nname=\"h\"\n[[amqp.vhost.permission]]\nuser=\"x\"\n[[class") + route, nil, "amqp.vhost[0].permission[0].user"},
 		{"", swap(class, "[[class", "[amqp.tls]\ncert=\"c\"\n[[class") + route, nil, "amqp.tls.listen"},
