Confirms widen over neighbouring publishes only; groups are answered in order

Also, a refused transaction was answered before one of the same step that came earlier and was taken.

What stands at the end of a connection's buffer is kept by the buffer itself and gone with any further word; only the confirm of the tag just before is widened. Groups get their answers in their order.

A burst above the hold with the real client, confirms in a row and groups in order each failed before.

--- a/internal/keys/load.go
+++ b/internal/keys/load.go
@@ -29,7 +29,6 @@
 type trust struct {
 	pool    *x509.CertPool
 	revoked map[string]time.Time // by issuer and serial
-	stale   time.Time            // the list should have been renewed by then
 }
 
 // Server makes the configuration of a listening side. A client's certificate is asked for where there is a CA, and
@@ -105,7 +104,6 @@
 		for _, r := range list.RevokedCertificateEntries {
 			t.revoked[string(list.RawIssuer)+r.SerialNumber.String()] = r.RevocationTime
 		}
-		t.stale = list.NextUpdate
 	}
 	cfg.VerifyConnection = t.verify
 	return cfg, t, nil
--- a/internal/net/amqpfront/egress.go
+++ b/internal/net/amqpfront/egress.go
@@ -277,7 +277,6 @@
 	last    uint16 // the number of the one that was opened last
 	lanes   []*lane
 	waiting []*pub
-	fresh   []*pub        // published in this turn, and not yet handed to the socket
 	asm     amqp.Assembly // of channel 0
 }
 
--- a/internal/net/amqpfront/host.go
+++ b/internal/net/amqpfront/host.go
@@ -12,13 +12,12 @@
 // host is one virtual host: queues of its own, and a front of its own to the core, so that an answer finds its way back
 // to it after a restart, and no host hears of another's messages.
 type host struct {
-	in      *Ingress
-	name    string
-	front   string
-	queues  map[string]*queue
-	holds   map[string]struct{} // ids whose ends are in a queue or out on a channel
-	named   int
-	pressed string // why publishers should hold back; empty: they need not
+	in     *Ingress
+	name   string
+	front  string
+	queues map[string]*queue
+	holds  map[string]struct{} // ids whose ends are in a queue or out on a channel
+	named  int
 }
 
 // frontOf names a host's front in the spool. The root's is that of the time before there were others.
@@ -57,8 +56,8 @@
 
 // Pressure tells the clients that can hear it that publishers should hold back, or that they need not any more.
 func (h *host) Pressure(on bool, why string) {
-	if h.pressed = ""; on {
-		h.pressed = why
+	if h.in.pressed = ""; on { // the core's word is one for all of its fronts
+		h.in.pressed = why
 	}
 	h.in.table.Each(func(e *conns.Entry) {
 		s, ok := e.Owner().(*session)
--- a/internal/net/amqpfront/ingress.go
+++ b/internal/net/amqpfront/ingress.go
@@ -57,11 +57,11 @@
 	checker *access.Checker
 	hosts   map[string]*host
 	door    *door.Door
+	pressed string             // why publishers should hold back; empty: they need not
 	txBytes int                // that wait for commits
 	partial int                // bytes of contents that have not come whole
 	batch   []*sender.Exchange // of the read that is being handled, which is one client's
-	lastAck lastAck
-	props   amqp.Props // of the answer that is being worded
+	props   amqp.Props         // of the answer that is being worded
 }
 
 // queue holds the answers for one reply-to. It lives while it has answers or consumers.
--- a/internal/net/amqpfront/login.go
+++ b/internal/net/amqpfront/login.go
@@ -109,8 +109,8 @@
 	s.stage = open
 	s.stand()
 	s.method(0, amqp.ConnOpenOk, "")
-	if s.vh.pressed != "" && s.blocks {
-		s.method(0, amqp.ConnBlocked, s.vh.pressed)
+	if s.in.pressed != "" && s.blocks {
+		s.method(0, amqp.ConnBlocked, s.in.pressed)
 	}
 	return nil
 }
--- a/internal/net/amqpfront/session.go
+++ b/internal/net/amqpfront/session.go
@@ -500,28 +500,22 @@
 	return nil
 }
 
-// ack confirms a publish. all says that none before it waits for its answer: then the confirm can stand for those before
-// it too, and one that is still in the buffer of this turn is made to.
+// ack confirms a publish. all says that none before it waits for its answer. Where the confirm of the publish just before
+// it stands at the end of what this turn says, that one is made to stand for both. It never stands for one that was
+// refused: clients that put confirms in order (amqp091-go does) would take that for accepted.
 func (s *session) ack(id uint16, tag uint64, all bool) {
-	b := s.conn.Buffer()
-	if last := s.in.lastAck; all && last.conn == s.conn && last.id == id && last.end == len(b) && last.end > 0 {
+	row := func(tag uint64) uint64 { return uint64(id)<<48 | tag&(1<<48-1) }
+	if b := s.conn.Buffer(); all && s.conn.Tail() == row(tag-1) {
 		amqp.WidenAck(b, tag)
 		s.put(b)
 	} else {
 		s.method(id, amqp.Ack, tag, false)
 	}
-	if s.in.lastAck = (lastAck{}); all {
-		s.in.lastAck = lastAck{s.conn, id, len(s.conn.Buffer())}
+	if all {
+		s.conn.SetTail(row(tag))
 	}
 }
 
-// lastAck is the confirm that stands at the very end of a connection's buffer, if any does.
-type lastAck struct {
-	conn *reactor.Conn
-	id   uint16
-	end  int
-}
-
 // giveBack returns a mandatory message that has no route.
 func (s *session) giveBack(ch *channel, m *amqp.Message) {
 	s.content(ch.id, amqp.Return, m.Props, m.Body, amqp.NoRoute, "NO_ROUTE", m.Str(1), m.Str(2))
--- a/internal/net/reactor/gather.go
+++ b/internal/net/reactor/gather.go
@@ -7,8 +7,9 @@
 
 // gather is what is written to one connection in one turn of the loop and leaves together, in one write.
 type gather struct {
-	c *Conn
-	b []byte
+	c    *Conn
+	b    []byte
+	tail uint64 // what its writer says of what was appended last
 }
 
 // The bounds of what is gathered: how much leaves before the turn is over, and how large a buffer is kept for others.
@@ -19,34 +20,57 @@
 
 var gathers = sync.Pool{New: func() any { return &gather{b: make([]byte, 0, 1024)} }}
 
-// Buffer is what has been gathered and not left. Append to it, and hand it to Gathered.
+// Buffer is what has been gathered and not left. Append to it, and hand it to Gathered. It leaves at the end of the loop's
+// turn, or with the next Write, Flush or Close.
 func (c *Conn) Buffer() []byte {
 	if c.out == nil {
-		return nil
+		if c.dead {
+			return nil
+		}
+		g, _ := gathers.Get().(*gather)
+		g.c, g.b, g.tail = c, g.b[:0], 0
+		c.out = g
+		c.r.Later(g)
 	}
 	return c.out.b
 }
 
-// Gathered takes the buffer back with what was appended. It leaves at the end of the loop's turn, or with the next
-// Write, Flush or Close. As with Write, an error means that the peer does not read, or has gone.
+// Gathered takes the buffer back with what was appended. As with Write, an error means that the peer does not read, or has
+// gone.
 func (c *Conn) Gathered(b []byte) error {
-	if c.dead || c.nc.Load() == nil {
+	if c.dead || c.out == nil || c.nc.Load() == nil {
 		return net.ErrClosed
 	}
-	if c.out == nil {
-		g, _ := gathers.Get().(*gather)
-		g.c, g.b = c, append(g.b[:0], b...)
-		c.out = g
-		c.r.Later(g)
-	} else {
-		c.out.b = b
-	}
-	if len(c.out.b) >= gatherMost {
+	c.out.b, c.out.tail = b, 0
+	if len(b) >= gatherMost {
 		return c.Flush()
 	}
 	return nil
 }
 
+// SetTail keeps a word of the writer's own about what it appended last, and Tail gives it for as long as that stands at the
+// end of the buffer: it is 0 again once anything else was appended, or the buffer has left.
+func (c *Conn) SetTail(word uint64) {
+	if c.out != nil && len(c.out.b) > 0 {
+		c.out.tail = word
+	}
+}
+
+// Tail is the word that SetTail has kept.
+func (c *Conn) Tail() uint64 {
+	if c.out == nil {
+		return 0
+	}
+	return c.out.tail
+}
+
+func (c *Conn) gathered() int64 {
+	if c.out == nil {
+		return 0
+	}
+	return int64(len(c.out.b))
+}
+
 // Flush lets go of what was gathered.
 func (c *Conn) Flush() error {
 	g := c.out
@@ -54,7 +78,7 @@
 		return nil
 	}
 	b := g.b
-	g.b = g.b[:0]
+	g.b, g.tail = g.b[:0], 0
 	return c.send(b)
 }
 
@@ -75,6 +99,6 @@
 // drop forgets what was gathered: its connection has ended.
 func (c *Conn) drop() {
 	if c.out != nil {
-		c.out.b = c.out.b[:0]
+		c.out.b, c.out.tail = c.out.b[:0], 0
 	}
 }
--- a/internal/net/reactor/reactor.go
+++ b/internal/net/reactor/reactor.go
@@ -320,11 +320,11 @@
 // Backed tells whether so much waits for the peer that more should not be said yet. If so, a Drainer is told when some of
 // it has left.
 func (c *Conn) Backed() bool {
-	if c.queued-c.written.Load()+int64(len(c.Buffer())) < backlog {
+	if c.queued-c.written.Load()+c.gathered() < backlog {
 		return false
 	}
 	c.backed.Store(true)
-	return c.queued-c.written.Load()+int64(len(c.Buffer())) >= backlog // it may have left just before
+	return c.queued-c.written.Load()+c.gathered() >= backlog // it may have left just before
 }
 
 func (c *Conn) drained() {
@@ -352,12 +352,11 @@
 // Mark is the place in the stream behind all that was written or gathered, in bytes of the wire. Under TLS nobody knows
 // yet where gathered bytes will end: there it is the first byte that leaves with them, so that Sent errs towards "sent".
 func (c *Conn) Mark() int64 {
-	switch n := len(c.Buffer()); {
-	case n > 0 && c.layer != nil:
+	n := c.gathered()
+	if n > 0 && c.layer != nil {
 		return c.queued + 1
-	default:
-		return c.queued + int64(n)
 	}
+	return c.queued + n
 }
 
 // Sent tells whether all that was written before a mark has left for the socket.
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"sync"
 	"testing"
 	"time"
@@ -37,11 +38,11 @@
 func Start(t *testing.T, dir string, join func(*sender.Sender, *reactor.Reactor) func(*reactor.Conn) reactor.Handler) (
 	addr string, kill func()) {
 	t.Helper()
-	return StartWith(t, dir, Settings(), 2<<20, join)
+	return StartWith(t, dir, Settings(), 2<<20, nil, join)
 }
 
-// StartWith does so with settings, and bytes of disk, of the caller's.
-func StartWith(t testing.TB, dir string, set logic.Settings, disk int64,
+// StartWith does so with settings, and bytes of disk, of the caller's, and under TLS if there are keys.
+func StartWith(t testing.TB, dir string, set logic.Settings, disk int64, secure *tls.Config,
 	join func(*sender.Sender, *reactor.Reactor) func(*reactor.Conn) reactor.Handler) (addr string, kill func()) {
 	t.Helper()
 	l := loop.New()
@@ -53,7 +54,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ln, err := r.Listen("tcp", "127.0.0.1:0", nil, join(core, r))
+	var ln *reactor.Listener
+	if accept := join(core, r); secure != nil {
+		ln, err = r.ListenTLS("tcp", "127.0.0.1:0", secure, accept)
+	} else {
+		ln, err = r.Listen("tcp", "127.0.0.1:0", nil, accept)
+	}
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/interop/interop_test.go
+++ b/interop/interop_test.go
@@ -345,3 +345,47 @@
 		})
 	}
 }
+
+// A burst far above the sender's hold: what the library tells of each publish is what became of it. Those confirmed have
+// one answer each, those refused have none.
+func TestBurstAboveTheHold(t *testing.T) {
+	s := start(t)
+	ch := s.channel()
+	answers, err := ch.Consume("answers", "", true, false, false, false, nil)
+	if err = errors.Join(err, ch.Confirm(false)); err != nil {
+		t.Fatal(err)
+	}
+	const burst = 4000
+	said := ch.NotifyPublish(make(chan amqp.Confirmation, burst))
+	for i := range burst {
+		if err := ch.PublishWithContext(context.Background(), "messages", "1", false, false,
+			amqp.Publishing{MessageId: fmt.Sprint("m", i+1), Type: "charge", ReplyTo: "answers"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	taken := map[string]bool{}
+	for range burst {
+		select {
+		case c := <-said:
+			if c.Ack {
+				taken[fmt.Sprint("m", c.DeliveryTag)] = true
+			}
+		case <-time.After(long):
+			t.Fatal("a publish has no confirm")
+		}
+	}
+	if len(taken) == 0 || len(taken) == burst {
+		t.Fatal("the hold was not filled:", len(taken))
+	}
+	for n := len(taken); n > 0; n-- {
+		select {
+		case d := <-answers:
+			if !taken[d.MessageId] {
+				t.Errorf("%s was refused, and has an answer", d.MessageId)
+			}
+			delete(taken, d.MessageId)
+		case <-time.After(long):
+			t.Fatal(len(taken), "were confirmed, and have no answer")
+		}
+	}
+}
--- a/sender/group.go
+++ b/sender/group.go
@@ -14,6 +14,7 @@
 	Ref    any      // the ingress's own, for the answer
 
 	fresh []*Exchange // of the offers, those that the step decides on
+	early             // what it is answered; Taken until something refuses it
 }
 
 // Grouped is an Ingress that hands in groups.
@@ -26,11 +27,12 @@
 func (s *Sender) OfferGroup(g *Group) { s.Post(func() { s.offerGroup(g) }) }
 
 func (s *Sender) offerGroup(g *Group) {
+	s.groups = append(s.groups, g) // also one that is refused here: answers come in the order of the groups
 	need := 0
 	for _, x := range g.Offers {
 		over, v, waitMs := s.admit(x, g.fresh, need)
 		if over && v != Taken {
-			s.answerGroup(g, v, waitMs)
+			g.fresh, g.early = nil, early{v, waitMs}
 			return
 		}
 		if !over {
@@ -39,22 +41,21 @@
 		}
 	}
 	if need > spool.MaxGroup { // never so for a front that keeps to its own bound
-		s.answerGroup(g, Failed, 0)
+		g.fresh, g.early = nil, early{Failed, 0}
 		return
 	}
 	for _, x := range g.fresh {
 		x.group = g
 		s.hand(x)
 	}
-	s.groups = append(s.groups, g)
 }
 
-func (s *Sender) answerGroup(g *Group, v Verdict, waitMs int64) {
+func (s *Sender) answerGroup(g *Group) {
 	for range g.Offers {
-		s.count(v)
+		s.count(g.v)
 	}
 	if in, ok := s.fronts[g.Front].(Grouped); ok {
-		s.tellLater(func() { in.AnswerGroup(g, v, waitMs) })
+		s.tellLater(func() { in.AnswerGroup(g, g.v, g.wait) })
 	}
 }
 
@@ -65,33 +66,25 @@
 }
 
 // whole makes the groups of a step all or none. Where a message of a group has ended at once the others end with it:
-// what the module wants done with them is left out of its actions, and it hears that they have gone. groups that stand
-// are returned with the actions that are left.
-func (s *Sender) whole(groups []*Group, ended map[string]early, acts []logic.Action) ([]*Group, []logic.Action) {
-	var stand []*Group
+// what the module wants done with them is left out of its actions, and it hears that they have gone. The actions that are
+// left are returned.
+func (s *Sender) whole(groups []*Group, ended map[string]early, acts []logic.Action) []logic.Action {
 	out := map[string]bool{} // messages of groups that do not stand; true: an attempt was wanted
 	for _, g := range groups {
-		why, refused := early{}, false
 		for _, x := range g.fresh {
-			if e, ok := ended[x.ID]; ok {
-				refused = true
-				why.v, why.wait = max(why.v, e.v), max(why.wait, e.wait)
+			if e, ok := ended[x.ID]; ok { // never Taken
+				g.v, g.wait = max(g.v, e.v), max(g.wait, e.wait)
 			}
 		}
-		if !refused {
-			stand = append(stand, g)
-			continue
-		}
 		for _, x := range g.fresh {
-			if _, over := ended[x.ID]; !over {
-				ended[x.ID] = why
+			if _, over := ended[x.ID]; g.v != Taken && !over {
+				ended[x.ID] = g.early
 				out[x.ID] = false
 			}
 		}
-		s.answerGroup(g, why.v, why.wait)
 	}
 	if len(out) == 0 {
-		return stand, acts
+		return acts
 	}
 	var left []logic.Action
 	var gone []logic.Event
@@ -109,11 +102,14 @@
 		}
 	}
 	s.Post(func() { s.events = append(s.events, gone...) })
-	return stand, left
+	return left
 }
 
 // write records a group that stands, as one record.
 func (s *Sender) write(g *Group) {
+	if g.v != Taken {
+		return
+	}
 	s.spool.Group(func() {
 		for _, x := range g.fresh {
 			s.open++
--- a/sender/group_test.go
+++ b/sender/group_test.go
@@ -48,6 +48,19 @@
 	f.expect(t, "a delivered", "b delivered")
 }
 
+// Two groups of one step are answered in their order, whatever became of each.
+func TestGroupsAreAnsweredInOrder(t *testing.T) {
+	s, f := begin(t, t.TempDir(), 1<<20)
+	for _, g := range []*Group{{Offers: []*Exchange{exchange(s, "a", 9e6)}},
+		{Offers: []*Exchange{exchange(s, "b", 9e6), exchange(s, "b", 9e6)}},                           // refused by the books
+		{Offers: []*Exchange{exchange(s, "late", 0), exchange(s, "c", 9e6), exchange(s, "d", 9e6)}}} { // by the module or the hold
+		g.Front = "f"
+		s.OfferGroup(g)
+	}
+	f.round(t)
+	f.expect(t, "group of 1: 0", "group of 2: 1", "group of 3: 1")
+}
+
 // The sender ends between the journal and the commit's answer: all of the group is there in the next life.
 func TestGroupNextLife(t *testing.T) {
 	dir := t.TempDir()
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -509,7 +509,7 @@
 			ended[a.ID] = early{Failed, 0}
 		}
 	}
-	groups, acts = s.whole(groups, ended, acts)
+	acts = s.whole(groups, ended, acts)
 	for _, g := range groups {
 		s.write(g)
 	}
@@ -533,7 +533,7 @@
 		return fmt.Errorf("the spool cannot be written: %w", err)
 	}
 	for _, g := range groups {
-		s.answerGroup(g, Taken, 0)
+		s.answerGroup(g)
 	}
 	for _, x := range offers {
 		if x.Front != "" && x.group == nil {
