Take the registry's version 0 for a version; fetches that fail thin out by the number of senders

Ruled out: lost watches (none was ever opened: the query had no index). At fault: registry.go, 'if g.seq > 0' (the list of a registry that has not changed yet has version 0, and was fetched again 50 ms later, for ever), and the fixed againGap of 50 ms after a failure.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -38,8 +38,9 @@
 	lastWords = 30 * time.Millisecond
 )
 
-// Serve reads the configuration and serves until ctx ends or a signal comes.
-func Serve(ctx context.Context, file string) error {
+// Serve reads the configuration and serves until ctx ends or a signal comes. With trace, standard error also gets a line
+// for each step of the decisions.
+func Serve(ctx context.Context, file string, trace bool) error {
 	// Before all else: a signal that nobody listens for ends the process.
 	again, term := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
@@ -57,8 +58,13 @@
 		return err
 	}
 	wire := loop.New()
-	core, err := sender.New(sender.Options{Carry: wire.Post, Name: cfg.Name, Settings: cfg.Settings, Seed: int64(cfg.Seed), Dir: cfg.State,
-		Disk: int64(cfg.Limits.DiskMB * (1 << 20)), Log: log})
+	opt := sender.Options{Carry: wire.Post, Name: cfg.Name, Settings: cfg.Settings, Seed: int64(cfg.Seed), Dir: cfg.State,
+		Disk: int64(cfg.Limits.DiskMB * (1 << 20)), Log: log}
+	if trace {
+		opt.Trace = os.Stderr
+		log.Info().Interface("settings", cfg.Settings).Interface("limits", cfg.Limits).Msg("traced")
+	}
+	core, err := sender.New(opt)
 	if err != nil {
 		return err
 	}
@@ -314,7 +320,7 @@
 	if cfg.Discovery == "" {
 		core.Routes("whole", platform.Routes(cfg.Known))
 	} else {
-		f.registry = platform.Watch(core, r, cfg.Discovery, cfg.Known)
+		f.registry = platform.Watch(core, r, cfg.Discovery, cfg.Known, cfg.Settings.Replicas, int64(cfg.Seed))
 	}
 	if addr := cmp.Or(cfg.Listen, cfg.Resp.Listen); addr != "" {
 		own := cfg.Resp.Listen != "" // the appliance's: newcomers without room hear of it
--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -143,7 +143,7 @@
 	write(old)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- Serve(ctx, "") }()
+	go func() { done <- Serve(ctx, "", false) }()
 	expect("old index=9&wait=20000")
 	for _, discovery := range []string{"nowhere", next} {
 		write(discovery)
--- a/internal/app/idle_test.go
+++ b/internal/app/idle_test.go
@@ -64,7 +64,7 @@
 	t.Helper()
 	a := newAppliance(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	go func() { a.done <- Serve(ctx, a.file) }()
+	go func() { a.done <- Serve(ctx, a.file, false) }()
 	t.Cleanup(cancel)
 	a.ready()
 	return a
@@ -136,7 +136,7 @@
 // TestMain serves in a process of its own where a test asks for one.
 func TestMain(m *testing.M) {
 	if file := os.Getenv("BRACKENDALE_TEST_SERVE"); file != "" {
-		if err := Serve(context.Background(), file); err != nil {
+		if err := Serve(context.Background(), file, false); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
--- a/internal/net/platform/platform_test.go
+++ b/internal/net/platform/platform_test.go
@@ -40,13 +40,14 @@
 	dir     string
 	dial    string // of the endpoint, as the route table has it
 	most    int    // clients
+	seq     int64  // of the list that the sender last held
 	core    *sender.Sender
 	in      *Ingress
 	r       *reactor.Reactor
 }
 
 func newWorld(t *testing.T) *world {
-	w := &world{t: t, finals: make(chan string, 100), calls: make(chan *http.Request, 100), asked: make(chan string, 100), changes: make(chan string, 1), dir: t.TempDir(), most: 100}
+	w := &world{t: t, finals: make(chan string, 100), calls: make(chan *http.Request, 100), asked: make(chan string, 100), changes: make(chan string, 1), dir: t.TempDir(), most: 100, seq: 1}
 	w.target = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		answer := w.answer // the test may set another once it has seen the call
@@ -82,7 +83,7 @@
 }
 
 func (w *world) hosts(health string) config.List {
-	return config.List{Seq: 1, Whole: true, Hosts: []config.Host{{Host: "e1", Block: 7, Class: "k", Health: health,
+	return config.List{Seq: w.seq, Whole: true, Hosts: []config.Host{{Host: "e1", Block: 7, Class: "k", Health: health,
 		Dial: w.dial}}}
 }
 
@@ -95,7 +96,7 @@
 		w.core, w.in, w.r = core, in, r
 		core.AddIngress(Front, in)
 		core.AddEgress(Proto, NewEgress(core, r, standin.Settings(), conns.NewRoom(100)))
-		Watch(core, r, agent, w.hosts("active"))
+		Watch(core, r, agent, w.hosts("active"), 1, 1)
 		return in.Accept
 	})
 }
@@ -608,3 +609,23 @@
 		t.Fatal(got)
 	}
 }
+
+// 0 is the version of a list that has not changed yet: it was taken for none, and eighty senders fetched the whole list
+// every 50 ms, until the registry turned all of them away.
+func TestVersionNaughtIsWatched(t *testing.T) {
+	w := newWorld(t)
+	w.seq = 0
+	w.start()
+	for range 3 {
+		if v := wait(t, w.asked); v != "0" {
+			t.Fatalf("asked from version %q", v)
+		}
+		w.changes <- `{"seq":0,"whole":false,"hosts":[]}`
+	}
+	w.changes <- `{"whole":true,"hosts":[]}` // without a version there is nothing to watch from
+	for v := wait(t, w.asked); v != ""; v = wait(t, w.asked) {
+		if v != "0" {
+			t.Fatalf("asked from version %q after a list without one", v)
+		}
+	}
+}
--- a/internal/net/platform/registry.go
+++ b/internal/net/platform/registry.go
@@ -10,6 +10,7 @@
 	"brackendale/internal/config"
 	"brackendale/internal/net/http1"
 	"brackendale/internal/net/reactor"
+	"brackendale/internal/pace"
 	"brackendale/internal/timers"
 	"brackendale/logic"
 	"brackendale/sender"
@@ -18,7 +19,8 @@
 const (
 	watchMs    = 20_000
 	agentLimit = time.Second            // for connects to the agent, and for answers that come at once
-	againGap   = 50 * time.Millisecond  // before a watch that failed is asked again: within 200 ms
+	againGap   = 50 * time.Millisecond  // first gap before what failed is asked again, alone: within 200 ms
+	againMost  = 5 * time.Second        // longest such gap, about: what is listed counts as told 6 s later in any case
 	watchSlack = 500 * time.Millisecond // after a watch's own time
 )
 
@@ -27,15 +29,25 @@
 	core *sender.Sender
 	r    *reactor.Reactor
 	addr string
-	seq  int64
+	seq  int64 // of the list that is held, from 0 up; noSeq: none, the whole list is wanted
 	link *link
+	pace *pace.Pace
 }
 
-// Watch starts with the list that the sender last held and keeps it up to date.
-func Watch(core *sender.Sender, r *reactor.Reactor, addr string, known config.List) *Registry {
-	g := &Registry{core: core, r: r, addr: addr, seq: known.Seq}
+// noSeq stands where no version is known. 0 is one: that of a list that has not changed yet.
+const noSeq = -1
+
+// Watch starts with the list that the sender last held and keeps it up to date. It is one of so many senders that the
+// same registry serves: what was turned away is asked again by their number, at a moment of the seed's.
+func Watch(core *sender.Sender, r *reactor.Reactor, addr string, known config.List, senders int, seed int64) *Registry {
+	g := &Registry{core: core, r: r, addr: addr, seq: known.Seq, pace: pace.New(senders, seed, againGap, againMost)}
 	core.Routes("stale_copy", Routes(known))
-	r.Post(g.ask)
+	if known.Seq < 0 || known.Seq == 0 && len(known.Hosts) == 0 {
+		g.seq = noSeq
+		r.Post(g.ask)
+	} else {
+		r.Post(func() { r.After(g.pace.Start(), g.ask) })
+	}
 	return g
 }
 
@@ -65,7 +77,8 @@
 		return
 	}
 	old := g.link
-	g.addr, g.seq, g.link = addr, 0, nil
+	g.addr, g.seq, g.link = addr, noSeq, nil
+	g.pace.Worked()
 	g.ask()
 	if old != nil {
 		old.drop()
@@ -77,7 +90,7 @@
 		g.link = dial(g.r, g.addr, agentLimit, agentMost)
 	}
 	path, limit := "/registry/instances", agentLimit
-	if g.seq > 0 {
+	if g.seq != noSeq {
 		path += "?index=" + strconv.FormatInt(g.seq, 10) + "&wait=" + strconv.Itoa(watchMs)
 		limit = watchMs*time.Millisecond + watchSlack
 	}
@@ -93,12 +106,17 @@
 			err = g.take(a)
 		}
 		if err == nil { // the link is free once this has returned
+			g.pace.Worked()
 			g.r.Post(g.ask)
 			return
 		}
 		l.conn.Close()
 		g.link = nil
-		g.r.After(againGap, g.ask)
+		g.r.After(g.pace.Failed(), func() {
+			if g.link == nil { // not moved to another agent since
+				g.ask()
+			}
+		})
 	}, get(path, g.addr))
 }
 
@@ -106,7 +124,10 @@
 	if a.Status != 200 {
 		return fmt.Errorf("registry: status %d", a.Status)
 	}
-	var l config.List
+	var l struct {
+		config.List
+		Seq *int64 `json:"seq"`
+	}
 	if err := json.Unmarshal(a.Body, &l); err != nil {
 		return fmt.Errorf("registry: %w", err)
 	}
@@ -115,11 +136,13 @@
 		how = "whole"
 	}
 	if l.Whole || len(l.Hosts) > 0 {
-		g.core.Routes(how, Routes(l))
+		g.core.Routes(how, Routes(l.List))
 	}
-	if g.seq = l.Seq; g.seq <= 0 { // without a version there is nothing to watch from: asked again, but not at once
+	if l.Seq == nil || *l.Seq < 0 { // without a version there is nothing to watch from: asked again, but not at once
+		g.seq = noSeq
 		return errors.New("registry: a list without a version")
 	}
+	g.seq = *l.Seq
 	return nil
 }
 
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"slices"
 	"sync"
 	"time"
@@ -28,6 +29,7 @@
 	Dir      string // the folder that lasts
 	Disk     int64  // bytes that may lie in it
 	Log      zerolog.Logger
+	Trace    io.Writer // gets a line for each step that was told or did anything; nil: none
 
 	// Carry runs its argument on the fronts' goroutine, after what it was given before. nil: on Run's own.
 	Carry func(func())
@@ -69,6 +71,7 @@
 	seen     map[string]*RouteState
 	held     map[string]bool // targets that the operator holds
 	pressed  pressure
+	trace    *tracer // nil: not asked for
 }
 
 // maxEnds is how many of the last ends are kept to be shown.
@@ -94,6 +97,9 @@
 		tick: time.Duration(opt.Settings.TickUs) * time.Microsecond, wake: make(chan struct{}, 1),
 		fronts: map[string]Ingress{}, carriers: map[string]Egress{}, routes: map[string]Route{},
 		lanes: map[string]logic.Lane{}, kinds: map[string]int{}, coming: map[string]bool{}, seen: map[string]*RouteState{}, held: map[string]bool{}}
+	if opt.Trace != nil {
+		s.trace = &tracer{out: opt.Trace, name: opt.Name}
+	}
 	for _, l := range opt.Settings.Lanes {
 		s.lanes[l.Name] = l
 	}
@@ -496,7 +502,11 @@
 	events, offers, groups := s.events, s.offers, s.groups
 	s.events, s.offers, s.groups, s.promised, s.last = nil, nil, nil, 0, time.Now()
 	clear(s.coming)
-	acts := s.relay.Step(s.Now(), events)
+	now := s.Now()
+	acts := s.relay.Step(now, events)
+	if s.trace != nil {
+		s.trace.step(now, events, acts, func(addr string) int64 { return s.routes[addr].Dest })
+	}
 	defer s.reuse(events, offers)
 
 	// What one round takes and ends at once was never taken on: its client hears that and nothing is kept.
--- /dev/null
+++ b/sender/trace.go
@@ -0,0 +1,78 @@
+package sender
+
+import (
+	"io"
+	"strconv"
+
+	"brackendale/logic"
+)
+
+// tracer writes what the module was told and what it answered, a line a step, for counting over many senders:
+//
+//	trace TIME_US SENDER WORD ...
+//
+// TIME_US is the wall clock in microseconds. A word's fields stand between colons:
+//
+//	a:ID:CLASS:TENANT:DEST:LEFT_MS[:held]      a message came in
+//	r:ID:N:TARGET:REASON:HOLD_MS:LOAD          an attempt ended; LOAD are the reported values between commas
+//	l:HOW:ENTRIES                              the route table changed
+//	i:ID:TARGET:DEST:LIMIT_MS                  an attempt leaves
+//	p:ID:WAIT_MS   f:ID   x:ID:N   t:TARGET    handed back, given up, an attempt recalled, idle connections closed
+type tracer struct {
+	out  io.Writer
+	name string
+	line []byte
+}
+
+func (t *tracer) put(kind byte, fields ...string) {
+	t.line = append(t.line, ' ', kind)
+	for _, f := range fields {
+		t.line = append(append(t.line, ':'), f...)
+	}
+}
+
+func number(n int64) string { return strconv.FormatInt(n, 10) }
+
+func (t *tracer) step(now int64, events []logic.Event, acts []logic.Action, dest func(addr string) int64) {
+	t.line = append(strconv.AppendInt(append(t.line[:0], "trace "...), now, 10), ' ')
+	t.line = append(t.line, t.name...)
+	bare := len(t.line)
+	for i := range events {
+		switch e := &events[i]; e.Kind {
+		case logic.Arrived:
+			t.put('a', e.ID, e.Class, e.Tenant, number(e.Dest), number((e.Deadline-now)/1000))
+			if e.Held {
+				t.line = append(t.line, ":held"...)
+			}
+		case logic.Reported:
+			t.put('r', e.ID, number(int64(e.N)), e.Addr, e.Reason, number(e.HoldMs), "")
+			for j, x := range e.Report {
+				if j > 0 {
+					t.line = append(t.line, ',')
+				}
+				t.line = strconv.AppendFloat(t.line, x, 'g', 4, 64)
+			}
+		case logic.Listed:
+			t.put('l', e.How, number(int64(len(e.List))))
+		}
+	}
+	for i := range acts {
+		switch a := &acts[i]; a.Kind {
+		case logic.Issue:
+			t.put('i', a.ID, a.Addr, number(dest(a.Addr)), number(a.LimitUs/1000))
+		case logic.PushBack:
+			t.put('p', a.ID, number(a.WaitUs/1000))
+		case logic.Abort:
+			t.put('f', a.ID)
+		case logic.Recall:
+			t.put('x', a.ID, number(int64(a.N)))
+		case logic.FreeLinks:
+			t.put('t', a.Addr)
+		}
+	}
+	if len(t.line) == bare {
+		return
+	}
+	t.line = append(t.line, '\n')
+	_, _ = t.out.Write(t.line)
+}
