Read a refusal at the door as no place for a connection; give idle ones back among many

Idle connections of up to 16 senders held all places for their 4.5 s, renewed by each call; the others halved their rates for a limit of which nine tenths were left, as told. Ruled out: the limit (x0 0.7 to 0.98 in answers of the same second), shut partners (their refusals hold reports). At fault: evidence() took every FULL with no report for a limit that is used up (told() is 0 there) and cut the bucket; share() gave idle connections back only after failed connects and below 0.7 messages a second; and a sender that holds a place never learns that others have none. Changed: such a refusal books no strike and no cut, only the door, and blocks a new connect there for 0.1 s, doubled four times at most, spread by the seed; among many every kind is held for crowded until 32 connects went well; the pace from which connections are kept grows with the number of senders. With few senders all is as it was but the door.

--- /dev/null
+++ b/logic/fleet_test.go
@@ -0,0 +1,224 @@
+package logic
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"testing"
+)
+
+// fleet steps many modules in virtual time against one partner system that all of them share: what is harmless at one
+// sender is harmful only in the sum, and the tests assert on that.
+type fleet struct {
+	now   int64
+	nodes []*member
+	queue happenings
+	n     int
+
+	limit  func(now int64) float64 // calls a second that it takes; nil: any number
+	places int                     // connections that it holds, idle ones counted; 0: any number
+	svc    int64                   // time of a call, microseconds
+	wait   int64                   // ms that a refusal above the limit tells
+	counts bool                    // refused calls use the limit up
+	downAt [2]int64                // connects fail in between
+
+	room   float64
+	roomAt int64
+	held   int // connections
+	bins   []tally
+}
+
+// tally counts what reached the partner in 100 ms.
+type tally struct{ calls, good, full, door, failed int }
+
+type member struct {
+	r     *Relay
+	try   map[string]int
+	idle  []int64 // since when its connections are idle
+	alarm int64
+	in    []Event
+	back  int // messages given back or up
+}
+
+type happening struct {
+	at int64
+	n  int
+	do func()
+}
+
+type happenings []happening
+
+func (h happenings) Len() int           { return len(h) }
+func (h happenings) Less(i, j int) bool { return h[i].at < h[j].at || h[i].at == h[j].at && h[i].n < h[j].n }
+func (h happenings) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *happenings) Push(x any)        { *h = append(*h, x.(happening)) }
+func (h *happenings) Pop() any {
+	x := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return x
+}
+
+func (f *fleet) at(at int64, do func()) {
+	f.n++
+	heap.Push(&f.queue, happening{at, f.n, do})
+}
+
+func newFleet(t *testing.T, senders int, seed int64) *fleet {
+	t.Helper()
+	f := &fleet{now: 1e9, svc: 50 * ms}
+	s := crowdOf(senders)
+	s.Report.How, s.Report.Fields = "piggyback", []string{"x0", "x1"}
+	s.Family.Workers, s.Caps.OpenCap, s.Caps.MaxAttempts, s.Caps.StreamsPerConn = 6, 50, 8, 1
+	for i := range senders {
+		r, err := New(s, seed*1000+int64(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := &member{r: r, try: map[string]int{}}
+		f.nodes = append(f.nodes, m)
+		f.tell(m, Event{Kind: Listed, How: "whole", List: []Endpoint{ep("a", "plain", "z", 1)}})
+	}
+	return f
+}
+
+// traffic hands in messages at random, perS over all senders.
+func (f *fleet) traffic(from, to int64, perS float64, seed int64) {
+	rng := rand.New(rand.NewSource(seed))
+	for at := from; at < to; at += int64(rng.ExpFloat64() * 1e6 / perS) {
+		m := f.nodes[rng.Intn(len(f.nodes))]
+		f.at(at, func() {
+			f.n++
+			f.tell(m, Event{Kind: Arrived, ID: fmt.Sprint("m", f.n), Class: "safe", Dest: 1, Deadline: f.now + 9000*ms})
+		})
+	}
+}
+
+// run plays until a time; the bins count from here.
+func (f *fleet) run(us int64) {
+	from := f.now
+	f.bins = make([]tally, us/(100*ms)+1)
+	f.roomAt = from
+	bin := func() *tally { return &f.bins[(f.now-from)/(100*ms)] }
+	for len(f.queue) > 0 && f.queue[0].at <= from+us {
+		h := heap.Pop(&f.queue).(happening)
+		f.now = max(f.now, h.at)
+		h.do()
+		for _, m := range f.nodes {
+			if len(m.in) > 0 || m.alarm > 0 && m.alarm <= f.now {
+				f.step(m, bin)
+			}
+		}
+	}
+	f.now = from + us
+}
+
+func (f *fleet) tell(m *member, e Event) {
+	m.in = append(m.in, e)
+	f.at(f.now, func() {})
+}
+
+func (f *fleet) step(m *member, bin func() *tally) {
+	in := m.in
+	if m.in = nil; m.alarm > 0 && m.alarm <= f.now {
+		in, m.alarm = append(in, Event{Kind: Woke}), 0
+	}
+	for _, a := range m.r.Step(f.now, in) {
+		switch a.Kind {
+		case Sleep:
+			m.alarm = f.now + a.DelayUs
+			f.at(m.alarm, func() {})
+		case FreeLinks:
+			f.held -= len(m.idle)
+			m.idle = nil
+		case PushBack, Abort:
+			m.back++
+		case Issue:
+			n := m.try[a.ID]
+			m.try[a.ID]++
+			f.call(m, Event{Kind: Reported, ID: a.ID, N: n, Addr: a.Addr}, bin())
+		}
+	}
+}
+
+// call is one attempt at the partner. A connection that has stood idle for five seconds is closed.
+func (f *fleet) call(m *member, e Event, b *tally) {
+	b.calls++
+	end := func(after int64, reason string, report []float64, wait int64, keep bool) {
+		e.Reason, e.Report, e.HoldMs, e.Finished = reason, report, wait, reason == "GOOD"
+		f.at(f.now+after, func() {
+			if keep {
+				m.idle = append(m.idle, f.now)
+			}
+			f.tell(m, e)
+		})
+	}
+	for len(m.idle) > 0 && f.now-m.idle[0] > 5000*ms {
+		m.idle, f.held = m.idle[1:], f.held-1
+	}
+	if f.now >= f.downAt[0] && f.now < f.downAt[1] {
+		b.failed++
+		f.held -= len(m.idle)
+		m.idle = nil
+		end(20*ms, "NOCONN", nil, 0, false)
+		return
+	}
+	if n := len(m.idle); n > 0 {
+		m.idle = m.idle[:n-1]
+	} else if f.places > 0 && f.held >= f.places {
+		b.door++
+		end(20*ms, "FULL", nil, 0, false)
+		return
+	} else {
+		f.held++
+	}
+	if f.limit == nil {
+		b.good++
+		end(f.svc, "GOOD", []float64{0, 0}, 0, true)
+		return
+	}
+	limit := f.limit(f.now)
+	f.room = min(limit/2, f.room+limit*float64(f.now-f.roomAt)/1e6)
+	f.roomAt = f.now
+	report := []float64{max(0, f.room) / (limit / 2), limit}
+	if f.room < 1 {
+		if b.full++; f.counts {
+			f.room = max(f.room-1, -limit)
+		}
+		end(20*ms, "FULL", report, f.wait, true)
+		return
+	}
+	f.room--
+	b.good++
+	end(f.svc, "GOOD", report, 0, true)
+}
+
+// sum adds up the bins from one second to another.
+func (f *fleet) sum(from, to int) (s tally) {
+	for _, b := range f.bins[from*10 : to*10] {
+		s.calls, s.good, s.full, s.door, s.failed = s.calls+b.calls, s.good+b.good, s.full+b.full, s.door+b.door, s.failed+b.failed
+	}
+	return s
+}
+
+// Twelve places and eighty senders with a message in two seconds each: idle connections held all places, every sender
+// without one was turned away, took that for the limit, and a quarter of the traffic was served.
+func TestFewPlacesForConnectionsServeAll(t *testing.T) {
+	for seed := range int64(3) {
+		f := newFleet(t, 80, seed)
+		f.places = 12
+		f.traffic(f.now, f.now+20_000*ms, 40, seed)
+		f.run(20_000 * ms)
+		if s := f.sum(5, 20); s.good < 560 || s.door > s.good/4 {
+			t.Errorf("seed %d: of about 600 messages %d were taken, and %d calls turned away at the door", seed, s.good, s.door)
+		}
+		starved := 0
+		for _, m := range f.nodes {
+			if m.back > 0 {
+				starved++
+			}
+		}
+		if starved > 8 {
+			t.Errorf("seed %d: %d senders gave messages up", seed, starved)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,7 +29,8 @@
 	forgetUs   = 30_000_000 // idle for so long, a bucket is forgotten
 	crowdGain  = 0.05       // weight of one connect in the share of failed ones, for each kind of destination
 	crowded    = 0.01       // that share from which idle connections are given back
-	keepPace   = 0.7        // by senders that have less than so many messages a second there
+	keepPace   = 0.7        // by senders that have less than so many messages a second there, more among many
+	doorUs     = 100_000    // first gap before a new connect where one was turned away at the door
 	capShare   = 0.75       // in-flight cap of a destination, share of the slots
 	slowTimes  = 3.0        // answers so many times slower than usual: the cap goes to half
 	quietTimes = 1.5        // silent: no answer for so many usual times (mean and two deviations)
@@ -91,6 +92,9 @@
 	r.senders = float64(r.set.Replicas)
 	r.fold = max(1, r.senders/fewSenders)
 	r.many = 1 - 1/r.fold
+	for _, k := range s.MachineTypes { // among many it has to be seen first that places for connections are plenty:
+		r.crowd[k] = crowdGain * r.many // who holds one is never refused
+	}
 	for _, c := range s.Customers {
 		q := c.QuotaPerS / float64(r.set.Replicas)
 		r.tenants[c.Name] = &tenant{quota: q, depth: max(2, 2*q), tokens: max(2, 2*q)}
@@ -443,8 +447,16 @@
 			return
 		}
 	}
+	// Where answers hold reports, a refusal without one comes from the door: no place for one more connection.
+	door := e.Reason == "FULL" && c.opened && len(e.Report) == 0 && e.HoldMs == 0 && r.set.Report.How == "piggyback"
 	if c.opened && e.Reason != "CXL" && e.Reason != "NOP" {
-		r.crowd[ep.Kind] += (one(e.Reason == "NOCONN") - r.crowd[ep.Kind]) * crowdGain
+		r.crowd[ep.Kind] += (one(door || e.Reason == "NOCONN") - r.crowd[ep.Kind]) * crowdGain
+	}
+	if door && !rt.down { // says nothing of limit, queue or health; all that came in vain must not come again at once
+		ep.conns, ep.connCap = ep.busy, ep.busy
+		ep.blames[0].add(r.now)
+		ep.connUntil = r.now + int64((0.5+r.rng.Float64())*float64(int64(doorUs)<<min(ep.blames[0].n-1, 4)))
+		return
 	}
 	if x := r.told(e, "x1"); x > 0 && r.set.Weights == "silent" { // what the list does not tell, answers may
 		rt.hint = x / r.senders
@@ -502,9 +514,10 @@
 	}
 }
 
-// share gives idle connections back at once where connects fail and this sender comes rarely.
+// share gives idle connections back at once where connects fail and this sender comes rarely: one place serves
+// so many more calls of others as there are senders.
 func (r *Relay) share(ep *endpoint) {
-	if r.crowd[ep.Kind] > crowded && ep.busy == 0 && ep.conns > 0 && r.inPace(ep.route) < keepPace {
+	if r.crowd[ep.Kind] > crowded && ep.busy == 0 && ep.conns > 0 && r.inPace(ep.route) < keepPace*r.fold {
 		r.acts = append(r.acts, Action{Kind: FreeLinks, Addr: ep.Addr})
 		ep.conns = 0
 	}
