Keep each of many senders to its part of a told limit; keep no idle connection among many

Ruled out: few places (those destinations tell x0 = 0), shut partners (others are taken in the same second). At fault: refill() lets every rate climb by time to what comes in, whatever is left; good() raises without a bound; cut() set half a token on average, so that the least rate of all became twice the limit's part; and limit refusals booked strikes, whose doubt held messages for seconds beside the bucket. Changed: internal/share, pure: a sender's part of the limit told (x1 over the number of senders), 0.75 to 3 times by what is left (x0), even again as the word grows old. It bounds raise and climb, and starts the bucket; refusals leave half the part at least and no token on average; a limit refusal books no strike. Among many an idle connection is given back below 0.7 messages a second times the number of senders over four, without any learning. Few senders are as before.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -24,6 +24,7 @@
 	alpha      = 1.12       // paper: raise below the mark
 	beta       = 1.03       // paper: raise at or above the mark
 	burstUs    = 400_000    // bucket size: the tokens of this long, one at least
+	deepTokens = 2.0        // and so many more among many, where answers tell what is left of the limit
 	rateTauUs  = 2_000_000  // memory of the sending and success rates
 	paceTauUs  = 8_000_000  // memory of this sender's pace: what comes in for a destination
 	forgetUs   = 30_000_000 // idle for so long, a bucket is forgotten
@@ -92,9 +93,6 @@
 	r.senders = float64(r.set.Replicas)
 	r.fold = max(1, r.senders/fewSenders)
 	r.many = 1 - 1/r.fold
-	for _, k := range s.MachineTypes { // among many it has to be seen first that places for connections are plenty:
-		r.crowd[k] = crowdGain * r.many // who holds one is never refused
-	}
 	for _, c := range s.Customers {
 		q := c.QuotaPerS / float64(r.set.Replicas)
 		r.tenants[c.Name] = &tenant{quota: q, depth: max(2, 2*q), tokens: max(2, 2*q)}
@@ -460,6 +458,9 @@
 	}
 	if x := r.told(e, "x1"); x > 0 && r.set.Weights == "silent" { // what the list does not tell, answers may
 		rt.hint = x / r.senders
+		if rt.told.Hear(r.now, r.told(e, "x0"), x); r.many > 0 && !rt.limited { // all of many would be refused once first
+			rt.limited, rt.rate, rt.tokens, rt.tokenAt = true, r.ceiling(rt), 1+r.many*deepTokens, r.now
+		}
 	}
 	pair := &ep.blames[2+c.msgs[0].lane.n]
 	switch e.Reason {
@@ -470,10 +471,12 @@
 	case "FULL":
 		ep.blames[0].n = 0
 		ep.blames[1] = blame{1, r.now, r.now} // its own queue may be full, the others' not
-		r.learn(c, easeStep)
-		if r.told(e, "x0") < roomLeft { // with room left it is the endpoint's queue that is full
-			r.cut(rt, c)
+		if r.told(e, "x0") < roomLeft {       // with room left it is the endpoint's queue that is full
+			if r.cut(rt, c); r.shared(rt) && !rt.down { // the bucket answers it, and it is no word on the partner's health
+				return
+			}
 		}
+		r.learn(c, easeStep)
 		if c.sentAt >= rt.lastStrike {
 			rt.fulls++
 			r.strike(rt, false)
@@ -514,10 +517,10 @@
 	}
 }
 
-// share gives idle connections back at once where connects fail and this sender comes rarely: one place serves
-// so many more calls of others as there are senders.
+// share gives idle connections back at once where this sender comes rarely: where connects fail, and among many
+// always, since who holds a place never hears that others found none.
 func (r *Relay) share(ep *endpoint) {
-	if r.crowd[ep.Kind] > crowded && ep.busy == 0 && ep.conns > 0 && r.inPace(ep.route) < keepPace*r.fold {
+	if ep.busy == 0 && ep.conns > 0 && r.inPace(ep.route) < keepPace*(r.fold-one(r.crowd[ep.Kind] <= crowded)) {
 		r.acts = append(r.acts, Action{Kind: FreeLinks, Addr: ep.Addr})
 		ep.conns = 0
 	}
@@ -575,16 +578,7 @@
 	if rt.rate >= rt.mark {
 		climb = beta
 	}
-	rt.rate = max(rt.rate+delta/r.senders, rt.rate*climb)
-}
-
-// told is a value of the load report that came with an outcome, 0 where there is none or it makes no sense.
-func (r *Relay) told(e *Event, name string) float64 {
-	x := at(e.Report, slices.Index(r.set.Report.Fields, name))
-	if !(x > 0) || math.IsInf(x, 1) {
-		return 0
-	}
-	return x
+	rt.rate = min(max(rt.rate+delta/r.senders, rt.rate*climb), r.ceiling(rt))
 }
 
 // cut is the paper's DECREASE_RATE, once for all calls that had left before it.
@@ -601,20 +595,35 @@
 	} else if c.sentAt <= rt.lastCut {
 		return
 	}
+	if r.shared(rt) {
+		least = rt.told.Least(r.senders)
+	}
 	rt.mark = rt.rate
 	rt.rate = max(least*(1+jitter*(2*r.rng.Float64()-1)), rt.rate/2)
 	// Many senders refused in one moment would all come again in another: each starts anywhere
 	// between two tokens. Alone, a sender starts at none, as in the paper.
+	// Half a token on average would be a gift for each refusal, and refused calls alone would use a limit up.
 	rt.tokens, rt.tokenAt, rt.lastCut = r.rng.Float64()*r.many, r.now, r.now
+	if r.shared(rt) {
+		rt.tokens -= r.many / 2
+	}
 }
 
 func (r *Relay) refill(rt *route) {
 	size := max(1, rt.rate*burstUs/1e6)
+	if r.shared(rt) && rt.rate > rt.told.Least(r.senders) { // what one saves others leave free; not after refusals
+		size += r.many * deepTokens
+	}
 	us := float64(r.now - rt.tokenAt)
 	rt.tokens = min(size, rt.tokens+rt.rate*us/1e6)
 	// One call in ten seconds never climbs by successes: among many time lets the rate climb too, up to
 	// what comes in, halved for each refusal in a row, so that a limit that is run down can recover.
-	if top := math.Ldexp(r.inPace(rt), -rt.fulls-int(one(r.now-rt.goodAt > paceTauUs))); rt.rate < top {
+	top := math.Ldexp(r.inPace(rt), -rt.fulls-int(one(r.now-rt.goodAt > paceTauUs)))
+	if r.shared(rt) { // all climb as far as the limit carries them together
+		top = r.ceiling(rt)
+		rt.rate = min(rt.rate, top)
+	}
+	if rt.rate < top {
 		rt.rate = min(top, rt.rate*math.Exp(us/ageUs*r.many))
 	}
 	rt.tokenAt = r.now
@@ -687,18 +696,6 @@
 	return rt.down || (rt.strikes > rt.fulls || float64(rt.fulls) > r.fold) && r.now-rt.failedAt > quietUs
 }
 
-// setTempo takes the median of all routes' times against their usual ones: where all slow, none is slow.
-func (r *Relay) setTempo() {
-	var list [32]float64
-	xs := list[:0]
-	r.fresh = slices.DeleteFunc(r.fresh, func(rt *route) bool { return r.now-rt.lastGood >= quietUs })
-	for _, rt := range r.fresh {
-		xs = append(xs, rt.srtt/rt.usual)
-	}
-	slices.Sort(xs)
-	r.tempo = max(1, at(xs, len(xs)/2))
-}
-
 func (rt *route) slow(r *Relay) bool { return rt.srtt > slowTimes*rt.usual*r.tempo }
 
 func (r *Relay) overdue(rt *route, sent int64) bool {
--- a/logic/state.go
+++ b/logic/state.go
@@ -5,6 +5,8 @@
 	"math"
 	"math/rand"
 	"slices"
+
+	"brackendale/internal/share"
 )
 
 // This file holds the module's state and helpers; logic.go decides.
@@ -101,6 +103,7 @@
 	ill                                                  float64 // share of failures
 	mayRun, down                                         bool    // mayRun: the last failure may have had effect
 	trialAt, gap, warmAt, coldAt, passed                 int64
+	told                                                 share.Limit // of its limit, by answers
 }
 
 type dest struct {
@@ -309,3 +312,35 @@
 	}
 	return s
 }
+
+// shared tells whether a route has a limit that answers tell of and that many senders use.
+func (r *Relay) shared(rt *route) bool { return r.many > 0 && rt.told.Known() }
+
+// ceiling is the most that this sender should send of a told limit; the fewer the senders, the less it binds.
+func (r *Relay) ceiling(rt *route) float64 {
+	if r.many == 0 {
+		return math.Inf(1)
+	}
+	return rt.told.Part(r.now, r.senders) / r.many
+}
+
+// told is a value of the load report that came with an outcome, 0 where there is none or it makes no sense.
+func (r *Relay) told(e *Event, name string) float64 {
+	x := at(e.Report, slices.Index(r.set.Report.Fields, name))
+	if !(x > 0) || math.IsInf(x, 1) {
+		return 0
+	}
+	return x
+}
+
+// setTempo takes the median of all routes' times against their usual ones: where all slow, none is slow.
+func (r *Relay) setTempo() {
+	var list [32]float64
+	xs := list[:0]
+	r.fresh = slices.DeleteFunc(r.fresh, func(rt *route) bool { return r.now-rt.lastGood >= quietUs })
+	for _, rt := range r.fresh {
+		xs = append(xs, rt.srtt/rt.usual)
+	}
+	slices.Sort(xs)
+	r.tempo = max(1, at(xs, len(xs)/2))
+}
