A failed connect is one endpoint's while another of its destination stands

Ruled out: the limits (left as told) and the registry alone (senders with the new list did the same). At fault: evidence(), case NOCONN, booked a connect that one endpoint failed on the route of all: two such and a second without a success, which at a message every few seconds is nothing, were an outage with trials and 13 s of cold pace. Changed: while another live endpoint of the route has not failed a connect in the last 8 s, only the endpoint is blamed. Test: TestAGoneEndpointIsNoOutageWhileAnotherStands.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -493,8 +493,9 @@
 			return
 		}
 		ep.conns = ep.busy
-		r.bad(rt, c, false)
-		ep.blames[0].add(r.now)
+		if ep.blames[0].add(r.now); rt.down || !r.spared(ep) {
+			r.bad(rt, c, false)
+		}
 	case "CXL":
 		pair.add(r.now)
 	case "LATE":
--- a/logic/size_test.go
+++ b/logic/size_test.go
@@ -408,3 +408,30 @@
 		}
 	}
 }
+
+// In a release one endpoint after another was replaced, and the list told it seconds late: two failed connects to the one
+// that was gone put the whole destination out, and its return was paced as a cold one for thirteen seconds.
+func TestAGoneEndpointIsNoOutageWhileAnotherStands(t *testing.T) {
+	g := newRig(t, crowdOf(80), ep("a", "plain", "z", 1), ep("b", "plain", "z", 1))
+	g.warm(1, 4)
+	rt := g.r.dest(1).whole
+	lost := func() string { // the next call finds its endpoint gone
+		t.Helper()
+		e := g.msg("safe", 1)
+		if g.step(e); g.try[e.ID] == 0 {
+			g.run(9000*ms, issued(e.ID))
+		}
+		g.wait(20*ms, g.out(e.ID, "NOCONN"), Event{Kind: Left, ID: e.ID})
+		return g.at[e.ID]
+	}
+	gone := lost()
+	if rt.down || rt.strikes > 0 {
+		t.Fatalf("one endpoint is gone: down %v, %d strikes", rt.down, rt.strikes)
+	}
+	if other := lost(); other == gone {
+		t.Fatal("the next message went to the endpoint that is gone")
+	}
+	if rt.strikes == 0 {
+		t.Error("both are gone, and the destination has no strike")
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -344,3 +344,14 @@
 	slices.Sort(xs)
 	r.tempo = max(1, at(xs, len(xs)/2))
 }
+
+// spared tells whether another endpoint of the same route has not failed a connect lately: in a release one address
+// after another goes, before the list tells, and the destination is up all the while.
+func (r *Relay) spared(ep *endpoint) bool {
+	for _, o := range ep.route.dest.eps {
+		if b := o.blames[0]; o != ep && !o.apart && o.live && (b.n == 0 || r.now-b.at > paceTauUs) {
+			return true
+		}
+	}
+	return false
+}
