Try and pace a route that is down by the even part of its told limit

Ruled out: the bucket and the cap (not reached), the cold pace itself (94 a second). At fault: doubt() drew for each held message up to 20 s, longer the more are held, beside the trials that out() spreads already; gapMaxUs let the gaps grow to 2.5 s whatever the limit carries; and coldRate() guessed a limit it is told, by what comes in, which in the sum over uneven senders is a fifth more than the limit. Changed, where a limit is told among many: no doubt while the route is down, no gap longer than what keeps all trials within the cold budget, and the cold pace by the even part: it adds up to 2.6 times the limit times the warmth each sender knows of, against a budget of 2.4 and more, which the time to find the return leaves room for (the test counts it). Test: TestAColdReturnIsFoundSoonAndNotRushed.

--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -38,9 +38,12 @@
 	over := max(0, l.left-calm)
 	m := low + slope*l.left + steep*over*over
 	m = 1 + (m-1)*math.Exp(-float64(max(0, now-l.at))/fadeUs)
-	return l.rate / max(1, senders) * m
+	return l.Even(senders) * m
 }
 
+// Even is the limit divided by the number of senders, in calls a second; 0 where no limit is known.
+func (l *Limit) Even(senders float64) float64 { return l.rate / max(1, senders) }
+
 // Least is the rate that refusals leave a sender at least, in calls a second; 0 where no limit is known. The sum over all
 // senders stays under the limit, so that it fills again also where refused calls use it up.
-func (l *Limit) Least(senders float64) float64 { return l.rate / max(1, senders) * rest }
+func (l *Limit) Least(senders float64) float64 { return l.Even(senders) * rest }
--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -262,3 +262,30 @@
 		}
 	}
 }
+
+// A partner is down for five seconds and comes back cold while eighty senders hold messages for it. All that they try
+// stays under the rule's budget, and the return is found by most within a second: each message had drawn a doubt of up
+// to 20 s of its own beside the spread of the trials.
+func TestAColdReturnIsFoundSoonAndNotRushed(t *testing.T) {
+	for seed := range int64(3) {
+		f := newFleet(t, 80, seed)
+		f.limit = func(int64) float64 { return 100 }
+		f.downAt = [2]int64{f.now + 6_000*ms, f.now + 11_000*ms}
+		f.traffic(f.now, f.now+20_000*ms, 80, seed)
+		f.run(20_000 * ms)
+		s := site()
+		for at := 85; at+20 <= 160; at++ { // from when the outage has been seen: 2 s each
+			n := 0
+			for _, b := range f.bins[at : at+20] {
+				n += b.calls
+			}
+			warm := s.Rules.ColdFrom + (1-s.Rules.ColdFrom)*max(0, float64(at)/10+1-11)/(float64(s.Rules.WarmAfterUs)/1e6)
+			if most := s.Rules.FallMultiple * 100 * 1.2 * warm * 2; float64(n) > most { // it can do a fifth more than its limit
+				t.Errorf("seed %d: %d calls in the 2 s from %.1f s, at most %.0f", seed, n, float64(at)/10, most)
+			}
+		}
+		if got := f.sum(11, 13).good; got < 90 {
+			t.Errorf("seed %d: %d calls taken in the first 2 s of the return", seed, got)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -280,6 +280,9 @@
 	for _, ep := range d.eps {
 		rt := ep.route
 		x := r.spread(rt, ep.Kind)
+		if ep.live && rt.down && r.shared(rt) { // its trials are spread already, by what the limit told leaves to each
+			return 0
+		}
 		if ep.live && rt.strikes > 0 && float64(r.now-rt.lastStrike) < max(doubtUs, x) {
 			n += rt.strikes
 			us = max(us, x)
@@ -665,6 +668,9 @@
 	rt.trialAt = r.now + int64(max(float64(rt.gap), wide)*(0.8+0.4*r.rng.Float64()))
 	rt.trialAt = max(rt.trialAt, rt.waitUntil+int64(wide*r.rng.Float64()))
 	rt.gap = min(gapMaxUs, int64(float64(rt.gap)*gapGrow))
+	if r.shared(rt) { // a message in several seconds each: what all may try together finds the return sooner
+		rt.gap = min(rt.gap, max(gapUs, int64(wide)))
+	}
 }
 
 // coldRate is this sender's part of what a route may be sent while it is cold, its capacity guessed low.
@@ -680,6 +686,9 @@
 	if rt.warmAt > 0 && ru.WarmAfterUs > 0 {
 		warm = 1 - max(0, float64(rt.warmAt-r.now)/float64(ru.WarmAfterUs))
 	}
+	if r.shared(rt) { // no guess: all even parts make up the limit, and the capacity is higher
+		part = rt.told.Even(r.senders)
+	}
 	x := part * (ru.ColdFrom + (1-ru.ColdFrom)*warm) * max(1, ru.FallMultiple) * coldSafety
 	return max(x, 1e6/(float64(max(ru.FallUs, 500_000))*float64(r.set.Replicas)))
 }
@@ -697,19 +706,6 @@
 	return rt.down || (rt.strikes > rt.fulls || float64(rt.fulls) > r.fold) && r.now-rt.failedAt > quietUs
 }
 
-func (rt *route) slow(r *Relay) bool { return rt.srtt > slowTimes*rt.usual*r.tempo }
-
-func (r *Relay) overdue(rt *route, sent int64) bool {
-	return r.now-sent > int64(patience*float64(r.span(rt)))
-}
-
-func (r *Relay) span(rt *route) int64 {
-	if rt.srtt == 0 {
-		return max(r.set.Caps.ConnectTimeoutUs, 500_000)
-	}
-	return int64((rt.srtt + 2*rt.dev) * r.tempo)
-}
-
 // admit is the one gate of every send. It tells when to ask again (never: an outcome must come first).
 func (r *Relay) admit(d *dest, ep *endpoint) (bool, int64) {
 	rt := ep.route
--- a/logic/state.go
+++ b/logic/state.go
@@ -355,3 +355,16 @@
 	}
 	return false
 }
+
+func (rt *route) slow(r *Relay) bool { return rt.srtt > slowTimes*rt.usual*r.tempo }
+
+func (r *Relay) overdue(rt *route, sent int64) bool {
+	return r.now-sent > int64(patience*float64(r.span(rt)))
+}
+
+func (r *Relay) span(rt *route) int64 {
+	if rt.srtt == 0 {
+		return max(r.set.Caps.ConnectTimeoutUs, 500_000)
+	}
+	return int64((rt.srtt + 2*rt.dev) * r.tempo)
+}
