--- a/logic/logic.go
+++ b/logic/logic.go
@@ -280,7 +280,7 @@
 	for _, ep := range d.eps {
 		rt := ep.route
 		x := r.spread(rt, ep.Kind)
-		if ep.live && rt.down && r.shared(rt) { // its trials are spread already, by what the limit told leaves to each
+		if ep.live && rt.down && r.shared(rt) { // its trials are spread already, by the limit
 			return 0
 		}
 		if ep.live && rt.strikes > 0 && float64(r.now-rt.lastStrike) < max(doubtUs, x) {
@@ -449,11 +449,12 @@
 		}
 	}
 	// Where answers hold reports, a refusal without one comes from the door: no place for one more connection.
-	door := e.Reason == "FULL" && c.opened && len(e.Report) == 0 && e.HoldMs == 0 && r.set.Report.How == "piggyback"
+	door := e.Reason == "FULL" && c.opened && len(e.Report) == 0 && e.HoldMs == 0
+	door = door && r.set.Report.How == "piggyback"
 	if c.opened && e.Reason != "CXL" && e.Reason != "NOP" {
 		r.crowd[ep.Kind] += (one(door || e.Reason == "NOCONN") - r.crowd[ep.Kind]) * crowdGain
 	}
-	if door && !rt.down { // says nothing of limit, queue or health; all that came in vain must not come again at once
+	if door && !rt.down { // no word on limit, queue or health; not all must come again at once
 		ep.conns, ep.connCap = ep.busy, ep.busy
 		ep.blames[0].add(r.now)
 		ep.connUntil = r.now + int64((0.5+r.rng.Float64())*float64(int64(doorUs)<<min(ep.blames[0].n-1, 4)))
@@ -461,7 +462,7 @@
 	}
 	if x := r.told(e, "x1"); x > 0 && r.set.Weights == "silent" { // what the list does not tell, answers may
 		rt.hint = x / r.senders
-		if rt.told.Hear(r.now, r.told(e, "x0"), x); r.many > 0 && !rt.limited { // all of many would be refused once first
+		if rt.told.Hear(r.now, r.told(e, "x0"), x); r.many > 0 && !rt.limited { // or each is refused once
 			rt.limited, rt.rate, rt.tokens, rt.tokenAt = true, r.ceiling(rt), 1+r.many*deepTokens, r.now
 		}
 	}
@@ -475,7 +476,7 @@
 		ep.blames[0].n = 0
 		ep.blames[1] = blame{1, r.now, r.now} // its own queue may be full, the others' not
 		if r.told(e, "x0") < roomLeft {       // with room left it is the endpoint's queue that is full
-			if r.cut(rt, c); r.shared(rt) && !rt.down { // the bucket answers it, and it is no word on the partner's health
+			if r.cut(rt, c); r.shared(rt) && !rt.down { // the bucket answers; no word on health
 				return
 			}
 		}
@@ -521,8 +522,8 @@
 	}
 }
 
-// share gives idle connections back at once where this sender comes rarely: where connects fail, and among many
-// always, since who holds a place never hears that others found none.
+// share gives idle connections back at once where this sender comes rarely: where connects fail, and among
+// many always, since who holds a place never hears that others found none.
 func (r *Relay) share(ep *endpoint) {
 	if ep.busy == 0 && ep.conns > 0 && r.inPace(ep.route) < keepPace*(r.fold-one(r.crowd[ep.Kind] <= crowded)) {
 		r.acts = append(r.acts, Action{Kind: FreeLinks, Addr: ep.Addr})
@@ -615,7 +616,7 @@
 
 func (r *Relay) refill(rt *route) {
 	size := max(1, rt.rate*burstUs/1e6)
-	if r.shared(rt) && rt.rate > rt.told.Least(r.senders) { // what one saves others leave free; not after refusals
+	if r.shared(rt) && rt.rate > rt.told.Least(r.senders) { // what one saves others leave free
 		size += r.many * deepTokens
 	}
 	us := float64(r.now - rt.tokenAt)
@@ -664,7 +665,7 @@
 		r.log("%s is out: %d failures without a success for %d ms, trial calls only", rt, r.now)
 	}
 	// All that wait for the same return may be many: together their trials stay under what it takes cold.
-	wide := r.many * min(1e6/r.coldRate(rt), trialMaxUs)
+	wide := r.many * min(1.2e6/r.coldRate(rt), trialMaxUs) // a fifth less: who has found the return sends more
 	rt.trialAt = r.now + int64(max(float64(rt.gap), wide)*(0.8+0.4*r.rng.Float64()))
 	rt.trialAt = max(rt.trialAt, rt.waitUntil+int64(wide*r.rng.Float64()))
 	rt.gap = min(gapMaxUs, int64(float64(rt.gap)*gapGrow))
