A refusal halves from what the told limit leaves now, not from the rate under the old one

At fault: cut() halved the rate that a sender had before; at one call a second it took three to five refusals each. Changed: among many the rate is first brought under the part that the limit leaves, as told with the refusal. Test: TestARefusalHalvesWhatTheLoweredLimitLeaves.

--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -289,3 +289,30 @@
 		}
 	}
 }
+
+// A sender with a call a second halved the rate it had under the old limit, and was refused each time until it came under
+// the new one: eighty such used the lowered limit up for four seconds.
+func TestARefusalHalvesWhatTheLoweredLimitLeaves(t *testing.T) {
+	s := crowdOf(80)
+	s.Report.How, s.Report.Fields = "piggyback", []string{"x0", "x1"}
+	g := newRig(t, s, ep("a", "plain", "z", 1))
+	serve := func(reason string, left, limit float64) {
+		e := g.msg("safe", 1)
+		if g.wait(1000*ms, e); g.try[e.ID] == 0 {
+			g.run(9000*ms, issued(e.ID))
+		}
+		o := g.out(e.ID, reason)
+		o.Report = []float64{left, limit}
+		g.wait(50*ms, o, Event{Kind: Left, ID: e.ID})
+	}
+	for range 20 {
+		serve("GOOD", 1, 160)
+	}
+	rt := g.r.dest(1).whole
+	if rt.rate < 2 {
+		t.Fatalf("a rate of %.2f where all is left of 160 calls a second among 80", rt.rate)
+	}
+	if serve("FULL", 0, 40); rt.rate > 0.5 {
+		t.Errorf("a rate of %.2f after a refusal with nothing left of 40 calls a second among 80", rt.rate)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -600,8 +600,8 @@
 	} else if c.sentAt <= rt.lastCut {
 		return
 	}
-	if r.shared(rt) {
-		least = rt.told.Least(r.senders)
+	if r.shared(rt) { // from what the limit is now: halving an old rate takes a refusal each time
+		least, rt.rate = rt.told.Least(r.senders), min(rt.rate, r.ceiling(rt))
 	}
 	rt.mark = rt.rate
 	rt.rate = max(least*(1+jitter*(2*r.rng.Float64()-1)), rt.rate/2)
