--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -130,3 +130,14 @@
 		}
 	}
 }
+
+// The number of senders is all that one of many knows of the others.
+func TestNumberOfSenders(t *testing.T) {
+	for n, ok := range map[string]bool{"0": true, "1": true, "3": true, "80": true, "10000": true, "-1": false} {
+		_, err := load(t, strings.Replace(good, `"settings":{`, `"settings":{"replicasOfMe":`+n+`,`, 1), "", nil)
+		var key *KeyError
+		if ok != (err == nil) || !ok && (!errors.As(err, &key) || key.Key != "settings.replicasOfMe") {
+			t.Errorf("%s senders: %v", n, err)
+		}
+	}
+}
--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -316,3 +316,28 @@
 		t.Errorf("a rate of %.2f after a refusal with nothing left of 40 calls a second among 80", rt.rate)
 	}
 }
+
+// Eighty senders are back in one instant, each with messages it held: their first calls do not leave in one instant, and
+// each message still ends once.
+func TestWhatIsTakenUpLeavesSpread(t *testing.T) {
+	f := newFleet(t, 80, 1)
+	f.counts, f.limit = true, func(int64) float64 { return 60 }
+	for i, m := range f.nodes {
+		for k := range 4 {
+			f.tell(m, Event{Kind: Arrived, Held: true, ID: fmt.Sprint("h", i, "-", k), Class: "safe", Dest: 1, Deadline: f.now + 9000*ms})
+		}
+	}
+	f.run(10_000 * ms)
+	for i, b := range f.bins[:15] {
+		if b.calls > 20 {
+			t.Errorf("%d calls in the 100 ms from %.1f s", b.calls, float64(i)/10)
+		}
+	}
+	back := 0
+	for _, m := range f.nodes {
+		back += m.back
+	}
+	if s := f.sum(0, 10); s.good+back != 320 || s.good < 280 {
+		t.Errorf("of 320 messages %d were delivered and %d handed back", s.good, back)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -65,6 +65,7 @@
 	strikeCost = 0.3        // for each failure in a row of its class there, fading, three at most,
 	illCost    = 0.5        // and for its route's share of failures
 	hintErr    = 1.5        // a rough weight may be so many times too high
+	riseUs     = 80_000     // what a life takes up at its start waits, up to this for every four senders
 	never      = math.MaxInt64
 )
 
@@ -209,7 +210,10 @@
 		d.inRate = d.inRate*math.Exp(float64(d.inAt-r.now)/paceTauUs) + 1e6/paceTauUs
 		d.inAt = r.now
 	}
-	m.notBefore = r.now + r.doubt(d)
+	if m.notBefore = r.now + r.doubt(d); e.Held && r.many > 0 { // all that were killed are back in one instant
+		r.rise = cmp.Or(r.rise, 1+int64(r.rng.Float64()*(r.fold-1)*riseUs))
+		m.notBefore = max(m.notBefore, r.bornAt+r.rise)
+	}
 	r.enqueue(m)
 	r.remind(m, r.lastStart(m))
 	if m.attempts > 0 && r.spent(m) { // taken on before a restart
--- a/logic/size_test.go
+++ b/logic/size_test.go
@@ -435,3 +435,47 @@
 		t.Error("both are gone, and the destination has no strike")
 	}
 }
+
+// Half of sixty endpoints are replaced, and the list tells each change twice: nothing new goes to one that has gone.
+func TestHalfOfALongListChanges(t *testing.T) {
+	var old, patch []Endpoint
+	for i := range 60 {
+		e := ep(fmt.Sprint("e", i), "plain", "z", int64(i%10))
+		if old = append(old, e); i%2 == 0 {
+			e.State = []string{"quiescing", "dead"}[i/2%2]
+			patch = append(patch, e, ep(fmt.Sprint("new", i), "plain", "z", e.Dest))
+		}
+	}
+	g := newRig(t, crowdOf(80), old...)
+	g.step(Event{Kind: Listed, How: "patch", List: patch})
+	g.step(Event{Kind: Listed, How: "patch", List: patch})
+	for i := range 400 {
+		e := g.msg("safe", int64(i%10))
+		g.wait(20*ms, e)
+		if at := g.at[e.ID]; at != "" {
+			for _, p := range patch {
+				if p.Addr == at && p.State != "live" {
+					t.Fatalf("%s went to %s, which is %s", e.ID, at, p.State)
+				}
+			}
+			g.wait(20*ms, g.out(e.ID, "GOOD"))
+		}
+	}
+}
+
+// Whatever number of senders the settings claim, a message is sent and its end booked.
+func TestAnyNumberOfSendersServes(t *testing.T) {
+	for _, n := range []int{-5, 0, 1, 3, 80, 10_000} {
+		g := newRig(t, crowdOf(n), ep("a", "plain", "z", 1))
+		e := g.msg("safe", 1)
+		if g.step(e); g.try[e.ID] != 1 {
+			t.Errorf("%d senders: not sent at once", n)
+		}
+		o := g.out(e.ID, "GOOD")
+		o.Report = []float64{0.1, 50}
+		g.wait(50*ms, o)
+		if few := g.r.many == 0; few != (n <= 4) {
+			t.Errorf("%d senders: among few %v", n, few)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -143,6 +143,7 @@
 	tempo                  float64    // how slow everything is now, against the usual
 	acts                   []Action
 	armed, asked, askGap   int64
+	rise                   int64 // what is taken up at the start waits so long
 	stopAt                 int64 // this sender ends then; 0: it goes on
 	keepUs, keepAt         int64 // age at which idle connections are given back, and when it was learned
 	mark                   uint64
