Test: a charge that was out in a mass kill ends once and never leaves again

Need: the hard case of most senders killed in one second names charges too, and the fleet's test held only repeatable ones. Each of the 80 modules now also takes up a charge that may have run; it is asserted that it never leaves again and that what is handed back or given up is one end more.

--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -326,8 +326,17 @@
 		for k := range 4 {
 			f.tell(m, Event{Kind: Arrived, Held: true, ID: fmt.Sprint("h", i, "-", k), Class: "safe", Dest: 1, Deadline: f.now + 9000*ms})
 		}
+		// A charge that was out when its sender was killed may have run.
+		f.tell(m, Event{Kind: Arrived, Held: true, ID: "charge", Class: "once", Dest: 1, Deadline: f.now + 9000*ms,
+			Attempts: 1, FirstRunUs: f.now - 1000*ms, Zone: "z"})
 	}
 	f.run(10_000 * ms)
+	for i, m := range f.nodes {
+		if m.try["charge"] > 0 || m.r.msgs["charge"] != nil || m.back == 0 {
+			t.Errorf("sender %d: its charge left %d times again, or has no end", i, m.try["charge"])
+		}
+		m.back-- // its one end
+	}
 	for i, b := range f.bins[:15] {
 		if b.calls > 20 {
 			t.Errorf("%d calls in the 100 ms from %.1f s", b.calls, float64(i)/10)
