One request on the registry's link, a floor under told limits, one package for traces

Seen: a configuration that moves the registry before the first watch, which waits among many now, put two requests on one link (Watch called ask, not resume); a told limit of nearly nothing let the rate fall to nothing, and the wait for a token overflowed into a timer at each tick, 1,000 wakes and no send (ceiling); ids with blanks or colons broke the trace's words.

--- a/internal/net/platform/registry.go
+++ b/internal/net/platform/registry.go
@@ -46,7 +46,7 @@
 		g.seq = noSeq
 		r.Post(g.ask)
 	} else {
-		r.Post(func() { r.After(g.pace.Start(), g.ask) })
+		r.Post(func() { r.After(g.pace.Start(), g.resume) })
 	}
 	return g
 }
@@ -85,6 +85,13 @@
 	}
 }
 
+// resume asks after a wait, unless Move has asked another agent meanwhile: a link carries one request at a time.
+func (g *Registry) resume() {
+	if g.link == nil {
+		g.ask()
+	}
+}
+
 func (g *Registry) ask() {
 	if g.link == nil || g.link.conn.Dead() {
 		g.link = dial(g.r, g.addr, agentLimit, agentMost)
@@ -112,11 +119,7 @@
 		}
 		l.conn.Close()
 		g.link = nil
-		g.r.After(g.pace.Failed(), func() {
-			if g.link == nil { // not moved to another agent since
-				g.ask()
-			}
-		})
+		g.r.After(g.pace.Failed(), g.resume)
 	}, get(path, g.addr))
 }
 
--- a/internal/trace/count.go
+++ b/internal/trace/count.go
@@ -86,18 +86,18 @@
 			if x.In++; f[n-1] == "held" {
 				x.Held++
 			}
-		case f[0] == "i" && n >= 5: // a target may hold colons
+		case f[0] == "i" && n == 5:
 			d, err := strconv.ParseInt(f[n-2], 10, 64)
 			if err != nil {
 				return bad
 			}
-			to := strings.Join(f[2:n-2], ":")
+			to := f[2]
 			if c.dest[to] = d; !calls[to] {
 				calls[to] = true
 				c.cell(d, at).Calls++
 			}
-		case f[0] == "r" && n >= 7: // messages of one call end in one step alike
-			to, why := strings.Join(f[3:n-3], ":"), f[n-3]
+		case f[0] == "r" && n == 7: // messages of one call end in one step alike
+			to, why := f[3], f[4]
 			if why == "FULL" && f[n-1] == "" && f[n-2] == "0" {
 				why = "DOOR"
 			}
--- a/sender/trace.go
+++ b/internal/trace/write.go
@@ -1,39 +1,47 @@
-package sender
+package trace
 
 import (
 	"io"
+	"net/url"
 	"strconv"
 
 	"brackendale/logic"
 )
 
-// tracer writes what the module was told and what it answered, a line a step, for counting over many senders:
+// Writer writes what the module was told and what it answered, a line a step, for counting over many senders:
 //
 //	trace TIME_US SENDER WORD ...
 //
-// TIME_US is the wall clock in microseconds. A word's fields stand between colons:
+// TIME_US is the wall clock in microseconds. A word's fields stand between colons; names are escaped as in a URL's query,
+// since ids and targets may hold anything:
 //
 //	a:ID:CLASS:TENANT:DEST:LEFT_MS[:held]      a message came in
 //	r:ID:N:TARGET:REASON:HOLD_MS:LOAD          an attempt ended; LOAD are the reported values between commas
 //	l:HOW:ENTRIES                              the route table changed
 //	i:ID:TARGET:DEST:LIMIT_MS                  an attempt leaves
 //	p:ID:WAIT_MS   f:ID   x:ID:N   t:TARGET    handed back, given up, an attempt recalled, idle connections closed
-type tracer struct {
+type Writer struct {
 	out  io.Writer
 	name string
 	line []byte
 }
 
-func (t *tracer) put(kind byte, fields ...string) {
+// NewWriter makes the writer of one sender, known by a name.
+func NewWriter(out io.Writer, name string) *Writer {
+	return &Writer{out: out, name: url.QueryEscape(name)}
+}
+
+func (t *Writer) put(kind byte, fields ...string) {
 	t.line = append(t.line, ' ', kind)
 	for _, f := range fields {
-		t.line = append(append(t.line, ':'), f...)
+		t.line = append(append(t.line, ':'), url.QueryEscape(f)...)
 	}
 }
 
 func number(n int64) string { return strconv.FormatInt(n, 10) }
 
-func (t *tracer) step(now int64, events []logic.Event, acts []logic.Action, dest func(addr string) int64) {
+// Step writes a line for a step that was told or did anything; dest tells the destination of a target.
+func (t *Writer) Step(now int64, events []logic.Event, acts []logic.Action, dest func(addr string) int64) {
 	t.line = append(strconv.AppendInt(append(t.line[:0], "trace "...), now, 10), ' ')
 	t.line = append(t.line, t.name...)
 	bare := len(t.line)
--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -350,3 +350,26 @@
 		t.Errorf("of 320 messages %d were delivered and %d handed back", s.good, back)
 	}
 }
+
+// A limit that makes no sense, nearly nothing or beyond all numbers, is no reason to starve or to spin.
+func TestALimitThatMakesNoSenseDoesNoHarm(t *testing.T) {
+	for _, limit := range []float64{1e-300, 1e-9, 1e300} {
+		s := crowdOf(80)
+		s.Report.How, s.Report.Fields = "piggyback", []string{"x0", "x1"}
+		g := newRig(t, s, ep("a", "plain", "z", 1))
+		for range 3 {
+			e := g.msg("safe", 1)
+			e.Deadline = g.now + 600_000*ms
+			wakes := 0
+			for g.step(e); g.try[e.ID] == 0 && wakes < 1000; wakes++ { // as its timers say
+				g.wait(max(1, g.r.armed-g.now), Event{Kind: Woke})
+			}
+			if g.try[e.ID] == 0 || wakes > 100 {
+				t.Errorf("a limit of %g: %d wakes, sent %d times", limit, wakes, g.try[e.ID])
+			}
+			o := g.out(e.ID, "FULL")
+			o.Report = []float64{0, limit}
+			g.wait(50*ms, o, Event{Kind: Left, ID: e.ID})
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -317,12 +317,13 @@
 // shared tells whether a route has a limit that answers tell of and that many senders use.
 func (r *Relay) shared(rt *route) bool { return r.many > 0 && rt.told.Known() }
 
-// ceiling is the most that this sender should send of a told limit; the fewer the senders, the less it binds.
+// ceiling is the most that this sender should send of a told limit; the fewer the senders, the less it binds. What is
+// told may make no sense: the paper's least rate stays.
 func (r *Relay) ceiling(rt *route) float64 {
 	if r.many == 0 {
 		return math.Inf(1)
 	}
-	return rt.told.Part(r.now, r.senders) / r.many
+	return max(sigma/r.senders, rt.told.Part(r.now, r.senders)/r.many)
 }
 
 // told is a value of the load report that came with an outcome, 0 where there is none or it makes no sense.
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"brackendale/internal/spool"
+	"brackendale/internal/trace"
 	"brackendale/logic"
 
 	"github.com/rs/zerolog"
@@ -71,7 +72,7 @@
 	seen     map[string]*RouteState
 	held     map[string]bool // targets that the operator holds
 	pressed  pressure
-	trace    *tracer // nil: not asked for
+	trace    *trace.Writer // nil: not asked for
 }
 
 // maxEnds is how many of the last ends are kept to be shown.
@@ -98,7 +99,7 @@
 		fronts: map[string]Ingress{}, carriers: map[string]Egress{}, routes: map[string]Route{},
 		lanes: map[string]logic.Lane{}, kinds: map[string]int{}, coming: map[string]bool{}, seen: map[string]*RouteState{}, held: map[string]bool{}}
 	if opt.Trace != nil {
-		s.trace = &tracer{out: opt.Trace, name: opt.Name}
+		s.trace = trace.NewWriter(opt.Trace, opt.Name)
 	}
 	for _, l := range opt.Settings.Lanes {
 		s.lanes[l.Name] = l
@@ -505,7 +506,7 @@
 	now := s.Now()
 	acts := s.relay.Step(now, events)
 	if s.trace != nil {
-		s.trace.step(now, events, acts, func(addr string) int64 { return s.routes[addr].Dest })
+		s.trace.Step(now, events, acts, func(addr string) int64 { return s.routes[addr].Dest })
 	}
 	defer s.reuse(events, offers)
 
