The cold pace goes by failures above what has lasted: a half-healthy partner is used

Seen (one sender, 40 repeatable messages a second, 9 s each, virtual time): of 12,000 messages 4,559 are delivered where a fifth of the calls fail, 1,109 at two fifths, 536 at three. Cause: bad() sets the pace of a cold return at each failure while the share of failures is over illOut; the few calls of that pace fail as often, and it never ends. Changed: what has lasted of the share (Relay.lasting, e-fold in 5 s) is taken off before it is held against illOut.

--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -23,6 +23,9 @@
 	counts bool                    // refused calls use the limit up
 	stale  int64                   // what reports tell of the room left is renewed so often, microseconds; 0: at once
 	downAt [2]int64                // connects fail in between
+	class  string                  // of the messages
+	bad    float64                 // share of calls that end as an error, after their effect
+	rng    *rand.Rand
 
 	room   float64
 	roomAt int64
@@ -73,7 +76,7 @@
 
 func newFleet(t *testing.T, senders int, seed int64) *fleet {
 	t.Helper()
-	f := &fleet{now: 1e9, svc: 50 * ms}
+	f := &fleet{now: 1e9, svc: 50 * ms, class: "safe", rng: rand.New(rand.NewSource(seed))}
 	s := crowdOf(senders)
 	s.Report.How, s.Report.Fields = "piggyback", []string{"x0", "x1"}
 	s.Family.Workers, s.Caps.OpenCap, s.Caps.MaxAttempts, s.Caps.StreamsPerConn = 6, 50, 8, 1
@@ -96,7 +99,7 @@
 		m := f.nodes[rng.Intn(len(f.nodes))]
 		f.at(at, func() {
 			f.n++
-			f.tell(m, Event{Kind: Arrived, ID: fmt.Sprint("m", f.n), Class: "safe", Dest: 1, Deadline: f.now + 9000*ms})
+			f.tell(m, Event{Kind: Arrived, ID: fmt.Sprint("m", f.n), Class: f.class, Dest: 1, Deadline: f.now + 9000*ms})
 		})
 	}
 }
@@ -181,6 +184,11 @@
 	} else {
 		f.held++
 	}
+	if f.bad > 0 && f.rng.Float64() < f.bad {
+		b.failed++
+		end(f.svc, "BAD", nil, 0, true)
+		return
+	}
 	if f.limit == nil {
 		b.good++
 		end(f.svc, "GOOD", []float64{0, 0}, 0, true)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -53,8 +53,9 @@
 	easeMost   = 64.0       // and so many times at most
 	roomLeft   = 0.5        // share left of a limit, as told, from which the rate goes to the pace at once
 	illGain    = 0.22       // weight of one outcome in the share of failures
-	illOut     = 0.5        // share of failures that counts as an outage
+	illOut     = 0.5        // share of failures that counts as an outage; for the cold pace above what lasts
 	illUnsafe  = 0.3        // share of failures above which unsafe messages wait
+	lastUs     = 5_000_000  // what has been so for so long lasts, e-fold: waiting does not mend it
 	coldSafety = 1.3        // of the fall-back budget by the low guess of capacity; hunts found no rule near
 	peakKnown  = 30         // successes in this life after which a route's peak says what it can take
 	batchCold  = 0.25       // weight of each further message of a call against that budget
@@ -571,7 +572,7 @@
 		}
 	}
 	rt.lastGood = r.now
-	rt.ill -= rt.ill * illGain
+	r.fare(rt, 0)
 	rt.goodRate = rt.goodRate*decay(r.now-rt.goodAt) + 1e6/rateTauUs
 	rt.goodAt = r.now
 	rt.peak = max(rt.peak*0.995, rt.goodRate)
@@ -648,7 +649,7 @@
 
 // bad books a failure other than a refusal. The rate stays; outage memory and cap answer.
 func (r *Relay) bad(rt *route, c *call, mayRun bool) {
-	rt.ill += (1 - rt.ill) * illGain
+	r.fare(rt, 1)
 	if c.sentAt >= rt.lastStrike {
 		r.strike(rt, mayRun)
 	}
@@ -656,7 +657,7 @@
 	// With no success in this life there is no pace to go by either: trials, not one call in FallUs.
 	if rt.down || long && (rt.strikes-rt.fulls >= 2 || rt.ill > illOut) || rt.answers == 0 && rt.ill > illOut {
 		r.out(rt)
-	} else if rt.ill > illOut {
+	} else if rt.ill-r.lasting(rt) > illOut {
 		// Most calls fail, some succeed: paced as if cold, since trials would waste what still works.
 		rt.warmAt = r.now + r.set.Rules.WarmAfterUs
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -100,8 +100,9 @@
 	srtt, dev, usual, answers                            float64
 	strikes, fulls, lates                                int
 	failedAt, lastStrike, lastGood, lastSend, lastAnswer int64
-	ill                                                  float64 // share of failures
-	mayRun, down                                         bool    // mayRun: the last failure may have had effect
+	ill, illBase                                         float64 // share of failures, and how much of it lasted at illAt
+	illAt                                                int64
+	mayRun, down                                         bool // mayRun: the last failure may have had effect
 	trialAt, gap, warmAt, coldAt, passed                 int64
 	told                                                 share.Limit // of its limit, by answers
 }
@@ -370,6 +371,18 @@
 	return false
 }
 
+// lasting is how much of a route's share of failures has been so for a while: it serves that much less, and what waits for
+// better times waits in vain.
+func (r *Relay) lasting(rt *route) float64 {
+	return rt.ill + (rt.illBase-rt.ill)*math.Exp(-float64(r.now-rt.illAt)/lastUs)
+}
+
+// fare books how a call ended in its route's share of failures: 1 failed, 0 went well.
+func (r *Relay) fare(rt *route, failed float64) {
+	rt.illBase, rt.illAt = r.lasting(rt), r.now
+	rt.ill += (failed - rt.ill) * illGain
+}
+
 func (rt *route) slow(r *Relay) bool { return rt.srtt > slowTimes*rt.usual*r.tempo }
 
 func (r *Relay) overdue(rt *route, sent int64) bool {
