--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -17,12 +17,14 @@
 
 	"brackendale/internal/config"
 	"brackendale/internal/console"
+	"brackendale/internal/control"
 	"brackendale/internal/keys"
 	"brackendale/internal/net/amqpfront"
 	"brackendale/internal/net/conns"
 	"brackendale/internal/net/loop"
 	"brackendale/internal/net/platform"
 	"brackendale/internal/net/reactor"
+	"brackendale/internal/telemetry"
 	"brackendale/sender"
 
 	"github.com/rs/zerolog"
@@ -64,10 +66,24 @@
 		opt.Trace = os.Stderr
 		log.Info().Interface("settings", cfg.Settings).Interface("limits", cfg.Limits).Msg("traced")
 	}
+	if cfg.Control != "" {
+		var classes []string
+		for _, l := range cfg.Settings.Lanes {
+			classes = append(classes, l.Name)
+		}
+		opt.Book = telemetry.New(classes)
+	}
 	core, err := sender.New(opt)
 	if err != nil {
 		return err
 	}
+	if cfg.Control != "" {
+		c, err := control.Listen(cfg.Control, calls(core, opt.Book))
+		if err != nil {
+			return &config.KeyError{Key: "control (LB_CONTROL)", Err: err}
+		}
+		defer c.Close()
+	}
 	r, err := reactor.New(wire, int64(cfg.Limits.MemoryMB*unsentShare*(1<<20)))
 	if err != nil {
 		return err
@@ -116,6 +132,24 @@
 	return core.Run(ctx)
 }
 
+// calls joins the second address to the core.
+func calls(core *sender.Sender, book *telemetry.Book) control.Source {
+	return control.Source{Ready: core.Ready, Telemetry: book.Write, Format: telemetry.Format,
+		Exclude: func(ctx context.Context, target string, out bool) error {
+			done := make(chan error, 1)
+			core.Exclude(target, out, func(err error) { done <- err })
+			select {
+			case err := <-done:
+				if errors.Is(err, sender.ErrUnknown) {
+					return control.ErrUnknown
+				}
+				return err
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}}
+}
+
 // reload reads the configuration again and follows what may change under a running sender: where the
 // registry is, or the appliance's own routes. A bad file changes nothing.
 func reload(core *sender.Sender, wire *loop.Loop, f *fronts, file string, log zerolog.Logger) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -54,6 +54,7 @@
 	Name      string         `json:"name"`
 	Listen    string         `json:"listen"`
 	Discovery string         `json:"discovery"`
+	Control   string         `json:"control"` // the second address; empty: none
 	State     string         `json:"-"`
 	Seed      Seed           `json:"seed"`
 	Limits    Limits         `json:"limits"`
@@ -122,7 +123,7 @@
 		}
 	}
 	for key, field := range map[string]*string{"LB_NAME": &c.Name, "LB_LISTEN": &c.Listen,
-		"LB_DISCOVERY": &c.Discovery, "LB_STATE": &c.State} {
+		"LB_DISCOVERY": &c.Discovery, "LB_STATE": &c.State, "LB_CONTROL": &c.Control} {
 		if v := env(key); v != "" && (key != "LB_DISCOVERY" || c.Discovery == "") {
 			*field = v
 		}
@@ -138,7 +139,7 @@
 		key, addr string
 		must      bool
 	}{{"LB_LISTEN", c.Listen, !c.AMQP.Serves() && c.Resp.Listen == ""}, {"discovery (LB_DISCOVERY)", c.Discovery, c.Listen != ""},
-		{"amqp.listen", c.AMQP.Listen, false}} {
+		{"amqp.listen", c.AMQP.Listen, false}, {"control (LB_CONTROL)", c.Control, false}} {
 		if _, _, err := net.SplitHostPort(a.addr); err != nil && (a.must || a.addr != "") {
 			return fault(a.key, "%q: %w", a.addr, err)
 		}
@@ -181,6 +182,7 @@
 	State     string  `toml:"state"`
 	Listen    string  `toml:"listen"`
 	Discovery string  `toml:"discovery"`
+	Control   string  `toml:"control"`
 	Limits    Limits  `toml:"limits"`
 	AMQP      AMQP    `toml:"amqp"`
 	Clients   Clients `toml:"clients"`
@@ -232,7 +234,7 @@
 
 // appliance reads the appliance's file; alone tells that it gives the settings too.
 func (c *Config) appliance(path string, alone bool) error {
-	f := file{Name: c.Name, State: c.State, Listen: c.Listen, Discovery: c.Discovery, Limits: c.Limits}
+	f := file{Name: c.Name, State: c.State, Listen: c.Listen, Discovery: c.Discovery, Control: c.Control, Limits: c.Limits}
 	f.AMQP = AMQP{HeartbeatS: 10, Channels: 64, FirstS: 10, FrameS: 10}
 	f.Resp = Resp{FirstS: 10, CommandS: 2}
 	if f.Clients = platformClients; alone {
@@ -247,7 +249,7 @@
 	if bad := md.Undecoded(); len(bad) > 0 {
 		return fault(path+": "+bad[0].String(), "is not known")
 	}
-	c.Name, c.State, c.Listen, c.Discovery, c.Limits = f.Name, f.State, f.Listen, f.Discovery, f.Limits
+	c.Name, c.State, c.Listen, c.Discovery, c.Control, c.Limits = f.Name, f.State, f.Listen, f.Discovery, f.Control, f.Limits
 	c.AMQP, c.Console, c.Clients, c.Resp = f.AMQP, f.Console, f.Clients, f.Resp
 	if err := c.amqpPolicy(path); err != nil {
 		return err
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -89,7 +89,7 @@
 	for c.SetDeadline(time.Now().Add(idleLimit)) == nil && in.Scan() {
 		done := make(chan Reply, 1)
 		line := in.Text()
-		core.Post(func() { done <- answer(core, line) })
+		core.Post(func() { answer(core, line, func(r Reply) { done <- r }) })
 		select {
 		case r := <-done:
 			if r.State != nil {
@@ -105,22 +105,26 @@
 	}
 }
 
-// answer carries out one command on the sender's goroutine.
-func answer(core *sender.Sender, line string) Reply {
+// answer carries out one command on the sender's goroutine; reply hears once it stands.
+func answer(core *sender.Sender, line string, reply func(Reply)) {
 	name, arg, _ := strings.Cut(strings.TrimSpace(line), " ")
-	var err error
+	done := func(err error) {
+		if err != nil {
+			reply(Reply{Error: err.Error()})
+			return
+		}
+		st := core.State()
+		reply(Reply{State: &st})
+	}
 	switch {
 	case name == "state" && arg == "":
+		done(nil)
 	case (name == "hold" || name == "release") && arg != "":
-		err = core.Hold(strings.TrimSpace(arg), name == "hold")
+		core.Exclude(strings.TrimSpace(arg), name == "hold", done)
 	case (name == "pause" || name == "resume") && arg == "":
 		core.Pause(name == "pause")
+		done(nil)
 	default:
-		err = errors.New("commands: state, hold TARGET, release TARGET, pause, resume")
-	}
-	if err != nil {
-		return Reply{Error: err.Error()}
+		done(errors.New("commands: state, hold TARGET, release TARGET, pause, resume"))
 	}
-	st := core.State()
-	return Reply{State: &st}
 }
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,216 @@
+// Package control is the second address: HTTP/1.1 for on-call staff and the platform, one call to a connection. It runs on
+// goroutines of its own and waits neither for the core's queue nor for the loop's, but for an exclusion's record.
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+)
+
+// The bounds of a call. A caller waits 1 s: what the core does not do within doneIn is answered as not done yet.
+const (
+	maxOpen  = 16              // connections that have finished no call
+	maxBody  = 4 << 10         // bytes of a call's body
+	maxHead  = 8 << 10         // bytes of its head, about
+	maxName  = 255             // bytes of an endpoint's id
+	wholeIn  = 5 * time.Second // for a call, from the connection to its last byte
+	answerIn = 5 * time.Second // for its answer to be read
+	doneIn   = 900 * time.Millisecond
+)
+
+// ErrUnknown tells that an endpoint was never listed.
+var ErrUnknown = errors.New("no such endpoint was ever listed")
+
+// Source is what the calls ask.
+type Source struct {
+	Ready     func() (ok bool, why string)                             // why, where it is not
+	Telemetry func(w io.Writer) error                                  // writes the figures
+	Format    string                                                   // their media type
+	Exclude   func(ctx context.Context, target string, out bool) error // returns once it is durable
+}
+
+// Server listens on the second address.
+type Server struct {
+	ln   net.Listener
+	http *http.Server
+
+	mu   sync.Mutex
+	open []*conn // that have finished no call, the oldest first
+}
+
+// Listen serves the calls at addr until Close.
+func Listen(addr string, src Source) (*Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{ln: ln}
+	s.http = &http.Server{Handler: handler(src), ReadTimeout: wholeIn, WriteTimeout: answerIn, MaxHeaderBytes: maxHead,
+		ErrorLog: log.New(io.Discard, "", 0)}
+	s.http.SetKeepAlivesEnabled(false)
+	go func() { _ = s.http.Serve(door{ln, s}) }()
+	return s, nil
+}
+
+// Addr is where it listens.
+func (s *Server) Addr() net.Addr { return s.ln.Addr() }
+
+// Close ends it and all of its connections.
+func (s *Server) Close() error { return s.http.Close() }
+
+// door makes room for each newcomer.
+type door struct {
+	net.Listener
+	s *Server
+}
+
+// Accept takes a newcomer; with no room left the one that has finished no call for longest goes.
+func (d door) Accept() (net.Conn, error) {
+	nc, err := d.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: nc, s: d.s}
+	d.s.mu.Lock()
+	var victim *conn
+	if len(d.s.open) >= maxOpen {
+		victim, d.s.open = d.s.open[0], d.s.open[1:]
+	}
+	d.s.open = append(d.s.open, c)
+	d.s.mu.Unlock()
+	if victim != nil {
+		_ = victim.Conn.Close()
+	}
+	return c, nil
+}
+
+// conn is one caller.
+type conn struct {
+	net.Conn
+	s        *Server
+	answered bool // its goroutine's
+}
+
+// Read says 408 to a caller whose call did not come in time.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.taken() {
+		_ = c.SetWriteDeadline(time.Now().Add(time.Second))
+		_, _ = io.WriteString(c.Conn, "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+	}
+	return n, err
+}
+
+// Write is the server's answer: the call was finished.
+func (c *conn) Write(b []byte) (int, error) {
+	c.leave(true)
+	return c.Conn.Write(b)
+}
+
+// Close ends the connection.
+func (c *conn) Close() error {
+	c.leave(false)
+	return c.Conn.Close()
+}
+
+// taken tells whether the call has its answer. The server ends its look-ahead by a deadline that has passed: no time-out.
+func (c *conn) taken() bool {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	return c.answered
+}
+
+func (c *conn) leave(answered bool) {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	c.answered = c.answered || answered
+	for i, o := range c.s.open {
+		if o == c {
+			c.s.open = append(c.s.open[:i:i], c.s.open[i+1:]...)
+			return
+		}
+	}
+}
+
+func handler(src Source) http.Handler {
+	mux := http.NewServeMux() // answers 404 and 405
+	mux.HandleFunc("GET /api/ready", func(w http.ResponseWriter, _ *http.Request) {
+		ok, why := src.Ready()
+		if !ok {
+			say(w, http.StatusServiceUnavailable, why)
+			return
+		}
+		say(w, http.StatusOK, "ready")
+	})
+	mux.HandleFunc("GET /api/telemetry", func(w http.ResponseWriter, _ *http.Request) {
+		var text bytes.Buffer
+		if err := src.Telemetry(&text); err != nil {
+			say(w, http.StatusInternalServerError, err.Error())
+			return
+		}
+		w.Header().Set("Content-Type", src.Format)
+		_, _ = w.Write(text.Bytes())
+	})
+	for path, out := range map[string]bool{"POST /api/exclude": true, "POST /api/include": false} {
+		mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+			target, status, fault := named(http.MaxBytesReader(w, r.Body, maxBody))
+			if fault != "" {
+				say(w, status, fault)
+				return
+			}
+			ctx, cancel := context.WithTimeout(r.Context(), doneIn)
+			defer cancel()
+			switch err := src.Exclude(ctx, target, out); {
+			case errors.Is(err, ErrUnknown):
+				say(w, http.StatusNotFound, err.Error())
+			case errors.Is(err, context.DeadlineExceeded):
+				say(w, http.StatusServiceUnavailable, "not done yet: call again")
+			case err != nil:
+				say(w, http.StatusServiceUnavailable, err.Error())
+			default:
+				say(w, http.StatusOK, "done")
+			}
+		})
+	}
+	return mux
+}
+
+// named reads the endpoint's id from a call's body.
+func named(body io.Reader) (target string, status int, fault string) {
+	raw, err := io.ReadAll(body)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return "", http.StatusRequestEntityTooLarge, "the body is too long"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return "", http.StatusRequestTimeout, "the body did not come in time"
+	case err != nil:
+		return "", http.StatusBadRequest, "the body broke off"
+	}
+	var call struct {
+		Target *string `json:"target"`
+	}
+	if err := json.Unmarshal(raw, &call); err != nil {
+		return "", http.StatusBadRequest, `the body must be JSON as {"target":"ID"}`
+	}
+	if call.Target == nil || *call.Target == "" || len(*call.Target) > maxName {
+		return "", http.StatusBadRequest, "target must name an endpoint, with 255 bytes at most"
+	}
+	return *call.Target, 0, ""
+}
+
+// say answers with one plain sentence.
+func say(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, text+"\n")
+}
--- a/internal/net/platform/client.go
+++ b/internal/net/platform/client.go
@@ -41,6 +41,8 @@
 	free  func()        // the answer has come and the connection may be used again
 	gone  func()        // it has ended with no request on it
 	out   [][]byte
+	left  func()       // hears, once, that the request's last byte has left; nil: nobody asks
+	look  timers.Timer // until then
 }
 
 // The most that may lie unread of one answer: an endpoint's says little, the agent's holds a list.
@@ -76,6 +78,23 @@
 	if l.conn.Write(pieces...) != nil {
 		l.conn.Close()
 	}
+	l.tell()
+}
+
+// leftGap is how often it is looked whether a request that the socket did not take at once has left.
+const leftGap = 50 * time.Millisecond
+
+// tell says, once, that the request's last byte has left.
+func (l *link) tell() {
+	switch {
+	case l.left == nil:
+	case l.written():
+		left := l.left
+		l.left = nil
+		left()
+	case l.want != nil && !l.conn.Dead():
+		l.loop().Arm(&l.look, leftGap, 0, timers.Func(l.tell))
+	}
 }
 
 // written tells whether the request's last byte has left.
@@ -160,6 +179,13 @@
 
 func (l *link) finish(a *http1.Response, err error) {
 	l.loop().Disarm(&l.late)
+	if l.left != nil {
+		l.loop().Disarm(&l.look)
+		if l.used && l.written() {
+			l.left()
+		}
+		l.left = nil
+	}
 	if want := l.want; want != nil {
 		l.want, l.out = nil, nil
 		want(a, err)
--- a/internal/net/platform/egress.go
+++ b/internal/net/platform/egress.go
@@ -74,6 +74,7 @@
 		c.answer(nil, errNoRoom)
 		return
 	}
+	c.link.left = func() { e.core.Tried(len(hops)) }
 	c.link.do(c.answer, c.request(limit)...)
 }
 
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"hash/crc32"
 	"io"
+	"maps"
 	"math"
 	"os"
 	"path/filepath"
@@ -54,8 +55,12 @@
 	recGone
 	recHeard
 	recGroup // other records, all of which stand or none
+	recOut   // an egress target is taken out by hand, or put back
 )
 
+// MaxOut bounds the targets that are taken out at once.
+const MaxOut = 1024
+
 // MaxGroup bounds what the messages of a group may need together, in bytes.
 const MaxGroup = maxRec / 2
 
@@ -72,12 +77,13 @@
 	bytes int64 // what the live entries would take
 	next  uint64
 	open  bool
+	out   map[string]bool
 	past  []*Entry // those that were gone when it was opened, without their bodies
 }
 
 // Open reads the journal in dir, or starts one. What a torn tail holds was never acted upon: it is cut off.
 func Open(dir string, budget int64) (*Spool, error) {
-	s := &Spool{dir: dir, most: budget/2 - 2*block, live: map[string]*Entry{}}
+	s := &Spool{dir: dir, most: budget/2 - 2*block, live: map[string]*Entry{}, out: map[string]bool{}}
 	if s.most < 4*perMsg {
 		return nil, fmt.Errorf("spool: a disk budget of %d bytes is too small", budget)
 	}
@@ -189,6 +195,48 @@
 // Gone forgets a message: nothing more is owed.
 func (s *Spool) Gone(id string) { s.change(recGone, id, 0, "") }
 
+// Out tells whether a target is taken out by hand.
+func (s *Spool) Out(target string) bool { return s.out[target] }
+
+// PutOut records that a target is taken out, or put back. It stands once Flush has returned. The error is ErrFull.
+func (s *Spool) PutOut(target string, out bool) error {
+	if s.out[target] == out {
+		return nil
+	}
+	if out && (len(s.out) >= MaxOut || !s.Room(outNeed(target), 0)) {
+		return ErrFull
+	}
+	s.buf = appendOut(s.buf, target, out)
+	s.putOut(target, out)
+	return nil
+}
+
+func (s *Spool) putOut(target string, out bool) {
+	switch {
+	case out && !s.out[target]:
+		s.out[target] = true
+		s.bytes += int64(outNeed(target))
+	case !out && s.out[target]:
+		delete(s.out, target)
+		s.bytes -= int64(outNeed(target))
+	}
+}
+
+// outNeed is what a target that is taken out needs, and its record when it is put back.
+func outNeed(target string) int { return 2 * (len(target) + 32) }
+
+func appendOut(b []byte, target string, out bool) []byte {
+	n := int64(0)
+	if out {
+		n = 1
+	}
+	b, at := begin(b)
+	b = append(b, recOut)
+	b = appendText(b, target)
+	b = binary.AppendVarint(b, n)
+	return finish(appendText(b, ""), at)
+}
+
 // Group makes one record of all that record makes: after a restart all of it is there, or none.
 func (s *Spool) Group(record func()) {
 	at := len(s.buf)
@@ -239,6 +287,9 @@
 // are in it, since the entries are changed as they are recorded.
 func (s *Spool) compact() error {
 	out := []byte(magic)
+	for _, target := range slices.Sorted(maps.Keys(s.out)) {
+		out = appendOut(out, target, true)
+	}
 	for _, e := range s.Entries() {
 		out = e.append(out)
 	}
@@ -315,9 +366,13 @@
 		return true
 	}
 	id, n, text := r.text(), r.int(), r.text()
-	if r.bad || kind < recHop || kind > recHeard {
+	if r.bad || kind < recHop || kind > recHeard && kind != recOut {
 		return false
 	}
+	if kind == recOut {
+		s.putOut(id, n != 0)
+		return true
+	}
 	e := s.live[id]
 	if e == nil {
 		return false
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,37 @@
+package telemetry
+
+import (
+	"strings"
+	"testing"
+)
+
+// Every class and outcome is there from the start, under the names that the operators read.
+func TestWrite(t *testing.T) {
+	b := New([]string{"notice", "charge"})
+	b.Ended("notice", Passed)
+	b.Ended("notice", Passed)
+	b.Ended("charge", Dropped)
+	b.Ended("nobody's", Dropped)
+	b.Tried(3)
+	b.Levels(14, 9, 2)
+	var out strings.Builder
+	if err := b.Write(&out); err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range []string{
+		`lb_handled_total{category="notice",outcome="passed"} 2`,
+		`lb_handled_total{category="notice",outcome="bad_gateway"} 0`,
+		`lb_handled_total{category="charge",outcome="dropped"} 1`,
+		`lb_handled_total{category="charge",outcome="passed"} 0`,
+		"lb_upstream_tries_total 3", "lb_in_progress 14", "lb_known_endpoints 9", "lb_skipped_endpoints 2",
+		"# TYPE lb_handled_total counter", "# TYPE lb_in_progress gauge", "# HELP lb_skipped_endpoints ",
+	} {
+		if !strings.Contains(out.String(), line+"\n") && !strings.HasPrefix(line, "# HELP") || !strings.Contains(out.String(), line) {
+			t.Errorf("no line %q in\n%s", line, out.String())
+		}
+	}
+	var none *Book // counts nothing, and does no harm
+	none.Ended("notice", Passed)
+	none.Tried(1)
+	none.Levels(1, 1, 1)
+}
--- a/logic/api.go
+++ b/logic/api.go
@@ -81,6 +81,7 @@
 	Dest  int64
 	State string // live, quiescing, dead
 	Hint  float64
+	Cold  bool // it comes back from where nothing was sent to it: what it takes grows from little
 }
 
 // EventKind says which fields of an Event count.
--- a/logic/state.go
+++ b/logic/state.go
@@ -233,7 +233,9 @@
 		touched = nil
 	}
 	for i := range e.List {
-		if r.entry(e.List[i]); e.How == "patch" {
+		r.entry(e.List[i])
+		r.chill(e.List[i])
+		if e.How == "patch" {
 			touched = append(touched, r.dest(e.List[i].Dest))
 		}
 	}
@@ -250,6 +252,28 @@
 	}
 }
 
+// chill paces what goes to a route whose only endpoint comes back cold, as after an outage that ended unheard.
+func (r *Relay) chill(x Endpoint) {
+	ep := r.eps[x.Addr]
+	if !x.Cold || ep == nil || !ep.live {
+		return
+	}
+	for _, o := range ep.route.dest.eps {
+		if o != ep && o.live && o.route == ep.route {
+			return
+		}
+	}
+	rt := ep.route
+	rt.warmAt, rt.cap = r.now+r.set.Rules.WarmAfterUs, 1
+	rt.coldAt = r.now
+}
+
+// Avoids tells whether an endpoint gets no ordinary traffic: it is not wanted, or its route is out. It changes nothing.
+func (r *Relay) Avoids(addr string) bool {
+	ep := r.eps[addr]
+	return ep == nil || !ep.live || ep.route.down
+}
+
 // enqueue puts a message on its destination's hold, and the destination among those with work.
 func (r *Relay) enqueue(m *message) {
 	d := m.dest
--- /dev/null
+++ b/sender/exclude_test.go
@@ -0,0 +1,217 @@
+package sender
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"brackendale/internal/spool"
+	"brackendale/internal/telemetry"
+	"brackendale/logic"
+
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+)
+
+func target(addr, state string) Route {
+	return Route{Endpoint: logic.Endpoint{Addr: addr, Kind: "k", Dest: 1, State: state}, Proto: "p"}
+}
+
+// exclude calls and waits for the word, which must not come before the record is written.
+func exclude(t *testing.T, s *Sender, name string, out bool) (err error) {
+	t.Helper()
+	word := errors.New("no word")
+	err = word
+	s.Exclude(name, out, func(e error) {
+		if err = e; e == nil && s.spool.Out(name) != out {
+			t.Error("the yes came before the change")
+		}
+	})
+	if e := s.turn(); e != nil {
+		t.Fatal(e)
+	}
+	if err == word {
+		t.Fatal(word)
+	}
+	return err
+}
+
+// Nothing new goes to a target that is out by hand, in any order of the registry's words and over restarts; one call back
+// ends it, and a target that was never listed is refused.
+func TestExclusionsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		dir, err := os.MkdirTemp("", "exclude")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer os.RemoveAll(dir)
+		var s *Sender
+		var f *stub
+		life := func() {
+			if s != nil {
+				_ = s.spool.Close()
+			}
+			set := site()
+			set.Caps.OpenCap, set.Family.Workers, set.Lanes[0].Effect = 1000, 100, "repeatable"
+			if s, err = New(Options{Settings: set, Dir: dir, Disk: 1 << 20, Log: zerolog.Nop(), Book: telemetry.New([]string{"once"})}); err != nil {
+				t.Fatal(err)
+			}
+			f = &stub{s: s}
+			s.AddIngress("f", f)
+			s.AddEgress("p", &sink{t: t, s: s})
+			s.restore()
+		}
+		turn := func() {
+			if err := s.turn(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		life()
+		defer func() { _ = s.spool.Close() }()
+		names := []string{"a", "b", "c"}
+		name, state := rapid.SampledFrom(names), rapid.SampledFrom([]string{"live", "live", "quiescing", "dead"})
+		listed, out, now, n := map[string]bool{}, map[string]bool{}, map[string]string{}, 0
+		hear := func(how string, list []Route) {
+			if how == "whole" {
+				clear(now)
+			}
+			for _, r := range list {
+				listed[r.Addr] = true
+				if now[r.Addr] = r.State; r.State == "dead" {
+					delete(now, r.Addr)
+				}
+			}
+			s.Routes(how, list)
+			turn()
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"patch": func(t *rapid.T) { hear("patch", []Route{target(name.Draw(t, "name"), state.Draw(t, "state"))}) },
+			"whole": func(t *rapid.T) {
+				var list []Route
+				for _, x := range names {
+					if st := state.Draw(t, x); st != "dead" {
+						list = append(list, target(x, st))
+					}
+				}
+				hear("whole", list)
+			},
+			"call": func(t *rapid.T) {
+				x, want, got := name.Draw(t, "name"), rapid.Bool().Draw(t, "out"), errors.New("no word")
+				s.Exclude(x, want, func(e error) { got = e })
+				turn()
+				if known := listed[x] || out[x]; known != (got == nil) || !known && got != ErrUnknown {
+					t.Fatalf("%s, listed %v: %v", x, known, got)
+				} else if known {
+					out[x] = want
+				}
+			},
+			"restart": func(*rapid.T) { // names that were listed before are not known, but for those that are out
+				life()
+				clear(now)
+				clear(listed)
+				for x, yes := range out {
+					if !yes {
+						delete(out, x)
+					}
+				}
+				turn()
+			},
+			"offer": func(t *rapid.T) {
+				n++
+				s.Offer(exchange(s, fmt.Sprint(n), 9e6))
+				turn()
+			},
+			"": func(t *rapid.T) {
+				skipped := 0
+				for x, st := range now {
+					if st != "live" || out[x] {
+						skipped++
+					}
+				}
+				var text strings.Builder
+				s.judged = s.judged.Add(-levelGap * 2)
+				s.level()
+				if err := s.book.Write(&text); err != nil {
+					t.Fatal(err)
+				}
+				if want := fmt.Sprintf("lb_skipped_endpoints %d\n", skipped); !strings.Contains(text.String(), want) {
+					t.Fatalf("no %q in\n%s", want, text.String())
+				}
+			},
+		})
+	})
+}
+
+// sink delivers at once, and fails a test whose sender sends to a target that is out.
+type sink struct {
+	stub
+	t *rapid.T
+	s *Sender
+}
+
+func (k *sink) Send(to Route, hops []Hop) {
+	if k.s.spool.Out(to.Addr) {
+		k.t.Fatalf("sent to %s, which is out", to.Addr)
+	}
+	for _, h := range hops {
+		k.s.Report(Outcome{ID: h.ID, N: h.N, Target: to.Addr, Reason: Good})
+	}
+}
+
+// What comes back after a call back is told as cold, once; and no room is no yes.
+func TestIncludedIsCold(t *testing.T) {
+	s, f := begin(t, t.TempDir(), 1<<20)
+	if err := exclude(t, s, "a", true); err != nil {
+		t.Fatal(err)
+	}
+	f.round(t, exchange(s, "m", 9e6))
+	if len(f.hops) != 0 {
+		t.Fatal("sent to a target that is out")
+	}
+	if err := exclude(t, s, "a", false); err != nil {
+		t.Fatal(err)
+	}
+	if len(f.hops) != 1 || s.routes["a"].Cold {
+		t.Fatalf("%d hops after the call back, cold %v", len(f.hops), s.routes["a"].Cold)
+	}
+	if err := exclude(t, s, "nobody", true); err != ErrUnknown {
+		t.Fatal(err)
+	}
+	for i := 0; ; i++ {
+		s.listed.add(fmt.Sprint("t", i))
+		if err := exclude(t, s, fmt.Sprint("t", i), true); err != nil {
+			if err != spool.ErrFull || i != spool.MaxOut {
+				t.Fatal(i, err)
+			}
+			return
+		}
+	}
+}
+
+// Each end is counted once, by its class, and a refusal too.
+func TestCountedOnce(t *testing.T) {
+	s, f := begin(t, t.TempDir(), 1<<20)
+	s.opt.Settings.Caps.OpenCap = 2
+	s.book = telemetry.New([]string{"once"})
+	f.owes = false
+	f.round(t, exchange(s, "m1", 9e6))
+	s.Report(Outcome{ID: "m1", N: 0, Target: "a", Reason: Good})
+	f.round(t, exchange(s, "m1", 9e6))
+	f.round(t, exchange(s, "m2", 9e6))
+	s.Report(Outcome{ID: "m2", N: 0, Target: "a", Reason: Reset})
+	f.round(t)
+	f.round(t, exchange(s, "m3", 9e6))
+	s.Pause(true)
+	f.round(t, exchange(s, "m4", 9e6))
+	var text strings.Builder
+	if err := s.book.Write(&text); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{`outcome="passed"} 1`, `outcome="dropped"} 1`, `outcome="bad_gateway"} 1`, "lb_in_progress 1"} {
+		if !strings.Contains(text.String(), want+"\n") {
+			t.Errorf("no %q in\n%s", want, text.String())
+		}
+	}
+}
--- a/sender/group.go
+++ b/sender/group.go
@@ -51,8 +51,8 @@
 }
 
 func (s *Sender) answerGroup(g *Group) {
-	for range g.Offers {
-		s.count(g.v)
+	for _, x := range g.Offers {
+		s.count(x.Class, g.v)
 	}
 	if in, ok := s.fronts[g.Front].(Grouped); ok {
 		s.tellLater(func() { in.AnswerGroup(g, g.v, g.wait) })
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -13,9 +13,11 @@
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"brackendale/internal/spool"
+	"brackendale/internal/telemetry"
 	"brackendale/internal/trace"
 	"brackendale/logic"
 
@@ -30,7 +32,8 @@
 	Dir      string // the folder that lasts
 	Disk     int64  // bytes that may lie in it
 	Log      zerolog.Logger
-	Trace    io.Writer // gets a line for each step that was told or did anything; nil: none
+	Book     *telemetry.Book // the figures that are kept; nil: none
+	Trace    io.Writer       // gets a line for each step that was told or did anything; nil: none
 
 	// Carry runs its argument on the fronts' goroutine, after what it was given before. nil: on Run's own.
 	Carry func(func())
@@ -70,7 +73,14 @@
 	last     time.Time
 	stats    State
 	seen     map[string]*RouteState
-	held     map[string]bool // targets that the operator holds
+	listed   lists         // targets that were ever in the table
+	written  []func(error) // hear of the record that is being written
+	book     *telemetry.Book
+	known    bool                   // a list has been heard
+	judged   time.Time              // when the levels were last booked
+	skipped  int                    // targets that were avoided then
+	stops    bool                   // a planned end has begun
+	ready    atomic.Pointer[string] // why this process is not ready; nil: it is
 	pressed  pressure
 	trace    *trace.Writer // nil: not asked for
 }
@@ -97,7 +107,8 @@
 	s := &Sender{opt: opt, relay: relay, spool: sp, log: opt.Log, started: time.Now(),
 		tick: time.Duration(opt.Settings.TickUs) * time.Microsecond, wake: make(chan struct{}, 1),
 		fronts: map[string]Ingress{}, carriers: map[string]Egress{}, routes: map[string]Route{},
-		lanes: map[string]logic.Lane{}, kinds: map[string]int{}, coming: map[string]bool{}, seen: map[string]*RouteState{}, held: map[string]bool{}}
+		lanes: map[string]logic.Lane{}, kinds: map[string]int{}, coming: map[string]bool{}, seen: map[string]*RouteState{}, book: opt.Book}
+	s.unready("starting")
 	if opt.Trace != nil {
 		s.trace = trace.NewWriter(opt.Trace, opt.Name)
 	}
@@ -169,6 +180,8 @@
 	s.take()
 	err := s.round()
 	s.press()
+	s.level()
+	s.serves()
 	if batch := s.carry; len(batch) > 0 && err == nil {
 		s.carry = make([]word, 0, min(len(batch), keepMost))
 		s.opt.Carry(func() {
@@ -180,6 +193,46 @@
 	return err
 }
 
+// level books the levels of the figures: the targets' at every change of the table and every levelGap.
+func (s *Sender) level() {
+	if s.book == nil {
+		return
+	}
+	if time.Since(s.judged) > levelGap {
+		s.judged, s.skipped = time.Now(), 0
+		for name, r := range s.routes {
+			if r.State != "live" || s.spool.Out(name) || s.relay.Avoids(name) {
+				s.skipped++
+			}
+		}
+	}
+	s.book.Levels(s.open, len(s.routes), s.skipped)
+}
+
+// levelGap is how old the number of targets that are avoided may be while the sender is at work.
+const levelGap = 100 * time.Millisecond
+
+// Ready tells whether this process takes messages and keeps what it promises, or why not. Any goroutine may call it.
+func (s *Sender) Ready() (ok bool, why string) {
+	if p := s.ready.Load(); p != nil {
+		return false, *p
+	}
+	return true, ""
+}
+
+func (s *Sender) unready(why string) { s.ready.Store(&why) }
+
+// open the doors: the spool is read and a list known.
+func (s *Sender) serves() {
+	if !s.known {
+		s.unready("no list of endpoints is known yet")
+	} else if s.stops {
+		s.unready("stopping")
+	} else {
+		s.ready.Store(nil)
+	}
+}
+
 // restore hands the module what was taken on before a restart. An attempt that was open may have run.
 func (s *Sender) restore() {
 	for _, e := range s.spool.Past() {
@@ -317,6 +370,7 @@
 			s.end(o.ID, Delivered, 0)
 		} else if o.Over {
 			s.open--
+			s.book.Ended(e.Class, telemetry.BadGateway)
 			s.gone(o.ID)
 		}
 	}
@@ -345,11 +399,16 @@
 		s.routes = map[string]Route{}
 	}
 	for _, r := range list {
-		s.routes[r.Addr] = r
+		if s.routes[r.Addr] = r; r.Cold { // said once
+			x := r
+			x.Cold = false
+			s.routes[r.Addr] = x
+		}
 		if r.State == "dead" {
 			delete(s.routes, r.Addr)
 		}
-		if s.held[r.Addr] && r.State == "live" {
+		s.listed.add(r.Addr)
+		if r.State == "live" && s.spool.Out(r.Addr) {
 			r.State = "quiescing"
 		}
 		e.List = append(e.List, r.Endpoint)
@@ -358,7 +417,6 @@
 	for name := range s.seen {
 		if _, ok := s.routes[name]; !ok {
 			delete(s.seen, name)
-			delete(s.held, name)
 		}
 	}
 	for name := range s.routes {
@@ -372,6 +430,10 @@
 		}
 	}
 	s.events = append(s.events, e)
+	s.judged = time.Time{}
+	if how != "stale_copy" || len(list) > 0 {
+		s.known = true
+	}
 }
 
 // Settle books that the ends of exchanges have arrived.
@@ -446,21 +508,30 @@
 // Stop is called once at a planned end: from here only hops start that should end before the time given.
 func (s *Sender) Stop(until int64) {
 	s.Post(func() {
+		s.stops = true
 		s.events = append(s.events, logic.Event{Kind: logic.Stopping, Deadline: until})
 		s.log.Info().Int64("left_ms", (until-s.Now())/1000).Int("open", s.open).Msg("stopping")
 	})
 }
 
-func (s *Sender) count(v Verdict) {
-	if v == Taken {
+func (s *Sender) count(class string, v Verdict) {
+	switch v {
+	case Taken:
 		s.stats.Taken++
-	} else {
-		s.stats.Refused++
+		return
+	case Busy:
+		s.book.Ended(class, telemetry.Dropped)
+	default:
+		s.book.Ended(class, telemetry.BadGateway)
 	}
+	s.stats.Refused++
 }
 
+// Tried counts messages that were written whole to a target. Any goroutine may call it.
+func (s *Sender) Tried(n int) { s.book.Tried(n) }
+
 func (s *Sender) answer(x *Exchange, v Verdict, waitMs int64) {
-	s.count(v)
+	s.count(x.Class, v)
 	if in := s.fronts[x.Front]; in != nil {
 		s.carry = append(s.carry, word{in: in, exchange: x, verdict: v, waitMs: waitMs})
 	}
@@ -480,10 +551,13 @@
 	switch end {
 	case Delivered:
 		s.stats.Delivered++
+		s.book.Ended(e.Class, telemetry.Passed)
 	case Returned:
 		s.stats.Back++
+		s.book.Ended(e.Class, telemetry.Dropped)
 	default:
 		s.stats.Failed++
+		s.book.Ended(e.Class, telemetry.BadGateway)
 	}
 	if in := s.fronts[e.Front]; in != nil && !in.Owes(end) {
 		s.gone(id)
@@ -543,6 +617,10 @@
 		// Room was kept for all of this: without the record no promise can be kept any more.
 		return fmt.Errorf("the spool cannot be written: %w", err)
 	}
+	for _, done := range s.written {
+		done(nil)
+	}
+	s.written = nil
 	for _, g := range groups {
 		s.answerGroup(g)
 	}
--- a/sender/steer.go
+++ b/sender/steer.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"fmt"
+	"errors"
 	"slices"
 	"time"
 )
@@ -14,7 +14,7 @@
 	st.Owed = s.spool.Owed()
 	for name, r := range s.routes {
 		v := *s.seen[name]
-		v.Name, v.Dial, v.Proto, v.Health, v.Dest, v.Held = name, r.Dial, r.Proto, r.State, r.Dest, s.held[name]
+		v.Name, v.Dial, v.Proto, v.Health, v.Dest, v.Held = name, r.Dial, r.Proto, r.State, r.Dest, s.spool.Out(name)
 		st.Routes = append(st.Routes, v)
 	}
 	slices.SortFunc(st.Routes, func(a, b RouteState) int {
@@ -23,16 +23,61 @@
 	return st
 }
 
-// Hold keeps new hops from a target, or lets them go there again.
-func (s *Sender) Hold(target string, on bool) error {
-	r, ok := s.routes[target]
-	if !ok {
-		return fmt.Errorf("no target %q in the route table", target)
+// Pause refuses whatever is handed in, or takes it on again.
+func (s *Sender) Pause(on bool) { s.stats.Paused = on }
+
+// ErrUnknown tells that a target was never listed.
+var ErrUnknown = errors.New("no such target was ever listed")
+
+// Exclude keeps new hops from a target from here on, whatever the registry says of it and over restarts, or ends that.
+// done hears, on Run's goroutine, once that is durable: ErrUnknown, spool.ErrFull, or nil. Repeats are harmless; one call
+// back ends it, and the target is then told to the module as cold. Any goroutine may call it.
+func (s *Sender) Exclude(target string, out bool, done func(error)) {
+	s.Post(func() { s.exclude(target, out, done) })
+}
+
+func (s *Sender) exclude(target string, out bool, done func(error)) {
+	if !s.spool.Out(target) && !s.listed.has(target) {
+		done(ErrUnknown)
+		return
+	}
+	was := s.spool.Out(target)
+	if err := s.spool.PutOut(target, out); err != nil {
+		done(err)
+		return
+	}
+	s.written = append(s.written, done)
+	if was == out {
+		return
+	}
+	s.log.Info().Str("target", target).Bool("out", out).Msg("by hand")
+	if r, ok := s.routes[target]; ok {
+		if r.Cold = !out; out {
+			r.Cold = false
+		}
+		s.list("patch", []Route{r})
 	}
-	s.held[target] = on
-	s.list("patch", []Route{r})
-	return nil
 }
 
-// Pause refuses whatever is handed in, or takes it on again.
-func (s *Sender) Pause(on bool) { s.stats.Paused = on }
+// lists is a set of the names that were ever listed, bounded: names are ever new, and one that has been gone for very
+// long is forgotten.
+type lists struct{ now, old map[string]struct{} }
+
+// listedMost bounds a half of it.
+const listedMost = 8192
+
+func (l *lists) add(name string) {
+	if _, ok := l.now[name]; ok {
+		return
+	}
+	if len(l.now) >= listedMost || l.now == nil {
+		l.old, l.now = l.now, map[string]struct{}{}
+	}
+	l.now[name] = struct{}{}
+}
+
+func (l *lists) has(name string) bool {
+	_, a := l.now[name]
+	_, b := l.old[name]
+	return a || b
+}
--- a/sender/types.go
+++ b/sender/types.go
@@ -117,7 +117,7 @@
 type RouteState struct {
 	Name, Dial, Proto, Health string
 	Dest                      int64
-	Held                      bool // by the operator
+	Held                      bool // taken out by hand
 	Out                       int
 	Good, Lost                uint64
 	LastReason                string
