--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -18,6 +19,7 @@
 	"brackendale/internal/config"
 	"brackendale/internal/console"
 	"brackendale/internal/control"
+	"brackendale/internal/handover"
 	"brackendale/internal/keys"
 	"brackendale/internal/net/amqpfront"
 	"brackendale/internal/net/conns"
@@ -28,6 +30,7 @@
 	"brackendale/sender"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 )
 
 // From SIGTERM to SIGKILL the platform gives 3.7 s at least: so much of it is used.
@@ -49,12 +52,22 @@
 	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(again)
 	defer signal.Stop(term)
+	for {
+		err := life(ctx, file, trace, again, term)
+		if !errors.Is(err, errTakeBack) {
+			return err
+		}
+	}
+}
+
+// life is one time of serving: the whole time of the process, but where a hand-over has failed late.
+func life(ctx context.Context, file string, trace bool, again, term chan os.Signal) error {
 	cfg, err := config.Load(os.Getenv, file)
 	if err != nil {
 		return err
 	}
 	// The rest of the limit is for what the runtime does not count: stacks, the binary, files in $TMPDIR.
-	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * 0.7 * (1 << 20)))
+	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * memoryPart * (1 << 20)))
 	log := zerolog.New(os.Stderr).With().Timestamp().Str("sender", cfg.Name).Logger()
 	if err := descriptors(&cfg, log); err != nil {
 		return err
@@ -66,23 +79,17 @@
 		opt.Trace = os.Stderr
 		log.Info().Interface("settings", cfg.Settings).Interface("limits", cfg.Limits).Msg("traced")
 	}
+	var calls *control.Server
 	if cfg.Control != "" {
 		var classes []string
 		for _, l := range cfg.Settings.Lanes {
 			classes = append(classes, l.Name)
 		}
 		opt.Book = telemetry.New(classes)
-	}
-	core, err := sender.New(opt)
-	if err != nil {
-		return err
-	}
-	if cfg.Control != "" {
-		c, err := control.Listen(cfg.Control, calls(core, opt.Book))
-		if err != nil {
+		if calls, err = control.Listen(cfg.Control, opt.Book.Write, telemetry.Format); err != nil {
 			return &config.KeyError{Key: "control (LB_CONTROL)", Err: err}
 		}
-		defer c.Close()
+		defer calls.Close()
 	}
 	r, err := reactor.New(wire, int64(cfg.Limits.MemoryMB*unsentShare*(1<<20)))
 	if err != nil {
@@ -90,12 +97,38 @@
 	}
 	defer r.Stop()
 	r.Refused = (&refusals{log: log, now: wire.Now}).tell
-	f, err := newFronts(core, r, cfg)
+	core, from, old, err := become(cfg, log, func(st *handover.State) (*sender.Sender, error) {
+		if opt.From = nil; st != nil {
+			opt.From = &st.Core
+		}
+		return sender.New(opt)
+	})
+	if err != nil {
+		return err
+	}
+	f, err := newFronts(core, r, cfg, from)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	if calls != nil {
+		calls.Join(core.Ready, exclude(core))
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	e := &elder{core: core, wire: wire, f: f, cfg: cfg, log: log, end: cancel,
+		term: func() { term <- syscall.SIGTERM }}
+	if old != nil {
+		e.limits(0.5) // until the other process has ended
+		h := &heir{core: core, l: old, gone: func() { e.limits(1) }, offers: map[uint64]*sender.Exchange{}}
+		core.SetElder(h)
+		go h.follow()
+	}
+	if cfg.Upgrade {
+		if err := e.listen(); err != nil {
+			return err
+		}
+		defer e.close()
+	}
 	go func() {
 		for {
 			select {
@@ -124,30 +157,35 @@
 		case <-time.After(stopAfter - time.Since(began)):
 		}
 		time.Sleep(min(lastWords, stopAfter-time.Since(began))) // what was written leaves
-		cancel()
+		cancel(nil)
 	}()
 	renew(log, cfg)
 	log.Info().Str("listen", cfg.Listen).Str("amqp", cfg.AMQP.Listen).Str("amqps", cfg.AMQP.TLS.Listen).Int("endpoints", len(cfg.Known.Hosts)).Msg("serving")
 	go wire.Run(ctx)
-	return core.Run(ctx)
+	if err := core.Run(ctx); err != nil {
+		return err
+	}
+	if errors.Is(context.Cause(ctx), errTakeBack) {
+		return errTakeBack
+	}
+	return nil
 }
 
-// calls joins the second address to the core.
-func calls(core *sender.Sender, book *telemetry.Book) control.Source {
-	return control.Source{Ready: core.Ready, Telemetry: book.Write, Format: telemetry.Format,
-		Exclude: func(ctx context.Context, target string, out bool) error {
-			done := make(chan error, 1)
-			core.Exclude(target, out, func(err error) { done <- err })
-			select {
-			case err := <-done:
-				if errors.Is(err, sender.ErrUnknown) {
-					return control.ErrUnknown
-				}
-				return err
-			case <-ctx.Done():
-				return ctx.Err()
+// exclude lets the second address wait for the core's word.
+func exclude(core *sender.Sender) func(context.Context, string, bool) error {
+	return func(ctx context.Context, target string, out bool) error {
+		done := make(chan error, 1)
+		core.Exclude(target, out, func(err error) { done <- err })
+		select {
+		case err := <-done:
+			if errors.Is(err, sender.ErrUnknown) {
+				return control.ErrUnknown
 			}
-		}}
+			return err
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 }
 
 // reload reads the configuration again and follows what may change under a running sender: where the
@@ -199,8 +237,9 @@
 	secure    atomic.Pointer[tls.Config] // of the AMQP front, as it was read last
 	registry  *platform.Registry         // nil where the routes are the appliance's own
 	clients   *platform.Ingress          // nil without a RESP2 front
-	room      *conns.Room                // that all clients share
-	targets   *conns.Room                // that all egress targets share
+	egress    *platform.Egress
+	room      *conns.Room // that all clients share
+	targets   *conns.Room // that all egress targets share
 	tables    map[string]*conns.Table
 	listeners []*reactor.Listener
 }
@@ -262,6 +301,18 @@
 	return nil
 }
 
+// inherited is the listening socket that this process was given. It is never bound anew, and goes on in other processes when
+// this one closes its own descriptor. The one that was given stays open: a life that follows takes it again.
+func inherited(fd int) (net.Listener, error) {
+	own, err := unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, 3)
+	if err != nil {
+		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
+	}
+	file := os.NewFile(uintptr(own), "clients")
+	defer file.Close()
+	return net.FileListener(file)
+}
+
 // finals is where the ends of what RESP2 clients handed in are told.
 func finals(cfg config.Config) string { return cmp.Or(cfg.Resp.Finals, cfg.Discovery) }
 
@@ -329,7 +380,8 @@
 	r.log.Warn().Str("peer", e.Peer).Str("reason", reason).Bool("ours", ours).AnErr("cause", e.Err).Msg("tls refused")
 }
 
-func newFronts(core *sender.Sender, r *reactor.Reactor, cfg config.Config) (*fronts, error) {
+// newFronts joins the sides to the core. from is what another process handed over, or nil.
+func newFronts(core *sender.Sender, r *reactor.Reactor, cfg config.Config, from *handover.State) (*fronts, error) {
 	f := &fronts{room: conns.NewRoom(cfg.ClientSockets()), targets: conns.NewRoom(cfg.TargetSockets()),
 		tables: map[string]*conns.Table{}}
 	table := func(front string) *conns.Table {
@@ -347,13 +399,21 @@
 	listen := func(addr string, word []byte, accept func(*reactor.Conn) reactor.Handler) error {
 		return follow(r.Listen("tcp", addr, word, accept))
 	}
-	core.AddEgress(platform.Proto, platform.NewEgress(core, r, cfg.Settings, f.targets))
+	f.egress = platform.NewEgress(core, r, cfg.Settings, f.targets)
+	core.AddEgress(platform.Proto, f.egress)
 	f.brokers = amqpfront.NewEgress(core, r, time.Duration(cfg.Settings.Caps.ConnectTimeoutUs)*time.Microsecond, f.targets)
 	f.brokers.Secure(cfg.Secure.Targets)
 	core.AddEgress(amqpfront.Proto, f.brokers)
-	if cfg.Discovery == "" {
+	switch {
+	case cfg.Discovery == "":
 		core.Routes("whole", platform.Routes(cfg.Known))
-	} else {
+	case from != nil:
+		seq := from.Seq
+		if from.Discovery != cfg.Discovery {
+			seq = -1 // another registry's versions mean something else
+		}
+		f.registry = platform.Follow(core, r, cfg.Discovery, from.Core.Routes, seq, cfg.Settings.Replicas, int64(cfg.Seed))
+	default:
 		f.registry = platform.Watch(core, r, cfg.Discovery, cfg.Known, cfg.Settings.Replicas, int64(cfg.Seed))
 	}
 	if addr := cmp.Or(cfg.Listen, cfg.Resp.Listen); addr != "" {
@@ -364,7 +424,13 @@
 		if own {
 			word = platform.TurnedAway
 		}
-		if err := listen(addr, word, f.clients.Accept); err != nil {
+		if cfg.AcceptFD > 0 {
+			ln, err := inherited(cfg.AcceptFD)
+			if err != nil {
+				return nil, &config.KeyError{Key: "LB_ACCEPT_FD", Err: err}
+			}
+			_ = follow(r.ListenOn(ln, word, nil, f.clients.Accept), nil)
+		} else if err := listen(addr, word, f.clients.Accept); err != nil {
 			return nil, err
 		}
 		f.ends = append(f.ends, f.clients.CloseIdle)
--- /dev/null
+++ b/internal/app/elder.go
@@ -0,0 +1,294 @@
+package app
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"brackendale/internal/config"
+	"brackendale/internal/handover"
+	"brackendale/internal/net/loop"
+	"brackendale/sender"
+
+	"github.com/rs/zerolog"
+)
+
+// The times of an upgrade. A client waits 400 ms for its answer, so the core stands still for less.
+const (
+	helloIn    = time.Second
+	prepareIn  = 6 * time.Second
+	standMost  = 300 * time.Millisecond
+	retireGap  = 20 * time.Millisecond
+	memoryPart = 0.7 // of the limit, for the runtime; the rest is what it does not count
+)
+
+// errTakeBack tells that the heir has died with the journal: this process starts anew from it.
+var errTakeBack = errors.New("the new process has died: this one takes the journal back")
+
+// upgradeSocket is where an elder listens, in the folder that is common to both. A path that is too long for a socket goes by
+// the folder's descriptor.
+func upgradeSocket(state string) (path string, release func(), err error) {
+	path = filepath.Join(state, "upgrade.sock")
+	if len(path) < 100 {
+		return path, func() {}, nil
+	}
+	dir, err := os.Open(state)
+	if err != nil {
+		return "", nil, fmt.Errorf("the folder that lasts: %w", err)
+	}
+	return fmt.Sprintf("/proc/self/fd/%d/upgrade.sock", dir.Fd()), func() { _ = dir.Close() }, nil
+}
+
+// elder is this process's side while it serves and a new one may take its place. Its goroutines are those of the
+// connections that come to its socket; the machine tells which of them counts.
+type elder struct {
+	core *sender.Sender
+	wire *loop.Loop
+	f    *fronts
+	cfg  config.Config
+	log  zerolog.Logger
+	end  func(error) // ends this life
+	term func()      // ends this process in order
+
+	ln      *net.UnixListener
+	release func()
+
+	mu     sync.Mutex
+	m      handover.Elder
+	n      uint64
+	offers map[uint64]*sender.Exchange // passed on and not answered
+	to     *link
+}
+
+// listen lets a new process ask for this one's place.
+func (e *elder) listen() error {
+	path, release, err := upgradeSocket(e.cfg.State)
+	if err != nil {
+		return err
+	}
+	e.release = release
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) { // a killed process's: the journal is ours
+		return fmt.Errorf("upgrade: %w", err)
+	}
+	if e.ln, err = net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"}); err != nil {
+		return fmt.Errorf("upgrade: %w", err)
+	}
+	e.ln.SetUnlinkOnClose(false) // the heir's stands there by then
+	if err := os.Chmod(path, 0o600); err != nil {
+		return errors.Join(fmt.Errorf("upgrade: %w", err), e.ln.Close())
+	}
+	go func() {
+		for {
+			c, err := e.ln.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err != nil {
+				time.Sleep(retireGap)
+				continue
+			}
+			go e.meet(newLink(c))
+		}
+	}()
+	return nil
+}
+
+func (e *elder) close() {
+	_ = e.ln.Close()
+	e.release()
+}
+
+func (e *elder) on(ev handover.Event) handover.Act {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.m.On(ev)
+}
+
+// limits takes a part of the memory and descriptors: there are two processes, or one again.
+func (e *elder) limits(part float64) {
+	debug.SetMemoryLimit(int64(e.cfg.Limits.MemoryMB * memoryPart * part * (1 << 20)))
+	e.wire.Post(func() {
+		e.f.room.SetMost(int(float64(e.cfg.ClientSockets()) * part))
+		e.f.targets.SetMost(max(1, int(float64(e.cfg.TargetSockets())*part)))
+	})
+}
+
+// meet speaks with one new process to the end.
+func (e *elder) meet(l *link) {
+	defer l.close()
+	w, err := l.hear(helloIn)
+	if err != nil || w.Kind != "hello" {
+		return
+	}
+	ev := handover.Met
+	if w.Version != handover.Version {
+		ev = handover.Stranger
+	}
+	switch e.on(ev) {
+	case handover.SayWelcome:
+		e.log.Info().Msg("upgrade: a new process is there")
+		l.say(handover.Word{Kind: "welcome", Version: handover.Version})
+		e.limits(0.5)
+		e.lead(l)
+	case handover.Retire:
+		l.say(handover.Word{Kind: "refused", Version: handover.Version, Why: "another version: it gets the journal once this process has ended"})
+		_, _ = l.hear(helloIn)
+		e.log.Warn().Int("version", w.Version).Msg("upgrade: a new process of another version: this one ends in order")
+		e.term()
+	default:
+		l.say(handover.Word{Kind: "refused", Version: handover.Version, Why: "another upgrade is under way"})
+		_, _ = l.hear(helloIn)
+	}
+}
+
+// lead hands over to the heir on l, or goes on if that fails.
+func (e *elder) lead(l *link) {
+	w, err := l.hear(prepareIn)
+	if err != nil || w.Kind != "prepared" || e.on(handover.Prepared) != handover.Stand {
+		e.goOn(l, handover.Lost, nil, err)
+		return
+	}
+	seq := make(chan int64, 1)
+	e.wire.Post(func() {
+		if e.f.registry == nil {
+			seq <- -1
+			return
+		}
+		seq <- e.f.registry.Seq() // before the core stands still: its table is no older
+	})
+	for _, ln := range e.f.listeners {
+		ln.Pause()
+	}
+	state := handover.State{Discovery: e.cfg.Discovery, Seq: <-seq}
+	cp, resume := e.core.Stand()
+	state.Core = <-cp
+	began := time.Now()
+	l.say(handover.Word{Kind: "state", State: &state})
+	if w, err = l.hear(standMost); err != nil || w.Kind != "taken" || e.on(handover.Taken) != handover.Give {
+		e.goOn(l, handover.Overdue, resume, err)
+		return
+	}
+	e.mu.Lock()
+	e.to, e.offers = l, map[uint64]*sender.Exchange{}
+	e.mu.Unlock()
+	resume(e)
+	e.log.Info().Dur("stood_ms", time.Since(began)).Int("out", len(state.Core.Module.Calls)).Msg("upgrade: the new process has the journal")
+	_ = e.ln.Close()
+	e.wire.Post(func() {
+		for _, ln := range e.f.listeners {
+			_ = ln.Close()
+		}
+		if e.f.clients != nil {
+			e.f.clients.Silence()
+		}
+		if e.f.registry != nil {
+			e.f.registry.Stop()
+		}
+		if e.f.amqp != nil {
+			e.f.amqp.Close()
+		}
+		e.retire()
+	})
+	e.follow(l)
+}
+
+// goOn serves on as if nothing had been.
+func (e *elder) goOn(l *link, ev handover.Event, resume func(sender.Heir), err error) {
+	e.on(ev)
+	l.close()
+	if resume != nil {
+		resume(nil)
+		for _, ln := range e.f.listeners {
+			ln.Resume()
+		}
+	}
+	e.limits(1)
+	e.log.Warn().Err(err).Msg("upgrade: the new process did not take over: this one goes on")
+}
+
+// follow hears what the heir says until it has gone.
+func (e *elder) follow(l *link) {
+	for {
+		w, err := l.hear(0)
+		if err != nil {
+			break
+		}
+		switch w.Kind {
+		case "answer":
+			e.mu.Lock()
+			x := e.offers[w.N]
+			delete(e.offers, w.N)
+			e.mu.Unlock()
+			if x != nil {
+				e.core.Answered(x, sender.Verdict(w.Verdict), w.WaitMs)
+			}
+		case "recall":
+			e.wire.Post(func() { e.f.egress.Recall(w.ID, w.Try); e.f.brokers.Recall(w.ID, w.Try) })
+		}
+	}
+	if e.on(handover.Lost) == handover.TakeBack {
+		e.log.Error().Msg("upgrade: the new process has died")
+		e.end(errTakeBack)
+	}
+}
+
+// retire ends clients' connections that are idle, and this process once nothing is out. It runs on the loop.
+func (e *elder) retire() {
+	left := 0
+	if e.f.clients != nil {
+		left = e.f.clients.Retire()
+	}
+	e.mu.Lock()
+	waiting := len(e.offers)
+	e.mu.Unlock()
+	if left+waiting+e.f.egress.Out()+e.f.brokers.Out() == 0 {
+		done := make(chan bool)
+		e.core.Post(func() { close(done) }) // what was reported has been said
+		go func() {
+			<-done
+			for !e.to.quiet() {
+				time.Sleep(time.Millisecond)
+			}
+			if e.on(handover.Drained) == handover.Leave {
+				e.log.Info().Msg("upgrade: nothing is left here")
+				e.end(context.Canceled)
+			}
+		}()
+		return
+	}
+	e.wire.After(retireGap, e.retire)
+}
+
+// Yours says that the journal is free.
+func (e *elder) Yours() { e.to.say(handover.Word{Kind: "yours"}) }
+
+// Offer passes on what a client of this process hands in.
+func (e *elder) Offer(x *sender.Exchange) {
+	e.mu.Lock()
+	e.n++
+	n := e.n
+	e.offers[n] = x
+	e.mu.Unlock()
+	e.to.say(handover.Word{Kind: "offer", N: n, Offer: handover.NewOffer(x)})
+}
+
+// Withdraw takes it back, if it was not answered.
+func (e *elder) Withdraw(x *sender.Exchange) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for n, o := range e.offers {
+		if o == x {
+			e.to.say(handover.Word{Kind: "withdraw", N: n})
+			return
+		}
+	}
+}
+
+// Report passes on how calls ended that left here.
+func (e *elder) Report(list []sender.Outcome) { e.to.say(handover.Word{Kind: "report", Report: list}) }
--- /dev/null
+++ b/internal/app/heir.go
@@ -0,0 +1,167 @@
+package app
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"brackendale/internal/config"
+	"brackendale/internal/handover"
+	"brackendale/internal/spool"
+	"brackendale/sender"
+
+	"github.com/rs/zerolog"
+)
+
+// The times of a new process that finds the journal in use. The platform gives 6 s to the yes; an old process that ends in
+// order takes up to 3.5 s.
+const (
+	becomeIn = 5500 * time.Millisecond
+	lookGap  = 25 * time.Millisecond
+	dialIn   = 200 * time.Millisecond
+	yoursIn  = time.Second
+)
+
+// become opens the core of this process: at once where nobody holds the journal, after a hand-over where an elder does. The
+// link is nil where there was none. make opens the core; its error is spool.ErrHeld where somebody holds the journal.
+func become(cfg config.Config, log zerolog.Logger, open func(*handover.State) (*sender.Sender, error)) (
+	*sender.Sender, *handover.State, *link, error) {
+	var m handover.Heir
+	why := error(spool.ErrHeld)
+	for until := time.Now().Add(becomeIn); time.Now().Before(until); time.Sleep(lookGap) {
+		if cfg.Upgrade {
+			st, l, err := ask(&m, cfg)
+			if err == nil {
+				core, err := open(st)
+				if err != nil {
+					l.close()
+					return nil, nil, nil, err
+				}
+				log.Info().Int("open", len(st.Core.Module.Msgs)).Msg("upgrade: taken over from the old process")
+				return core, st, l, nil
+			}
+			if !errors.Is(err, errNobody) {
+				log.Warn().Err(err).Msg("upgrade: not taken over")
+				why = err
+			}
+		}
+		core, err := open(nil)
+		if err == nil {
+			m.On(handover.Free)
+			return core, nil, nil, nil
+		}
+		if !errors.Is(err, spool.ErrHeld) {
+			return nil, nil, nil, err
+		}
+		m.On(handover.Held)
+	}
+	return nil, nil, nil, fmt.Errorf("the journal in LB_STATE is in use: %w", why)
+}
+
+// errNobody tells that no elder answers.
+var errNobody = errors.New("no old process answers")
+
+// ask takes over from an elder, up to the word that the journal is free.
+func ask(m *handover.Heir, cfg config.Config) (_ *handover.State, _ *link, err error) {
+	path, release, err := upgradeSocket(cfg.State)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer release()
+	c, err := net.DialTimeout("unix", path, dialIn)
+	if err != nil {
+		return nil, nil, errNobody
+	}
+	l := newLink(c)
+	defer func() {
+		if err != nil {
+			m.On(handover.Lost)
+			l.close()
+		}
+	}()
+	l.say(handover.Word{Kind: "hello", Version: handover.Version})
+	w, err := l.hear(helloIn)
+	if err != nil {
+		return nil, nil, err
+	}
+	if w.Kind != "welcome" || w.Version != handover.Version || m.On(handover.Met) != handover.SayPrepared {
+		return nil, nil, fmt.Errorf("the old process refuses: %s", w.Why)
+	}
+	l.say(handover.Word{Kind: "prepared"})
+	if w, err = l.hear(helloIn); err != nil {
+		return nil, nil, err
+	}
+	if w.Kind != "state" {
+		return nil, nil, handover.ErrWord
+	}
+	if err = sender.Fits(cfg.Settings, &w.State.Core, time.Now().UnixMicro()); err != nil {
+		return nil, nil, err
+	}
+	if m.On(handover.Loaded) != handover.SayTaken {
+		return nil, nil, handover.ErrWord
+	}
+	l.say(handover.Word{Kind: "taken"})
+	st := w.State
+	if w, err = l.hear(yoursIn); err != nil {
+		return nil, nil, err
+	}
+	if w.Kind != "yours" || m.On(handover.Yours) != handover.Own {
+		return nil, nil, handover.ErrWord
+	}
+	return st, l, nil
+}
+
+// heir is this process's side while the elder still has calls out and clients.
+type heir struct {
+	core *sender.Sender
+	l    *link
+	gone func() // hears that the elder has ended
+
+	mu     sync.Mutex
+	offers map[uint64]*sender.Exchange
+}
+
+// Recall asks the elder to give a call up.
+func (h *heir) Recall(id string, n int) { h.l.say(handover.Word{Kind: "recall", ID: id, Try: n}) }
+
+// follow hears what the elder says until it has ended.
+func (h *heir) follow() {
+	for {
+		w, err := h.l.hear(0)
+		if err != nil {
+			break
+		}
+		switch w.Kind {
+		case "offer":
+			h.offer(w)
+		case "withdraw":
+			h.mu.Lock()
+			x := h.offers[w.N]
+			h.mu.Unlock()
+			if x != nil {
+				h.core.Withdraw(x)
+			}
+		case "report":
+			h.core.Report(w.Report...)
+		}
+	}
+	h.l.close()
+	h.core.ElderGone()
+	h.gone()
+}
+
+func (h *heir) offer(w handover.Word) {
+	x := w.Offer.Exchange()
+	x.Reply = func(v sender.Verdict, waitMs int64) {
+		h.mu.Lock()
+		delete(h.offers, w.N)
+		h.mu.Unlock()
+		h.l.say(handover.Word{Kind: "answer", N: w.N, Verdict: int(v), WaitMs: waitMs})
+	}
+	h.mu.Lock()
+	h.offers[w.N] = x
+	h.mu.Unlock()
+	h.core.Offer(x)
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -56,6 +56,8 @@
 	Discovery string         `json:"discovery"`
 	Control   string         `json:"control"` // the second address; empty: none
 	State     string         `json:"-"`
+	AcceptFD  int            `json:"-"` // the clients' listening socket, inherited; 0: this process listens itself
+	Upgrade   bool           `json:"-"` // a new process may take this one's place while it serves
 	Seed      Seed           `json:"seed"`
 	Limits    Limits         `json:"limits"`
 	Known     List           `json:"known"`
@@ -128,6 +130,13 @@
 			*field = v
 		}
 	}
+	if v := env("LB_ACCEPT_FD"); v != "" {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < 3 {
+			return c, fault("LB_ACCEPT_FD", "%q is no inherited descriptor: a number from 3 up", v)
+		}
+		c.AcceptFD, c.Upgrade = n, true
+	}
 	return c, c.check()
 }
 
@@ -183,6 +192,7 @@
 	Listen    string  `toml:"listen"`
 	Discovery string  `toml:"discovery"`
 	Control   string  `toml:"control"`
+	Upgrade   bool    `toml:"upgrade"`
 	Limits    Limits  `toml:"limits"`
 	AMQP      AMQP    `toml:"amqp"`
 	Clients   Clients `toml:"clients"`
@@ -250,6 +260,7 @@
 		return fault(path+": "+bad[0].String(), "is not known")
 	}
 	c.Name, c.State, c.Listen, c.Discovery, c.Control, c.Limits = f.Name, f.State, f.Listen, f.Discovery, f.Control, f.Limits
+	c.Upgrade = f.Upgrade
 	c.AMQP, c.Console, c.Clients, c.Resp = f.AMQP, f.Console, f.Clients, f.Resp
 	if err := c.amqpPolicy(path); err != nil {
 		return err
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -30,37 +31,45 @@
 // ErrUnknown tells that an endpoint was never listed.
 var ErrUnknown = errors.New("no such endpoint was ever listed")
 
-// Source is what the calls ask.
-type Source struct {
-	Ready     func() (ok bool, why string)                             // why, where it is not
-	Telemetry func(w io.Writer) error                                  // writes the figures
-	Format    string                                                   // their media type
-	Exclude   func(ctx context.Context, target string, out bool) error // returns once it is durable
-}
-
 // Server listens on the second address.
 type Server struct {
-	ln   net.Listener
-	http *http.Server
+	ln     net.Listener
+	http   *http.Server
+	write  func(io.Writer) error // the figures
+	format string                // their media type
+	core   atomic.Pointer[core]  // nil: the process is starting
 
 	mu   sync.Mutex
 	open []*conn // that have finished no call, the oldest first
 }
 
-// Listen serves the calls at addr until Close.
-func Listen(addr string, src Source) (*Server, error) {
+// core is what the calls ask.
+type core struct {
+	ready   func() (ok bool, why string)
+	exclude func(ctx context.Context, target string, out bool) error
+}
+
+// Listen serves the calls at addr until Close: the figures from here on, the others once a core is joined; until then the
+// process says that it starts. write writes the figures, which are of the media type format.
+func Listen(addr string, write func(io.Writer) error, format string) (*Server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ln: ln}
-	s.http = &http.Server{Handler: handler(src), ReadTimeout: wholeIn, WriteTimeout: answerIn, MaxHeaderBytes: maxHead,
+	s := &Server{ln: ln, write: write, format: format}
+	s.http = &http.Server{Handler: s.handler(), ReadTimeout: wholeIn, WriteTimeout: answerIn, MaxHeaderBytes: maxHead,
 		ErrorLog: log.New(io.Discard, "", 0)}
 	s.http.SetKeepAlivesEnabled(false)
 	go func() { _ = s.http.Serve(door{ln, s}) }()
 	return s, nil
 }
 
+// Join lets calls ask a core. ready tells whether this process takes messages, or why not; exclude takes an endpoint out or puts
+// it back, and returns once that is durable.
+func (s *Server) Join(ready func() (ok bool, why string), exclude func(ctx context.Context, target string, out bool) error) {
+	s.core.Store(&core{ready, exclude})
+}
+
 // Addr is where it listens.
 func (s *Server) Addr() net.Addr { return s.ln.Addr() }
 
@@ -141,10 +150,13 @@
 	}
 }
 
-func handler(src Source) http.Handler {
+func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux() // answers 404 and 405
 	mux.HandleFunc("GET /api/ready", func(w http.ResponseWriter, _ *http.Request) {
-		ok, why := src.Ready()
+		ok, why := false, "starting"
+		if c := s.core.Load(); c != nil {
+			ok, why = c.ready()
+		}
 		if !ok {
 			say(w, http.StatusServiceUnavailable, why)
 			return
@@ -153,11 +165,11 @@
 	})
 	mux.HandleFunc("GET /api/telemetry", func(w http.ResponseWriter, _ *http.Request) {
 		var text bytes.Buffer
-		if err := src.Telemetry(&text); err != nil {
+		if err := s.write(&text); err != nil {
 			say(w, http.StatusInternalServerError, err.Error())
 			return
 		}
-		w.Header().Set("Content-Type", src.Format)
+		w.Header().Set("Content-Type", s.format)
 		_, _ = w.Write(text.Bytes())
 	})
 	for path, out := range map[string]bool{"POST /api/exclude": true, "POST /api/include": false} {
@@ -167,9 +179,14 @@
 				say(w, status, fault)
 				return
 			}
+			c := s.core.Load()
+			if c == nil {
+				say(w, http.StatusServiceUnavailable, "starting")
+				return
+			}
 			ctx, cancel := context.WithTimeout(r.Context(), doneIn)
 			defer cancel()
-			switch err := src.Exclude(ctx, target, out); {
+			switch err := c.exclude(ctx, target, out); {
 			case errors.Is(err, ErrUnknown):
 				say(w, http.StatusNotFound, err.Error())
 			case errors.Is(err, context.DeadlineExceeded):
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -11,23 +11,19 @@
 	"testing"
 )
 
-func start(t *testing.T, src Source) string {
+func start(t *testing.T, ready func() (bool, string), exclude func(context.Context, string, bool) error) string {
 	t.Helper()
-	if src.Ready == nil {
-		src.Ready = func() (bool, string) { return true, "" }
-	}
-	if src.Telemetry == nil {
-		src.Telemetry = func(w io.Writer) error { _, err := io.WriteString(w, "lb_in_progress 14\n"); return err }
-	}
-	if src.Exclude == nil {
-		src.Exclude = func(context.Context, string, bool) error { return nil }
-	}
-	s, err := Listen("127.0.0.1:0", src)
+	s, err := Listen("127.0.0.1:0", func(w io.Writer) error { _, err := io.WriteString(w, "lb_in_progress 14\n"); return err }, "text/plain")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = s.Close() })
-	return s.Addr().String()
+	addr := s.Addr().String()
+	if status, body := call(t, addr, "GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n"); status != 503 || body != "starting\n" {
+		t.Fatalf("before a core is there: %d %q", status, body)
+	}
+	s.Join(ready, exclude)
+	return addr
 }
 
 // call sends bytes on a connection of its own and gives the status and the body.
@@ -65,20 +61,20 @@
 func TestCalls(t *testing.T) {
 	ready := errors.New("starting")
 	var done []string
-	addr := start(t, Source{
-		Ready: func() (bool, string) {
+	addr := start(t,
+		func() (bool, string) {
 			if ready != nil {
 				return false, ready.Error()
 			}
 			return true, ""
 		},
-		Exclude: func(_ context.Context, target string, out bool) error {
+		func(_ context.Context, target string, out bool) error {
 			if target == "never" {
 				return ErrUnknown
 			}
 			done = append(done, target+map[bool]string{true: " out", false: " in"}[out])
 			return nil
-		}})
+		})
 	get := func(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n" }
 	for _, c := range []struct {
 		raw    string
@@ -117,7 +113,7 @@
 
 // Callers that finish no call take no true caller's place, and are bounded.
 func TestSilentCallersGiveWay(t *testing.T) {
-	addr := start(t, Source{})
+	addr := start(t, func() (bool, string) { return true, "" }, nil)
 	var silent []net.Conn
 	for range 3 * maxOpen {
 		c, err := net.Dial("tcp", addr)
--- /dev/null
+++ b/internal/handover/words.go
@@ -0,0 +1,90 @@
+package handover
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"brackendale/sender"
+)
+
+// Version is that of the words below. Two sides of different versions hand over by the journal alone.
+const Version = 1
+
+// maxWord bounds one word in bytes: a state with all that the limits let a sender hold.
+const maxWord = 16 << 20
+
+// Word is one thing that one side says; exactly one field is set, or Kind alone says it.
+type Word struct {
+	Kind    string // hello, welcome, refused, prepared, state, taken, yours, offer, withdraw, answer, report, recall
+	Version int    `json:",omitempty"`
+	Why     string `json:",omitempty"` // of refused
+	State   *State `json:",omitempty"`
+	Offer   *Offer `json:",omitempty"`
+	N       uint64 `json:",omitempty"` // number of an offer, with offer, withdraw and answer
+	Verdict int    `json:",omitempty"`
+	WaitMs  int64  `json:",omitempty"`
+	Report  []sender.Outcome
+	ID      string `json:",omitempty"` // of recall
+	Try     int    `json:",omitempty"`
+}
+
+// State is what the elder knows.
+type State struct {
+	Core      sender.Checkpoint
+	Discovery string // the registry that it watched,
+	Seq       int64  // and the version of its list; under 0: none
+}
+
+// Offer is an exchange that one of the elder's clients hands in.
+type Offer struct {
+	ID, Class, Tenant, Key string
+	Dest, Deadline         int64
+	Body                   []byte
+	Front                  string
+	Note                   string
+}
+
+// NewOffer words an exchange.
+func NewOffer(x *sender.Exchange) *Offer {
+	return &Offer{x.ID, x.Class, x.Tenant, x.Key, x.Dest, x.Deadline, x.Body, x.Front, x.Note}
+}
+
+// Exchange is what was offered.
+func (o *Offer) Exchange() *sender.Exchange {
+	return &sender.Exchange{ID: o.ID, Class: o.Class, Tenant: o.Tenant, Key: o.Key, Dest: o.Dest, Deadline: o.Deadline, Body: o.Body,
+		Front: o.Front, Note: o.Note}
+}
+
+// ErrWord tells that something came that is no word.
+var ErrWord = errors.New("handover: not a word of this protocol")
+
+// Reader reads words.
+type Reader struct {
+	d   *json.Decoder
+	lim *io.LimitedReader
+}
+
+// NewReader reads words from in.
+func NewReader(in io.Reader) *Reader {
+	lim := &io.LimitedReader{R: in, N: maxWord}
+	return &Reader{json.NewDecoder(lim), lim}
+}
+
+// Next reads one word; the error is ErrWord, or that of the connection.
+func (r *Reader) Next() (w Word, err error) {
+	r.lim.N = maxWord
+	if err := r.d.Decode(&w); err != nil {
+		var syntax *json.SyntaxError
+		var kind *json.UnmarshalTypeError
+		if errors.As(err, &syntax) || errors.As(err, &kind) || r.lim.N == 0 {
+			err = errors.Join(ErrWord, err)
+		}
+		return w, fmt.Errorf("handover: reading: %w", err)
+	}
+	if w.Kind == "" || w.Kind == "state" && w.State == nil || w.Kind == "offer" && w.Offer == nil {
+		return w, ErrWord
+	}
+	return w, nil
+}
--- a/internal/net/amqpfront/egress.go
+++ b/internal/net/amqpfront/egress.go
@@ -55,6 +55,9 @@
 		table: room.NewTargets()}
 }
 
+// Out is the number of messages that are out.
+func (e *Egress) Out() int { return len(e.out) }
+
 // Secure takes up how routes' targets are judged. Connections that are open stay as they are. Only for the loop's
 // goroutine once the egress serves.
 func (e *Egress) Secure(byRoute map[string]*tls.Config) { e.tls = byRoute }
--- a/internal/net/platform/egress.go
+++ b/internal/net/platform/egress.go
@@ -78,6 +78,9 @@
 	c.link.do(c.answer, c.request(limit)...)
 }
 
+// Out is the number of messages that are out.
+func (e *Egress) Out() int { return len(e.out) }
+
 // errNoRoom ends a call for which there is no descriptor within the budget.
 var errNoRoom = errors.New("platform: no descriptor is left for targets")
 
--- a/internal/net/platform/ingress.go
+++ b/internal/net/platform/ingress.go
@@ -339,3 +339,17 @@
 		}
 	})
 }
+
+// Retire ends the connections on which nothing waits and nothing has come, and tells how many are left. What is half there is
+// read to its end.
+func (in *Ingress) Retire() int {
+	in.table.Each(func(e *conns.Entry) {
+		if cl, ok := e.Owner().(*client); ok && len(cl.waiting) == 0 && cl.rest.Len() == 0 && cl.Quiet() {
+			cl.drop()
+		}
+	})
+	return in.table.Len()
+}
+
+// Silence tells no more ends: another process does.
+func (in *Ingress) Silence() { in.notices.silence() }
--- a/internal/net/platform/notices.go
+++ b/internal/net/platform/notices.go
@@ -19,6 +19,7 @@
 	queue []notice
 	link  *link
 	busy  bool
+	over  bool // another process tells
 }
 
 type notice struct {
@@ -60,8 +61,16 @@
 	n.push()
 }
 
+// silence ends the telling.
+func (n *notices) silence() {
+	n.over, n.queue = true, nil
+	if n.link != nil {
+		n.link.drop()
+	}
+}
+
 func (n *notices) push() {
-	if n.busy || len(n.queue) == 0 {
+	if n.over || n.busy || len(n.queue) == 0 {
 		return
 	}
 	if n.link == nil || n.link.conn.Dead() {
@@ -81,6 +90,9 @@
 	l.do(func(a *http1.Response, err error) {
 		n.r.Disarm(&timer)
 		n.busy = false
+		if n.over {
+			return
+		}
 		if err == nil && a.Status == 204 {
 			ids := make([]string, len(batch))
 			for i, x := range batch {
--- a/internal/net/platform/registry.go
+++ b/internal/net/platform/registry.go
@@ -32,6 +32,7 @@
 	seq  int64 // of the list that is held, from 0 up; noSeq: none, the whole list is wanted
 	link *link
 	pace *pace.Pace
+	over bool
 }
 
 // noSeq stands where no version is known. 0 is one: that of a list that has not changed yet.
@@ -42,6 +43,32 @@
 func Watch(core *sender.Sender, r *reactor.Reactor, addr string, known config.List, senders int, seed int64) *Registry {
 	g := &Registry{core: core, r: r, addr: addr, seq: known.Seq, pace: pace.New(senders, seed, againGap, againMost)}
 	core.Routes("stale_copy", Routes(known))
+	return g.start(known)
+}
+
+// Follow goes on from another process's route table, which was that of a version; under 0: of none.
+func Follow(core *sender.Sender, r *reactor.Reactor, addr string, routes []sender.Route, seq int64, senders int, seed int64) *Registry {
+	g := &Registry{core: core, r: r, addr: addr, seq: seq, pace: pace.New(senders, seed, againGap, againMost)}
+	core.Routes("stale_copy", routes)
+	if seq < 0 {
+		g.seq = noSeq
+	}
+	r.Post(g.ask)
+	return g
+}
+
+// Seq is the version of the list that is held; under 0: none. Only for the loop's goroutine.
+func (g *Registry) Seq() int64 { return g.seq }
+
+// Stop asks no more.
+func (g *Registry) Stop() {
+	if g.over = true; g.link != nil {
+		g.link.drop()
+	}
+}
+
+func (g *Registry) start(known config.List) *Registry {
+	r := g.r
 	if known.Seq < 0 || known.Seq == 0 && len(known.Hosts) == 0 {
 		g.seq = noSeq
 		r.Post(g.ask)
@@ -93,6 +120,9 @@
 }
 
 func (g *Registry) ask() {
+	if g.over {
+		return
+	}
 	if g.link == nil || g.link.conn.Dead() {
 		g.link = dial(g.r, g.addr, agentLimit, agentMost)
 	}
--- a/internal/net/reactor/listen.go
+++ b/internal/net/reactor/listen.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -30,7 +31,10 @@
 	word   []byte
 	tls    *tls.Config // nil: plain
 	perSec atomic.Int64
-	spare  *os.File // a descriptor kept for the moment when there is no other
+	mu     sync.Mutex
+	pause  chan chan struct{} // given to serve; closed to go on
+	paused chan struct{}      // the one that is given
+	spare  *os.File           // a descriptor kept for the moment when there is no other
 }
 
 // Listen accepts connections; accept names the handler of each, or nil to turn it away. word, if not nil, is what a
@@ -51,10 +55,54 @@
 	if err != nil {
 		return nil, fmt.Errorf("listening on %s: %w", addr, err)
 	}
-	l := &Listener{Listener: ln, r: r, accept: accept, word: word, tls: cfg}
+	return r.ListenOn(ln, word, cfg, accept), nil
+}
+
+// ListenOn accepts from a listener that is there already, as one that was inherited; cfg nil: plainly. It is this process's
+// to close, and the socket behind it may go on in others.
+func (r *Reactor) ListenOn(ln net.Listener, word []byte, cfg *tls.Config, accept func(*Conn) Handler) *Listener {
+	l := &Listener{Listener: ln, r: r, accept: accept, word: word, tls: cfg, pause: make(chan chan struct{}, 1)}
 	l.reserve()
 	go l.serve()
-	return l, nil
+	return l
+}
+
+// Pause accepts nobody from here on, until Resume or Close: newcomers wait in the backlog, for another process perhaps. One
+// that was accepted just before is still handled.
+func (l *Listener) Pause() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	if !ok || l.paused != nil {
+		return
+	}
+	l.paused = make(chan struct{})
+	l.pause <- l.paused
+	_ = d.SetDeadline(time.Now())
+}
+
+// Resume accepts again.
+func (l *Listener) Resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.paused != nil {
+		if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+			_ = d.SetDeadline(time.Time{})
+		}
+		select {
+		case <-l.pause: // it was not noticed
+		default:
+		}
+		close(l.paused)
+		l.paused = nil
+	}
+}
+
+// Close accepts no more.
+func (l *Listener) Close() error {
+	err := l.Listener.Close()
+	l.Resume()
+	return err
 }
 
 // SetRate bounds the newcomers of a second; 0 is no bound. Those above it wait in the listener's backlog.
@@ -73,6 +121,15 @@
 			l.release()
 			return
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			<-room
+			select {
+			case again := <-l.pause:
+				<-again
+			default: // the word for a newcomer without room had its time
+			}
+			continue
+		}
 		if err != nil {
 			<-room
 			l.short(err)
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -47,3 +47,9 @@
 // Least is the rate that refusals leave a sender at least, in calls a second; 0 where no limit is known. The sum over all
 // senders stays under the limit, so that it fills again also where refused calls use it up.
 func (l *Limit) Least(senders float64) float64 { return l.Even(senders) * rest }
+
+// Save is what was heard: the share that is left, the limit, and when. Load takes it up.
+func (l *Limit) Save() [3]float64 { return [3]float64{l.left, l.rate, float64(l.at)} }
+
+// Load is a limit that was saved.
+func Load(s [3]float64) Limit { return Limit{s[0], s[1], int64(s[2])} }
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -14,6 +14,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"syscall"
 )
 
 // Entry is one message as the spool knows it.
@@ -33,11 +34,15 @@
 	order                  uint64
 }
 
+// ErrHeld tells that another process writes the journal.
+var ErrHeld = errors.New("spool: another process holds the journal")
+
 // ErrFull tells that the disk budget has no room.
 var ErrFull = errors.New("spool: no room in the disk budget")
 
 const (
 	fileName = "spool"
+	lockName = "lock"
 	magic    = "brackendale spool 1\n"
 	head     = 8 // length and checksum
 	perHop   = 160
@@ -69,6 +74,7 @@
 // Spool is the open journal. It belongs to one goroutine.
 type Spool struct {
 	dir   string
+	lock  *os.File // held for as long as the journal is written; the kernel drops it with the process
 	f     *os.File
 	size  int64 // of the file, as written
 	most  int64 // of the file: half the budget, so that a compaction fits beside it
@@ -81,12 +87,21 @@
 	past  []*Entry // those that were gone when it was opened, without their bodies
 }
 
-// Open reads the journal in dir, or starts one. What a torn tail holds was never acted upon: it is cut off.
-func Open(dir string, budget int64) (*Spool, error) {
+// Open reads the journal in dir, or starts one. What a torn tail holds was never acted upon: it is cut off. The error is
+// ErrHeld where another process has it open.
+func Open(dir string, budget int64) (_ *Spool, err error) {
 	s := &Spool{dir: dir, most: budget/2 - 2*block, live: map[string]*Entry{}, out: map[string]bool{}}
 	if s.most < 4*perMsg {
 		return nil, fmt.Errorf("spool: a disk budget of %d bytes is too small", budget)
 	}
+	if s.lock, err = hold(filepath.Join(dir, lockName)); err != nil {
+		return nil, err
+	}
+	defer func() {
+		if err != nil {
+			_ = s.lock.Close()
+		}
+	}()
 	if err := os.Remove(s.path() + ".new"); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, fmt.Errorf("spool: %w", err)
 	}
@@ -123,8 +138,23 @@
 
 func (s *Spool) path() string { return filepath.Join(s.dir, fileName) }
 
-// Close gives the file back.
-func (s *Spool) Close() error { return s.f.Close() }
+// hold takes the lock, or fails at once.
+func hold(path string) (*os.File, error) {
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("spool: %w", err)
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			err = ErrHeld
+		}
+		return nil, errors.Join(err, f.Close())
+	}
+	return f, nil
+}
+
+// Close gives the file back, and then the lock.
+func (s *Spool) Close() error { return errors.Join(s.f.Close(), s.lock.Close()) }
 
 // Entries lists what is live, in the order in which it was taken on.
 func (s *Spool) Entries() []*Entry {
--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -51,6 +51,7 @@
 	s.End("d", "delivered", 0)
 	s.Gone("d")
 	flush(t, s)
+	_ = s.Close()
 	want := "b/body b/2/0//20//0;a/body a/1/11/z1/0//0;c//0/0//0/failed/250;"
 	if got := list(open(t, dir, budget)); got != want {
 		t.Fatalf("got  %s\nwant %s", got, want)
@@ -152,6 +153,7 @@
 			t.Fatalf("the file has %d bytes, too many for a compaction beside it", s.size)
 		}
 	}
+	_ = s.Close()
 	if got := list(open(t, dir, small)); got != list(s) {
 		t.Fatal("the reopened spool differs")
 	}
@@ -190,3 +192,42 @@
 		}
 	})
 }
+
+// One process writes at a time, and the next one can once that has let go.
+func TestOneWriter(t *testing.T) {
+	dir := t.TempDir()
+	s := open(t, dir, budget)
+	if _, err := Open(dir, budget); !errors.Is(err, ErrHeld) {
+		t.Fatal(err)
+	}
+	_ = s.Close()
+	open(t, dir, budget)
+}
+
+// Targets that are out by hand are there for the next life, also after a compaction; those put back are not.
+func TestOutByHand(t *testing.T) {
+	dir := t.TempDir()
+	s := open(t, dir, budget)
+	for _, x := range []string{"a", "b", "c"} {
+		if err := s.PutOut(x, true); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := s.PutOut("b", false); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		flush(t, s)
+		_ = s.Close()
+		s = open(t, dir, budget)
+		if !s.Out("a") || s.Out("b") || !s.Out("c") {
+			t.Fatal(s.out)
+		}
+		if err := s.compact(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := errors.Join(s.PutOut("a", false), s.PutOut("c", false)); err != nil || s.bytes != 0 {
+		t.Fatal(err, s.bytes)
+	}
+}
--- /dev/null
+++ b/logic/saved_test.go
@@ -0,0 +1,172 @@
+package logic
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"reflect"
+	"slices"
+	"testing"
+)
+
+// savedSite has destinations that share a limit and some whose endpoints are apart.
+func savedSite(senders int) (s Settings) {
+	s.Replicas, s.TickUs, s.Discovery, s.Weights, s.MachineTypes = senders, 1000, "pushed", "silent", []string{"one", "apart"}
+	s.Lanes = []Lane{{Name: "safe", Effect: "repeatable", AimUs: 1e6, HardLimitUs: 6e6, Worth: 1},
+		{Name: "key", Effect: "by_key", Group: "all", AimUs: 1e6, HardLimitUs: 12e6, WindowUs: 9e6, Worth: 2},
+		{Name: "once", Effect: "once", AimUs: 1e6, HardLimitUs: 12e6, Worth: 4}}
+	s.Family.OwnLimits, s.Family.PerCall, s.Family.Workers = []bool{false, true}, []int{3, 1}, 6
+	s.Caps.OpenCap, s.Caps.MaxAttempts, s.Caps.RetryAfter, s.Caps.MaxRetryAfterUs, s.Caps.Cancel = 60, 8, true, 3e6, true
+	s.Caps.ConnectTimeoutUs, s.Caps.KeepaliveUs, s.Caps.StreamsPerConn = 1500e3, 5e6, 1
+	s.Rules.FallUs, s.Rules.ColdFrom, s.Rules.FallMultiple, s.Rules.WarmAfterUs = 2e6, 0.2, 2, 10e6
+	s.Report.How, s.Report.Fields = "piggyback", []string{"x0", "x1"}
+	return s
+}
+
+// live plays a relay against partners that answer at random, from a time for a while, and keeps what is out.
+type played struct {
+	r    *Relay
+	rng  *rand.Rand
+	now  int64
+	n    int
+	out  map[string]Action
+	wake int64
+}
+
+func (p *played) step(events ...Event) []Action {
+	acts := p.r.Step(p.now, events)
+	for _, a := range acts {
+		if a.Kind == Issue {
+			p.out[a.ID] = Action{ID: a.ID, N: p.r.msgs[a.ID].attempts - 1, Addr: a.Addr}
+		}
+	}
+	return acts
+}
+
+// happen draws what comes next: arrivals, and ends of what is out.
+func (p *played) happen() (events []Event) {
+	p.now += int64(p.rng.Intn(40_000)) + 1000
+	for range p.rng.Intn(3) {
+		p.n++
+		l := p.r.set.Lanes[p.rng.Intn(3)]
+		events = append(events, Event{Kind: Arrived, ID: fmt.Sprint("m", p.n), Class: l.Name, Dest: int64(p.rng.Intn(3)),
+			Deadline: p.now + l.HardLimitUs})
+	}
+	for _, id := range slices.Sorted(func(yield func(string) bool) {
+		for id := range p.out {
+			if !yield(id) {
+				return
+			}
+		}
+	}) {
+		if p.rng.Intn(3) > 0 {
+			continue
+		}
+		a := p.out[id]
+		delete(p.out, id)
+		e := Event{Kind: Reported, ID: id, N: a.N, Addr: a.Addr, Report: []float64{p.rng.Float64(), 20}}
+		switch k := p.rng.Intn(10); {
+		case k < 6:
+			e.Reason, e.Finished = "GOOD", true
+		case k == 6:
+			e.Reason, e.HoldMs = "FULL", int64(p.rng.Intn(400))
+		default:
+			e.Reason = []string{"BAD", "LATE", "NOCONN", "RST"}[p.rng.Intn(4)]
+		}
+		events = append(events, e)
+	}
+	return events
+}
+
+// What is saved, worded as JSON and loaded again is the same to the last number, and the next decisions are too: told waits,
+// slots that are taken, caps, cold paces and the times of held messages.
+func TestSavedIsAllThatIsKnown(t *testing.T) {
+	for seed := range int64(60) {
+		set := savedSite([]int{1, 2, 300}[seed%3])
+		r, err := New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p := &played{r: r, rng: rand.New(rand.NewSource(seed)), now: 1e15, out: map[string]Action{}}
+		list := Event{Kind: Listed, How: "whole"}
+		for i := range 6 {
+			list.List = append(list.List, Endpoint{Addr: fmt.Sprint("e", i), Kind: set.MachineTypes[i%3/2], Dest: int64(i % 3), State: "live"})
+		}
+		p.step(list)
+		for range 50 + p.rng.Intn(200) {
+			p.step(p.happen()...)
+		}
+		saved := r.Save()
+		text, err := json.Marshal(saved)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var back Saved
+		if err := json.Unmarshal(text, &back); err != nil {
+			t.Fatal(err)
+		}
+		to, err := New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := to.Load(back, p.now); err != nil {
+			t.Fatal(err)
+		}
+		if again := to.Save(); !reflect.DeepEqual(words(again), words(saved)) {
+			t.Fatalf("seed %d: loaded\n%s\nsaved\n%s", seed, words(again), text)
+		}
+		if r.busy != to.busy || r.open != to.open || len(r.Out()) != len(to.Out()) || len(p.out) != len(to.Out()) {
+			t.Fatalf("seed %d: slots %d and %d, held %d and %d", seed, r.busy, to.busy, r.open, to.open)
+		}
+		p.now += 1000
+		issued := func(acts []Action) (list []string) {
+			for _, a := range acts {
+				if a.Kind == Issue {
+					list = append(list, a.ID+" to "+a.Addr)
+				}
+			}
+			return list
+		}
+		to.rng, r.rng = rand.New(rand.NewSource(1)), rand.New(rand.NewSource(1))
+		events := p.happen()
+		if a, b := issued(r.Step(p.now, events)), issued(to.Step(p.now, events)); !slices.Equal(a, b) {
+			t.Fatalf("seed %d: next leave %v, after loading %v", seed, a, b)
+		}
+	}
+}
+
+func words(s Saved) string {
+	text, err := json.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	return string(text)
+}
+
+// A state of another form, or that makes no sense, is an error: the journal alone counts then.
+func TestLoadRefuses(t *testing.T) {
+	r, err := New(savedSite(1), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Step(1, []Event{{Kind: Listed, How: "whole", List: []Endpoint{{Addr: "e", Kind: "one", State: "live"}}}})
+	good := r.Save()
+	for name, spoil := range map[string]func(*Saved){
+		"form":     func(s *Saved) { s.Form++ },
+		"numbers":  func(s *Saved) { s.Bits = append(s.Bits, 1) },
+		"route":    func(s *Saved) { s.Dests[0].Whole.Ints = nil },
+		"endpoint": func(s *Saved) { s.Dests[0].Eps[0].Counts = nil },
+		"message":  func(s *Saved) { s.Msgs = []SavedMsg{{ID: "m", Class: "safe"}} },
+		"call":     func(s *Saved) { s.Calls = []SavedCall{{Addr: "nowhere"}} },
+	} {
+		var s Saved
+		if err := json.Unmarshal([]byte(words(good)), &s); err != nil {
+			t.Fatal(err)
+		}
+		spoil(&s)
+		to, _ := New(savedSite(1), 1)
+		if to.Load(s, 1) == nil {
+			t.Errorf("%s: taken for good", name)
+		}
+	}
+}
--- a/sender/exclude_test.go
+++ b/sender/exclude_test.go
@@ -9,12 +9,16 @@
 
 	"brackendale/internal/spool"
 	"brackendale/internal/telemetry"
+	"brackendale/internal/testkit"
 	"brackendale/logic"
 
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 )
 
+// TestMain draws the same cases every time.
+func TestMain(m *testing.M) { testkit.Seeded(m, "100") }
+
 func target(addr, state string) Route {
 	return Route{Endpoint: logic.Endpoint{Addr: addr, Kind: "k", Dest: 1, State: state}, Proto: "p"}
 }
--- a/sender/group.go
+++ b/sender/group.go
@@ -27,6 +27,11 @@
 func (s *Sender) OfferGroup(g *Group) { s.Post(func() { s.offerGroup(g) }) }
 
 func (s *Sender) offerGroup(g *Group) {
+	if s.heir != nil { // its clients come again
+		g.v, g.wait = Busy, refusedMs
+		s.answerGroup(g)
+		return
+	}
 	s.groups = append(s.groups, g) // also one that is refused here: answers come in the order of the groups
 	need := 0
 	for _, x := range g.Offers {
--- /dev/null
+++ b/sender/handover.go
@@ -0,0 +1,136 @@
+package sender
+
+import (
+	"errors"
+
+	"brackendale/logic"
+)
+
+// ErrHanded tells that another process goes on in this one's place.
+var ErrHanded = errors.New("handed over to a new process: call that one")
+
+// Action is an attempt that is out: the message's, which of its attempts, and to which target.
+type Action = logic.Action
+
+// Checkpoint is what a sender knows and its spool does not: with both another process goes on in its place.
+type Checkpoint struct {
+	Module logic.Saved
+	Routes []Route
+	Over   []string // ids of messages that are over
+	Listed []string // names that were ever listed
+}
+
+// Heir is the process that goes on in place of this one. Its methods are called on Run's goroutine and must not wait.
+type Heir interface {
+	// Yours says that the spool is free. It comes before all that is passed on.
+	Yours()
+	// Offer passes on an exchange; Sender.Answered brings the answer.
+	Offer(x *Exchange)
+	// Withdraw takes one back that was not answered.
+	Withdraw(x *Exchange)
+	// Report passes on how hops ended that share a call.
+	Report(list []Outcome)
+}
+
+// Elder is the process in whose place this one goes on, while it still has calls out. It is called on Run's goroutine.
+type Elder interface {
+	Recall(id string, n int)
+}
+
+// standing is one time of standing still.
+type standing struct {
+	state chan Checkpoint
+	heir  chan Heir
+}
+
+// Stand stops the core behind a whole step and gives what it knows; nothing is taken on, sent or written until resume is
+// called, once: with nil it goes on as if nothing had been, with an heir the spool is let go of and all that fronts tell is
+// passed on, for good. resume returns once that is so. It is not called where ctx ends first: then state is never given.
+func (s *Sender) Stand() (state <-chan Checkpoint, resume func(Heir)) {
+	a := &standing{state: make(chan Checkpoint, 1), heir: make(chan Heir)}
+	s.Post(func() { s.asked = a })
+	return a.state, func(h Heir) {
+		a.heir <- h
+		a.heir <- nil // taken in once it has been carried out
+	}
+}
+
+func (s *Sender) stand() {
+	a := s.asked
+	s.asked = nil
+	a.state <- s.checkpoint()
+	if h := <-a.heir; h != nil {
+		s.heir = h
+		s.unready(ErrHanded.Error())
+		if err := s.spool.Close(); err != nil {
+			s.log.Error().Err(err).Msg("closing the spool")
+		}
+		s.events, s.offers = nil, nil
+		h.Yours()
+	}
+	<-a.heir
+}
+
+func (s *Sender) checkpoint() Checkpoint {
+	cp := Checkpoint{Module: s.relay.Save(), Over: s.over.ids()}
+	for _, r := range s.routes {
+		cp.Routes = append(cp.Routes, r)
+	}
+	for name := range s.listed.old {
+		cp.Listed = append(cp.Listed, name)
+	}
+	for name := range s.listed.now {
+		cp.Listed = append(cp.Listed, name)
+	}
+	return cp
+}
+
+// resume takes up what another process's sender gave. Attempts that are out stay so: the elder's word ends them.
+func (s *Sender) resume(cp *Checkpoint) {
+	for _, id := range cp.Over {
+		s.over.add(id)
+	}
+	for _, name := range cp.Listed {
+		s.listed.add(name)
+	}
+	s.afar = map[string]Action{}
+	for _, a := range s.relay.Out() {
+		if e := s.spool.Get(a.ID); e == nil || e.End != "" || e.OpenAt == 0 {
+			s.log.Warn().Str("id", a.ID).Msg("out by the module and not by the spool")
+		}
+		s.afar[a.ID] = a
+	}
+	for _, m := range cp.Module.Msgs {
+		if e := s.spool.Get(m.ID); s.relay.Holds(m.ID) && (e == nil || e.End != "") {
+			s.events = append(s.events, logic.Event{Kind: logic.Left, ID: m.ID})
+		}
+	}
+}
+
+// SetElder names the process that has calls out for this one, before Run.
+func (s *Sender) SetElder(e Elder) { s.elder = e }
+
+// ElderGone books that the elder has ended: what it had not reported may have run. Any goroutine may call it.
+func (s *Sender) ElderGone() {
+	s.Post(func() {
+		s.elder = nil
+		for id, a := range s.afar {
+			s.report(Outcome{ID: id, N: a.N, Target: a.Addr, Reason: Reset})
+		}
+		s.afar = nil
+	})
+}
+
+// Answered brings the heir's answer to an exchange that was passed on. Any goroutine may call it.
+func (s *Sender) Answered(x *Exchange, v Verdict, waitMs int64) {
+	s.Post(func() { s.answer(x, v, waitMs) })
+}
+
+// Fits tells whether a sender could go on from a checkpoint; the error says why not.
+func Fits(set logic.Settings, cp *Checkpoint, now int64) error {
+	relay, err := logic.New(set, 0)
+	if err != nil {
+		return err
+	}
+	return relay.Load(cp.Module, now)
+}
--- a/sender/recent.go
+++ b/sender/recent.go
@@ -1,6 +1,10 @@
 package sender
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // recent remembers the ids of exchanges that are over, in two halves of which the older is dropped when the
 // newer is full or old enough. An id that comes again while its message could still live is never sent again:
@@ -31,3 +35,9 @@
 	_, b := r.old[id]
 	return a || b
 }
+
+// ids lists what is remembered.
+func (r *recent) ids() []string {
+	list := slices.Collect(maps.Keys(r.old))
+	return slices.AppendSeq(list, maps.Keys(r.now))
+}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -35,6 +35,9 @@
 	Book     *telemetry.Book // the figures that are kept; nil: none
 	Trace    io.Writer       // gets a line for each step that was told or did anything; nil: none
 
+	// From is what another process's sender gave when it stood still; this one goes on in its place. nil: a start anew.
+	From *Checkpoint
+
 	// Carry runs its argument on the fronts' goroutine, after what it was given before. nil: on Run's own.
 	Carry func(func())
 }
@@ -81,6 +84,10 @@
 	skipped  int                    // targets that were avoided then
 	stops    bool                   // a planned end has begun
 	ready    atomic.Pointer[string] // why this process is not ready; nil: it is
+	asked    *standing              // somebody wants it to stand still
+	heir     Heir                   // that goes on in its place; nil: nobody
+	elder    Elder                  // that has calls out for this one; nil: nobody
+	afar     map[string]Action
 	pressed  pressure
 	trace    *trace.Writer // nil: not asked for
 }
@@ -100,6 +107,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if opt.From != nil {
+		if err := relay.Load(opt.From.Module, time.Now().UnixMicro()); err != nil {
+			return nil, err
+		}
+	}
 	sp, err := spool.Open(opt.Dir, opt.Disk)
 	if err != nil {
 		return nil, err
@@ -145,7 +157,11 @@
 
 // Run takes up what the spool holds and serves until ctx ends.
 func (s *Sender) Run(ctx context.Context) error {
-	defer s.spool.Close()
+	defer func() {
+		if s.heir == nil {
+			_ = s.spool.Close()
+		}
+	}()
 	s.take() // the module hears of the route table before it hears of what was held
 	s.restore()
 	for {
@@ -161,6 +177,9 @@
 		if err := s.turn(); err != nil {
 			return err
 		}
+		if s.asked != nil {
+			s.stand()
+		}
 	}
 }
 
@@ -178,10 +197,13 @@
 // turn takes in what was posted, makes one step and hands the fronts what it led to.
 func (s *Sender) turn() error {
 	s.take()
-	err := s.round()
-	s.press()
-	s.level()
-	s.serves()
+	var err error
+	if s.heir == nil {
+		err = s.round()
+		s.press()
+		s.level()
+		s.serves()
+	}
 	if batch := s.carry; len(batch) > 0 && err == nil {
 		s.carry = make([]word, 0, min(len(batch), keepMost))
 		s.opt.Carry(func() {
@@ -238,6 +260,9 @@
 	for _, e := range s.spool.Past() {
 		s.past(e)
 	}
+	if s.opt.From != nil {
+		s.resume(s.opt.From)
+	}
 	for _, e := range s.spool.Entries() {
 		if e.Heard {
 			s.forgetLater(e)
@@ -247,10 +272,13 @@
 			s.tell = append(s.tell, e)
 			continue
 		}
+		s.open++
+		if s.opt.From != nil && s.relay.Holds(e.ID) {
+			continue
+		}
 		if e.OpenAt != 0 {
 			s.spool.Closed(e.ID, true)
 		}
-		s.open++
 		s.events = append(s.events, logic.Event{Kind: logic.Arrived, Held: true, ID: e.ID, Class: e.Class,
 			Tenant: e.Tenant, Dest: e.Dest, Deadline: e.Deadline, Attempts: e.Attempts, FirstRunUs: e.FirstRun, Zone: e.Zone})
 	}
@@ -272,6 +300,10 @@
 }
 
 func (s *Sender) offer(x *Exchange) {
+	if s.heir != nil {
+		s.heir.Offer(x)
+		return
+	}
 	if over, v, waitMs := s.admit(x, nil, 0); over {
 		s.answer(x, v, waitMs)
 		if v == Taken {
@@ -334,6 +366,10 @@
 // in stays, and its answer is on its way.
 func (s *Sender) Withdraw(x *Exchange) {
 	s.Post(func() {
+		if s.heir != nil {
+			s.heir.Withdraw(x)
+			return
+		}
 		for i, o := range s.offers {
 			if o == x {
 				s.offers[i] = &Exchange{ID: x.ID}
@@ -347,6 +383,10 @@
 // Report books how hops that shared a call ended.
 func (s *Sender) Report(list ...Outcome) {
 	s.Post(func() {
+		if s.heir != nil {
+			s.heir.Report(list)
+			return
+		}
 		for _, o := range list {
 			s.report(o)
 		}
@@ -354,6 +394,7 @@
 }
 
 func (s *Sender) report(o Outcome) {
+	delete(s.afar, o.ID)
 	mayRun := o.Reason != Full && o.Reason != NoConn && o.Reason != Moot
 	s.spool.Closed(o.ID, mayRun)
 	if r := s.seen[o.Target]; r != nil {
@@ -387,6 +428,9 @@
 }
 
 func (s *Sender) list(how string, list []Route) {
+	if s.heir != nil {
+		return
+	}
 	e := logic.Event{Kind: logic.Listed, How: how}
 	by := map[string][]Route{}
 	if how != "patch" { // what a whole list lacks is gone
@@ -439,6 +483,9 @@
 // Settle books that the ends of exchanges have arrived.
 func (s *Sender) Settle(ids ...string) {
 	s.Post(func() {
+		if s.heir != nil {
+			return // the heir tells the end again
+		}
 		for _, id := range ids {
 			s.settle(id)
 		}
@@ -497,6 +544,9 @@
 const forgetGap = 20 * time.Millisecond
 
 func (s *Sender) forget() {
+	if s.heir != nil {
+		return
+	}
 	for _, id := range s.old.take(s.Now()) {
 		s.gone(id)
 	}
@@ -508,6 +558,9 @@
 // Stop is called once at a planned end: from here only hops start that should end before the time given.
 func (s *Sender) Stop(until int64) {
 	s.Post(func() {
+		if s.heir != nil {
+			return
+		}
 		s.stops = true
 		s.events = append(s.events, logic.Event{Kind: logic.Stopping, Deadline: until})
 		s.log.Info().Int64("left_ms", (until-s.Now())/1000).Int("open", s.open).Msg("stopping")
@@ -532,6 +585,10 @@
 
 func (s *Sender) answer(x *Exchange, v Verdict, waitMs int64) {
 	s.count(x.Class, v)
+	if x.Reply != nil {
+		s.tellLater(func() { x.Reply(v, waitMs) })
+		return
+	}
 	if in := s.fronts[x.Front]; in != nil {
 		s.carry = append(s.carry, word{in: in, exchange: x, verdict: v, waitMs: waitMs})
 	}
@@ -715,6 +772,10 @@
 			s.Post(func() { s.events = append(s.events, logic.Event{Kind: logic.Woke}) })
 		})
 	case logic.Recall:
+		if _, ok := s.afar[a.ID]; ok && s.elder != nil {
+			s.elder.Recall(a.ID, a.N)
+			return
+		}
 		for _, c := range s.carriers {
 			s.tellLater(func() { c.Recall(a.ID, a.N) })
 		}
--- a/sender/steer.go
+++ b/sender/steer.go
@@ -37,6 +37,10 @@
 }
 
 func (s *Sender) exclude(target string, out bool, done func(error)) {
+	if s.heir != nil {
+		done(ErrHanded)
+		return
+	}
 	if !s.spool.Out(target) && !s.listed.has(target) {
 		done(ErrUnknown)
 		return
--- a/sender/types.go
+++ b/sender/types.go
@@ -16,6 +16,9 @@
 	Note                   string // what that ingress wants back with the end
 	Ref                    any    // the ingress's own, for the answer; not kept over a restart
 
+	// Reply, where it is set, hears the answer in place of the ingress, on the fronts' goroutine.
+	Reply func(v Verdict, waitMs int64)
+
 	group *Group // that it came in
 }
 
