A call with several messages ends with the first one's time: late answers lost messages

Send (egress.go) kept such a call open for its most patient member. Ruled out by the raw answers: answers cut short (all of these were whole and well formed), notices that were not told, commands without an answer.

Change: the call's time-out ends with the earliest deadline among its messages. Beside it, found while looking: an answer for several whose length only the connection's end tells was taken for whole without the end of its last line.

--- a/internal/net/http1/http1.go
+++ b/internal/net/http1/http1.go
@@ -27,6 +27,7 @@
 type Response struct {
 	Status int
 	Close  bool // the connection ends with it
+	Ended  bool // only the connection's end tells where the body ends: it may have been cut off
 	Body   []byte
 	head   []byte // from the second line on, without the empty one
 }
@@ -149,7 +150,7 @@
 		if !ended {
 			return 0, nil
 		}
-		size = len(b) - at
+		size, r.Ended = len(b)-at, true
 	}
 	if len(b) < at+size {
 		return 0, nil
--- a/internal/net/platform/egress.go
+++ b/internal/net/platform/egress.go
@@ -63,11 +63,13 @@
 // Send writes a call to an idle connection, or to a new one.
 func (e *Egress) Send(to sender.Route, hops []sender.Hop) {
 	c := &hopCall{e: e, to: to, hops: hops, why: sender.Late}
-	limit := int64(0)
-	for _, h := range hops { // they share one call: the most patient one keeps it open
-		limit = max(limit, h.LimitUs)
+	limit, left := int64(0), int64(math.MaxInt64)
+	now := e.core.Now()
+	for _, h := range hops { // they share one call: the most patient one keeps it open, while all have time left
+		limit, left = max(limit, h.LimitUs), min(left, h.Deadline-now)
 		e.out[h.ID] = c
 	}
+	limit = max(1000, min(limit, left))
 	e.r.Arm(&c.timer, time.Duration(limit)*time.Microsecond, 0, timers.Func(func() { c.giveUp(sender.Late) }))
 	if c.link = e.take(to, limit); c.link == nil {
 		c.link = &link{}
@@ -248,7 +250,7 @@
 		o.Reason = sender.Reset
 	default:
 		if o = c.read(a); a.Status == 200 && len(c.hops) > 1 {
-			ends = c.bundleEnds(a.Body)
+			ends = c.bundleEnds(a.Body, a.Ended)
 		}
 	}
 	list := make([]sender.Outcome, 0, len(c.hops))
@@ -289,8 +291,9 @@
 }
 
 // bundleEnds reads the lines of a bundle's answer. One that does not name each message once with an end that
-// is known, and nothing else, or that breaks off, is spoilt: nothing in it is to be trusted.
-func (c *hopCall) bundleEnds(body []byte) map[string]string {
+// is known, and nothing else, or that breaks off, is spoilt: nothing in it is to be trusted. cut tells that only the
+// connection's end says that it is whole: then its last line must have its end.
+func (c *hopCall) bundleEnds(body []byte, cut bool) map[string]string {
 	ends := map[string]string{}
 	for line := range bytes.Lines(body) {
 		id, end, _ := bytes.Cut(bytes.TrimSpace(line), []byte{' '})
@@ -300,7 +303,7 @@
 			ends[string(id)] = string(end)
 		}
 	}
-	whole := len(ends) == len(c.hops) && !(c.link.extra && !bytes.HasSuffix(body, []byte{'\n'}))
+	whole := len(ends) == len(c.hops) && !((c.link.extra || cut) && !bytes.HasSuffix(body, crlf))
 	for _, h := range c.hops {
 		whole = whole && ends[h.ID] != ""
 	}
--- a/internal/net/platform/platform_test.go
+++ b/internal/net/platform/platform_test.go
@@ -344,18 +344,23 @@
 func TestBundleEnds(t *testing.T) {
 	c := &hopCall{link: &link{}, hops: []sender.Hop{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}, {ID: "e"}}}
 	const body = "a done\r\nb busy\r\nc void\r\nd used_up\r\ne failed"
-	ends := c.bundleEnds([]byte(body))
+	ends := c.bundleEnds([]byte(body), false)
 	for id, want := range map[string]string{"a": sender.Good, "b": sender.Full, "c": sender.Moot, "d": sender.Moot, "e": sender.Bad} {
 		if got, over := bundleEnd(ends[id]); got != want || over != (id == "c") {
 			t.Errorf("%s: %s", id, got)
 		}
 	}
 	for _, bad := range []string{body[:len(body)-1], body[:len(body)-10], body + "\r\nf done", "", body + "\r\nnoise"} {
-		if got := c.bundleEnds([]byte(bad)); len(got) > 0 {
+		if got := c.bundleEnds([]byte(bad), false); len(got) > 0 {
 			t.Errorf("%q: %v", bad, got)
 		}
 	}
-	if c.link.extra = true; len(c.bundleEnds([]byte(body))) > 0 {
+	for cut, want := range map[string]int{body: 0, body + "\r": 0, body + "\r\n": 5} { // by the connection's end
+		if got := c.bundleEnds([]byte(cut), true); len(got) != want {
+			t.Errorf("%q, ended by its connection: %v", cut, got)
+		}
+	}
+	if c.link.extra = true; len(c.bundleEnds([]byte(body), false)) > 0 {
 		t.Error("cut off by its length, it was taken")
 	}
 }
@@ -594,6 +599,34 @@
 	}
 }
 
+// A call ends when the first of its messages has no time left: an answer after that is of none that its endpoint still counts,
+// and took messages that had time left for delivered.
+func TestBundleEndsWithItsFirstMessage(t *testing.T) {
+	w, end := newWorld(t), make(chan bool)
+	w.answer = func(http.ResponseWriter, *http.Request, string) { <-end }
+	defer close(end)
+	out := make(chan int)
+	standin.Start(t, w.dir, func(core *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
+		e := NewEgress(core, r, standin.Settings(), conns.NewRoom(100))
+		var look func()
+		look = func() {
+			if len(e.out) > 0 {
+				r.After(time.Millisecond, look)
+				return
+			}
+			out <- len(e.out)
+		}
+		r.Post(func() {
+			now := core.Now()
+			e.Send(Routes(w.hosts("active"))[0], []sender.Hop{{ID: "charge", LimitUs: 300e6, Deadline: now + 300e6},
+				{ID: "state", LimitUs: 1e6, Deadline: now + 20_000}})
+			look()
+		})
+		return func(*reactor.Conn) reactor.Handler { return nil }
+	})
+	wait(t, out)
+}
+
 // An endpoint whose answer never ends is cut off; the charge may have run.
 func TestEndlessAnswer(t *testing.T) {
 	w := newWorld(t)
