A slot goes where a call carries most; hung calls that may be repeated give theirs up sooner

Ruled out: tokens (no refusals there) and told waits.

Change: a destination's score counts all messages that its call would carry; a call that others have passed by is waited for for half the aim where a repeat is allowed, so that the repeat has as long.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -567,7 +567,7 @@
 	}
 	rt.passed = max(rt.passed, c.sentAt-1)
 	for _, o := range rt.calls { // answers pass it by: an overdue call was lost in a hang, repeat it
-		if o.sentAt < c.sentAt && r.overdue(rt, o.sentAt) && r.now-o.sentAt > o.msgs[0].lane.AimUs {
+		if o.sentAt < c.sentAt && r.overdue(rt, o.sentAt) && r.now-o.sentAt > waited(o) {
 			r.recall(o, false)
 		}
 	}
@@ -810,7 +810,7 @@
 				}
 				age := float64(r.now-c.sentAt) / float64(r.span(rt))
 				l := c.msgs[0].lane
-				if x := 100*float64(l.risk) - age; x < low && age > releaseAge && r.now-c.sentAt > l.AimUs &&
+				if x := 100*float64(l.risk) - age; x < low && age > releaseAge && r.now-c.sentAt > waited(c) &&
 					!c.recalled {
 					low, worst = x, c
 				}
@@ -879,7 +879,7 @@
 			top, to, score = m, ep, s
 		}
 	}
-	return top, to, score
+	return top, to, score * r.crew(d, to)
 }
 
 // choose weighs the fee, warm connections, load and recent failures of the endpoints.
--- /dev/null
+++ b/logic/slots_test.go
@@ -0,0 +1,82 @@
+package logic
+
+import "testing"
+
+// One slot is free, and two destinations wait for it: at the one a message is worth twice, at the other a call carries five.
+func TestSlotGoesWhereACallCarriesMost(t *testing.T) {
+	set := savedSite(1)
+	set.Family.Workers, set.Family.PerCall = 3, []int{1, 5}
+	set.Family.OwnLimits = []bool{false, false}
+	r, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := int64(1e15)
+	arrive := func(id string, dest int64) Event {
+		return Event{Kind: Arrived, ID: id, Class: map[int64]string{1: "key", 2: "safe", 3: "safe"}[dest], Dest: dest,
+			Deadline: now + map[int64]int64{1: 12e6, 2: 6e6, 3: 6e6}[dest]}
+	}
+	good := func(id, addr string) Event {
+		return Event{Kind: Reported, ID: id, Addr: addr, Reason: "GOOD", Finished: true}
+	}
+	r.Step(now, []Event{{Kind: Listed, How: "whole", List: []Endpoint{{Addr: "single", Kind: "one", Dest: 1, State: "live"},
+		{Addr: "bundle", Kind: "apart", Dest: 2, State: "live"}, {Addr: "third", Kind: "one", Dest: 3, State: "live"}}}})
+	for _, d := range []struct {
+		id, addr string
+		dest     int64
+	}{{"warm1", "single", 1}, {"warm2", "bundle", 2}} { // both answer alike
+		r.Step(now, []Event{arrive(d.id, d.dest)})
+		now += 50_000
+		r.Step(now, []Event{good(d.id, d.addr)})
+	}
+	r.Step(now, []Event{arrive("out1", 1), arrive("out2", 2), arrive("out3", 3)}) // all slots are taken
+	var waiting []Event
+	for _, n := range []string{"1", "2", "3", "4", "5"} {
+		waiting = append(waiting, arrive("s"+n, 1), arrive("b"+n, 2))
+	}
+	if acts := r.Step(now+1000, waiting); issues(acts) != 0 {
+		t.Fatal("sent with no slot free")
+	}
+	if acts := r.Step(now+51_000, []Event{good("out3", "third")}); issues(acts) != 5 {
+		t.Fatalf("%d messages left with the free slot", issues(acts))
+	}
+}
+
+func issues(acts []Action) (n int) {
+	for _, a := range acts {
+		if a.Kind == Issue {
+			n++
+		}
+	}
+	return n
+}
+
+// A call that others have passed by gives its slot up: after half the aim if it may be repeated, and not before the aim if not.
+func TestPassedByIsGivenUp(t *testing.T) {
+	for class, want := range map[string]int64{"key": 500_000, "once": 1_000_000} {
+		r, err := New(savedSite(1), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := int64(1e15)
+		r.Step(now, []Event{{Kind: Listed, How: "whole", List: []Endpoint{{Addr: "e", Kind: "one", Dest: 1, State: "live"}}}})
+		pass := func(id string) (recalled bool) {
+			r.Step(now, []Event{{Kind: Arrived, ID: id, Class: "safe", Dest: 1, Deadline: now + 6e6}})
+			now += 10_000
+			for _, a := range r.Step(now, []Event{{Kind: Reported, ID: id, Addr: "e", Reason: "GOOD", Finished: true}}) {
+				recalled = recalled || a.Kind == Recall && a.ID == "hung"
+			}
+			return recalled
+		}
+		for range 20 {
+			pass("warm")
+		}
+		began := now
+		r.Step(now, []Event{{Kind: Arrived, ID: "hung", Class: class, Dest: 1, Deadline: now + 12e6}})
+		for now < began+3e6 && !pass("next") {
+		}
+		if took := now - began; class == "key" && (took < want || took > want+30_000) || class == "once" && took < want {
+			t.Errorf("%s: given up after %d us, want %d", class, took, want)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -413,6 +413,32 @@
 	return r.now-sent > int64(patience*float64(r.span(rt)))
 }
 
+// crew is how many messages a call to an endpoint would carry now: what one slot is worth there.
+func (r *Relay) crew(d *dest, ep *endpoint) float64 {
+	n := 0
+	if ep == nil || ep.perCall == 1 || r.trial(ep.route) {
+		return 1
+	}
+	for _, m := range d.queue {
+		if n += int(one(m.notBefore <= r.now)); n == ep.perCall {
+			break
+		}
+	}
+	return float64(max(1, n))
+}
+
+// waited is how long a call that others have passed by is waited for: for the aim of a message that must not be repeated, else
+// for half of it, so that a repeat has as long. A hung call holds a slot that others want.
+func waited(c *call) int64 {
+	us := c.msgs[0].lane.AimUs / 2
+	for _, m := range c.msgs {
+		if m.lane.once {
+			return max(us, m.lane.AimUs)
+		}
+	}
+	return us
+}
+
 func (r *Relay) span(rt *route) int64 {
 	if rt.srtt == 0 {
 		return max(r.set.Caps.ConnectTimeoutUs, 500_000)
