--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -79,13 +79,15 @@
 		opt.Trace = os.Stderr
 		log.Info().Interface("settings", cfg.Settings).Interface("limits", cfg.Limits).Msg("traced")
 	}
-	var calls *control.Server
-	if cfg.Control != "" {
+	if cfg.Control != "" || cfg.Console.Socket != "" {
 		var classes []string
 		for _, l := range cfg.Settings.Lanes {
 			classes = append(classes, l.Name)
 		}
 		opt.Book = telemetry.New(classes)
+	}
+	var calls *control.Server
+	if cfg.Control != "" {
 		if calls, err = control.Listen(cfg.Control, opt.Book.Write, telemetry.Format); err != nil {
 			return &config.KeyError{Key: "control (LB_CONTROL)", Err: err}
 		}
--- a/internal/app/upgrade_test.go
+++ b/internal/app/upgrade_test.go
@@ -43,12 +43,21 @@
 	taken   map[string]bool
 	crossed int // requests that met a connection's end
 	slow    time.Duration
+	refused int                                          // requests
+	answer  func(w http.ResponseWriter, r *http.Request) // of the partner, in place of its own; set before the first call
 }
 
 func newOffice(t *testing.T) *office {
 	o := &office{t: t, dir: t.TempDir(), applied: map[string]int{}, finals: map[string]string{}, taken: map[string]bool{},
 		slow: 5 * time.Millisecond}
 	partner := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if o.answer != nil {
+			o.mu.Lock()
+			o.applied[r.Header.Get("Req-Id")] = 0
+			o.mu.Unlock()
+			o.answer(w, r)
+			return
+		}
 		_, _ = io.Copy(io.Discard, r.Body)
 		o.mu.Lock()
 		o.applied[r.Header.Get("Req-Id")]++
@@ -71,7 +80,7 @@
 			<-r.Context().Done()
 			return
 		}
-		_ = json.NewEncoder(w).Encode(config.List{Seq: 1, Whole: true, Hosts: []config.Host{{Host: "e1", Block: 7, Health: "active",
+		_ = json.NewEncoder(w).Encode(config.List{Seq: 1, Whole: true, Hosts: []config.Host{{Host: "e1", Block: 7, Class: "k", Health: "active",
 			Dial: partner.Listener.Addr().String()}}})
 	}))
 	t.Cleanup(func() { agent.CloseClientConnections(); partner.CloseClientConnections() })
@@ -92,6 +101,9 @@
 [sender]
 slots = 8
 hold = 500
+[[kind]]
+name = "k"
+bundle = 3
 [[class]]
 name = "charge"
 effect = "once"
@@ -199,6 +211,11 @@
 		}
 		id := name + "-" + strconv.Itoa(i)
 		for try := 0; ; try++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
 			if c != nil { // a client that keeps its connection hears of its end while it waits
 				_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
 				if _, err := in.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -233,11 +250,13 @@
 				o.mu.Unlock()
 				continue
 			}
+			o.mu.Lock()
 			if line == "+OK\r\n" {
-				o.mu.Lock()
 				o.taken[id] = true
-				o.mu.Unlock()
+			} else {
+				o.refused++
 			}
+			o.mu.Unlock()
 			break
 		}
 	}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	"brackendale/internal/config"
+	"brackendale/internal/control"
 )
 
 // The importer's result is one that the appliance serves; a fault leaves the old file as it was.
@@ -57,3 +59,37 @@
 		t.Fatal(err)
 	}
 }
+
+// The sub-command makes the four calls, and a no is its error.
+func TestControl(t *testing.T) {
+	s, err := control.Listen("127.0.0.1:0", func(w io.Writer) error { _, err := io.WriteString(w, "lb_in_progress 3\n"); return err }, "text/plain")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	var did []string
+	s.Join(func() (bool, string) { return false, "stopping" }, func(_ context.Context, target string, out bool) error {
+		if target == "nobody" {
+			return control.ErrUnknown
+		}
+		did = append(did, target)
+		return nil
+	})
+	for _, c := range []struct {
+		args      string
+		says, bad string
+	}{{"telemetry", "lb_in_progress 3", ""}, {"ready", "", "503 Service Unavailable: stopping"}, {"exclude e1", "done", ""},
+		{"include e1", "done", ""}, {"exclude nobody", "", "404 Not Found: no such endpoint was ever listed"}, {"exclude", "", "one of"},
+		{"nonsense x", "", "one of"}} {
+		var out bytes.Buffer
+		cmd := Command()
+		cmd.Writer = &out
+		err := cmd.Run(context.Background(), append([]string{"brackendale", "control", "--at", s.Addr().String()}, strings.Fields(c.args)...))
+		if (err == nil) != (c.bad == "") || err != nil && !strings.Contains(err.Error(), c.bad) || !strings.Contains(out.String(), c.says) {
+			t.Errorf("%s: %q, %v", c.args, out.String(), err)
+		}
+	}
+	if len(did) != 2 {
+		t.Error(did)
+	}
+}
--- a/internal/cli/console.go
+++ b/internal/cli/console.go
@@ -13,7 +13,7 @@
 
 func consoleCommand() *cli.Command {
 	return &cli.Command{Name: "console", Usage: "see and steer a running sender; with a COMMAND, carry it out and show the result",
-		ArgsUsage: "[state | hold TARGET | release TARGET | pause | resume]",
+		ArgsUsage: "[state | ready | telemetry | exclude TARGET | include TARGET | pause | resume]",
 		Flags:     []cli.Flag{&cli.StringFlag{Name: "socket", Required: true, Usage: "the sender's control socket `PATH`"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return terminal(ctx, c.String("socket"), strings.Join(c.Args().Slice(), " "), c.Root().Writer)
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -26,6 +26,7 @@
 type Reply struct {
 	Error string        `json:"error,omitempty"`
 	State *sender.State `json:"state,omitempty"`
+	Text  string        `json:"text,omitempty"`
 	Wire  *Wire         `json:"wire,omitempty"`
 }
 
@@ -119,12 +120,25 @@
 	switch {
 	case name == "state" && arg == "":
 		done(nil)
-	case (name == "hold" || name == "release") && arg != "":
-		core.Exclude(strings.TrimSpace(arg), name == "hold", done)
+	case (name == "hold" || name == "exclude" || name == "release" || name == "include") && arg != "":
+		core.Exclude(strings.TrimSpace(arg), name == "hold" || name == "exclude", done)
+	case name == "ready" && arg == "":
+		if ok, why := core.Ready(); !ok {
+			reply(Reply{Error: why})
+			return
+		}
+		reply(Reply{Text: "ready"})
+	case name == "telemetry" && arg == "":
+		var text strings.Builder
+		if err := core.Figures(&text); err != nil {
+			done(err)
+			return
+		}
+		reply(Reply{Text: text.String()})
 	case (name == "pause" || name == "resume") && arg == "":
 		core.Pause(name == "pause")
 		done(nil)
 	default:
-		done(errors.New("commands: state, hold TARGET, release TARGET, pause, resume"))
+		done(errors.New("commands: state, ready, telemetry, exclude TARGET (or hold), include TARGET (or release), pause, resume"))
 	}
 }
--- a/internal/console/terminal.go
+++ b/internal/console/terminal.go
@@ -62,6 +62,10 @@
 	if err != nil {
 		return err
 	}
+	if r.State == nil { // the answer is a text
+		_, err = fmt.Fprintln(out, strings.TrimSpace(r.Text))
+		return err
+	}
 	err = show(out, r.State, t.last, r.Wire)
 	t.last = r.State
 	return err
@@ -93,7 +97,7 @@
 				return err
 			}
 			note = err.Error()
-		} else if _, err := fmt.Fprintf(out, "%s%s\n%s\nhold TARGET | release TARGET | pause | resume | quit > ", clear, &screen, note); err != nil {
+		} else if _, err := fmt.Fprintf(out, "%s%s\n%s\nexclude TARGET | include TARGET | ready | telemetry | pause | resume | quit > ", clear, &screen, note); err != nil {
 			return fmt.Errorf("console: %w", err)
 		} else {
 			note = ""
--- a/sender/steer.go
+++ b/sender/steer.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"io"
 	"slices"
 	"time"
 )
@@ -26,6 +27,14 @@
 // Pause refuses whatever is handed in, or takes it on again.
 func (s *Sender) Pause(on bool) { s.stats.Paused = on }
 
+// Figures writes the figures that are kept; the error says that none are. Any goroutine may call it.
+func (s *Sender) Figures(w io.Writer) error {
+	if s.book == nil {
+		return errors.New("no figures are kept")
+	}
+	return s.book.Write(w)
+}
+
 // ErrUnknown tells that a target was never listed.
 var ErrUnknown = errors.New("no such target was ever listed")
 
