--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -51,9 +51,17 @@
 	signal.Notify(again, syscall.SIGHUP)
 	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(again)
-	defer signal.Stop(term)
+	left := false
+	defer func() {
+		if !left { // the signal that follows on an upgrade may find a process that is just ending: in order, not by it
+			signal.Stop(term)
+		}
+	}()
 	for {
 		err := life(ctx, file, trace, again, term)
+		if left = errors.Is(err, errLeft); left {
+			return nil
+		}
 		if !errors.Is(err, errTakeBack) {
 			return err
 		}
@@ -167,8 +175,8 @@
 	if err := core.Run(ctx); err != nil {
 		return err
 	}
-	if errors.Is(context.Cause(ctx), errTakeBack) {
-		return errTakeBack
+	if err := context.Cause(ctx); errors.Is(err, errTakeBack) || errors.Is(err, errLeft) {
+		return err
 	}
 	return nil
 }
--- a/internal/app/elder.go
+++ b/internal/app/elder.go
@@ -1,7 +1,6 @@
 package app
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -31,6 +30,9 @@
 // errTakeBack tells that the heir has died with the journal: this process starts anew from it.
 var errTakeBack = errors.New("the new process has died: this one takes the journal back")
 
+// errLeft tells that another process goes on and nothing is left here.
+var errLeft = errors.New("another process goes on")
+
 // upgradeSocket is where an elder listens, in the folder that is common to both. A path that is too long for a socket goes by
 // the folder's descriptor.
 func upgradeSocket(state string) (path string, release func(), err error) {
@@ -257,7 +259,7 @@
 			}
 			if e.on(handover.Drained) == handover.Leave {
 				e.log.Info().Msg("upgrade: nothing is left here")
-				e.end(context.Canceled)
+				e.end(errLeft)
 			}
 		}()
 		return
--- a/internal/app/figures_test.go
+++ b/internal/app/figures_test.go
@@ -39,6 +39,7 @@
 // answer, an upgrade and a restart in order, each process counting from 0.
 func TestFiguresAreWhatPeersSaw(t *testing.T) {
 	o := newOffice(t)
+	o.kind = "k"
 	var mu sync.Mutex
 	calls, read, done := 0, 0, map[string]bool{}
 	o.answer = func(w http.ResponseWriter, r *http.Request) {
@@ -104,9 +105,17 @@
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
+	stays, err := net.Dial("tcp", o.clients) // half a command keeps the old process until its figures are read
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stays.Close()
+	_, _ = io.WriteString(stays, "*5\r\n$6\r\nSUB")
+	time.Sleep(50 * time.Millisecond)
 	next := o.start()
 	o.ready(next)
 	add(p) // what the old one counted; it decides nothing any more
+	_ = stays.Close()
 	o.end(p)
 	p = next
 	time.Sleep(100 * time.Millisecond)
--- a/internal/app/upgrade_test.go
+++ b/internal/app/upgrade_test.go
@@ -43,6 +43,7 @@
 	taken   map[string]bool
 	crossed int // requests that met a connection's end
 	slow    time.Duration
+	kind    string                                       // of the partner; with "k" three messages go in a call
 	refused int                                          // requests
 	answer  func(w http.ResponseWriter, r *http.Request) // of the partner, in place of its own; set before the first call
 }
@@ -80,7 +81,7 @@
 			<-r.Context().Done()
 			return
 		}
-		_ = json.NewEncoder(w).Encode(config.List{Seq: 1, Whole: true, Hosts: []config.Host{{Host: "e1", Block: 7, Class: "k", Health: "active",
+		_ = json.NewEncoder(w).Encode(config.List{Seq: 1, Whole: true, Hosts: []config.Host{{Host: "e1", Block: 7, Class: o.kind, Health: "active",
 			Dial: partner.Listener.Addr().String()}}})
 	}))
 	t.Cleanup(func() { agent.CloseClientConnections(); partner.CloseClientConnections() })
