--- a/internal/net/amqpfront/egress.go
+++ b/internal/net/amqpfront/egress.go
@@ -170,6 +170,9 @@
 	if p.ch != nil {
 		p.ch.ledger.drop(p)
 	}
+	if p.sent() {
+		p.e.core.Tried(1)
+	}
 	if p.link != nil && p.link.free() {
 		p.link.Move(conns.Idle, p.e.r.Now())
 	}
--- a/internal/net/amqpfront/front_test.go
+++ b/internal/net/amqpfront/front_test.go
@@ -525,8 +525,9 @@
 	b.publish = func(*side, uint16, *amqp.Message, uint64) { held <- true }
 	var e *Egress
 	var at *reactor.Reactor
+	var core *sender.Sender
 	standin.Start(t, t.TempDir(), func(c *sender.Sender, r *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
-		at, e = r, NewEgress(c, r, standin.Long, conns.NewRoom(100))
+		core, at, e = c, r, NewEgress(c, r, standin.Long, conns.NewRoom(100))
 		r.Post(func() {
 			e.Send(sender.Route{Dial: "amqp://" + b.ln.Addr().String() + "/?key=in"}, []sender.Hop{{ID: "m", LimitUs: 60e6}})
 		})
@@ -541,4 +542,5 @@
 	for n := 1; n > 0; n = <-count { // ends with the broker's close-ok, or the test's time runs out
 		at.Post(func() { count <- len(e.out) })
 	}
+	standin.Shows(t, core, "lb_upstream_tries_total 1")
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -4,12 +4,14 @@
 import (
 	"context"
 	"crypto/tls"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"brackendale/internal/net/loop"
 	"brackendale/internal/net/reactor"
+	"brackendale/internal/telemetry"
 	"brackendale/logic"
 	"brackendale/sender"
 
@@ -46,7 +48,11 @@
 	join func(*sender.Sender, *reactor.Reactor) func(*reactor.Conn) reactor.Handler) (addr string, kill func()) {
 	t.Helper()
 	l := loop.New()
-	core, err := sender.New(sender.Options{Settings: set, Dir: dir, Disk: disk, Log: zerolog.Nop(), Carry: l.Post})
+	var classes []string
+	for _, l := range set.Lanes {
+		classes = append(classes, l.Name)
+	}
+	core, err := sender.New(sender.Options{Settings: set, Book: telemetry.New(classes), Dir: dir, Disk: disk, Log: zerolog.Nop(), Carry: l.Post})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -81,3 +87,12 @@
 	t.Cleanup(kill)
 	return ln.Addr().String(), kill
 }
+
+// Shows fails a test whose sender's figures lack a line.
+func Shows(t testing.TB, core *sender.Sender, line string) {
+	t.Helper()
+	var text strings.Builder
+	if err := core.Figures(&text); err != nil || !strings.Contains(text.String(), "\n"+line+"\n") {
+		t.Errorf("no %q in the figures, %v\n%s", line, err, &text)
+	}
+}
