Idle clients above half of the room go after half a second: they used up what clients open

The module refuses nothing there; the door shows 128 idle connections, a third of the descriptors and so all that clients may use; three quarters of the room (144) was never reached, so nobody went. Change: half of the room, and half a second (Limits).

--- a/internal/net/platform/ingress.go
+++ b/internal/net/platform/ingress.go
@@ -22,12 +22,12 @@
 const maxWaiting = 16
 
 // Limits are the platform's for so many connections. One that says nothing whole, or stands in the middle of a
-// command, is ended after 2 s; after so long one with nothing open gives way, and above three quarters of the room
-// it goes by itself. A newcomer has a tenth of a second to speak before it counts as one of a silent crowd.
+// command, is ended after 2 s. After half a second one with nothing open gives way, and above half of the room it goes by
+// itself: clients use a third of all descriptors at most for their requests, two thirds of the room, and what asked once
+// and stays leaves none for the next. A newcomer has a tenth of a second to speak before it counts as one of a silent crowd.
 func Limits(most int) conns.Limits {
-	const patience = 2 * time.Second
-	return conns.Limits{Most: most, Keep: 0.75, Patience: patience, Grace: 100 * time.Millisecond, First: patience,
-		Whole: patience}
+	const whole = 2 * time.Second
+	return conns.Limits{Most: most, Keep: 0.5, Patience: whole / 4, Grace: 100 * time.Millisecond, First: whole, Whole: whole}
 }
 
 // sweepGap is how often the table is asked whether a connection has gone over a limit.
