Test: idle clients go before clients are at their bound; the incident's figures

Need: the change of the door's limits had no test. Measured: with three quarters and 2 s all 128 connections stay and the test fails; now 96 stay.

--- a/internal/net/platform/idle_test.go
+++ b/internal/net/platform/idle_test.go
@@ -237,3 +237,20 @@
 	}
 	runtime.KeepAlive(list)
 }
+
+// Clients may use a third of the descriptors, two thirds of the room: connections that asked once and stay go before they are so
+// many, and those under half of the room may stay.
+func TestIdleGoBeforeClientsAreAtTheirBound(t *testing.T) {
+	const most = 192
+	table := conns.NewRoom(most).NewTable(Limits(most))
+	list := make([]*client, most*2/3)
+	for i := range list {
+		list[i] = &client{}
+		table.Admit(&list[i].Entry, list[i], netip.Addr{}, 0)
+		table.Move(&list[i].Entry, conns.Idle, 0)
+	}
+	table.Expire(time.Second, most, nil, func(*conns.Entry, conns.Reason) {})
+	if n := table.Len(); n != most/2 {
+		t.Fatalf("%d of %d idle connections stay", n, len(list))
+	}
+}
