An old process ends no client because a new one has come

Found on the way: the old process halved the clients' room on the greeting (elder.limits), and the table ends what is above a lowered bound without a look at what lies unread or half read. Change: it keeps its room, as it takes no newcomers once it has handed over. Measured: 200 clients in the middle of a command, none ended; 37 would be.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -128,8 +128,8 @@
 	e := &elder{core: core, wire: wire, f: f, cfg: cfg, log: log, end: cancel,
 		term: func() { term <- syscall.SIGTERM }}
 	if old != nil {
-		e.limits(0.5) // until the other process has ended
-		h := &heir{core: core, l: old, gone: func() { e.limits(1) }, offers: map[uint64]*sender.Exchange{}}
+		e.limits(0.5, 0.5) // until the other process has ended
+		h := &heir{core: core, l: old, gone: func() { e.limits(1, 1) }, offers: map[uint64]*sender.Exchange{}}
 		core.SetElder(h)
 		go h.follow()
 	}
--- a/internal/app/elder.go
+++ b/internal/app/elder.go
@@ -112,11 +112,13 @@
 	return e.m.On(ev)
 }
 
-// limits takes a part of the memory and descriptors: there are two processes, or one again.
-func (e *elder) limits(part float64) {
+// limits takes a part of the memory and of the descriptors for targets: there are two processes, or one again. clients is
+// the part for clients: an elder lowers none, since it takes no newcomers once it has handed over, and those that are
+// there may be in the middle of a command.
+func (e *elder) limits(part, clients float64) {
 	debug.SetMemoryLimit(int64(e.cfg.Limits.MemoryMB * memoryPart * part * (1 << 20)))
 	e.wire.Post(func() {
-		e.f.room.SetMost(int(float64(e.cfg.ClientSockets()) * part))
+		e.f.room.SetMost(int(float64(e.cfg.ClientSockets()) * clients))
 		e.f.targets.SetMost(max(1, int(float64(e.cfg.TargetSockets())*part)))
 	})
 }
@@ -136,7 +138,7 @@
 	case handover.SayWelcome:
 		e.log.Info().Msg("upgrade: a new process is there")
 		l.say(handover.Word{Kind: "welcome", Version: handover.Version})
-		e.limits(0.5)
+		e.limits(0.5, 1)
 		e.lead(l)
 	case handover.Retire:
 		l.say(handover.Word{Kind: "refused", Version: handover.Version, Why: "another version: it gets the journal once this process has ended"})
@@ -210,7 +212,7 @@
 			ln.Resume()
 		}
 	}
-	e.limits(1)
+	e.limits(1, 1)
 	e.log.Warn().Err(err).Msg("upgrade: the new process did not take over: this one goes on")
 }
 
--- a/internal/app/upgrade_test.go
+++ b/internal/app/upgrade_test.go
@@ -354,6 +354,35 @@
 	}
 }
 
+// Clients in the middle of a command, more than half of the room, are not ended because a new process is there.
+func TestGreetingEndsNoClient(t *testing.T) {
+	o := newOffice(t)
+	p := o.start()
+	o.ready(p)
+	var list []net.Conn
+	for range 200 {
+		c, err := net.Dial("tcp", o.clients)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := io.WriteString(c, "*1\r\n$4\r\nPI"); err != nil {
+			t.Fatal(err)
+		}
+		list = append(list, c)
+	}
+	l := o.speak("hello", "<welcome")
+	defer l.close()
+	time.Sleep(time.Second) // the table has been looked at: nobody is ended for it, or 37 are
+	for i, c := range list {
+		_ = c.SetDeadline(time.Now().Add(standin.Long))
+		_, _ = io.WriteString(c, "NG\r\n")
+		if line, err := bufio.NewReader(c).ReadString('\n'); line != "+PONG\r\n" {
+			t.Fatalf("client %d of %d: %q, %v", i, len(list), line, err)
+		}
+	}
+}
+
 // speak is a new process of the test's own, which goes a part of the way.
 func (o *office) speak(words ...string) *link {
 	o.t.Helper()
