--- /dev/null
+++ b/internal/fleet/plan.go
@@ -0,0 +1,100 @@
+package fleet
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"io"
+	"math/rand"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Step is one fault of a plan: what, to whom, from when and for how long.
+type Step struct {
+	At   time.Duration
+	Do   string // see Do
+	Whom []string
+	For  time.Duration
+}
+
+// Do is what a step may do, and how many it names. A word like holder:NAME or leader stands for whoever that is when the step
+// begins.
+//
+//	kill M      ends the process; it is started again afterwards
+//	killall     ends all in one instant
+//	stop M      makes it stand still
+//	cut M       cuts it off from all others, both ways
+//	mute M      what it sends does not arrive; it hears the others
+//	deaf M      it hears nothing; the others hear it
+//	part M ...  cuts those named off from those not named
+//	bridge M N  cuts these two off from each other alone
+//	slow M      all that crosses its links is late by a drawn time of up to the step's length over four
+//	empty M     ends it, empties its folder, and starts it again afterwards
+//	old M       ends it, puts back the folder as it was at the plan's start, and starts it again afterwards
+var Do = map[string]int{"kill": 1, "killall": 0, "stop": 1, "cut": 1, "mute": 1, "deaf": 1, "part": -1, "bridge": 2, "slow": 1, "empty": 1, "old": 1}
+
+// String is a step as ParsePlan reads it.
+func (s Step) String() string {
+	return strings.Join(append([]string{s.At.String(), s.Do}, append(slices.Clone(s.Whom), "for", s.For.String())...), " ")
+}
+
+// ParsePlan reads steps, one a line: when, what, whom, "for", how long. What stands behind a # is for people.
+func ParsePlan(r io.Reader) ([]Step, error) {
+	var plan []Step
+	in := bufio.NewScanner(r)
+	for n := 1; in.Scan(); n++ {
+		text, _, _ := strings.Cut(in.Text(), "#")
+		words := strings.Fields(text)
+		if len(words) == 0 {
+			continue
+		}
+		bad := func(format string, args ...any) ([]Step, error) {
+			return nil, fmt.Errorf("plan: line %d: "+format, append([]any{n}, args...)...)
+		}
+		if len(words) < 4 || words[len(words)-2] != "for" {
+			return bad("not of the form: WHEN WHAT [WHOM ...] for HOW-LONG")
+		}
+		var s Step
+		var err error
+		if s.At, err = time.ParseDuration(words[0]); err != nil || s.At < 0 {
+			return bad("%q is no time since the start", words[0])
+		}
+		if s.For, err = time.ParseDuration(words[len(words)-1]); err != nil || s.For < 0 {
+			return bad("%q is no length of time", words[len(words)-1])
+		}
+		s.Do, s.Whom = words[1], words[2:len(words)-2]
+		if want, ok := Do[s.Do]; !ok {
+			return bad("%q is none of the faults", s.Do)
+		} else if want >= 0 && len(s.Whom) != want || want < 0 && len(s.Whom) == 0 {
+			return bad("%s names %d members", s.Do, len(s.Whom))
+		}
+		plan = append(plan, s)
+	}
+	slices.SortStableFunc(plan, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return plan, in.Err()
+}
+
+// Draw makes a plan of n faults from a seed, one after another with pauses between them so that the group can find itself
+// again: each lasts up to twice a lease, and so does each pause. kinds are drawn from evenly; whom among words.
+func Draw(seed int64, n int, lease time.Duration, kinds, words []string) []Step {
+	rng := rand.New(rand.NewSource(seed))
+	span := func() time.Duration { return lease/4 + time.Duration(rng.Int63n(int64(2*lease))) }
+	at := lease
+	var plan []Step
+	for range n {
+		s := Step{At: at, Do: kinds[rng.Intn(len(kinds))], For: span()}
+		perm := rng.Perm(len(words))
+		k := Do[s.Do]
+		if k < 0 {
+			k = 1 + rng.Intn(max(1, len(words)/2))
+		}
+		for _, i := range perm[:min(k, len(perm))] {
+			s.Whom = append(s.Whom, words[i])
+		}
+		plan = append(plan, s)
+		at += s.For + span()
+	}
+	return plan
+}
--- /dev/null
+++ b/internal/fleet/proc.go
@@ -0,0 +1,94 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Proc is one process of the program. It is ended and stopped by its own pid alone.
+type Proc struct {
+	cmd   *exec.Cmd
+	mu    sync.Mutex
+	ended bool
+	done  chan struct{} // closed once it has ended
+	err   error
+}
+
+// Start starts a process; what it writes to standard error goes to log. env is added to the world's environment.
+func Start(program string, args, env []string, log io.Writer) (*Proc, error) {
+	p := &Proc{cmd: exec.Command(program, args...), done: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), env...)
+	p.cmd.Stderr, p.cmd.Stdout = log, log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // nothing outlives a test that is cut short
+	started := make(chan error, 1)
+	go func() {
+		runtime.LockOSThread() // the kernel ends the process with the thread that started it, not with this program
+		defer runtime.UnlockOSThread()
+		err := p.cmd.Start()
+		started <- err
+		if err == nil {
+			err = p.cmd.Wait()
+			p.mu.Lock()
+			p.ended, p.err = true, err
+			p.mu.Unlock()
+			close(p.done)
+		}
+	}()
+	if err := <-started; err != nil {
+		return nil, fmt.Errorf("fleet: %s: %w", program, err)
+	}
+	return p, nil
+}
+
+// Pid is its process id.
+func (p *Proc) Pid() int { return p.cmd.Process.Pid }
+
+// signal reaches the process while it has not been waited for, so that its pid is its own.
+func (p *Proc) signal(s syscall.Signal) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended {
+		return os.ErrProcessDone
+	}
+	return p.cmd.Process.Signal(s)
+}
+
+// Kill ends it as a crash would, and waits for that.
+func (p *Proc) Kill() {
+	if err := p.signal(syscall.SIGKILL); err == nil {
+		<-p.done
+	}
+}
+
+// Stop makes it stand still, all threads of it, until Continue.
+func (p *Proc) Stop() error { return p.signal(syscall.SIGSTOP) }
+
+// Continue lets it go on.
+func (p *Proc) Continue() error { return p.signal(syscall.SIGCONT) }
+
+// Term asks it to end in order and waits so long for that; an error tells that it did not end, or how.
+func (p *Proc) Term(wait time.Duration) error {
+	if err := p.signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(wait):
+		return errors.New("fleet: it does not end")
+	}
+}
+
+// Ended tells whether it has ended, and how.
+func (p *Proc) Ended() (bool, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended, p.err
+}
