--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,330 @@
+// Package lease is the rules of duties that one member of a group alone may hold: the state that a replicated log drives
+// (Table), the holder's side of time (Holder) and the side that takes a lease away (Watch). It is pure: entries and times
+// are given, and nothing here waits, writes or reads a clock.
+//
+// Each side counts on a steady clock of its own that also goes on while its machine is suspended. With a lease of length L
+// and clocks that run at most d too fast or too slow, the holder counts L*(1-d) from before it asked, and whoever takes the
+// lease away counts L*(1+d) from after it applied what was granted. In true time the first is at most L and the second at
+// least L, and asking lies before applying, so the holder has stopped when the lease is taken away. docs/design/group.md has
+// the whole of it.
+package lease
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Terms are what all members of a group agree on.
+type Terms struct {
+	Length time.Duration // of a lease, from when it was asked for
+	Drift  float64       // bound on how much faster or slower than true time a member's clock runs: 0 to under 0.5
+}
+
+// Holds is how long a holder counts on a lease, from before it asked.
+func (t Terms) Holds() time.Duration {
+	return time.Duration(math.Floor(float64(t.Length) * (1 - t.Drift)))
+}
+
+// Takes is how long nobody may take a lease away, from after its grant or renewal was applied.
+func (t Terms) Takes() time.Duration {
+	return time.Duration(math.Ceil(float64(t.Length) * (1 + t.Drift)))
+}
+
+// Op is what an entry of the log does.
+type Op string
+
+// The entries.
+const (
+	Grant   Op = "grant"   // Name goes to Member, Life, if nobody holds it
+	Renew   Op = "renew"   // all of Refs, by Member, Life
+	Release Op = "release" // Refs are given back by Member, Life; To is who should have them next
+	Expire  Op = "expire"  // Refs: so long has passed since their turns that nobody counts on them any more
+	Revoke  Op = "revoke"  // Refs are renewed no more: they end by time, or as their holder hears of it
+	Prefer  Op = "prefer"  // Name should go to To; empty: to whoever it falls to
+	Seen    Op = "seen"    // a life of Member has been seen
+	Raise   Op = "raise"   // no epoch is at or below Base from now on
+)
+
+// Ref names a lease as it was when somebody looked.
+type Ref struct {
+	Name  string `json:"n"`
+	Epoch uint64 `json:"e"`
+	Turn  uint64 `json:"t,omitempty"` // of its last renewal; for Expire alone
+}
+
+// Entry is one entry of the log.
+type Entry struct {
+	Op     Op     `json:"op"`
+	Name   string `json:"name,omitempty"`
+	Member string `json:"m,omitempty"`
+	Life   uint64 `json:"l,omitempty"`
+	To     string `json:"to,omitempty"`
+	Refs   []Ref  `json:"refs,omitempty"`
+	Base   uint64 `json:"base,omitempty"`
+}
+
+// Lease is one lease. Nobody holds it while Holder is empty.
+type Lease struct {
+	Holder  string `json:"holder,omitempty"`
+	Life    uint64 `json:"life,omitempty"` // of the holder
+	Epoch   uint64 `json:"epoch"`          // of this holding, or of the last one
+	Turn    uint64 `json:"turn"`           // changes with each grant and each renewal
+	To      string `json:"to,omitempty"`   // who should hold it
+	Revoked bool   `json:"revoked,omitempty"`
+}
+
+// Table is the state that the log drives. The same entries lead every member to the same table.
+type Table struct {
+	Epoch  uint64            `json:"epoch"` // the highest that was ever given, over all leases
+	Leases map[string]*Lease `json:"leases"`
+	Lives  map[string]uint64 `json:"lives"` // the highest that was seen of each member
+}
+
+// Bounds of a table: a member that runs wild must not fill the others' memory.
+const (
+	MaxLeases  = 1024
+	MaxMembers = 1024
+	MaxName    = 128 // bytes
+)
+
+// NewTable is the table before the first entry.
+func NewTable() *Table { return &Table{Leases: map[string]*Lease{}, Lives: map[string]uint64{}} }
+
+// Done is what came of an entry: the references that it was carried out for, as they are now, and why not for the others.
+type Done struct {
+	Refs []Ref  `json:"refs,omitempty"`
+	Why  string `json:"why,omitempty"`
+}
+
+// Apply carries an entry out.
+func (t *Table) Apply(e Entry) (d Done) {
+	refuse := func(format string, args ...any) {
+		if d.Why == "" {
+			d.Why = fmt.Sprintf(format, args...)
+		}
+	}
+	if e.Member != "" && e.Life < t.Lives[e.Member] && (e.Op == Grant || e.Op == Renew) {
+		refuse("life %d of %s is over: life %d has been seen", e.Life, e.Member, t.Lives[e.Member])
+		return d
+	}
+	switch e.Op {
+	case Seen:
+		if t.known(e.Member) {
+			t.Lives[e.Member] = max(t.Lives[e.Member], e.Life)
+		}
+	case Raise:
+		t.Epoch = max(t.Epoch, e.Base)
+	case Prefer:
+		if l := t.lease(e.Name); l != nil {
+			l.To = e.To
+		} else {
+			refuse("there is no room for a lease named %.40q", e.Name)
+		}
+	case Grant:
+		l := t.lease(e.Name)
+		switch {
+		case l == nil || !t.known(e.Member):
+			refuse("there is no room for %.40q or %.40q", e.Name, e.Member)
+		case l.Holder != "":
+			refuse("%s is held by %s with epoch %d", e.Name, l.Holder, l.Epoch)
+		default:
+			t.Lives[e.Member] = max(t.Lives[e.Member], e.Life)
+			t.Epoch++
+			*l = Lease{Holder: e.Member, Life: e.Life, Epoch: t.Epoch, Turn: l.Turn + 1, To: l.To}
+			d.Refs = append(d.Refs, Ref{e.Name, l.Epoch, l.Turn})
+		}
+	case Renew, Release, Expire, Revoke:
+		for _, ref := range e.Refs {
+			l := t.Leases[ref.Name]
+			switch {
+			case l == nil || l.Holder == "" || l.Epoch != ref.Epoch:
+				refuse("epoch %d of %s is over", ref.Epoch, ref.Name)
+				continue
+			case (e.Op == Renew || e.Op == Release) && (l.Holder != e.Member || l.Life != e.Life):
+				refuse("epoch %d of %s belongs to %s, life %d", ref.Epoch, ref.Name, l.Holder, l.Life)
+				continue
+			case e.Op == Renew && l.Revoked:
+				refuse("epoch %d of %s has been revoked", ref.Epoch, ref.Name)
+				continue
+			case e.Op == Expire && l.Turn != ref.Turn:
+				refuse("%s was renewed meanwhile", ref.Name)
+				continue
+			}
+			switch e.Op {
+			case Renew:
+				l.Turn++
+			case Revoke:
+				l.Revoked = true
+			case Release, Expire:
+				if e.Op == Release && e.To != "" {
+					l.To = e.To
+				}
+				l.Holder, l.Life, l.Revoked = "", 0, false
+			}
+			d.Refs = append(d.Refs, Ref{ref.Name, l.Epoch, l.Turn})
+		}
+	default:
+		refuse("%.40q is no entry that this version knows", e.Op)
+	}
+	return d
+}
+
+// known makes sure that there is room for a member.
+func (t *Table) known(member string) bool {
+	_, ok := t.Lives[member]
+	if !ok && member != "" && len(member) <= MaxName && len(t.Lives) < MaxMembers {
+		t.Lives[member], ok = 0, true
+	}
+	return ok
+}
+
+// lease finds a lease or makes it; nil where there is no room.
+func (t *Table) lease(name string) *Lease {
+	l := t.Leases[name]
+	if l == nil && name != "" && len(name) <= MaxName && len(t.Leases) < MaxLeases {
+		l = &Lease{}
+		t.Leases[name] = l
+	}
+	return l
+}
+
+// Clone is a copy that shares nothing.
+func (t *Table) Clone() *Table {
+	c := &Table{Epoch: t.Epoch, Leases: make(map[string]*Lease, len(t.Leases)), Lives: maps.Clone(t.Lives)}
+	for name, l := range t.Leases {
+		x := *l
+		c.Leases[name] = &x
+	}
+	return c
+}
+
+// Of lists what a life of a member holds, by name.
+func (t *Table) Of(member string, life uint64) (refs []Ref) {
+	for name, l := range t.Leases {
+		if l.Holder == member && l.Life == life && member != "" {
+			refs = append(refs, Ref{name, l.Epoch, l.Turn})
+		}
+	}
+	slices.SortFunc(refs, func(a, b Ref) int { return cmp.Compare(a.Name, b.Name) })
+	return refs
+}
+
+// Holder is one life's side of the leases that it holds.
+type Holder struct {
+	terms Terms
+	held  map[string]Held
+}
+
+// Held is a lease as its holder counts on it.
+type Held struct {
+	Epoch uint64
+	Until time.Duration // on the holder's clock; no act may go on at this time
+}
+
+// NewHolder holds nothing.
+func NewHolder(t Terms) *Holder { return &Holder{terms: t, held: map[string]Held{}} }
+
+// Granted books a grant or a renewal that was asked for at asked, before the question left. Answers may come in any order.
+func (h *Holder) Granted(name string, epoch uint64, asked time.Duration) {
+	until := asked + h.terms.Holds()
+	switch old, ok := h.held[name]; {
+	case ok && old.Epoch > epoch:
+	case ok && old.Epoch == epoch:
+		h.held[name] = Held{epoch, max(old.Until, until)}
+	default:
+		h.held[name] = Held{epoch, until}
+	}
+}
+
+// Lost books that an epoch is over. What is held under a newer one stays.
+func (h *Holder) Lost(name string, epoch uint64) {
+	if x, ok := h.held[name]; ok && x.Epoch <= epoch {
+		delete(h.held, name)
+	}
+}
+
+// Lapse drops what time has ended, and lists it.
+func (h *Holder) Lapse(now time.Duration) (over []Ref) {
+	for name, x := range h.held {
+		if now >= x.Until {
+			over = append(over, Ref{Name: name, Epoch: x.Epoch})
+			delete(h.held, name)
+		}
+	}
+	return over
+}
+
+// MayAct tells whether an act that takes longest at most may begin now, and under which epoch.
+func (h *Holder) MayAct(name string, now, longest time.Duration) (epoch uint64, ok bool) {
+	x, held := h.held[name]
+	return x.Epoch, held && now+longest < x.Until
+}
+
+// Get is a lease that is held, if time has not ended it.
+func (h *Holder) Get(name string, now time.Duration) (Held, bool) {
+	x, ok := h.held[name]
+	return x, ok && now < x.Until
+}
+
+// Refs lists what is held, by name.
+func (h *Holder) Refs() []Ref {
+	refs := make([]Ref, 0, len(h.held))
+	for name, x := range h.held {
+		refs = append(refs, Ref{Name: name, Epoch: x.Epoch})
+	}
+	slices.SortFunc(refs, func(a, b Ref) int { return cmp.Compare(a.Name, b.Name) })
+	return refs
+}
+
+// Watch tells which leases nobody can count on any more, by the clock of one member that applies the log. Any member may
+// keep one: it has to see each change after it was applied, never before.
+type Watch struct {
+	terms Terms
+	since map[string]mark
+}
+
+type mark struct {
+	epoch, turn uint64
+	at          time.Duration
+}
+
+// NewWatch has seen nothing.
+func NewWatch(t Terms) *Watch { return &Watch{terms: t, since: map[string]mark{}} }
+
+// See looks at a table at a time that is after all its entries were applied here. A change that is seen late only makes the
+// lease end later.
+func (w *Watch) See(t *Table, now time.Duration) {
+	for name, l := range t.Leases {
+		if m, ok := w.since[name]; l.Holder != "" && (!ok || m.epoch != l.Epoch || m.turn != l.Turn) {
+			w.since[name] = mark{l.Epoch, l.Turn, now}
+		}
+	}
+	maps.DeleteFunc(w.since, func(name string, _ mark) bool { l := t.Leases[name]; return l == nil || l.Holder == "" })
+}
+
+// Due lists the leases that may be taken away, and when the next one may be; math.MaxInt64 where there is none.
+func (w *Watch) Due(now time.Duration) (due []Ref, next time.Duration) {
+	next = math.MaxInt64
+	for name, m := range w.since {
+		if end := m.at + w.terms.Takes(); now >= end {
+			due = append(due, Ref{name, m.epoch, m.turn})
+		} else {
+			next = min(next, end)
+		}
+	}
+	slices.SortFunc(due, func(a, b Ref) int { return cmp.Compare(a.Name, b.Name) })
+	return due, next
+}
+
+// Left is how long a lease cannot be taken away yet; 0 where it can, or nobody holds it.
+func (w *Watch) Left(name string, now time.Duration) time.Duration {
+	m, ok := w.since[name]
+	if !ok {
+		return 0
+	}
+	return max(0, m.at+w.terms.Takes()-now)
+}
