Groups of senders: duties of the operator's own, by lease over a replicated log

Need: duties that one sender alone may hold, handed on safely when the holder stalls or is cut off. Change: internal/group (hashicorp/raft, one TCP port with lives and first start in two steps, beats, acts, a guard so that a failing disk ends the log and not the sender); [group] and [[duty]] kind call; duties, members, group init|join|leave|recover; the console's commands. Seen on the way: a first version compared a member's log with marks of its own running life and shut out a sound leader; marks count from earlier lives alone now. A folder remembered a vote from a file that was wrong at the first start. Result: in-process tests with relays: cut, clocks 1% off, emptied and restored folders, recover, disk failing on the leader, clashes; a clock ten times too slow is caught by the checker; -race, two runs.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -19,8 +19,10 @@
 	"brackendale/internal/config"
 	"brackendale/internal/console"
 	"brackendale/internal/control"
+	"brackendale/internal/group"
 	"brackendale/internal/handover"
 	"brackendale/internal/keys"
+	"brackendale/internal/lease"
 	"brackendale/internal/net/amqpfront"
 	"brackendale/internal/net/conns"
 	"brackendale/internal/net/loop"
@@ -82,7 +84,7 @@
 	}
 	wire := loop.New()
 	opt := sender.Options{Carry: wire.Post, Name: cfg.Name, Settings: cfg.Settings, Seed: int64(cfg.Seed), Dir: cfg.State,
-		Disk: int64(cfg.Limits.DiskMB * (1 << 20)), Log: log}
+		Disk: int64(cfg.JournalMB() * (1 << 20)), Log: log}
 	if trace {
 		opt.Trace = os.Stderr
 		log.Info().Interface("settings", cfg.Settings).Interface("limits", cfg.Limits).Msg("traced")
@@ -116,7 +118,11 @@
 	if err != nil {
 		return err
 	}
-	f, err := newFronts(core, r, cfg, from)
+	var duties *group.Group
+	if cfg.Group.Is() {
+		duties = group.New(groupOptions(cfg, log))
+	}
+	f, err := newFronts(core, r, cfg, from, duties)
 	if err != nil {
 		return err
 	}
@@ -149,12 +155,15 @@
 			}
 		}
 	}()
+	leave := takePart(duties)
+	defer leave()
 	go func() {
 		select {
 		case <-term:
 		case <-ctx.Done():
 			return
 		}
+		go leave() // duties go to others while this sender still ends what it has
 		core.Stop(core.Now() + stopAfter.Microseconds())
 		began := time.Now()
 		open, told := make(chan int, 1), make(chan bool)
@@ -181,6 +190,36 @@
 	return nil
 }
 
+// takePart lets a sender take part in its group, if it is in one. leave gives back what it holds, and returns once that is done;
+// it may be called more than once.
+func takePart(g *group.Group) (leave func()) {
+	if g == nil {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); g.Run(ctx) }()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// groupOptions is what the file says of the group.
+func groupOptions(cfg config.Config, log zerolog.Logger) group.Options {
+	c := cfg.Group
+	o := group.Options{Name: c.Name, Listen: c.Listen, Voters: c.Voters, Dir: GroupDir(cfg), Weight: c.Weight, Log: log,
+		Terms: lease.Terms{Length: time.Duration(c.LeaseMs) * time.Millisecond, Drift: c.Drift}}
+	for _, d := range c.Duties {
+		o.Duties = append(o.Duties, group.Duty{Name: d.Name, Every: time.Duration(d.EveryMs) * time.Millisecond,
+			Longest: time.Duration(d.LongestMs) * time.Millisecond, Do: group.Call(d.URL)})
+	}
+	return o
+}
+
+// GroupDir is where a group's state lies.
+func GroupDir(cfg config.Config) string { return filepath.Join(cfg.State, "group") }
+
 // exclude lets the second address wait for the core's word.
 func exclude(core *sender.Sender) func(context.Context, string, bool) error {
 	return func(ctx context.Context, target string, out bool) error {
@@ -390,8 +429,8 @@
 	r.log.Warn().Str("peer", e.Peer).Str("reason", reason).Bool("ours", ours).AnErr("cause", e.Err).Msg("tls refused")
 }
 
-// newFronts joins the sides to the core. from is what another process handed over, or nil.
-func newFronts(core *sender.Sender, r *reactor.Reactor, cfg config.Config, from *handover.State) (*fronts, error) {
+// newFronts joins the sides to the core. from is what another process handed over, or nil; duties is the group's, or nil.
+func newFronts(core *sender.Sender, r *reactor.Reactor, cfg config.Config, from *handover.State, duties *group.Group) (*fronts, error) {
 	f := &fronts{room: conns.NewRoom(cfg.ClientSockets()), targets: conns.NewRoom(cfg.TargetSockets()),
 		tables: map[string]*conns.Table{}}
 	table := func(front string) *conns.Table {
@@ -466,7 +505,7 @@
 		if !filepath.IsAbs(path) {
 			path = filepath.Join(cfg.State, path)
 		}
-		ln, err := console.Listen(path, core, func() console.Wire { return f.shown(r.Loop) })
+		ln, err := console.Listen(path, core, console.Asked{Wire: func() console.Wire { return f.shown(r.Loop) }, Group: duties})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -55,7 +55,7 @@
 	defer r.Stop()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	f, err := newFronts(core, r, cfg, nil)
+	f, err := newFronts(core, r, cfg, nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -92,7 +92,7 @@
 	if err := tm.Run(ctx, strings.NewReader("hold nowhere\nquit\n"), &screen); err != nil || !strings.Contains(screen.String(), "last ends") {
 		t.Error(err, screen.String())
 	}
-	if _, err := console.Listen(path, core, nil); err == nil {
+	if _, err := console.Listen(path, core, console.Asked{}); err == nil {
 		t.Error("a socket in use was taken over")
 	}
 	if c, err := net.DialTimeout("unix", path, time.Second); err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -44,6 +44,14 @@
 	Proto  string  `json:"-"` // of the appliance's routes: http or amqp
 }
 
+// JournalMB is what the journal may take of the folder that lasts.
+func (c *Config) JournalMB() float64 {
+	if c.Group.Is() {
+		return c.Limits.DiskMB - groupDiskMB
+	}
+	return c.Limits.DiskMB
+}
+
 // Console is the local control socket; it is off without a path.
 type Console struct {
 	Socket string `toml:"socket"`
@@ -68,6 +76,7 @@
 	Console   Console        `json:"-"`
 	Policy    *access.Policy `json:"-"` // of the AMQP front
 	Secure    Secure         `json:"-"`
+	Group     Group          `json:"-"` // of senders that share duties; none without its section
 }
 
 // Seed is a seed in hexadecimal.
@@ -198,6 +207,8 @@
 	Clients   Clients `toml:"clients"`
 	Resp      Resp    `toml:"resp"`
 	Console   Console `toml:"console"`
+	Group     Group   `toml:"group"`
+	Duty      []Duty  `toml:"duty"`
 	Sender    struct {
 		Slots       int   `toml:"slots"`
 		Hold        int   `toml:"hold"`
@@ -247,6 +258,7 @@
 	f := file{Name: c.Name, State: c.State, Listen: c.Listen, Discovery: c.Discovery, Control: c.Control, Limits: c.Limits}
 	f.AMQP = AMQP{HeartbeatS: 10, Channels: 64, FirstS: 10, FrameS: 10}
 	f.Resp = Resp{FirstS: 10, CommandS: 2}
+	f.Group = Group{LeaseMs: 1000, Drift: 0.01, Weight: 1}
 	if f.Clients = platformClients; alone {
 		f.Clients = applianceClients
 	}
@@ -262,6 +274,9 @@
 	c.Name, c.State, c.Listen, c.Discovery, c.Control, c.Limits = f.Name, f.State, f.Listen, f.Discovery, f.Control, f.Limits
 	c.Upgrade = f.Upgrade
 	c.AMQP, c.Console, c.Clients, c.Resp = f.AMQP, f.Console, f.Clients, f.Resp
+	if err := c.group(path, f.Group, f.Duty, md.IsDefined("group"), alone); err != nil {
+		return err
+	}
 	if err := c.amqpPolicy(path); err != nil {
 		return err
 	}
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -12,6 +13,7 @@
 	"strings"
 	"time"
 
+	"brackendale/internal/group"
 	"brackendale/internal/net/conns"
 	"brackendale/sender"
 )
@@ -28,6 +30,15 @@
 	State *sender.State `json:"state,omitempty"`
 	Text  string        `json:"text,omitempty"`
 	Wire  *Wire         `json:"wire,omitempty"`
+
+	Duties  []group.DutyView   `json:"duties,omitempty"`
+	Members []group.MemberView `json:"members,omitempty"`
+}
+
+// Asked is what the console asks beside the core. Group is nil where the sender is in none.
+type Asked struct {
+	Wire  func() Wire // asks the fronts' goroutine; it may wait for it
+	Group *group.Group
 }
 
 // Wire is what the fronts show: their clients' connections, and the loop's timers.
@@ -39,8 +50,7 @@
 
 // Listen serves the control socket at path, for this user alone. A socket that a killed process left
 // behind is taken over; one that still answers is not.
-// wire asks the fronts' goroutine; it may wait for it.
-func Listen(path string, core *sender.Sender, wire func() Wire) (net.Listener, error) {
+func Listen(path string, core *sender.Sender, asked Asked) (net.Listener, error) {
 	if c, err := net.Dial("unix", path); err == nil {
 		_ = c.Close()
 		return nil, fmt.Errorf("console: %s is in use", path)
@@ -73,7 +83,7 @@
 			case room <- struct{}{}:
 				go func() {
 					defer func() { <-room }()
-					serve(c, core, wire)
+					serve(c, core, asked)
 				}()
 			default:
 				_ = c.Close()
@@ -83,18 +93,24 @@
 	return ln, nil
 }
 
-func serve(c net.Conn, core *sender.Sender, wire func() Wire) {
+func serve(c net.Conn, core *sender.Sender, asked Asked) {
 	defer c.Close()
 	in := bufio.NewScanner(c)
 	in.Buffer(make([]byte, 0, 256), maxLine)
 	for c.SetDeadline(time.Now().Add(idleLimit)) == nil && in.Scan() {
 		done := make(chan Reply, 1)
 		line := in.Text()
+		if r, ok := asked.group(line); ok {
+			if json.NewEncoder(c).Encode(r) != nil {
+				return
+			}
+			continue
+		}
 		core.Post(func() { answer(core, line, func(r Reply) { done <- r }) })
 		select {
 		case r := <-done:
 			if r.State != nil {
-				w := wire()
+				w := asked.Wire()
 				r.Wire = &w
 			}
 			if json.NewEncoder(c).Encode(r) != nil {
@@ -106,6 +122,50 @@
 	}
 }
 
+// orderLimit is how long the group's leader has for an order.
+const orderLimit = 4 * time.Second
+
+// group answers a command of the group's, on the caller's goroutine: neither the core nor the fronts are asked. ok tells that it
+// is one.
+func (a Asked) group(line string) (r Reply, ok bool) {
+	words := strings.Fields(line)
+	if len(words) == 0 {
+		return r, false
+	}
+	want, ok := map[string]int{"duties": 1, "members": 1, "hand": 3, "revoke": 2, "join": 1, "leave": 1}[words[0]]
+	switch {
+	case !ok:
+		return r, false
+	case a.Group == nil:
+		return Reply{Error: "this sender is in no group: its file has no section [group]"}, true
+	case len(words) != want:
+		return Reply{Error: "commands: duties, members, hand DUTY MEMBER, revoke DUTY, join, leave"}, true
+	}
+	ctx, stop := context.WithTimeout(context.Background(), orderLimit)
+	defer stop()
+	var err error
+	switch words[0] {
+	case "hand":
+		err = a.Group.Order(ctx, "hand", words[1], words[2])
+	case "revoke":
+		err = a.Group.Order(ctx, "revoke", words[1], "")
+	case "join":
+		err = a.Group.Join()
+	case "leave":
+		err = a.Group.Leave(ctx)
+	}
+	if err != nil {
+		return Reply{Error: err.Error()}, true
+	}
+	if r.Members = a.Group.Members(); words[0] == "duties" || words[0] == "hand" || words[0] == "revoke" {
+		r.Members, r.Duties = nil, a.Group.Duties()
+		if len(r.Duties) == 0 {
+			r.Text = "no duties"
+		}
+	}
+	return r, true
+}
+
 // answer carries out one command on the sender's goroutine; reply hears once it stands.
 func answer(core *sender.Sender, line string, reply func(Reply)) {
 	name, arg, _ := strings.Cut(strings.TrimSpace(line), " ")
@@ -139,6 +199,7 @@
 		core.Pause(name == "pause")
 		done(nil)
 	default:
-		done(errors.New("commands: state, ready, telemetry, exclude TARGET (or hold), include TARGET (or release), pause, resume"))
+		done(errors.New("commands: state, ready, telemetry, exclude TARGET (or hold), include TARGET (or release), " +
+			"pause, resume, duties, members, hand DUTY MEMBER, revoke DUTY, join, leave"))
 	}
 }
--- a/internal/console/terminal.go
+++ b/internal/console/terminal.go
@@ -16,6 +16,7 @@
 	"text/tabwriter"
 	"time"
 
+	"brackendale/internal/group"
 	"brackendale/sender"
 )
 
@@ -62,6 +63,9 @@
 	if err != nil {
 		return err
 	}
+	if r.Duties != nil || r.Members != nil {
+		return Table(out, r.Duties, r.Members)
+	}
 	if r.State == nil { // the answer is a text
 		_, err = fmt.Fprintln(out, strings.TrimSpace(r.Text))
 		return err
@@ -71,6 +75,38 @@
 	return err
 }
 
+// Table writes what a group's members hold, or who they are.
+func Table(out io.Writer, duties []group.DutyView, members []group.MemberView) error {
+	w := tabwriter.NewWriter(out, 2, 0, 2, ' ', 0)
+	if duties != nil {
+		fmt.Fprintln(w, "duty\tholder\tepoch\tleft\tacts\twhy")
+	}
+	for _, d := range duties {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d ms\t%d\t%s\n", d.Name, cmp.Or(d.Holder, "-"), d.Epoch, d.LeftMs, d.Acts, cmp.Or(d.Why, "-"))
+	}
+	if members != nil {
+		fmt.Fprintln(w, "member\tis\tvotes\tlife\taddress\tholds\tasked\twhy")
+	}
+	yes := func(b bool, word, other string) string {
+		if b {
+			return word
+		}
+		return other
+	}
+	for _, m := range members {
+		asked := "-"
+		if m.QuietMs >= 0 {
+			asked = fmt.Sprintf("%d ms ago", m.QuietMs)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s\n", m.Name, yes(m.Here, yes(m.Settled, "here", "new"), "away"),
+			yes(m.Leader, "leads", yes(m.Voter, "yes", "no")), m.Life, cmp.Or(m.Addr, "-"), cmp.Or(strings.Join(m.Holds, " "), "-"), asked, cmp.Or(m.Why, "-"))
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("console: %w", err)
+	}
+	return nil
+}
+
 const clear = "\x1b[H\x1b[2J"
 
 // Run redraws the screen each second and takes commands until quit, the end of input or of ctx.
@@ -97,7 +133,7 @@
 				return err
 			}
 			note = err.Error()
-		} else if _, err := fmt.Fprintf(out, "%s%s\n%s\nexclude TARGET | include TARGET | ready | telemetry | pause | resume | quit > ", clear, &screen, note); err != nil {
+		} else if _, err := fmt.Fprintf(out, "%s%s\n%s\nexclude TARGET | include TARGET | ready | telemetry | pause | resume | duties | members | quit > ", clear, &screen, note); err != nil {
 			return fmt.Errorf("console: %w", err)
 		} else {
 			note = ""
--- /dev/null
+++ b/internal/group/group.go
@@ -0,0 +1,375 @@
+// Package group lets senders that stand side by side share duties that one of them alone may hold. The rules are in
+// internal/lease and internal/duty, which are pure; this package gives them a replicated log (hashicorp/raft), one TCP port,
+// a folder, a clock, and the duties' acts. It runs on goroutines of its own: delivery never waits for any of it.
+//
+// Its state has one lock, Group.mu. No entry is written and nothing is sent while it is held.
+package group
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"brackendale/internal/duty"
+	"brackendale/internal/lease"
+
+	"github.com/rs/zerolog"
+)
+
+// Options is what a member is made of.
+type Options struct {
+	Name   string            // unique in the group
+	Listen string            // its address of the group
+	Voters map[string]string // who votes at the first start, and where this member reaches them
+	Dir    string            // the folder that lasts, this package's alone
+	Terms  lease.Terms
+	Weight float64 // how much it should hold beside the others; 0 counts as 1
+	Duties []Duty
+	Log    zerolog.Logger
+	Clock  func() time.Duration // steady, and going on while the machine is suspended; nil: Boottime
+
+	store func(stores) stores // for tests: puts faults into the disk
+}
+
+// Duty is one that this member may hold.
+type Duty struct {
+	Name    string
+	Every   time.Duration // between the starts of two acts
+	Longest time.Duration // that an act may take
+	Do      func(ctx context.Context, a Act) error
+}
+
+// Act is one act of a duty. ctx ends when it has taken its longest.
+type Act struct {
+	Duty, Member string
+	Epoch        uint64
+	N            uint64 // counted from 1 in each epoch
+}
+
+// ErrNewer tells that the receiver of an act knows a newer epoch: the duty is given up at once.
+var ErrNewer = errors.New("a newer epoch is known")
+
+// Group is this process's part in a group.
+type Group struct {
+	opt   Options
+	log   zerolog.Logger
+	self  uint64 // of this process, drawn at its start
+	clock func() time.Duration
+	kicks chan struct{} // ask now
+
+	mu       sync.Mutex
+	life     uint64
+	state    string  // of the log in this process: see the words of wire.go
+	why      string  // why this member takes no part; empty: it does
+	stale    bool    // others have seen a later state of this folder
+	outdone  uint64  // the life that they have seen
+	mark     logMark // of the log, when this process began
+	folder   *folder
+	unvoting bool // it is giving up its vote
+	engine   *engine
+	table    *lease.Table // as applied by this member's log; empty where it has none
+	watch    *lease.Watch
+	holder   *lease.Holder
+	runners  map[string]*runner
+	back     map[string]lease.Ref // given up, and not yet told
+	next     map[string]string    // who takes it then, where the leader said so
+	leaving  bool
+	shown    view            // what the leader said last
+	lives    map[string]seen // of whoever has called
+	seats    map[string]*seat
+	here     *duty.Presence
+	led      time.Duration // since when this member leads
+	leading  bool
+	order    *order
+	events   counts
+}
+
+// seen is what is known of a process that has called.
+type seen struct {
+	life, self uint64
+	at         time.Duration
+}
+
+// New makes a member; Run lets it take part.
+func New(opt Options) *Group {
+	if opt.Clock == nil {
+		opt.Clock = Boottime
+	}
+	g := &Group{opt: opt, log: opt.Log.With().Str("group", opt.Name).Logger(), self: rand.Uint64(), clock: opt.Clock, kicks: make(chan struct{}, 1),
+		state: stateEmpty, why: "starting", table: lease.NewTable(), watch: lease.NewWatch(opt.Terms), holder: lease.NewHolder(opt.Terms),
+		runners: map[string]*runner{}, back: map[string]lease.Ref{}, next: map[string]string{}, lives: map[string]seen{}}
+	for _, d := range opt.Duties {
+		g.runners[d.Name] = &runner{Duty: d, rhythm: duty.Rhythm{Every: d.Every}, wake: make(chan struct{}, 1)}
+	}
+	g.unseat()
+	return g
+}
+
+// part is a share of a lease's length.
+func (g *Group) part(share float64) time.Duration {
+	return time.Duration(share * float64(g.opt.Terms.Length))
+}
+
+// The shares of a lease's length by which a group goes. A holder asks four times in a lease, so three answers in a row may
+// fail; who has missed that is gone before its leases have ended, so that others are there to take them.
+const (
+	askShare    = 0.25 // between two questions of a member
+	goneShare   = 0.75 // a member that has not asked for so long is gone
+	settleShare = 1.0  // a newcomer stays so long before duties move to it
+	calmShare   = 2.0  // a leader leads so long before it moves duties from one to another
+	hearShare   = 0.3  // and so long before it grants what is free: each member has asked it by then
+	lookShare   = 0.05 // between two looks of the leader at what has ended
+	voteShare   = 0.3  // without a word of the leader a voter stands for election after this, or up to twice this
+	stepShare   = 0.25 // a leader that does not reach a majority for so long leads no more
+)
+
+// retry is how long a member waits before it tries again what failed: its folder, its port, its log.
+const retry = 300 * time.Millisecond
+
+// Run takes part until ctx ends; then it gives back what it holds, and leaves. It returns once that is done.
+func (g *Group) Run(ctx context.Context) {
+	folder, err := g.open(ctx)
+	if err != nil {
+		return // the process ended first
+	}
+	defer folder.close()
+	ln, err := g.listen(ctx)
+	if err != nil {
+		return
+	}
+	g.log.Info().Str("listen", ln.Addr().String()).Uint64("life", g.lifeNow()).Bool("voter", g.votes()).
+		Msg("group: takes part; its links are in the clear")
+	inner, stop := context.WithCancel(context.Background()) // what goes on until duties are given back
+	var all sync.WaitGroup
+	run := func(f func(context.Context)) {
+		all.Add(1)
+		go func() { defer all.Done(); f(inner) }()
+	}
+	run(func(ctx context.Context) { g.accept(ctx, ln) })
+	run(func(ctx context.Context) { g.keepLog(ctx, folder) })
+	run(g.ask)
+	for _, r := range g.runners {
+		run(func(ctx context.Context) { g.act(ctx, r) })
+	}
+	<-ctx.Done()
+	g.leave()
+	stop()
+	_ = ln.Close()
+	all.Wait()
+}
+
+// leave ends what is under way, gives all back and hands on the leadership, within a bound.
+func (g *Group) leave() {
+	g.mu.Lock()
+	g.leaving = true
+	longest := time.Duration(0)
+	for _, r := range g.runners {
+		longest = max(longest, r.Longest)
+	}
+	g.giveUp("leaving")
+	e := g.engine
+	g.mu.Unlock()
+	g.kick()
+	until := time.Now().Add(min(longest, time.Second) + g.part(1))
+	for time.Now().Before(until) && !g.empty() {
+		time.Sleep(5 * time.Millisecond)
+	}
+	if e != nil && e.leads() {
+		done := make(chan struct{})
+		go func() { defer close(done); _ = e.raft.LeadershipTransfer().Error() }()
+		select {
+		case <-done:
+		case <-time.After(g.part(1)):
+		}
+	}
+}
+
+// giveUp gives back all that is held and not in an act. The lock is held.
+func (g *Group) giveUp(why string) {
+	for _, ref := range g.holder.Refs() {
+		if r := g.runners[ref.Name]; r == nil || !r.acting {
+			g.giveBack(ref, why)
+		}
+	}
+}
+
+// giveBack stops counting on a lease and lets the leader know with the next question. The lock is held.
+func (g *Group) giveBack(ref lease.Ref, why string) {
+	g.holder.Lost(ref.Name, ref.Epoch)
+	g.back[ref.Name] = ref
+	g.events.lost++
+	g.log.Info().Str("duty", ref.Name).Uint64("epoch", ref.Epoch).Str("why", why).Msg("duty given back")
+}
+
+// empty tells whether nothing is held, nothing under way and nothing to be told.
+func (g *Group) empty() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.runners {
+		if r.acting {
+			return false
+		}
+	}
+	return len(g.back) == 0 && len(g.holder.Refs()) == 0
+}
+
+// kick lets the member ask now.
+func (g *Group) kick() {
+	select {
+	case g.kicks <- struct{}{}:
+	default:
+	}
+}
+
+func (g *Group) lifeNow() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.life
+}
+
+// say books why this member takes no part just now; empty: it does. It is logged when it changes.
+func (g *Group) say(why string) {
+	g.mu.Lock()
+	changed := g.why != why
+	g.why = why
+	g.mu.Unlock()
+	if changed && why != "" {
+		g.log.Warn().Str("why", why).Msg("group: no part in it")
+	}
+}
+
+// open takes the folder. Another process of this sender may have it for a while (an upgrade).
+func (g *Group) open(ctx context.Context) (*folder, error) {
+	for {
+		f, err := openFolder(g.opt.Dir, g.opt.Name, g.opt.Voters)
+		if err == nil {
+			g.mu.Lock()
+			g.life, g.folder = f.Life, f
+			g.mu.Unlock()
+			return f, nil
+		}
+		g.say(err.Error())
+		if !pause(ctx, retry) {
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (g *Group) listen(ctx context.Context) (net.Listener, error) {
+	for {
+		ln, err := net.Listen("tcp", g.opt.Listen)
+		if err == nil {
+			return ln, nil
+		}
+		g.say(err.Error())
+		if !pause(ctx, retry) {
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// pause waits; false once ctx has ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// others lists the voters of the file but this one, by name.
+func (g *Group) others() (names []string) {
+	for name := range g.opt.Voters {
+		if name != g.opt.Name {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// addr is where this member reaches another: as its file says, else as that one told the group.
+func (g *Group) addr(name string) (string, error) {
+	g.mu.Lock()
+	told := g.shown.Addrs[name]
+	if told == "" {
+		told = g.table.Addrs[name]
+	}
+	g.mu.Unlock()
+	if at := cmp.Or(g.opt.Voters[name], told); at != "" {
+		return at, nil
+	}
+	return "", fmt.Errorf("nobody has said where %q is", name)
+}
+
+// raftDir is where the log lies in a group's folder.
+func raftDir(dir string) string { return filepath.Join(dir, "raft") }
+
+// Join makes this member one that votes: the group lets it in with an empty log.
+func (g *Group) Join() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f := g.folder
+	switch {
+	case f == nil:
+		return errors.New(g.why)
+	case f.Voter:
+		return errors.New("this member votes already")
+	}
+	f.Voter, f.Born, f.Ready = true, true, nil
+	if err := f.save(); err != nil {
+		f.Voter = false
+		return err
+	}
+	return nil
+}
+
+// Leave ends this member's vote; it goes on asking for duties. Where it leads it hands that on first.
+func (g *Group) Leave(ctx context.Context) (err error) {
+	g.mu.Lock()
+	e, f := g.engine, g.folder
+	if e == nil || !f.Voter {
+		g.mu.Unlock()
+		return errors.New("this member does not vote")
+	}
+	g.unvoting = true
+	g.mu.Unlock()
+	defer func() {
+		g.mu.Lock()
+		g.unvoting = false
+		g.mu.Unlock()
+	}()
+	if e.leads() {
+		if err := e.raft.LeadershipTransfer().Error(); err != nil {
+			return fmt.Errorf("nobody else can lead: %w", err)
+		}
+		for e.leads() || g.leads() {
+			if !pause(ctx, 5*time.Millisecond) {
+				return ctx.Err()
+			}
+		}
+	}
+	if err := g.Order(ctx, orderLeave, "", ""); err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f.Voter = false
+	return f.save()
+}
+
+func (g *Group) leads() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leading
+}
--- /dev/null
+++ b/internal/group/group_test.go
@@ -0,0 +1,445 @@
+package group_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"brackendale/internal/fleet"
+	"brackendale/internal/group"
+	"brackendale/internal/lease"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	length = 400 * time.Millisecond // of a lease
+	long   = 30 * time.Second       // ends a hang; no test passes or fails by time
+)
+
+// crew is members in this process, with a link between each two.
+type crew struct {
+	t      *testing.T
+	dir    string
+	line   *fleet.Timeline
+	recv   *fleet.Receiver
+	opts   map[string]*group.Options
+	links  map[[2]string]*fleet.Link
+	listen map[string]string
+	now    map[string]*running
+	duties []string
+}
+
+type running struct {
+	*group.Group
+	stop func()
+}
+
+func newCrew(t *testing.T, names []string, duties ...string) *crew {
+	t.Helper()
+	c := &crew{t: t, dir: t.TempDir(), line: fleet.NewTimeline(), opts: map[string]*group.Options{}, links: map[[2]string]*fleet.Link{},
+		listen: map[string]string{}, now: map[string]*running{}, duties: duties}
+	var err error
+	if c.recv, err = fleet.NewReceiver(c.line); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.recv.Close)
+	for _, n := range names {
+		if c.listen[n], err = fleet.FreePort(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, a := range names {
+		o := &group.Options{Name: a, Listen: c.listen[a], Voters: map[string]string{}, Dir: filepath.Join(c.dir, a),
+			Terms: lease.Terms{Length: length, Drift: 0.01}, Log: zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.WarnLevel)}
+		for _, b := range names {
+			o.Voters[b] = c.listen[b]
+			if a != b {
+				l, err := fleet.NewLink(c.listen[b], int64(len(c.links)))
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(l.Close)
+				c.links[[2]string{a, b}] = l
+				o.Voters[b] = l.Addr()
+			}
+		}
+		for _, d := range duties {
+			o.Duties = append(o.Duties, group.Duty{Name: d, Every: length / 8, Longest: length / 4, Do: group.Call("http://" + c.recv.Addr() + "/act")})
+		}
+		c.opts[a] = o
+	}
+	t.Cleanup(func() {
+		for n := range c.now {
+			c.stop(n)
+		}
+	})
+	return c
+}
+
+func (c *crew) start(names ...string) {
+	for _, n := range names {
+		ctx, cancel := context.WithCancel(context.Background())
+		g, done := group.New(*c.opts[n]), make(chan struct{})
+		go func() { defer close(done); g.Run(ctx) }()
+		c.now[n] = &running{g, func() { cancel(); <-done }}
+	}
+}
+
+func (c *crew) stop(name string) {
+	if r := c.now[name]; r != nil {
+		delete(c.now, name)
+		r.stop()
+	}
+}
+
+// cut cuts a member off from all others, both ways, or lets all through again.
+func (c *crew) cut(name string, on bool) {
+	for k, l := range c.links {
+		if w := (fleet.Weather{Cut: on}); k[0] == name || k[1] == name {
+			l.Set(w, w)
+		}
+	}
+}
+
+// until waits for something.
+func (c *crew) until(what string, is func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(long); !is(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			for n, r := range c.now {
+				c.t.Logf("%s: %+v %+v", n, r.Duties(), r.Members())
+			}
+			c.t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// acts waits for an act of each duty that begins after this moment, and tells who carries out the first one.
+func (c *crew) acts() (who string) {
+	c.t.Helper()
+	from := c.line.Now()
+	c.until("an act of each duty", func() bool {
+		seen := map[string]string{}
+		for _, e := range c.line.Events() {
+			if e.What == "act" && e.At > from {
+				seen[e.Duty] = e.Who
+			}
+		}
+		who = seen[c.duties[0]]
+		return len(seen) == len(c.duties)
+	})
+	return who
+}
+
+// sound fails the test where two held a duty at once.
+func (c *crew) sound() {
+	c.t.Helper()
+	if v := fleet.Check(c.line.Events()); !v.Right() {
+		c.t.Errorf("%d overlaps, %d old, %d shared: %s", v.Overlaps, v.Old, v.Shared, strings.Join(v.Broken, "\n"))
+	}
+}
+
+func (c *crew) leader() (name string) {
+	c.t.Helper()
+	c.until("a leader", func() bool {
+		for n, r := range c.now {
+			for _, m := range r.Members() {
+				if m.Leader && m.Name == n {
+					name = n
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return name
+}
+
+func other(than ...string) string {
+	for _, n := range []string{"a", "b", "c"} {
+		if fmt.Sprint(than) != fmt.Sprint([]string{n}) && !strings.Contains(strings.Join(than, ""), n) {
+			return n
+		}
+	}
+	return ""
+}
+
+var three = []string{"a", "b", "c"}
+
+// The holder is cut off from the others but not from the receiver: it stops by its own clock, another goes on under a newer epoch,
+// and an order names who is next. Clocks run at most 1% too fast or too slow. What is handed on in order is.
+func TestHandedOn(t *testing.T) {
+	c := newCrew(t, three, "x", "y")
+	for n, rate := range map[string]float64{"a": 0.991, "b": 1.009} {
+		c.opts[n].Clock = func() time.Duration { return time.Duration(float64(group.Boottime()) * rate) }
+	}
+	c.start(three...)
+	for range 2 {
+		who := c.acts()
+		c.cut(who, true)
+		c.until("another holder", func() bool { return c.acts() != who })
+		for _, d := range c.now[who].Duties() {
+			if d.Holder != "" || d.Why == "" {
+				t.Errorf("cut off: %+v", d)
+			}
+		}
+		c.cut(who, false)
+	}
+	who := c.acts()
+	to := other(who)
+	ctx, stop := context.WithTimeout(context.Background(), long)
+	defer stop()
+	c.until("handed", func() bool { return c.now[other(to)].Order(ctx, "hand", "x", to) == nil })
+	c.until("it has it", func() bool { return c.acts() == to })
+	c.stop(to)
+	c.until("it has gone", func() bool { return c.acts() != to })
+	if err := c.now[who].Order(ctx, "hand", "x", to); err == nil {
+		t.Errorf("handed to one who is not here: %v", err)
+	}
+	c.sound()
+}
+
+// A holder whose clock is far slower than the drift allows believes for too long: with a receiver that takes all, the checker must
+// see it.
+func TestSlowClockIsCaught(t *testing.T) {
+	c := newCrew(t, three, "x")
+	c.recv.Behave(length/8, 0, true)
+	slowed := map[string]*atomic.Int64{}
+	for _, n := range three {
+		at := &atomic.Int64{}
+		slowed[n] = at
+		c.opts[n].Clock = func() time.Duration {
+			if f := at.Load(); f != 0 {
+				return time.Duration(f) + (group.Boottime()-time.Duration(f))/10 // a tenth of its pace
+			}
+			return group.Boottime()
+		}
+	}
+	c.start(three...)
+	who := c.acts()
+	slowed[who].Store(int64(group.Boottime()))
+	c.cut(who, true)
+	c.until("the fault in the time line", func() bool { v := fleet.Check(c.line.Events()); return v.Overlaps+v.Old > 0 })
+}
+
+// Folders that are lost or put back: a member that was emptied is let in again, with an empty log; one whose folder is older
+// than what it had is too, and its old log does not count; four of five emptied found no second group.
+func TestFoldersLostAndPutBack(t *testing.T) {
+	c := newCrew(t, three, "x")
+	c.start(three...)
+	c.acts()
+	lead := c.leader()
+	b := other(lead)
+	back := filepath.Join(c.dir, "back")
+	c.stop(b)
+	if err := fleet.Backup(c.opts[b].Dir, back); err != nil {
+		t.Fatal(err)
+	}
+	c.start(b)
+	c.acts()
+	for _, put := range []func() error{func() error { return fleet.Empty(c.opts[b].Dir) }, func() error { return fleet.Restore(back, c.opts[b].Dir) }} {
+		c.acts()
+		c.stop(b)
+		if err := put(); err != nil {
+			t.Fatal(err)
+		}
+		c.start(b)
+		c.until("it votes again", func() bool {
+			for _, m := range c.now[b].Members() {
+				if m.Name == b && m.Voter && m.Here && m.Life > 1 {
+					return true
+				}
+			}
+			return false
+		})
+	}
+	epoch := c.now[lead].Duties()[0].Epoch
+	for _, n := range three {
+		c.stop(n)
+	}
+	d := other(lead, b)
+	if err := errors.Join(fleet.Empty(c.opts[b].Dir), fleet.Empty(c.opts[d].Dir)); err != nil {
+		t.Fatal(err)
+	}
+	at := c.line.Now()
+	c.start(three...)
+	c.until("it is told why", func() bool {
+		x, y := c.now[b].Duties()[0], c.now[d].Duties()[0]
+		return strings.Contains(x.Why, "recover") && strings.Contains(y.Why, "recover") && x.Holder+y.Holder == ""
+	})
+	for _, n := range three {
+		c.stop(n)
+	}
+	for _, e := range c.line.Events() {
+		if e.What == "act" && e.At > at {
+			t.Fatalf("a majority of emptied folders acted: %+v", e)
+		}
+	}
+	got, err := group.Recover(c.opts[lead].Dir, lead, c.opts[lead].Voters)
+	if err != nil || got <= epoch {
+		t.Fatalf("epochs from %d, before %d, %v", got, epoch, err)
+	}
+	c.start(three...)
+	c.acts()
+	for _, n := range three {
+		c.until(n+" votes", func() bool {
+			for _, m := range c.now[n].Members() {
+				if m.Name == n && m.Voter {
+					return true
+				}
+			}
+			return false
+		})
+	}
+	if e := c.now[lead].Duties()[0].Epoch; e < got {
+		t.Errorf("epoch %d after the recovery, %d was said", e, got)
+	}
+	c.sound()
+}
+
+// The disk fails under the log of the leader, then of a follower: others go on, the member says why, and takes part again once it
+// can. No vote or entry that was not written counts, and the process lives.
+func TestDiskFails(t *testing.T) {
+	c := newCrew(t, three, "x")
+	bad := map[string]*atomic.Bool{}
+	for _, n := range three {
+		bad[n] = &atomic.Bool{}
+		group.FailStore(c.opts[n], bad[n])
+	}
+	c.start(three...)
+	for range 2 {
+		c.acts()
+		lead := c.leader()
+		bad[lead].Store(true)
+		c.until("another leads", func() bool { return c.leader() != lead })
+		c.acts()
+		c.until("it says why", func() bool {
+			for _, m := range c.now[lead].Members() {
+				if strings.Contains(m.Why, "no space left") {
+					return true
+				}
+			}
+			return false
+		})
+		bad[lead].Store(false)
+		c.until("it votes on", func() bool {
+			for _, m := range c.now[lead].Members() {
+				if m.Name == lead && m.Voter && m.Here {
+					return true
+				}
+			}
+			return false
+		})
+	}
+	c.sound()
+}
+
+// A name that is in use, a file with other terms, a folder of another member, a file with other voters at the first start: each is
+// refused with a sentence, and the group goes on.
+func TestRefused(t *testing.T) {
+	c := newCrew(t, three, "x")
+	other := *c.opts["c"]
+	c.start("a", "b")
+	c.until("it waits for all at the first start", func() bool { return strings.Contains(c.now["a"].Duties()[0].Why, "waits for") })
+	odd := other
+	odd.Voters = map[string]string{"a": other.Voters["a"], "b": other.Voters["b"], "z": other.Listen}
+	c.opts["c"] = &odd
+	c.start("c")
+	c.until("other voters", func() bool { return strings.Contains(c.now["a"].Duties()[0].Why, "other voters") })
+	c.stop("c")
+	c.opts["c"] = &other
+	c.start("c")
+	c.acts()
+	says := func(what, word string, change func(*group.Options)) {
+		t.Helper()
+		o := *c.opts["c"]
+		o.Dir = filepath.Join(c.dir, "new"+what)
+		var err error
+		if o.Listen, err = fleet.FreePort(); err != nil {
+			t.Fatal(err)
+		}
+		change(&o)
+		c.opts[what] = &o
+		c.start(what)
+		c.until(what+": "+word, func() bool { return strings.Contains(c.now[what].Duties()[0].Why, word) })
+		c.stop(what)
+	}
+	says("clash", "in use", func(*group.Options) {})
+	says("terms", "drift must be the same", func(o *group.Options) { o.Name = "d"; o.Terms.Drift = 0.02 })
+	says("folder", "belongs to", func(o *group.Options) {
+		o.Name = "d"
+		o.Dir = c.opts["c"].Dir + "-copy"
+		copyFolder(t, c.opts["c"].Dir, o.Dir)
+	})
+	c.acts()
+	c.sound()
+}
+
+func copyFolder(t *testing.T, from, to string) {
+	t.Helper()
+	raw, err := os.ReadFile(filepath.Join(from, "member.json"))
+	if err == nil {
+		err = errors.Join(os.MkdirAll(to, 0o700), os.WriteFile(filepath.Join(to, "member.json"), raw, 0o600))
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Members beside the voters hold duties too, one of them is made a voter and leaves again; a receiver that knows a newer epoch ends
+// a holding at once.
+func TestMembersBesideVoters(t *testing.T) {
+	c := newCrew(t, append([]string{"d"}, three...), "x", "y", "z")
+	for _, o := range c.opts {
+		delete(o.Voters, "d")
+	}
+	d := c.opts["d"]
+	d.Weight = 50
+	c.start("a", "b", "c")
+	c.acts()
+	c.start("d")
+	c.until("it holds one", func() bool {
+		for _, x := range c.now["d"].Duties() {
+			if x.Holder == "d" && x.Acts > 0 {
+				return true
+			}
+		}
+		return false
+	})
+	votes := func(is bool) func() bool {
+		return func() bool {
+			for _, m := range c.now["d"].Members() {
+				if m.Name == "d" && m.Here {
+					return m.Voter == is
+				}
+			}
+			return false
+		}
+	}
+	if err := c.now["d"].Join(); err != nil {
+		t.Fatal(err)
+	}
+	c.until("it votes", votes(true))
+	ctx, stop := context.WithTimeout(context.Background(), long)
+	defer stop()
+	c.until("it votes no more", func() bool { _ = c.now["d"].Leave(ctx); return votes(false)() })
+	from := c.line.Now()
+	c.recv.Behave(0, 409, false)
+	c.until("given up", func() bool {
+		epochs := map[uint64]bool{}
+		for _, e := range c.line.Events() {
+			if e.What == "act" && e.At > from && e.Duty == "x" {
+				epochs[e.Epoch] = true
+			}
+		}
+		return len(epochs) > 2
+	})
+	c.sound()
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -45,7 +45,8 @@
 	Expire  Op = "expire"  // Refs: so long has passed since their turns that nobody counts on them any more
 	Revoke  Op = "revoke"  // Refs are renewed no more: they end by time, or as their holder hears of it
 	Prefer  Op = "prefer"  // Name should go to To; empty: to whoever it falls to
-	Seen    Op = "seen"    // a life of Member has been seen
+	Seen    Op = "seen"    // a life of Member has been seen; To is its address, Base the entry that it had read
+	Admit   Op = "admit"   // Member, Life begins with an empty log: what an older one of it had read counts no more
 	Raise   Op = "raise"   // no epoch is at or below Base from now on
 )
 
@@ -82,6 +83,14 @@
 	Epoch  uint64            `json:"epoch"` // the highest that was ever given, over all leases
 	Leases map[string]*Lease `json:"leases"`
 	Lives  map[string]uint64 `json:"lives"` // the highest that was seen of each member
+	Addrs  map[string]string `json:"addrs"` // where each member said that it listens
+	Marks  map[string]Mark   `json:"marks"` // how far each member had read the log, now and then
+}
+
+// Mark tells how far a member had read the log in a life.
+type Mark struct {
+	Life  uint64 `json:"life"`
+	Entry uint64 `json:"entry"`
 }
 
 // Bounds of a table: a member that runs wild must not fill the others' memory.
@@ -92,7 +101,9 @@
 )
 
 // NewTable is the table before the first entry.
-func NewTable() *Table { return &Table{Leases: map[string]*Lease{}, Lives: map[string]uint64{}} }
+func NewTable() *Table {
+	return &Table{Leases: map[string]*Lease{}, Lives: map[string]uint64{}, Addrs: map[string]string{}, Marks: map[string]Mark{}}
+}
 
 // Done is what came of an entry: the references that it was carried out for, as they are now, and why not for the others.
 type Done struct {
@@ -112,9 +123,18 @@
 		return d
 	}
 	switch e.Op {
-	case Seen:
+	case Seen, Admit:
 		if t.known(e.Member) {
+			if e.Op == Admit {
+				delete(t.Marks, e.Member)
+			}
 			t.Lives[e.Member] = max(t.Lives[e.Member], e.Life)
+			if e.To != "" && len(e.To) <= MaxName {
+				t.Addrs[e.Member] = e.To
+			}
+			if m := t.Marks[e.Member]; e.Base > m.Entry {
+				t.Marks[e.Member] = Mark{e.Life, e.Base}
+			}
 		}
 	case Raise:
 		t.Epoch = max(t.Epoch, e.Base)
@@ -194,7 +214,7 @@
 
 // Clone is a copy that shares nothing.
 func (t *Table) Clone() *Table {
-	c := &Table{Epoch: t.Epoch, Leases: make(map[string]*Lease, len(t.Leases)), Lives: maps.Clone(t.Lives)}
+	c := &Table{Epoch: t.Epoch, Leases: make(map[string]*Lease, len(t.Leases)), Lives: maps.Clone(t.Lives), Addrs: maps.Clone(t.Addrs), Marks: maps.Clone(t.Marks)}
 	for name, l := range t.Leases {
 		x := *l
 		c.Leases[name] = &x
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -18,7 +18,7 @@
 func TestMain(m *testing.M) { testkit.Seeded(m, "300") }
 
 func drawEntry(t *rapid.T, names, members []string) Entry {
-	op := rapid.SampledFrom([]Op{Grant, Grant, Renew, Release, Expire, Revoke, Prefer, Seen, Raise, "nonsense"}).Draw(t, "op")
+	op := rapid.SampledFrom([]Op{Grant, Grant, Renew, Release, Expire, Revoke, Prefer, Seen, Admit, Raise, "nonsense"}).Draw(t, "op")
 	e := Entry{Op: op, Name: rapid.SampledFrom(names).Draw(t, "name"), Member: rapid.SampledFrom(members).Draw(t, "member"),
 		Life: rapid.Uint64Range(0, 4).Draw(t, "life"), To: rapid.SampledFrom(append(members, "")).Draw(t, "to"), Base: rapid.Uint64Range(0, 40).Draw(t, "base")}
 	for range rapid.IntRange(0, 3).Draw(t, "refs") {
