--- a/internal/app/idle_test.go
+++ b/internal/app/idle_test.go
@@ -135,7 +135,11 @@
 
 // TestMain serves in a process of its own where a test asks for one.
 func TestMain(m *testing.M) {
-	if file := os.Getenv("BRACKENDALE_TEST_SERVE"); file != "" {
+	file := os.Getenv("BRACKENDALE_TEST_SERVE")
+	if len(os.Args) == 4 && os.Args[1] == "serve" { // as the stand-in world starts the program
+		file = os.Args[3]
+	}
+	if file != "" {
 		if err := Serve(context.Background(), file, false); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
--- a/internal/fleet/check.go
+++ b/internal/fleet/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -65,40 +66,58 @@
 
 // Handover is one change of a duty's epoch.
 type Handover struct {
-	Duty     string        `json:"duty"`
-	From, To string        `json:"-"`
-	Epoch    uint64        `json:"epoch"`
-	Fault    string        `json:"fault"` // the last one before it; empty: none since the change before
-	Took     time.Duration `json:"took"`  // from the fault, else from the last act before, to the first act after
+	Duty  string        `json:"duty"`
+	From  string        `json:"from"`
+	To    string        `json:"to"`
+	Epoch uint64        `json:"epoch"`
+	Fault string        `json:"fault"` // that named the holder, or else any one since the change before; empty: none
+	Took  time.Duration `json:"took"`  // from the fault to the first act after it; without one, from the last act before
+	Gap   time.Duration `json:"gap"`   // from the last act before to the first act after
 }
 
-// Handovers lists the changes of epochs in a time line, each with the first fault since the holder's last act but one period.
+// Handovers lists the changes of epochs in a time line.
 func Handovers(list []Event) []Handover {
 	var out []Handover
 	last := map[string]Event{}
-	fault := map[string]Event{} // first of its kind since the duty's epoch last changed, by duty
+	named, any := map[string]Event{}, map[string]Event{} // the first fault since the duty's last change, by duty
 	for _, e := range list {
-		switch e.What {
-		case "act":
+		if e.What == "act" {
 			o, known := last[e.Duty]
 			if known && e.Epoch > o.Epoch {
-				h := Handover{Duty: e.Duty, From: o.Who, To: e.Who, Epoch: e.Epoch, Took: e.At - o.At}
-				if f, ok := fault[e.Duty]; ok {
+				h := Handover{Duty: e.Duty, From: o.Who, To: e.Who, Epoch: e.Epoch, Took: e.At - o.At, Gap: e.At - o.At}
+				f, ok := named[e.Duty]
+				if !ok {
+					f, ok = any[e.Duty]
+				}
+				if ok {
 					h.Fault, h.Took = f.What, e.At-f.At
 				}
 				out = append(out, h)
-				delete(fault, e.Duty)
+				delete(named, e.Duty)
+				delete(any, e.Duty)
 			}
 			if !known || e.Epoch >= o.Epoch {
 				last[e.Duty] = e
 			}
-		case "kill", "stop", "cut", "term", "hand":
-			for d, o := range last {
-				if _, ok := fault[d]; !ok && (o.Who == e.Who || e.Who == d) {
-					fault[d] = e
-				}
+			continue
+		}
+		if _, ok := Do[e.What]; !ok {
+			continue
+		}
+		for d, o := range last {
+			if _, ok := any[d]; !ok {
+				any[d] = e
+			}
+			if _, ok := named[d]; !ok && (slices.Contains(strings.Split(e.Who, "+"), o.Who) || Do[e.What] == 0) {
+				named[d] = e
 			}
 		}
 	}
 	return out
 }
+
+// Add adds another game's verdict.
+func (v *Verdict) Add(o Verdict) {
+	v.Acts, v.Refused, v.Overlaps, v.Old, v.Shared = v.Acts+o.Acts, v.Refused+o.Refused, v.Overlaps+o.Overlaps, v.Old+o.Old, v.Shared+o.Shared
+	v.Broken = append(v.Broken, o.Broken...)
+}
--- a/internal/load/command/command.go
+++ b/internal/load/command/command.go
@@ -27,6 +27,7 @@
 		{Name: "idle", Usage: "idle connections with a modest active load on top", Flags: idleFlags(), Action: loadIdle,
 			Description: "Without --addr it starts its own senders, a process of clients for each, and a partner that delivers all."},
 		conformanceCommand(),
+		groupCommand(),
 		{Name: "worker", Hidden: true, Usage: "the clients of one sender; a part of load idle",
 			Action: func(ctx context.Context, c *cli.Command) error { return load.Worker(ctx, os.Stdin, c.Root().Writer) }},
 	}}
--- a/internal/load/command/conformance.go
+++ b/internal/load/command/conformance.go
@@ -20,14 +20,22 @@
 		Action: conformance}
 }
 
+// sender is the program that is tried: the one beside this, unless another is named.
+func sender(c *cli.Command) (string, error) {
+	if program := c.String("program"); program != "" {
+		return program, nil
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return "", fmt.Errorf("load: %w", err)
+	}
+	return filepath.Join(filepath.Dir(self), "brackendale"), nil
+}
+
 func conformance(ctx context.Context, c *cli.Command) error {
-	program := c.String("program")
-	if program == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return fmt.Errorf("load conformance: %w", err)
-		}
-		program = filepath.Join(filepath.Dir(self), "brackendale")
+	program, err := sender(c)
+	if err != nil {
+		return err
 	}
 	rep, err := load.Conformance(ctx, program, io.Discard)
 	if err != nil {
