--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -22,7 +22,6 @@
 	"brackendale/internal/group"
 	"brackendale/internal/handover"
 	"brackendale/internal/keys"
-	"brackendale/internal/lease"
 	"brackendale/internal/net/amqpfront"
 	"brackendale/internal/net/conns"
 	"brackendale/internal/net/loop"
@@ -119,10 +118,12 @@
 		return err
 	}
 	var duties *group.Group
+	var near *neighbours
 	if cfg.Group.Is() {
-		duties = group.New(groupOptions(cfg, log))
+		near = newNeighbours(core, cfg, log)
+		duties = near.group
 	}
-	f, err := newFronts(core, r, cfg, from, duties)
+	f, err := newFronts(core, r, cfg, from, console.Asked{Group: duties, Drain: drain(core, duties, log, func() { term <- syscall.SIGTERM })})
 	if err != nil {
 		return err
 	}
@@ -155,7 +156,7 @@
 			}
 		}
 	}()
-	leave := takePart(duties)
+	leave := near.takePart()
 	defer leave()
 	go func() {
 		select {
@@ -190,36 +191,6 @@
 	return nil
 }
 
-// takePart lets a sender take part in its group, if it is in one. leave gives back what it holds, and returns once that is done;
-// it may be called more than once.
-func takePart(g *group.Group) (leave func()) {
-	if g == nil {
-		return func() {}
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { defer close(done); g.Run(ctx) }()
-	return func() {
-		cancel()
-		<-done
-	}
-}
-
-// groupOptions is what the file says of the group.
-func groupOptions(cfg config.Config, log zerolog.Logger) group.Options {
-	c := cfg.Group
-	o := group.Options{Name: c.Name, Listen: c.Listen, Voters: c.Voters, Dir: GroupDir(cfg), Weight: c.Weight, Log: log,
-		Terms: lease.Terms{Length: time.Duration(c.LeaseMs) * time.Millisecond, Drift: c.Drift}}
-	for _, d := range c.Duties {
-		o.Duties = append(o.Duties, group.Duty{Name: d.Name, Every: time.Duration(d.EveryMs) * time.Millisecond,
-			Longest: time.Duration(d.LongestMs) * time.Millisecond, Do: group.Call(d.URL)})
-	}
-	return o
-}
-
-// GroupDir is where a group's state lies.
-func GroupDir(cfg config.Config) string { return filepath.Join(cfg.State, "group") }
-
 // exclude lets the second address wait for the core's word.
 func exclude(core *sender.Sender) func(context.Context, string, bool) error {
 	return func(ctx context.Context, target string, out bool) error {
@@ -429,8 +400,9 @@
 	r.log.Warn().Str("peer", e.Peer).Str("reason", reason).Bool("ours", ours).AnErr("cause", e.Err).Msg("tls refused")
 }
 
-// newFronts joins the sides to the core. from is what another process handed over, or nil; duties is the group's, or nil.
-func newFronts(core *sender.Sender, r *reactor.Reactor, cfg config.Config, from *handover.State, duties *group.Group) (*fronts, error) {
+// newFronts joins the sides to the core. from is what another process handed over, or nil; asked is what
+// the console asks beside them.
+func newFronts(core *sender.Sender, r *reactor.Reactor, cfg config.Config, from *handover.State, asked console.Asked) (*fronts, error) {
 	f := &fronts{room: conns.NewRoom(cfg.ClientSockets()), targets: conns.NewRoom(cfg.TargetSockets()),
 		tables: map[string]*conns.Table{}}
 	table := func(front string) *conns.Table {
@@ -502,10 +474,11 @@
 		f.ends = append(f.ends, in.Close)
 	}
 	if path := cfg.Console.Socket; path != "" {
+		asked.Wire = func() console.Wire { return f.shown(r.Loop) }
 		if !filepath.IsAbs(path) {
 			path = filepath.Join(cfg.State, path)
 		}
-		ln, err := console.Listen(path, core, console.Asked{Wire: func() console.Wire { return f.shown(r.Loop) }, Group: duties})
+		ln, err := console.Listen(path, core, asked)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -55,7 +55,7 @@
 	defer r.Stop()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	f, err := newFronts(core, r, cfg, nil, nil)
+	f, err := newFronts(core, r, cfg, nil, console.Asked{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/config/group.go
+++ b/internal/config/group.go
@@ -1,9 +1,11 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/url"
+	"slices"
 	"strings"
 )
 
@@ -28,8 +30,26 @@
 	URL       string `toml:"url"`
 	EveryMs   int64  `toml:"every_ms"`
 	LongestMs int64  `toml:"longest_ms"`
+
+	Dest   int64   `toml:"dest"`    // of a limit
+	PerS   float64 `toml:"per_s"`   // calls a second of all members together
+	AtOnce int     `toml:"at_once"` // of a roll: members that may be out
+	OutMs  int64   `toml:"out_ms"`  // for so long at most
 }
 
+// The kinds of duty.
+const (
+	DutyCall   = "call"   // one POST to a URL of the operator's
+	DutyReturn = "return" // what is out is tried by one member alone, and told waits are heeded by all
+	DutyLimit  = "limit"  // a limit is divided among the members that live
+	DutyRoll   = "roll"   // the right to be out for a restart
+	DutyVerify = "verify" // reading back the journal's check sums, one member at a time
+)
+
+// dutyKeys are the keys that a kind needs or may have, beside name and kind.
+var dutyKeys = map[string][]string{DutyCall: {"url", "every_ms", "longest_ms"}, DutyReturn: {}, DutyLimit: {"dest", "per_s"},
+	DutyRoll: {"at_once", "out_ms"}, DutyVerify: {"every_ms", "longest_ms"}}
+
 // Is tells whether there is a group.
 func (g *Group) Is() bool { return g.Listen != "" }
 
@@ -41,6 +61,7 @@
 	maxDuties              = 256
 	minEveryMs             = 10
 	maxEveryMs             = 24 * 3600 * 1000
+	maxPerS                = 1000
 )
 
 // groupDiskMB is what a group's folder may take of limits.disk_mb; the journal has the rest.
@@ -96,7 +117,7 @@
 	case c.Limits.DiskMB < 2*groupDiskMB:
 		return fault("limits.disk_mb", "%v is under %v: a group's folder takes %v of it", c.Limits.DiskMB, 2*groupDiskMB, groupDiskMB)
 	}
-	seen := map[string]bool{}
+	seen, kinds, dests := map[string]bool{}, map[string]bool{}, map[int64]bool{}
 	for i, d := range duties {
 		key := func(name string) string { return fmt.Sprintf("%s: duty[%d].%s", path, i, name) }
 		if err := groupName(d.Name); err != nil {
@@ -106,11 +127,42 @@
 			return fault(key("name"), "%q is there twice", d.Name)
 		}
 		seen[d.Name] = true
-		if d.Kind != "call" {
-			return fault(key("kind"), "%q is no kind of duty: call", d.Kind)
+		keys, ok := dutyKeys[d.Kind]
+		if !ok {
+			return fault(key("kind"), "%q is no kind of duty: call, return, limit, roll or verify", d.Kind)
+		}
+		for name, set := range map[string]bool{"url": d.URL != "", "every_ms": d.EveryMs != 0, "longest_ms": d.LongestMs != 0, "dest": d.Dest != 0,
+			"per_s": d.PerS != 0, "at_once": d.AtOnce != 0, "out_ms": d.OutMs != 0} {
+			if set && !slices.Contains(keys, name) {
+				return fault(key(name), "is no key of a duty of the kind %s", d.Kind)
+			}
+		}
+		if d.Kind == DutyRoll {
+			d.AtOnce, d.OutMs = cmp.Or(d.AtOnce, 1), cmp.Or(d.OutMs, 60_000)
+			duties[i] = d
+		}
+		if once := d.Kind == DutyReturn || d.Kind == DutyRoll; once && kinds[d.Kind] {
+			return fault(key("kind"), "there is a duty of the kind %s already", d.Kind)
+		}
+		kinds[d.Kind] = true
+		if d.Kind == DutyLimit && dests[d.Dest] {
+			return fault(key("dest"), "destination %d has a limit already", d.Dest)
+		}
+		dests[d.Dest] = dests[d.Dest] || d.Kind == DutyLimit
+		switch {
+		case d.Kind == DutyCall:
+			if err := dutyURL(d.URL, g.Open); err != nil {
+				return fault(key("url"), "%w", err)
+			}
+		case d.Kind == DutyLimit && !(d.PerS >= 0.1 && d.PerS <= maxPerS):
+			return fault(key("per_s"), "%v is not from 0.1 to %d", d.PerS, maxPerS)
+		case d.Kind == DutyRoll && (d.AtOnce < 1 || d.AtOnce > 100):
+			return fault(key("at_once"), "%d is not from 1 to 100", d.AtOnce)
+		case d.Kind == DutyRoll && (d.OutMs < g.LeaseMs || d.OutMs > 3600_000):
+			return fault(key("out_ms"), "%d is not from %d to 3600000", d.OutMs, g.LeaseMs)
 		}
-		if err := dutyURL(d.URL, g.Open); err != nil {
-			return fault(key("url"), "%w", err)
+		if !slices.Contains(keys, "every_ms") {
+			continue
 		}
 		// An act has to fit between two questions of its holder, one of which may fail.
 		room := int64(float64(g.LeaseMs)*(1-g.Drift)) - g.LeaseMs/2
@@ -128,8 +180,8 @@
 
 // groupName checks a member's or a duty's name.
 func groupName(name string) error {
-	if name == "" || len(name) > maxGroupName || strings.ContainsAny(name, "= \t\r\n,+\"") {
-		return fmt.Errorf("%q is no name: 1 to %d bytes without blanks, commas, quotes, = and +", name, maxGroupName)
+	if name == "" || len(name) > maxGroupName || strings.ContainsAny(name, "= \t\r\n,+/#@\"") {
+		return fmt.Errorf("%q is no name: 1 to %d bytes without blanks, commas, quotes, slashes, =, +, # and @", name, maxGroupName)
 	}
 	return nil
 }
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -39,6 +39,8 @@
 type Asked struct {
 	Wire  func() Wire // asks the fronts' goroutine; it may wait for it
 	Group *group.Group
+	// Drain lets the sender end in order once it may be out; the error tells why it may not yet. nil: it does not.
+	Drain func(context.Context) error
 }
 
 // Wire is what the fronts show: their clients' connections, and the loop's timers.
@@ -132,17 +134,22 @@
 	if len(words) == 0 {
 		return r, false
 	}
-	want, ok := map[string]int{"duties": 1, "members": 1, "hand": 3, "revoke": 2, "join": 1, "leave": 1}[words[0]]
+	want, ok := map[string]int{"duties": 1, "members": 1, "hand": 3, "revoke": 2, "join": 1, "leave": 1, "drain": 1}[words[0]]
+	ctx, stop := context.WithTimeout(context.Background(), orderLimit)
+	defer stop()
 	switch {
 	case !ok:
 		return r, false
+	case words[0] == "drain" && a.Drain != nil && len(words) == 1:
+		if err := a.Drain(ctx); err != nil {
+			return Reply{Error: err.Error()}, true
+		}
+		return Reply{Text: "draining: it takes nothing on, and ends once it holds nothing"}, true
 	case a.Group == nil:
 		return Reply{Error: "this sender is in no group: its file has no section [group]"}, true
 	case len(words) != want:
-		return Reply{Error: "commands: duties, members, hand DUTY MEMBER, revoke DUTY, join, leave"}, true
+		return Reply{Error: "commands: duties, members, hand DUTY MEMBER, revoke DUTY, join, leave, drain"}, true
 	}
-	ctx, stop := context.WithTimeout(context.Background(), orderLimit)
-	defer stop()
 	var err error
 	switch words[0] {
 	case "hand":
@@ -200,6 +207,6 @@
 		done(nil)
 	default:
 		done(errors.New("commands: state, ready, telemetry, exclude TARGET (or hold), include TARGET (or release), " +
-			"pause, resume, duties, members, hand DUTY MEMBER, revoke DUTY, join, leave"))
+			"pause, resume, duties, members, hand DUTY MEMBER, revoke DUTY, join, leave, drain"))
 	}
 }
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -166,3 +166,32 @@
 		t.Errorf("%v, want %v", at, want)
 	}
 }
+
+// A limit is used whole and never over; nobody has less than the floor, and nobody who wants more has less than one who wants
+// less.
+func TestDivide(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Int64Range(1, 1_000_000).Draw(t, "limit")
+		wants := map[string]int64{}
+		for _, n := range some(rapid.IntRange(1, 12).Draw(t, "members"), "m") {
+			wants[n] = rapid.Int64Range(0, 2*limit).Draw(t, "want")
+		}
+		got, sum := Divide(limit, wants), int64(0)
+		for n, x := range got {
+			if sum += x; x < int64(Floor*float64(limit/int64(len(wants)))) {
+				t.Fatalf("%s has %d of %d among %d", n, x, limit, len(wants))
+			}
+			for o, y := range got {
+				if wants[n] > wants[o] && x < y {
+					t.Fatalf("%s wants %d and has %d, %s wants %d and has %d", n, wants[n], x, o, wants[o], y)
+				}
+			}
+		}
+		if sum > limit || sum < limit-int64(len(wants))-1 {
+			t.Fatalf("%d of %d", sum, limit)
+		}
+	})
+	if got := Divide(60_000, map[string]int64{"a": 30_000, "b": 6_000, "c": 6_000, "d": 6_000, "e": 6_000, "f": 6_000}); got["a"] != 30_000 || got["b"] != 6_000 {
+		t.Errorf("one wants half: %v", got)
+	}
+}
--- a/internal/fleet/check.go
+++ b/internal/fleet/check.go
@@ -70,31 +70,26 @@
 	From  string        `json:"from"`
 	To    string        `json:"to"`
 	Epoch uint64        `json:"epoch"`
-	Fault string        `json:"fault"` // that named the holder, or else any one since the change before; empty: none
-	Took  time.Duration `json:"took"`  // from the fault to the first act after it; without one, from the last act before
+	Fault string        `json:"fault"` // the last one that named the holder and can have been the cause; empty: none
+	Took  time.Duration `json:"took"`  // from the fault to the first act after it; without one, the gap
 	Gap   time.Duration `json:"gap"`   // from the last act before to the first act after
 }
 
-// Handovers lists the changes of epochs in a time line.
-func Handovers(list []Event) []Handover {
+// Handovers lists the changes of epochs in a time line. A fault is taken for the cause where the holder acted for no longer than a
+// lease after it began.
+func Handovers(list []Event, lease time.Duration) []Handover {
 	var out []Handover
-	last := map[string]Event{}
-	named, any := map[string]Event{}, map[string]Event{} // the first fault since the duty's last change, by duty
+	last, fault := map[string]Event{}, map[string]Event{} // by duty
 	for _, e := range list {
 		if e.What == "act" {
 			o, known := last[e.Duty]
 			if known && e.Epoch > o.Epoch {
 				h := Handover{Duty: e.Duty, From: o.Who, To: e.Who, Epoch: e.Epoch, Took: e.At - o.At, Gap: e.At - o.At}
-				f, ok := named[e.Duty]
-				if !ok {
-					f, ok = any[e.Duty]
-				}
-				if ok {
+				if f, ok := fault[e.Duty]; ok && o.At-f.At < lease*5/4 {
 					h.Fault, h.Took = f.What, e.At-f.At
 				}
 				out = append(out, h)
-				delete(named, e.Duty)
-				delete(any, e.Duty)
+				delete(fault, e.Duty)
 			}
 			if !known || e.Epoch >= o.Epoch {
 				last[e.Duty] = e
@@ -105,11 +100,8 @@
 			continue
 		}
 		for d, o := range last {
-			if _, ok := any[d]; !ok {
-				any[d] = e
-			}
-			if _, ok := named[d]; !ok && (slices.Contains(strings.Split(e.Who, "+"), o.Who) || Do[e.What] == 0) {
-				named[d] = e
+			if slices.Contains(strings.Split(e.Who, "+"), o.Who) || Do[e.What] <= 0 {
+				fault[d] = e
 			}
 		}
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -231,7 +231,7 @@
 	if v := Check(line.Events()); !v.Right() || v.Acts != 2 || v.Refused != 1 {
 		t.Errorf("%+v", v)
 	}
-	if h := Handovers(line.Events()); len(h) != 1 || h[0].Fault != "kill" || h[0].From != "m2" || h[0].To != "m3" {
+	if h := Handovers(line.Events(), time.Second); len(h) != 1 || h[0].Fault != "kill" || h[0].From != "m2" || h[0].To != "m3" {
 		t.Errorf("%+v", h)
 	}
 	r.Behave(0, 0, true)
--- a/internal/fleet/game.go
+++ b/internal/fleet/game.go
@@ -153,7 +153,7 @@
 		err = held(line, duties, line.Now())
 	}
 	list := line.Events()
-	rep.Verdict, rep.Handovers = Check(list), Handovers(list)
+	rep.Verdict, rep.Handovers = Check(list), Handovers(list, g.Lease)
 	rep.Lapses = Lapses(rep.Handovers)
 	if err != nil {
 		err = errors.Join(err, w.said())
--- /dev/null
+++ b/internal/fleet/limit.go
@@ -0,0 +1,249 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Partner is the stand-in for a destination with a limit of calls a second, and half a second's calls of burst: above it calls are
+// refused with 429 and a wait.
+type Partner struct {
+	ln    net.Listener
+	mu    sync.Mutex
+	rate  float64
+	level float64
+	last  time.Time
+
+	Taken, Refused atomic.Int64
+}
+
+// partnerBurst is for how long calls that did not come may come later.
+const partnerBurst = 0.5
+
+// NewPartner listens on a free port of loopback.
+func NewPartner(rate float64) (*Partner, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("fleet: partner: %w", err)
+	}
+	p := &Partner{ln: ln, rate: rate, level: rate * partnerBurst, last: time.Now()}
+	go func() { _ = (&http.Server{Handler: p, ReadHeaderTimeout: time.Minute}).Serve(ln) }()
+	return p, nil
+}
+
+// Addr is where it listens.
+func (p *Partner) Addr() string { return p.ln.Addr().String() }
+
+// Close ends it.
+func (p *Partner) Close() { _ = p.ln.Close() }
+
+// Limit sets the limit from now on.
+func (p *Partner) Limit(rate float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rate, p.level = rate, min(p.level, rate*partnerBurst)
+}
+
+// ServeHTTP takes or refuses one call.
+func (p *Partner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(q.Body, 1<<20))
+	p.mu.Lock()
+	now := time.Now()
+	p.level = min(p.rate*partnerBurst, p.level+p.rate*now.Sub(p.last).Seconds())
+	p.last = now
+	ok := p.level >= 1
+	if ok {
+		p.level--
+	}
+	p.mu.Unlock()
+	if !ok {
+		p.Refused.Add(1)
+		w.Header().Set("X-Backoff-Ms", "200")
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	p.Taken.Add(1)
+}
+
+// Load hands messages to one sender: so many a second, for one destination, until ctx ends. Nothing is handed in again.
+func Load(ctx context.Context, addr, name string, perS *atomic.Int64) {
+	var c net.Conn
+	var in *bufio.Reader
+	next := time.Now()
+	for i := 0; ctx.Err() == nil; i++ {
+		rate := perS.Load() // in thousandths
+		if rate <= 0 {
+			next = time.Now().Add(10 * time.Millisecond)
+		} else {
+			next = next.Add(time.Duration(float64(time.Second) * 1000 / float64(rate)))
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Until(next)):
+		}
+		if rate <= 0 {
+			continue
+		}
+		if c == nil {
+			d, err := net.DialTimeout("tcp", addr, time.Second)
+			if err != nil {
+				continue
+			}
+			c, in = d, bufio.NewReader(d)
+		}
+		_ = c.SetDeadline(time.Now().Add(2 * time.Second))
+		id := name + "-" + strconv.Itoa(i)
+		var text strings.Builder
+		for _, w := range []string{"SUBMIT", "0", id, "c=safe,t=x,d=20000,dest=1", "body"} {
+			fmt.Fprintf(&text, "$%d\r\n%s\r\n", len(w), w)
+		}
+		_, err := io.WriteString(c, "*5\r\n"+text.String())
+		if err == nil {
+			_, err = in.ReadString('\n')
+		}
+		if err != nil {
+			_ = c.Close()
+			c = nil
+		}
+	}
+	if c != nil {
+		_ = c.Close()
+	}
+}
+
+// LimitGame is senders on one limit, with traffic of which one has half.
+type LimitGame struct {
+	Program string
+	Dir     string
+	Senders int     // the first three vote
+	PerS    float64 // the limit
+	Demand  float64 // of all, in limits
+	Group   bool    // they are a group with a duty of the kind limit
+	Warm    time.Duration
+	Each    time.Duration // of each phase
+	Kill    int           // senders that are killed after the first phase; what they had comes to the others
+}
+
+// Phase is what came of one phase.
+type Phase struct {
+	Name    string  `json:"name"`
+	Used    float64 `json:"used"`    // of the limit
+	Refused float64 `json:"refused"` // calls refused, of all calls
+}
+
+// Play plays it.
+func (g LimitGame) Play() (out []Phase, err error) {
+	p, err := NewPartner(g.PerS)
+	if err != nil {
+		return nil, err
+	}
+	defer p.Close()
+	names, _ := Game{Members: g.Senders}.Names()
+	ports := map[string]string{}
+	w, err := NewWorld(g.Program, g.Dir, names, 1, NewTimeline(), func(m *Member) string {
+		ports[m.Name] = "127.0.0.1:" + m.port()
+		return g.site(m, names[:3], ports[m.Name], p.Addr())
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer w.Close()
+	if err := w.Up(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	defer all.Wait()
+	defer cancel()
+	rates := map[string]*atomic.Int64{}
+	share := func(alive int) { // the first has half of all
+		total := g.PerS * g.Demand * 1000
+		for i, n := range names {
+			switch {
+			case i >= alive:
+				rates[n].Store(0)
+			case alive == 1 || i == 0:
+				rates[n].Store(int64(total / 2 * float64(1+1/alive)))
+			default:
+				rates[n].Store(int64(total / 2 / float64(alive-1)))
+			}
+		}
+	}
+	for _, n := range names {
+		rates[n] = &atomic.Int64{}
+	}
+	share(g.Senders)
+	for _, n := range names {
+		all.Add(1)
+		go func() { defer all.Done(); Load(ctx, ports[n], n, rates[n]) }()
+	}
+	phase := func(name string) {
+		time.Sleep(g.Warm)
+		t, r := p.Taken.Load(), p.Refused.Load()
+		time.Sleep(g.Each)
+		t, r = p.Taken.Load()-t, p.Refused.Load()-r
+		out = append(out, Phase{name, float64(t) / (g.PerS * g.Each.Seconds()), float64(r) / float64(max(1, t+r))})
+	}
+	phase("all")
+	if g.Kill > 0 {
+		for _, n := range names[g.Senders-g.Kill:] {
+			w.Proc(n).Kill()
+		}
+		share(g.Senders - g.Kill)
+		phase(fmt.Sprintf("%d of %d killed", g.Kill, g.Senders))
+	}
+	for _, m := range w.Members {
+		if over, end := w.Proc(m.Name).Ended(); over && g.Kill == 0 {
+			err = errors.Join(err, fmt.Errorf("fleet: %s has ended: %w", m.Name, end))
+		}
+	}
+	if err != nil {
+		err = errors.Join(err, w.said())
+	}
+	return out, err
+}
+
+func (g LimitGame) site(m *Member, voters []string, listen, partner string) string {
+	text := fmt.Sprintf(`name = %q
+[limits]
+disk_mb = 16
+[console]
+socket = "b.sock"
+[resp]
+listen = %q
+finals = "127.0.0.1:1"
+[sender]
+slots = 16
+hold = 400
+[[class]]
+name = "safe"
+effect = "repeatable"
+aim_ms = 5000
+deadline_ms = 20000
+worth = 1
+[[route]]
+name = "r"
+dest = 1
+proto = "http"
+dial = %q
+`, m.Name, listen, partner)
+	if !g.Group {
+		return text
+	}
+	text += fmt.Sprintf("[group]\nname = %q\nlisten = %q\nlease_ms = 1000\nmembers = [", m.Name, m.Listen)
+	for _, v := range voters {
+		text += fmt.Sprintf("%q, ", v+"="+m.Reach[v])
+	}
+	return text + fmt.Sprintf("]\n[[duty]]\nname = \"sum\"\nkind = \"limit\"\ndest = 1\nper_s = %g\n", g.PerS)
+}
--- a/internal/group/act.go
+++ b/internal/group/act.go
@@ -15,6 +15,7 @@
 	rhythm duty.Rhythm
 	wake   chan struct{}
 	acting bool
+	claim  bool   // it has no acts
 	n      uint64 // acts begun under this epoch
 	err    string // of the last one
 	last   time.Duration
@@ -88,6 +89,9 @@
 		}
 	case held && g.leaving:
 		g.giveBack(ref, "leaving")
+	case held && r.Round:
+		g.next[r.Name] = nextMember
+		g.giveBack(ref, "it goes round")
 	case held && g.next[r.Name] != "":
 		g.giveBack(ref, "it goes to "+g.next[r.Name])
 	default:
--- a/internal/group/begin.go
+++ b/internal/group/begin.go
@@ -157,7 +157,10 @@
 			break
 		}
 	}
-	if leader == "" || leader == g.opt.Name {
+	if leader == g.opt.Name { // as others knew it a moment ago
+		return nil, fmt.Errorf("the name %s is in use by another process, which leads the group", leader)
+	}
+	if leader == "" {
 		return nil, errors.New("this folder's log is lost or old, and no leader is there that could let this member in again; " +
 			"where a majority has lost theirs: group recover")
 	}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -32,8 +32,14 @@
 	Terms  lease.Terms
 	Weight float64 // how much it should hold beside the others; 0 counts as 1
 	Duties []Duty
-	Log    zerolog.Logger
-	Clock  func() time.Duration // steady, and going on while the machine is suspended; nil: Boottime
+	Limits []Limit
+	Rolls  []Roll
+	// Told hears what the others said with each answer of the leader: hints, and who holds what this member claims (by name;
+	// it may be this one), until when that counts by the group's clock. It must not wait. nil: nobody listens.
+	Told  func(hints []Hint, held map[string]string, until time.Duration)
+	Ready func() bool // whether this sender serves; nil: it does
+	Log   zerolog.Logger
+	Clock func() time.Duration // steady, and going on while the machine is suspended; nil: Boottime
 
 	store func(stores) stores // for tests: puts faults into the disk
 }
@@ -43,6 +49,7 @@
 	Name    string
 	Every   time.Duration // between the starts of two acts
 	Longest time.Duration // that an act may take
+	Round   bool          // it goes on to the next member after each act
 	Do      func(ctx context.Context, a Act) error
 }
 
@@ -53,6 +60,23 @@
 	N            uint64 // counted from 1 in each epoch
 }
 
+// Limit is one that all members of the group use together. Amounts are whole: a thousandth of a call a second, say.
+type Limit struct {
+	Name string
+	Rate int64        // of all together
+	Want func() int64 // what this member would use just now; it must not wait
+	// Use tells this member's share, until when it counts on it (by the group's clock), and the even part, which is all that
+	// it may use from then on. It must not wait.
+	Use func(amount int64, until time.Duration, even int64)
+}
+
+// Roll is the right to be out for a restart.
+type Roll struct {
+	Name   string
+	AtOnce int           // that may be out
+	Out    time.Duration // that one may be, before another may in any case
+}
+
 // ErrNewer tells that the receiver of an act knows a newer epoch: the duty is given up at once.
 var ErrNewer = errors.New("a newer epoch is known")
 
@@ -89,6 +113,8 @@
 	leading  bool
 	order    *order
 	events   counts
+	crowd    int // members that use the limits, as the leader said last
+	hints    hints
 }
 
 // seen is what is known of a process that has called.
@@ -105,6 +131,10 @@
 	g := &Group{opt: opt, log: opt.Log.With().Str("group", opt.Name).Logger(), self: rand.Uint64(), clock: opt.Clock, kicks: make(chan struct{}, 1),
 		state: stateEmpty, why: "starting", table: lease.NewTable(), watch: lease.NewWatch(opt.Terms), holder: lease.NewHolder(opt.Terms),
 		runners: map[string]*runner{}, back: map[string]lease.Ref{}, next: map[string]string{}, lives: map[string]seen{}}
+	g.crowd = max(1, len(opt.Voters))
+	if g.opt.Ready == nil {
+		g.opt.Ready = func() bool { return true }
+	}
 	for _, d := range opt.Duties {
 		g.runners[d.Name] = &runner{Duty: d, rhythm: duty.Rhythm{Every: d.Every}, wake: make(chan struct{}, 1)}
 	}
@@ -194,7 +224,7 @@
 // giveUp gives back all that is held and not in an act. The lock is held.
 func (g *Group) giveUp(why string) {
 	for _, ref := range g.holder.Refs() {
-		if r := g.runners[ref.Name]; r == nil || !r.acting {
+		if r := g.runners[ref.Name]; r != nil && !r.acting { // shares and the right to be out are held on to
 			g.giveBack(ref, why)
 		}
 	}
@@ -217,7 +247,7 @@
 			return false
 		}
 	}
-	return len(g.back) == 0 && len(g.holder.Refs()) == 0
+	return len(g.back) == 0 && !slices.ContainsFunc(g.holder.Refs(), func(r lease.Ref) bool { return g.runners[r.Name] != nil })
 }
 
 // kick lets the member ask now.
@@ -373,3 +403,26 @@
 	defer g.mu.Unlock()
 	return g.leading
 }
+
+// Claim sets the duties that this member asks for beside those of its file: leases without acts, which it holds for as long as
+// it claims them.
+func (g *Group) Claim(names []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, r := range g.runners {
+		if r.claim && !slices.Contains(names, name) {
+			delete(g.runners, name)
+			if x, ok := g.holder.Get(name, g.clock()); ok {
+				g.giveBack(lease.Ref{Name: name, Epoch: x.Epoch}, "claimed no more")
+			}
+		}
+	}
+	for _, name := range names[:min(len(names), maxOffers/2)] {
+		if g.runners[name] == nil {
+			g.runners[name] = &runner{Duty: Duty{Name: name}, wake: make(chan struct{}, 1), claim: true}
+		}
+	}
+}
+
+// Lease is the length of the group's leases.
+func (g *Group) Lease() time.Duration { return g.opt.Terms.Length }
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -443,3 +443,130 @@
 	})
 	c.sound()
 }
+
+// Shares of a limit: at no instant do the members count on more than it together, each by its own clock, while wants change,
+// one is cut off, one is gone for good and the limit is lowered; all of it is in use again afterwards. The right to be out is one
+// member's at a time, and is its next life's to give back. A duty that goes round does.
+func TestSharesAndRolls(t *testing.T) {
+	c := newCrew(t, three, "x")
+	const limit = 60_000
+	type part struct {
+		amount atomic.Int64
+		until  atomic.Int64
+	}
+	parts, wants := map[string]*part{}, map[string]*atomic.Int64{}
+	top := atomic.Int64{}
+	top.Store(limit)
+	for _, n := range three {
+		p, w := &part{}, &atomic.Int64{}
+		parts[n], wants[n] = p, w
+		w.Store(5_000)
+		o := c.opts[n]
+		o.Duties[0].Round = true
+		o.Rolls = []group.Roll{{Name: "r", AtOnce: 1, Out: time.Hour}}
+		o.Limits = []group.Limit{{Name: "l", Rate: limit, Want: w.Load, Use: func(amount int64, until time.Duration, _ int64) {
+			if amount > p.amount.Load() { // the later end counts only with the later amount: down first, up last
+				p.until.Store(int64(until))
+				p.amount.Store(amount)
+				return
+			}
+			p.amount.Store(amount)
+			p.until.Store(int64(until))
+		}}}
+	}
+	sum := func() (all int64) {
+		now := int64(group.Boottime())
+		for _, p := range parts {
+			if now < p.until.Load() {
+				all += p.amount.Load()
+			}
+		}
+		return all
+	}
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Millisecond):
+				if s := sum(); s > top.Load() {
+					t.Errorf("shares of %d together, of %d", s, top.Load())
+					return
+				}
+			}
+		}
+	}()
+	used := func() bool { return sum() > limit*95/100 }
+	c.start(three...)
+	c.until("all of it is in use", used)
+	wants["a"].Store(50_000)
+	c.until("who wants most has most", func() bool { return used() && parts["a"].amount.Load() > 45_000 })
+	wants["a"].Store(1_000)
+	wants["b"].Store(50_000)
+	c.until("the other has it", func() bool { return used() && parts["b"].amount.Load() > 45_000 })
+	c.cut("b", true)
+	wants["c"].Store(50_000)
+	c.until("what the silent one had is in use", func() bool { return used() && parts["c"].amount.Load() > 45_000 })
+	c.cut("b", false)
+	c.until("both", func() bool { return used() && parts["b"].amount.Load() > 20_000 })
+	c.stop("b")
+	c.until("what the dead one had is in use", func() bool { return used() && parts["c"].amount.Load() > 45_000 })
+	c.start("b")
+
+	ctx, cancel := context.WithTimeout(context.Background(), long)
+	defer cancel()
+	c.until("out", func() bool { return c.now["a"].Out(ctx) == nil })
+	if err := c.now["c"].Out(ctx); err == nil || !strings.Contains(err.Error(), "a is out") {
+		t.Errorf("two are out: %v", err)
+	}
+	c.stop("a")
+	if err := c.now["c"].Out(ctx); err == nil {
+		t.Error("another is out while the first has not come back")
+	}
+	c.start("a")
+	c.until("the first is back", func() bool { return c.now["c"].Out(ctx) == nil })
+	who := map[string]bool{}
+	c.until("it went round", func() bool { who[c.acts()] = true; return len(who) == 3 })
+	c.sound()
+}
+
+// What one claims another holds: all that claim hear who it is, one at a time, and another when that one claims no more. Hints come
+// with their age.
+func TestClaimsAndHints(t *testing.T) {
+	c := newCrew(t, three, "x")
+	holds, waits := map[string]*atomic.Value{}, &atomic.Int64{}
+	for _, n := range three {
+		v := &atomic.Value{}
+		v.Store("")
+		holds[n] = v
+		c.opts[n].Told = func(hints []group.Hint, held map[string]string, _ time.Duration) {
+			v.Store(held["return@7"])
+			for _, h := range hints {
+				if h.Dest == 7 && h.From == "a" && n == "b" {
+					waits.Store(h.Waits)
+				}
+			}
+		}
+	}
+	c.start(three...)
+	c.acts()
+	for _, n := range three {
+		c.now[n].Claim([]string{"return@7"})
+	}
+	agreed := func() string {
+		who := holds["a"].Load().(string)
+		if who == holds["b"].Load() && who == holds["c"].Load() {
+			return who
+		}
+		return ""
+	}
+	c.until("one tries", func() bool { return agreed() != "" })
+	first := agreed()
+	c.now[first].Claim(nil)
+	next := other(first)
+	c.until("another tries", func() bool { w := holds[next].Load().(string); return w != "" && w != first })
+	c.now["a"].Says([]group.Hint{{Dest: 7, Waits: 1_000_000}})
+	c.until("the wait is heard of", func() bool { w := waits.Load(); return w > 0 && w < 1_000_000 })
+}
--- /dev/null
+++ b/internal/group/hint.go
@@ -0,0 +1,65 @@
+package group
+
+import (
+	"slices"
+	"time"
+)
+
+// Hint is what a member tells the others of a destination. It makes them more careful and nothing else, and it ends by itself.
+type Hint struct {
+	Dest      int64  `json:"dest"`
+	Waits     int64  `json:"waits_us,omitempty"` // a wait that the destination told has so long to go
+	Out       bool   `json:"out,omitempty"`      // it is out
+	Returning bool   `json:"returning,omitempty"`
+	SinceUs   int64  `json:"since_us,omitempty"` // it is coming back for so long
+	AgeUs     int64  `json:"age_us"`             // so old is what the member saw
+	From      string `json:"from,omitempty"`
+}
+
+// maxHints bounds what one member tells at once.
+const maxHints = 64
+
+// hints is what goes to the others.
+type hints struct {
+	at  time.Duration
+	own []Hint
+}
+
+// mine is what this member tells now. What it saw grows old on its way here.
+func (x *hints) mine(now time.Duration) []Hint {
+	out := slices.Clone(x.own)
+	for i := range out {
+		age := (now - x.at).Microseconds()
+		out[i].AgeUs += age
+		out[i].Waits -= min(out[i].Waits, age)
+	}
+	return out
+}
+
+// Says sets what this member tells the others from now on.
+func (g *Group) Says(list []Hint) {
+	g.mu.Lock()
+	g.hints.own, g.hints.at = list[:min(len(list), maxHints)], g.clock()
+	g.mu.Unlock()
+}
+
+// heedOthers is what the other members said, as old as it is by now. The lock is held.
+func (g *Group) heedOthers(but string, now time.Duration) (out []Hint) {
+	for who, s := range g.seats {
+		if here, _ := g.here.Here(who, now); !here || who == but {
+			continue
+		}
+		for _, x := range s.hints {
+			age := (now - s.last).Microseconds()
+			x.From, x.AgeUs = who, x.AgeUs+age
+			x.Waits -= min(x.Waits, age)
+			if x.SinceUs > 0 {
+				x.SinceUs += age
+			}
+			if out = append(out, x); len(out) == maxHints*4 {
+				return out
+			}
+		}
+	}
+	return out
+}
--- a/internal/group/lead.go
+++ b/internal/group/lead.go
@@ -30,6 +30,10 @@
 	Index  uint64             `json:"index,omitempty"` // how far it has read the log
 	Term   uint64             `json:"term,omitempty"`
 	Want   bool               `json:"want,omitempty"` // to hear of all members and duties
+	Shares map[string]share   `json:"shares,omitempty"`
+	Ready  bool               `json:"ready,omitempty"`  // it serves
+	Claims []string           `json:"claims,omitempty"` // of the offers, those without acts
+	Hints  []Hint             `json:"hints,omitempty"`
 	Order  *order             `json:"order,omitempty"`
 }
 
@@ -40,8 +44,12 @@
 	Error   string            `json:"error,omitempty"`
 	Leader  string            `json:"leader,omitempty"`
 	At      string            `json:"at,omitempty"`
-	Refs    []lease.Ref       `json:"refs,omitempty"` // granted or renewed for this question
-	Hand    map[string]string `json:"hand,omitempty"` // what is to go to whom
+	Refs    []lease.Ref       `json:"refs,omitempty"`   // granted or renewed for this question
+	Hand    map[string]string `json:"hand,omitempty"`   // what is to go to whom
+	Shares  map[string]int64  `json:"shares,omitempty"` // what the asker is to go down to
+	Crowd   int               `json:"crowd,omitempty"`  // members that use limits
+	Hints   []Hint            `json:"hints,omitempty"`  // of the others
+	Held    map[string]string `json:"held,omitempty"`   // of what the asker claims, who holds it
 	Ordered string            `json:"ordered,omitempty"`
 	Admit   *admitted         `json:"admit,omitempty"`
 	View    *view             `json:"view,omitempty"`
@@ -63,6 +71,10 @@
 	Op   string `json:"op"`
 	Name string `json:"name,omitempty"`
 	To   string `json:"to,omitempty"`
+
+	AtOnce int   `json:"at_once,omitempty"` // of orderOut
+	HoldUs int64 `json:"hold_us,omitempty"`
+
 	done chan error
 }
 
@@ -72,6 +84,7 @@
 	orderRevoke = "revoke" // the lease on Name is renewed no more
 	orderLeave  = "leave"  // the asker votes no more
 	orderAdmit  = "admit"  // the asker begins with an empty log
+	orderOut    = "out"    // the asker is to be out for a while
 )
 
 // seat is what the leader knows of a member.
@@ -82,6 +95,8 @@
 	index, term uint64
 	last        time.Duration
 	acts        map[string]actDone
+	shares      map[string]share
+	hints       []Hint
 	open        int // connections
 	nudge       func()
 	nudged      time.Duration
@@ -344,7 +359,7 @@
 		g.seats[h.From] = s
 	}
 	take(s)
-	s.last, s.weight, s.acts = now, b.Weight, b.Acts
+	s.last, s.weight, s.acts, s.shares, s.hints = now, b.Weight, b.Acts, b.Shares, b.Hints[:min(len(b.Hints), maxHints)]
 	s.index, s.term = max(s.index, b.Index), max(s.term, b.Term)
 	s.offers = map[string]bool{}
 	for _, d := range b.Offers[:min(len(b.Offers), maxOffers)] {
@@ -369,7 +384,7 @@
 	}
 	if len(b.Back) > 0 {
 		for _, ref := range b.Back {
-			d, err := e.propose(lease.Entry{Op: lease.Release, Member: h.From, Life: h.Life, Refs: []lease.Ref{ref}, To: b.To[ref.Name]}, within)
+			d, err := e.propose(lease.Entry{Op: lease.Release, Member: h.From, Life: h.Life, Refs: []lease.Ref{ref}, To: g.nextOf(b.To[ref.Name], ref.Name, h.From)}, within)
 			if err != nil {
 				return fail(err)
 			}
@@ -384,18 +399,29 @@
 	// What the asker holds is renewed, all in one entry, and what is free and falls to it is granted.
 	g.mu.Lock()
 	mine := g.table.Of(h.From, h.Life)
-	g.mu.Unlock()
 	mine = slices.DeleteFunc(mine, func(r lease.Ref) bool {
-		return slices.ContainsFunc(b.Back, func(x lease.Ref) bool { return x.Name == r.Name && x.Epoch == r.Epoch })
+		_, part := lease.IsShare(r.Name) // those are renewed by what is asked for
+		return part || g.table.Leases[r.Name].Hold > 0 || slices.ContainsFunc(b.Back, func(x lease.Ref) bool { return x.Name == r.Name && x.Epoch == r.Epoch })
 	})
+	back := g.backAgain(h, b.Ready)
+	g.mu.Unlock()
+	if len(back) > 0 {
+		if _, err := e.propose(lease.Entry{Op: lease.Release, Member: h.From, Life: h.Life, Refs: back}, within); err != nil {
+			return fail(err)
+		}
+	}
+	if err := g.share(e, h, b, &a); err != nil {
+		return fail(err)
+	}
 	if len(mine) > 0 {
 		d, err := e.propose(lease.Entry{Op: lease.Renew, Member: h.From, Life: h.Life, Refs: mine}, within)
 		if err != nil {
 			return fail(err)
 		}
-		a.Refs = d.Refs
+		a.Refs = append(a.Refs, d.Refs...)
 	}
 	g.mu.Lock()
+	a.Hints = g.heedOthers(h.From, g.clock())
 	plan := g.plan(g.clock())
 	var free []string
 	for name, who := range plan {
@@ -423,6 +449,14 @@
 		}
 	}
 	g.mu.Lock()
+	for _, name := range b.Claims[:min(len(b.Claims), maxOffers)] {
+		if l := g.table.Leases[name]; l != nil && l.Holder != "" {
+			if a.Held == nil {
+				a.Held = map[string]string{}
+			}
+			a.Held[name] = l.Holder
+		}
+	}
 	if a.Leader, a.At = g.leaderNow(); b.Want {
 		v := g.look2(g.clock())
 		a.View = &v
@@ -508,6 +542,8 @@
 			return nil, fmt.Sprintf("nobody holds %q", o.Name)
 		}
 		_, err = e.propose(lease.Entry{Op: lease.Revoke, Refs: []lease.Ref{ref}}, within)
+	case orderOut:
+		return nil, g.letOut(e, h, o)
 	case orderLeave:
 		err = e.raft.RemoveServer(raft.ServerID(h.From), 0, within).Error()
 	case orderAdmit:
--- a/internal/group/member.go
+++ b/internal/group/member.go
@@ -10,6 +10,7 @@
 	"maps"
 	"net"
 	"slices"
+	"strings"
 	"time"
 
 	"brackendale/internal/lease"
@@ -235,6 +236,7 @@
 	if !g.leaving {
 		b.Offers = slices.Sorted(maps.Keys(g.runners))
 	}
+	b.Shares, b.Ready, b.Hints = g.wants(), g.opt.Ready(), g.hints.mine(g.clock())
 	for name, ref := range g.back {
 		b.Back = append(b.Back, ref)
 		if to := g.next[name]; to != "" {
@@ -245,6 +247,9 @@
 		}
 	}
 	for name, r := range g.runners {
+		if r.claim {
+			b.Claims = append(b.Claims, name)
+		}
 		if r.n > 0 || r.err != "" {
 			b.Acts[name] = actDone{r.n, r.err}
 		}
@@ -259,7 +264,15 @@
 // heard books the leader's answer to a question that was asked at asked.
 func (g *Group) heard(asked time.Duration, b beat, a answer) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
+	use := g.book(asked, b, a)
+	g.mu.Unlock()
+	for _, f := range use {
+		f()
+	}
+}
+
+// book does so under the lock, and tells what is to be done without it.
+func (g *Group) book(asked time.Duration, b beat, a answer) (use []func()) {
 	for _, ref := range b.Back {
 		if x, ok := g.back[ref.Name]; ok && x.Epoch == ref.Epoch {
 			delete(g.back, ref.Name)
@@ -269,8 +282,17 @@
 	now := g.clock()
 	g.lapse(now)
 	held := map[string]bool{}
+	g.crowd = max(a.Crowd, 1)
+	if tell := g.opt.Told; tell != nil {
+		until := asked + g.opt.Terms.Holds()
+		use = append(use, func() { tell(a.Hints, a.Held, until) })
+	}
 	for _, ref := range a.Refs {
 		held[ref.Name] = true
+		if of, ok := lease.IsShare(ref.Name); ok {
+			use = append(use, g.use(of, ref, asked, a))
+			continue
+		}
 		r := g.runners[ref.Name]
 		if r == nil || g.leaving || g.back[ref.Name].Epoch == ref.Epoch { // an answer that crossed a giving back
 			if r == nil || g.leaving {
@@ -282,7 +304,9 @@
 			g.holder.Granted(ref.Name, ref.Epoch, asked)
 			r.n, r.err, r.last = 0, "", 0
 			delete(g.next, ref.Name)
-			r.rhythm.Start(now)
+			if r.rhythm.Start(now); r.Round { // or it would go round without a pause
+				r.rhythm.Start(now + r.Every)
+			}
 			g.events.taken++
 			g.log.Info().Str("duty", ref.Name).Uint64("epoch", ref.Epoch).Msg("duty taken")
 		}
@@ -290,7 +314,7 @@
 		r.poke()
 	}
 	for _, ref := range g.holder.Refs() {
-		if !held[ref.Name] {
+		if !held[ref.Name] && g.runners[ref.Name] != nil {
 			g.holder.Lost(ref.Name, ref.Epoch)
 			g.events.lost++
 			g.log.Warn().Str("duty", ref.Name).Uint64("epoch", ref.Epoch).Msg("duty lost: the leader renews it no more")
@@ -322,6 +346,7 @@
 	if g.leaving {
 		g.giveUp("leaving")
 	}
+	return use
 }
 
 // unheard books that a question had no answer: what is held ends by time alone.
@@ -383,8 +408,10 @@
 func (g *Group) look2(now time.Duration) view {
 	v := view{Leader: g.opt.Name, Lives: maps.Clone(g.table.Lives), Addrs: maps.Clone(g.table.Addrs)}
 	offered := map[string]bool{}
-	for name := range g.table.Leases {
-		offered[name] = true
+	for name, l := range g.table.Leases {
+		if l.Hold == 0 || l.Holder != "" { // a right to be out that nobody has is nothing to show
+			offered[name] = true
+		}
 	}
 	for _, name := range g.here.All(now) {
 		if s := g.seats[name]; s != nil {
@@ -413,6 +440,8 @@
 			switch {
 			case plan == nil:
 				d.Why = "the leader has just begun"
+			case strings.ContainsAny(name, "/#"):
+				d.Why = "nobody asks for it"
 			case plan[name] == "":
 				d.Why = "no member that is here has it in its file"
 			default:
@@ -533,7 +562,23 @@
 
 // Order lets the leader carry something out: hand, revoke or leave. It waits for the answer as long as ctx does.
 func (g *Group) Order(ctx context.Context, op, name, to string) error {
-	o := &order{Op: op, Name: name, To: to, done: make(chan error, 1)}
+	return g.give(ctx, &order{Op: op, Name: name, To: to})
+}
+
+// Out asks once for each right to be out for a restart that the file names; the error tells why not yet. Without one in the file
+// there is nothing to ask for.
+func (g *Group) Out(ctx context.Context) error {
+	for _, r := range g.opt.Rolls {
+		if err := g.give(ctx, &order{Op: orderOut, Name: r.Name, AtOnce: r.AtOnce, HoldUs: r.Out.Microseconds()}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// give lets the leader carry out an order.
+func (g *Group) give(ctx context.Context, o *order) error {
+	o.done = make(chan error, 1)
 	for {
 		g.mu.Lock()
 		if g.order == nil {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -15,6 +15,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -45,6 +46,7 @@
 	Expire  Op = "expire"  // Refs: so long has passed since their turns that nobody counts on them any more
 	Revoke  Op = "revoke"  // Refs are renewed no more: they end by time, or as their holder hears of it
 	Prefer  Op = "prefer"  // Name should go to To; empty: to whoever it falls to
+	Share   Op = "share"   // Member, Life has Amount of Name, as far as all shares of it together stay within Limit
 	Seen    Op = "seen"    // a life of Member has been seen; To is its address, Base the entry that it had read
 	Admit   Op = "admit"   // Member, Life begins with an empty log: what an older one of it had read counts no more
 	Raise   Op = "raise"   // no epoch is at or below Base from now on
@@ -55,6 +57,8 @@
 	Name  string `json:"n"`
 	Epoch uint64 `json:"e"`
 	Turn  uint64 `json:"t,omitempty"` // of its last renewal; for Expire alone
+
+	Amount int64 `json:"a,omitempty"` // of a share
 }
 
 // Entry is one entry of the log.
@@ -66,6 +70,9 @@
 	To     string `json:"to,omitempty"`
 	Refs   []Ref  `json:"refs,omitempty"`
 	Base   uint64 `json:"base,omitempty"`
+	Amount int64  `json:"amount,omitempty"`
+	Limit  int64  `json:"limit,omitempty"`
+	Hold   int64  `json:"hold,omitempty"` // of a Grant: see Lease
 }
 
 // Lease is one lease. Nobody holds it while Holder is empty.
@@ -76,6 +83,30 @@
 	Turn    uint64 `json:"turn"`           // changes with each grant and each renewal
 	To      string `json:"to,omitempty"`   // who should hold it
 	Revoked bool   `json:"revoked,omitempty"`
+	Amount  int64  `json:"amount,omitempty"` // of a share
+
+	// Hold is for how long it is held without renewals, in microseconds, where that is longer than the group's leases: the
+	// holder is out for a while and cannot ask. A later life of the holder may give it back.
+	Hold int64 `json:"hold,omitempty"`
+}
+
+// ShareName is the lease on a member's share of a limit. No duty's name has a slash.
+func ShareName(limit, member string) string { return limit + "/" + member }
+
+// IsShare tells whether a lease is one on a share, and of what.
+func IsShare(name string) (limit string, ok bool) {
+	limit, _, ok = strings.Cut(name, "/")
+	return limit, ok
+}
+
+// Shared is what all shares of a limit but one have together.
+func (t *Table) Shared(limit, but string) (sum int64) {
+	for name, l := range t.Leases {
+		if of, ok := IsShare(name); ok && of == limit && name != but && l.Holder != "" {
+			sum += l.Amount
+		}
+	}
+	return sum
 }
 
 // Table is the state that the log drives. The same entries lead every member to the same table.
@@ -118,10 +149,14 @@
 			d.Why = fmt.Sprintf(format, args...)
 		}
 	}
-	if e.Member != "" && e.Life < t.Lives[e.Member] && (e.Op == Grant || e.Op == Renew) {
+	if e.Member != "" && e.Life < t.Lives[e.Member] && (e.Op == Grant || e.Op == Renew || e.Op == Share) {
 		refuse("life %d of %s is over: life %d has been seen", e.Life, e.Member, t.Lives[e.Member])
 		return d
 	}
+	if (e.Op == Grant || e.Op == Share) && strings.Contains(e.Name, "/") {
+		refuse("%.40q is no name of a duty", e.Name)
+		return d
+	}
 	switch e.Op {
 	case Seen, Admit:
 		if t.known(e.Member) {
@@ -154,8 +189,27 @@
 		default:
 			t.Lives[e.Member] = max(t.Lives[e.Member], e.Life)
 			t.Epoch++
-			*l = Lease{Holder: e.Member, Life: e.Life, Epoch: t.Epoch, Turn: l.Turn + 1, To: l.To}
-			d.Refs = append(d.Refs, Ref{e.Name, l.Epoch, l.Turn})
+			*l = Lease{Holder: e.Member, Life: e.Life, Epoch: t.Epoch, Turn: l.Turn + 1, To: l.To, Hold: max(0, e.Hold)}
+			d.Refs = append(d.Refs, Ref{e.Name, l.Epoch, l.Turn, 0})
+		}
+	case Share:
+		name := ShareName(e.Name, e.Member)
+		l := t.lease(name)
+		switch {
+		case l == nil || !t.known(e.Member):
+			refuse("there is no room for %.40q or %.40q", name, e.Member)
+		case l.Holder != "" && l.Life != e.Life:
+			refuse("%s is held by life %d with epoch %d", name, l.Life, l.Epoch)
+		default:
+			t.Lives[e.Member] = max(t.Lives[e.Member], e.Life)
+			if l.Holder == "" {
+				t.Epoch++
+				*l = Lease{Holder: e.Member, Life: e.Life, Epoch: t.Epoch, Turn: l.Turn}
+			}
+			l.Turn++
+			// What its holder uses already counts until it has said that it uses less, also where the limit was lowered.
+			l.Amount = max(0, min(e.Amount, max(l.Amount, e.Limit-t.Shared(e.Name, name))))
+			d.Refs = append(d.Refs, Ref{name, l.Epoch, l.Turn, l.Amount})
 		}
 	case Renew, Release, Expire, Revoke:
 		for _, ref := range e.Refs {
@@ -164,6 +218,7 @@
 			case l == nil || l.Holder == "" || l.Epoch != ref.Epoch:
 				refuse("epoch %d of %s is over", ref.Epoch, ref.Name)
 				continue
+			case e.Op == Release && l.Hold > 0 && l.Holder == e.Member && l.Life < e.Life: // it is back
 			case (e.Op == Renew || e.Op == Release) && (l.Holder != e.Member || l.Life != e.Life):
 				refuse("epoch %d of %s belongs to %s, life %d", ref.Epoch, ref.Name, l.Holder, l.Life)
 				continue
@@ -183,9 +238,9 @@
 				if e.Op == Release && e.To != "" {
 					l.To = e.To
 				}
-				l.Holder, l.Life, l.Revoked = "", 0, false
+				l.Holder, l.Life, l.Revoked, l.Amount, l.Hold = "", 0, false, 0, 0
 			}
-			d.Refs = append(d.Refs, Ref{ref.Name, l.Epoch, l.Turn})
+			d.Refs = append(d.Refs, Ref{ref.Name, l.Epoch, l.Turn, l.Amount})
 		}
 	default:
 		refuse("%.40q is no entry that this version knows", e.Op)
@@ -226,7 +281,7 @@
 func (t *Table) Of(member string, life uint64) (refs []Ref) {
 	for name, l := range t.Leases {
 		if l.Holder == member && l.Life == life && member != "" {
-			refs = append(refs, Ref{name, l.Epoch, l.Turn})
+			refs = append(refs, Ref{name, l.Epoch, l.Turn, l.Amount})
 		}
 	}
 	slices.SortFunc(refs, func(a, b Ref) int { return cmp.Compare(a.Name, b.Name) })
@@ -243,6 +298,8 @@
 type Held struct {
 	Epoch uint64
 	Until time.Duration // on the holder's clock; no act may go on at this time
+
+	Amount int64 // of a share
 }
 
 // NewHolder holds nothing.
@@ -250,13 +307,22 @@
 
 // Granted books a grant or a renewal that was asked for at asked, before the question left. Answers may come in any order.
 func (h *Holder) Granted(name string, epoch uint64, asked time.Duration) {
+	h.Shared(name, epoch, 0, asked)
+}
+
+// Shared books a share as well. An answer that was asked for earlier than another does not change the amount.
+func (h *Holder) Shared(name string, epoch uint64, amount int64, asked time.Duration) {
 	until := asked + h.terms.Holds()
-	switch old, ok := h.held[name]; {
-	case ok && old.Epoch > epoch:
-	case ok && old.Epoch == epoch:
-		h.held[name] = Held{epoch, max(old.Until, until)}
-	default:
-		h.held[name] = Held{epoch, until}
+	if old, ok := h.held[name]; !ok || old.Epoch < epoch || old.Epoch == epoch && old.Until < until {
+		h.held[name] = Held{epoch, until, amount}
+	}
+}
+
+// Lower books that a holder uses less of a share from now on.
+func (h *Holder) Lower(name string, amount int64) {
+	if x, ok := h.held[name]; ok {
+		x.Amount = min(x.Amount, amount)
+		h.held[name] = x
 	}
 }
 
@@ -310,6 +376,7 @@
 type mark struct {
 	epoch, turn uint64
 	at          time.Duration
+	takes       time.Duration
 }
 
 // NewWatch has seen nothing.
@@ -320,7 +387,9 @@
 func (w *Watch) See(t *Table, now time.Duration) {
 	for name, l := range t.Leases {
 		if m, ok := w.since[name]; l.Holder != "" && (!ok || m.epoch != l.Epoch || m.turn != l.Turn) {
-			w.since[name] = mark{l.Epoch, l.Turn, now}
+			terms := w.terms
+			terms.Length = max(terms.Length, time.Duration(l.Hold)*time.Microsecond)
+			w.since[name] = mark{l.Epoch, l.Turn, now, terms.Takes()}
 		}
 	}
 	maps.DeleteFunc(w.since, func(name string, _ mark) bool { l := t.Leases[name]; return l == nil || l.Holder == "" })
@@ -330,8 +399,8 @@
 func (w *Watch) Due(now time.Duration) (due []Ref, next time.Duration) {
 	next = math.MaxInt64
 	for name, m := range w.since {
-		if end := m.at + w.terms.Takes(); now >= end {
-			due = append(due, Ref{name, m.epoch, m.turn})
+		if end := m.at + m.takes; now >= end {
+			due = append(due, Ref{Name: name, Epoch: m.epoch, Turn: m.turn})
 		} else {
 			next = min(next, end)
 		}
@@ -346,5 +415,5 @@
 	if !ok {
 		return 0
 	}
-	return max(0, m.at+w.terms.Takes()-now)
+	return max(0, m.at+m.takes-now)
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -18,11 +18,12 @@
 func TestMain(m *testing.M) { testkit.Seeded(m, "300") }
 
 func drawEntry(t *rapid.T, names, members []string) Entry {
-	op := rapid.SampledFrom([]Op{Grant, Grant, Renew, Release, Expire, Revoke, Prefer, Seen, Admit, Raise, "nonsense"}).Draw(t, "op")
+	op := rapid.SampledFrom([]Op{Grant, Grant, Renew, Release, Expire, Revoke, Prefer, Share, Share, Seen, Admit, Raise, "nonsense"}).Draw(t, "op")
 	e := Entry{Op: op, Name: rapid.SampledFrom(names).Draw(t, "name"), Member: rapid.SampledFrom(members).Draw(t, "member"),
-		Life: rapid.Uint64Range(0, 4).Draw(t, "life"), To: rapid.SampledFrom(append(members, "")).Draw(t, "to"), Base: rapid.Uint64Range(0, 40).Draw(t, "base")}
+		Life: rapid.Uint64Range(0, 4).Draw(t, "life"), To: rapid.SampledFrom(append(members, "")).Draw(t, "to"), Base: rapid.Uint64Range(0, 40).Draw(t, "base"),
+		Amount: rapid.Int64Range(-5, 90).Draw(t, "amount"), Limit: 60}
 	for range rapid.IntRange(0, 3).Draw(t, "refs") {
-		e.Refs = append(e.Refs, Ref{rapid.SampledFrom(names).Draw(t, "ref"), rapid.Uint64Range(0, 30).Draw(t, "epoch"), rapid.Uint64Range(0, 20).Draw(t, "turn")})
+		e.Refs = append(e.Refs, Ref{rapid.SampledFrom(names).Draw(t, "ref"), rapid.Uint64Range(0, 30).Draw(t, "epoch"), rapid.Uint64Range(0, 20).Draw(t, "turn"), 0})
 	}
 	return e
 }
@@ -32,7 +33,7 @@
 // one of them was written and read half-way.
 func TestTableWhateverComes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		names, members := []string{"x", "y"}, []string{"a", "b", "c"}
+		names, members := []string{"x", "y", "y/a"}, []string{"a", "b", "c"}
 		a, b := NewTable(), NewTable()
 		for range rapid.IntRange(1, 60).Draw(t, "entries") {
 			before := a.Clone()
@@ -48,6 +49,11 @@
 					t.Fatal("not read back")
 				}
 			}
+			for _, name := range names {
+				if a.Shared(name, "") > 60 {
+					t.Fatalf("%+v: shares of %s over the limit", e, name)
+				}
+			}
 			if a.Epoch < before.Epoch {
 				t.Fatalf("%+v: epochs went back", e)
 			}
@@ -139,7 +145,7 @@
 		clock := ops[len(ops)-1].Return + 10
 		for i := range 2 { // granted twice, with nobody giving it back between
 			ops = append(ops, porcupine.Operation{ClientId: 90 + i, Input: Entry{Op: Grant, Name: "d", Member: fmt.Sprint("z", i), Life: 1},
-				Output: Done{Refs: []Ref{{"d", 1000 + uint64(i), 1}}}, Call: clock + int64(10*i), Return: clock + int64(10*i) + 5})
+				Output: Done{Refs: []Ref{{"d", 1000 + uint64(i), 1, 0}}}, Call: clock + int64(10*i), Return: clock + int64(10*i) + 5})
 		}
 		if porcupine.CheckOperations(register, ops) {
 			t.Fatal("two holders at once were taken for right")
--- a/internal/lease/model_test.go
+++ b/internal/lease/model_test.go
@@ -97,7 +97,7 @@
 func (w *world) holderOf(v variant, i int) *Holder {
 	h := NewHolder(v.terms())
 	if s := w.sides[i]; s.holds {
-		h.held["d"] = Held{newest - uint64(s.heldOld), instant + time.Duration(s.left)}
+		h.held["d"] = Held{newest - uint64(s.heldOld), instant + time.Duration(s.left), 0}
 	}
 	return h
 }
@@ -114,7 +114,7 @@
 func (w *world) watch(v variant) *Watch {
 	k := NewWatch(v.terms())
 	if w.seen {
-		m := mark{newest, newest, instant - time.Duration(w.age)}
+		m := mark{newest, newest, instant - time.Duration(w.age), v.terms().Takes()}
 		if !w.now {
 			m.turn--
 		}
@@ -197,7 +197,7 @@
 	}
 	if w.entry {
 		n, t := w, w.table()
-		ref := Ref{"d", newest, newest}
+		ref := Ref{"d", newest, newest, 0}
 		if !w.entry0 && !v.anyTurn {
 			ref.Turn--
 		}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -44,6 +44,15 @@
 	return b
 }
 
+// Set changes the rate from now on. What was saved stays as far as the new burst holds it.
+func (b *Bucket) Set(now, rate, period, burst int64) {
+	b.fill(now)
+	saved := b.level / b.period
+	part := b.level % b.period
+	b.rate, b.period, b.burst = clamp(rate, MaxRate), clamp(period, MaxPeriod), clamp(burst, MaxBurst)
+	b.level = min(saved*b.period+min(part, b.period-1), b.burst*b.period)
+}
+
 func clamp(n, most int64) int64 { return min(max(n, 1), most) }
 
 func (b *Bucket) fill(now int64) {
--- a/internal/load/command/command.go
+++ b/internal/load/command/command.go
@@ -28,6 +28,7 @@
 			Description: "Without --addr it starts its own senders, a process of clients for each, and a partner that delivers all."},
 		conformanceCommand(),
 		groupCommand(),
+		limitCommand(),
 		{Name: "worker", Hidden: true, Usage: "the clients of one sender; a part of load idle",
 			Action: func(ctx context.Context, c *cli.Command) error { return load.Worker(ctx, os.Stdin, c.Root().Writer) }},
 	}}
--- /dev/null
+++ b/internal/load/command/limit.go
@@ -0,0 +1,64 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"brackendale/internal/fleet"
+
+	"github.com/urfave/cli/v3"
+)
+
+func limitCommand() *cli.Command {
+	return &cli.Command{Name: "limit", Usage: "senders on one limit, as a group and side by side without one: how much of it is used, and how many calls are refused",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "program", Usage: "another `SENDER` than the one beside this program"},
+			&cli.IntFlag{Name: "senders", Value: 6, Usage: "of which one has half of the traffic"},
+			&cli.FloatFlag{Name: "per-s", Value: 60, Usage: "calls a second that the partner takes"},
+			&cli.FloatFlag{Name: "demand", Value: 1.2, Usage: "messages handed in, in limits"},
+			&cli.IntFlag{Name: "kill", Value: 4, Usage: "senders that are killed after the first phase"},
+			&cli.DurationFlag{Name: "warm", Value: 8 * time.Second, Usage: "before each phase"},
+			&cli.DurationFlag{Name: "each", Value: 15 * time.Second, Usage: "how long a phase is measured"},
+		}, Action: playLimit}
+}
+
+func playLimit(_ context.Context, c *cli.Command) error {
+	program, err := sender(c)
+	if err != nil {
+		return err
+	}
+	if c.Int("senders") < 3 || c.Int("kill") < 0 || c.Int("kill") >= c.Int("senders") || !(c.Float("per-s") > 0) || !(c.Float("demand") > 0) {
+		return errors.New("load limit: --senders from 3, --kill under that, --per-s and --demand above 0")
+	}
+	out, errs := make([][]fleet.Phase, 2), make([]error, 2)
+	var both sync.WaitGroup
+	for i, group := range []bool{true, false} {
+		both.Add(1)
+		go func() {
+			defer both.Done()
+			dir, err := fleet.TempDir()
+			if err != nil {
+				errs[i] = err
+				return
+			}
+			defer os.RemoveAll(dir)
+			out[i], errs[i] = fleet.LimitGame{Program: program, Dir: dir, Senders: c.Int("senders"), PerS: c.Float("per-s"), Demand: c.Float("demand"),
+				Group: group, Warm: c.Duration("warm"), Each: c.Duration("each"), Kill: c.Int("kill")}.Play()
+		}()
+	}
+	both.Wait()
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	for i, p := range out[0] {
+		if _, err := fmt.Fprintf(c.Root().Writer, "%-18s as a group: %.3f of the limit used, %.1f%% of calls refused; without: %.3f, %.1f%%\n", p.Name,
+			p.Used, 100*p.Refused, out[1][i].Used, 100*out[1][i].Refused); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -355,11 +355,11 @@
 	if len(raw) < len(magic) || string(raw[:len(magic)]) != magic {
 		return 0
 	}
-	return int64(len(magic) + s.records(raw[len(magic):], s.apply))
+	return int64(len(magic) + walk(raw[len(magic):], s.apply))
 }
 
-// records hands each sound record over and returns how many bytes they take; it ends at the first that is not.
-func (s *Spool) records(raw []byte, apply func([]byte) bool) (at int) {
+// walk hands each sound record over and returns how many bytes they take; it ends at the first that is not.
+func walk(raw []byte, apply func([]byte) bool) (at int) {
 	for len(raw)-at >= head {
 		n := int(binary.LittleEndian.Uint32(raw[at:]))
 		sum := binary.LittleEndian.Uint32(raw[at+4:])
@@ -381,7 +381,7 @@
 	kind := r.byte()
 	if kind == recGroup { // its checksum was right, and so all of it was written
 		flat := func(p []byte) bool { return len(p) > 0 && p[0] != recGroup && s.apply(p) }
-		return s.records(r.b, flat) == len(r.b)
+		return walk(r.b, flat) == len(r.b)
 	}
 	if kind == recTaken {
 		e := &Entry{ID: r.text(), Class: r.text(), Tenant: r.text(), Key: r.text(), Front: r.text(),
--- /dev/null
+++ b/internal/spool/verify.go
@@ -0,0 +1,71 @@
+package spool
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// ErrDamaged tells that a record of the journal does not match its check sum.
+var ErrDamaged = errors.New("spool: the journal is damaged")
+
+// Verify reads the journal in dir back and tells how many records are whole. Its sender may be writing meanwhile: what it has
+// half written at the end, or replaces by a compaction, is no damage. It reads at most budget bytes.
+func Verify(dir string, budget int64) (records int, err error) {
+	for try := 0; ; try++ {
+		var at int64
+		var file os.FileInfo
+		if records, at, file, err = verify(dir, budget); !errors.Is(err, ErrDamaged) || try == verifyTries {
+			return records, err
+		}
+		// What was half written is whole a moment later.
+		time.Sleep(verifyGap)
+		if now, serr := os.Stat(filepath.Join(dir, fileName)); serr == nil && os.SameFile(now, file) && now.Size() > at {
+			continue
+		}
+	}
+}
+
+// A record that is wrong is read so many times more, with so long between.
+const (
+	verifyTries = 2
+	verifyGap   = 20 * time.Millisecond
+)
+
+// verify reads it once; at is where the first wrong record begins.
+func verify(dir string, budget int64) (records int, at int64, file os.FileInfo, err error) {
+	f, err := os.Open(filepath.Join(dir, fileName))
+	if errors.Is(err, os.ErrNotExist) { // between two names of a compaction, or none was ever needed
+		return 0, 0, nil, nil
+	}
+	if err != nil {
+		return 0, 0, nil, fmt.Errorf("spool: %w", err)
+	}
+	defer f.Close()
+	if file, err = f.Stat(); err != nil {
+		return 0, 0, nil, fmt.Errorf("spool: %w", err)
+	}
+	raw, err := io.ReadAll(io.LimitReader(f, budget))
+	if err != nil {
+		return 0, 0, file, fmt.Errorf("spool: reading: %w", err)
+	}
+	if len(raw) < len(magic) {
+		return 0, 0, file, nil
+	}
+	if string(raw[:len(magic)]) != magic {
+		return 0, 0, file, fmt.Errorf("%w: it does not begin as one", ErrDamaged)
+	}
+	at = int64(len(magic) + walk(raw[len(magic):], func([]byte) bool { records++; return true }))
+	rest := raw[at:]
+	if len(rest) < head {
+		return records, at, file, nil // the end is being written
+	}
+	if n := int64(binary.LittleEndian.Uint32(rest)); n <= maxRec && head+n > int64(len(rest)) {
+		return records, at, file, nil
+	}
+	return records, at, file, fmt.Errorf("%w: the record at %d", ErrDamaged, at)
+}
--- /dev/null
+++ b/internal/spool/verify_test.go
@@ -0,0 +1,68 @@
+package spool
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// A journal that is being written, with compactions, reads back; a byte turned over in the middle of one at rest is found, wherever
+// it is, and a torn end is none.
+func TestVerify(t *testing.T) {
+	dir := t.TempDir()
+	s := open(t, dir, budget)
+	done := make(chan error, 1)
+	go func() {
+		for i := range 3000 {
+			id := fmt.Sprint(i)
+			s.Take(&Entry{ID: id, Body: make([]byte, 700)})
+			if i > 20 {
+				s.Gone(fmt.Sprint(i - 20))
+			}
+			if err := s.Flush(); err != nil {
+				done <- err
+				return
+			}
+		}
+		done <- s.Close()
+	}()
+	for busy := true; busy; {
+		if _, err := Verify(dir, budget); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case err := <-done:
+			if busy = false; err != nil {
+				t.Fatal(err)
+			}
+		default:
+		}
+	}
+	path := filepath.Join(dir, fileName)
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := Verify(dir, budget)
+	if err != nil || n < 20 {
+		t.Fatal(n, err)
+	}
+	for at := 0; at < len(raw); at += len(raw)/40 + 1 {
+		bad := append([]byte(nil), raw...)
+		bad[at] ^= 4
+		if err := os.WriteFile(path, bad, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := Verify(dir, budget); !errors.Is(err, ErrDamaged) && got == n {
+			t.Fatalf("byte %d turned over: %v", at, err)
+		}
+	}
+	if err := os.WriteFile(path, raw[:len(raw)-3], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := Verify(dir, budget); err != nil || got != n-1 {
+		t.Errorf("a torn end: %d of %d, %v", got, n, err)
+	}
+}
--- a/logic/api.go
+++ b/logic/api.go
@@ -99,6 +99,10 @@
 	Checked   // Addr, Reason, RttUs
 	Peer      // not used
 	Stopping  // Deadline: this sender ends then, and knows from its folder what it still owes
+	Bounded   // Dest, Share, Even, Deadline: this sender's part of a limit, counted until then; after it the even one
+	Heeded    // Dest, Deadline: another sender was told to wait until then
+	Elsewhere // Dest, Deadline: while the destination is out another sender alone tries it, until then at most
+	Returned  // Dest: it has answered another sender
 )
 
 // Event is one thing that happened to this relay.
@@ -121,6 +125,8 @@
 	Report   []float64 // as Settings.Report.Fields; empty: none
 	How      string    // patch, whole, stale_copy, broken
 	List     []Endpoint
+	Share    int64 // calls in 1,000 s
+	Even     int64
 
 	// What a sender that restarts knows of a message that it still owes its end. All are zero for
 	// one that is handed in.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -121,8 +121,8 @@
 			r.close(m)
 		case e.Kind == Listed:
 			r.list(e)
-		case e.Kind == Stopping:
-			r.stopAt = e.Deadline
+		default:
+			r.steer(e)
 		}
 	}
 	for len(r.dues) > 0 && r.dues[0].dueAt <= now {
@@ -751,7 +751,7 @@
 			return false, r.now + int64((1-rt.tokens)/rt.rate*1e6) + 1
 		}
 	}
-	return true, 0
+	return rt.within(r.now)
 }
 
 // dispatch sends while slots are free: of all destinations' best messages the one that loses most first.
@@ -964,7 +964,7 @@
 	if c == nil || c.round != r.round || c.size >= ep.perCall || c.left < c.size {
 		c = &call{route: rt, ep: ep, sentAt: r.now, round: r.round, again: rt.fulls > 0}
 		ep.cur = c
-		rt.calls = append(rt.calls, c)
+		rt.calls = append(rt.calls, rt.leave(r.now, c))
 		// Idle connections that die unseen on the way are given back before they get as old as one that
 		// was lost. In a hang this costs handshakes for nothing; the age grows back with each success.
 		keep := cmp.Or(ep.keepUs, never)
--- a/logic/state.go
+++ b/logic/state.go
@@ -105,6 +105,8 @@
 	mayRun, down                                         bool // mayRun: the last failure may have had effect
 	trialAt, gap, warmAt, coldAt, passed                 int64
 	told                                                 share.Limit // of its limit, by answers
+	bound                                                *bound      // nil: nobody has told of a share
+	elsewhere                                            int64       // until then another sender alone tries it while it is out
 }
 
 type dest struct {
