--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -122,6 +122,7 @@
 	if cfg.Group.Is() {
 		near = newNeighbours(core, cfg, log)
 		duties = near.group
+		opt.Book.Also(duties.Figures)
 	}
 	f, err := newFronts(core, r, cfg, from, console.Asked{Group: duties, Drain: drain(core, duties, log, func() { term <- syscall.SIGTERM })})
 	if err != nil {
--- a/internal/app/neighbours.go
+++ b/internal/app/neighbours.go
@@ -99,17 +99,19 @@
 		return
 	}
 	var list []logic.Event
+	back := map[int64]bool{} // has answered somebody: each finds out for itself now
 	for _, h := range hints {
 		if h.Waits > 0 {
 			list = append(list, logic.Event{Kind: logic.Heeded, Dest: h.Dest, Deadline: n.core.Now() + h.Waits})
 		}
 		if h.Returning {
+			back[h.Dest] = true
 			list = append(list, logic.Event{Kind: logic.Returned, Dest: h.Dest})
 		}
 	}
 	for name, who := range held {
 		dest, err := strconv.ParseInt(strings.TrimPrefix(name, returnPrefix), 10, 64)
-		if err != nil {
+		if err != nil || back[dest] {
 			continue
 		}
 		e := logic.Event{Kind: logic.Elsewhere, Dest: dest, Deadline: n.wall(until)}
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -25,7 +25,8 @@
 	level float64
 	last  time.Time
 
-	Taken, Refused atomic.Int64
+	Taken, Refused, Lost atomic.Int64 // Lost: calls while it was down
+	down                 atomic.Bool
 }
 
 // partnerBurst is for how long calls that did not come may come later.
@@ -55,9 +56,19 @@
 	p.rate, p.level = rate, min(p.level, rate*partnerBurst)
 }
 
+// Down lets it take calls and end their connections without an answer, or serve again.
+func (p *Partner) Down(down bool) { p.down.Store(down) }
+
 // ServeHTTP takes or refuses one call.
 func (p *Partner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	_, _ = io.Copy(io.Discard, io.LimitReader(q.Body, 1<<20))
+	if p.down.Load() {
+		p.Lost.Add(1)
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			end(c)
+		}
+		return
+	}
 	p.mu.Lock()
 	now := time.Now()
 	p.level = min(p.rate*partnerBurst, p.level+p.rate*now.Sub(p.last).Seconds())
@@ -132,6 +143,7 @@
 	Group   bool    // they are a group with a duty of the kind limit
 	Warm    time.Duration
 	Each    time.Duration // of each phase
+	Down    time.Duration // for so long the partner is down before anything is killed; 0: never
 	Kill    int           // senders that are killed after the first phase; what they had comes to the others
 }
 
@@ -140,8 +152,12 @@
 	Name    string  `json:"name"`
 	Used    float64 `json:"used"`    // of the limit
 	Refused float64 `json:"refused"` // calls refused, of all calls
+	Lost    float64 `json:"lost"`    // calls a second that the partner ended while it was down
 }
 
+// settled is the time in which all have noticed that a partner is down.
+const settled = 6 * time.Second
+
 // Play plays it.
 func (g LimitGame) Play() (out []Phase, err error) {
 	p, err := NewPartner(g.PerS)
@@ -193,9 +209,22 @@
 		t, r := p.Taken.Load(), p.Refused.Load()
 		time.Sleep(g.Each)
 		t, r = p.Taken.Load()-t, p.Refused.Load()-r
-		out = append(out, Phase{name, float64(t) / (g.PerS * g.Each.Seconds()), float64(r) / float64(max(1, t+r))})
+		out = append(out, Phase{Name: name, Used: float64(t) / (g.PerS * g.Each.Seconds()), Refused: float64(r) / float64(max(1, t+r))})
 	}
 	phase("all")
+	if g.Down > 0 {
+		p.Down(true)
+		time.Sleep(settled)
+		n := p.Lost.Load()
+		time.Sleep(g.Down)
+		lost := float64(p.Lost.Load()-n) / g.Down.Seconds()
+		p.Down(false)
+		warm := g.Warm
+		g.Warm = 0
+		phase("back")
+		g.Warm = warm
+		out[len(out)-1].Lost = lost
+	}
 	if g.Kill > 0 {
 		for _, n := range names[g.Senders-g.Kill:] {
 			w.Proc(n).Kill()
@@ -245,5 +274,5 @@
 	for _, v := range voters {
 		text += fmt.Sprintf("%q, ", v+"="+m.Reach[v])
 	}
-	return text + fmt.Sprintf("]\n[[duty]]\nname = \"sum\"\nkind = \"limit\"\ndest = 1\nper_s = %g\n", g.PerS)
+	return text + fmt.Sprintf("]\n[[duty]]\nname = \"sum\"\nkind = \"limit\"\ndest = 1\nper_s = %g\n[[duty]]\nname = \"back\"\nkind = \"return\"\n", g.PerS)
 }
--- a/internal/load/command/limit.go
+++ b/internal/load/command/limit.go
@@ -20,6 +20,7 @@
 			&cli.IntFlag{Name: "senders", Value: 6, Usage: "of which one has half of the traffic"},
 			&cli.FloatFlag{Name: "per-s", Value: 60, Usage: "calls a second that the partner takes"},
 			&cli.FloatFlag{Name: "demand", Value: 1.2, Usage: "messages handed in, in limits"},
+			&cli.DurationFlag{Name: "down", Usage: "the partner is down for so long first: calls that it ends meanwhile, and what it takes after"},
 			&cli.IntFlag{Name: "kill", Value: 4, Usage: "senders that are killed after the first phase"},
 			&cli.DurationFlag{Name: "warm", Value: 8 * time.Second, Usage: "before each phase"},
 			&cli.DurationFlag{Name: "each", Value: 15 * time.Second, Usage: "how long a phase is measured"},
@@ -47,7 +48,7 @@
 			}
 			defer os.RemoveAll(dir)
 			out[i], errs[i] = fleet.LimitGame{Program: program, Dir: dir, Senders: c.Int("senders"), PerS: c.Float("per-s"), Demand: c.Float("demand"),
-				Group: group, Warm: c.Duration("warm"), Each: c.Duration("each"), Kill: c.Int("kill")}.Play()
+				Group: group, Warm: c.Duration("warm"), Each: c.Duration("each"), Down: c.Duration("down"), Kill: c.Int("kill")}.Play()
 		}()
 	}
 	both.Wait()
@@ -55,8 +56,8 @@
 		return err
 	}
 	for i, p := range out[0] {
-		if _, err := fmt.Fprintf(c.Root().Writer, "%-18s as a group: %.3f of the limit used, %.1f%% of calls refused; without: %.3f, %.1f%%\n", p.Name,
-			p.Used, 100*p.Refused, out[1][i].Used, 100*out[1][i].Refused); err != nil {
+		if _, err := fmt.Fprintf(c.Root().Writer, "%-18s as a group: %.3f of the limit used, %.1f%% of calls refused, %.2f/s while down; without: %.3f, %.1f%%, %.2f/s\n",
+			p.Name, p.Used, 100*p.Refused, p.Lost, out[1][i].Used, 100*out[1][i].Refused, out[1][i].Lost); err != nil {
 			return err
 		}
 	}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -120,3 +120,40 @@
 	}
 	return nil
 }
+
+// Figure is one line of a part that not every sender has.
+type Figure struct {
+	Name, Help string
+	Total      bool     // it only grows
+	Label      []string // name and value; nil: none
+	Value      float64
+}
+
+// also collects such parts. It describes nothing ahead: what there is may change.
+type also func() []Figure
+
+// Describe is the library's.
+func (also) Describe(chan<- *prometheus.Desc) {}
+
+// Collect is the library's.
+func (a also) Collect(ch chan<- prometheus.Metric) {
+	for _, f := range a() {
+		kind, names, values := prometheus.GaugeValue, []string(nil), []string(nil)
+		if f.Total {
+			kind = prometheus.CounterValue
+		}
+		if len(f.Label) == 2 {
+			names, values = f.Label[:1], f.Label[1:]
+		}
+		if m, err := prometheus.NewConstMetric(prometheus.NewDesc(f.Name, f.Help, names, nil), kind, f.Value, values...); err == nil {
+			ch <- m
+		}
+	}
+}
+
+// Also adds the figures of a part to the book's. part is called on any goroutine, each time they are asked for.
+func (b *Book) Also(part func() []Figure) {
+	if b != nil {
+		b.reg.MustRegister(also(part))
+	}
+}
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -35,3 +35,16 @@
 	none.Tried(1)
 	none.Levels(1, 1, 1)
 }
+
+// A part's own figures stand among the others, with and without a label; a nil book takes none.
+func TestAlso(t *testing.T) {
+	(*Book)(nil).Also(nil)
+	b := New([]string{"a"})
+	b.Also(func() []Figure {
+		return []Figure{{Name: "x_total", Help: "X.", Total: true, Value: 3}, {Name: "y", Help: "Y.", Label: []string{"duty", "n"}, Value: 1}}
+	})
+	var text strings.Builder
+	if err := b.Write(&text); err != nil || !strings.Contains(text.String(), "\nx_total 3\n") || !strings.Contains(text.String(), "\ny{duty=\"n\"} 1\n") {
+		t.Errorf("%v\n%s", err, &text)
+	}
+}
