--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -167,7 +167,7 @@
 	defer p.Close()
 	names, _ := Game{Members: g.Senders}.Names()
 	ports := map[string]string{}
-	w, err := NewWorld(g.Program, g.Dir, names, 1, NewTimeline(), func(m *Member) string {
+	w, err := NewWorld(g.Program, g.Dir, names, names[:3], 1, NewTimeline(), func(m *Member) string {
 		ports[m.Name] = "127.0.0.1:" + m.port()
 		return g.site(m, names[:3], ports[m.Name], p.Addr())
 	})
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -9,6 +9,7 @@
 	"math/rand"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -37,8 +38,13 @@
 	conns       map[net.Conn]bool
 	peers       map[string]*net.UDPConn // by the caller's address
 	closed      bool
+
+	bytes atomic.Int64
 }
 
+// Bytes is how many bytes of streams have crossed it, both ways.
+func (l *Link) Bytes() int64 { return l.bytes.Load() }
+
 // maxHeld bounds what a link holds of one stream; it stops reading above that, as a full socket would.
 const maxHeld = 256 << 10
 
@@ -223,6 +229,7 @@
 		if !l.hold(c, back) {
 			return
 		}
+		l.bytes.Add(int64(len(c.data)))
 		if _, err := to.Write(c.data); err != nil {
 			return
 		}
--- a/internal/fleet/world.go
+++ b/internal/fleet/world.go
@@ -44,8 +44,9 @@
 // fault is a change of the weather of all links that it touches.
 type fault func(from, to string) (there, back Weather)
 
-// NewWorld makes members of those names below dir; site writes the configuration of each.
-func NewWorld(program, dir string, names []string, seed int64, line *Timeline, site func(*Member) string) (*World, error) {
+// NewWorld makes members of those names below dir; site writes the configuration of each. Only those called have links to them;
+// nil: all.
+func NewWorld(program, dir string, names, called []string, seed int64, line *Timeline, site func(*Member) string) (*World, error) {
 	w := &World{Line: line, program: program, dir: dir, links: map[[2]string]*Link{}, faults: map[int]fault{}}
 	for _, name := range names {
 		m := &Member{Name: name, State: filepath.Join(dir, name), File: filepath.Join(dir, name+".toml"), Log: filepath.Join(dir, name+".log"),
@@ -65,7 +66,7 @@
 	}
 	for _, a := range w.Members {
 		for _, b := range w.Members {
-			if a.Reach[b.Name] = b.Listen; a == b {
+			if a.Reach[b.Name] = b.Listen; a == b || called != nil && !slices.Contains(called, b.Name) {
 				continue
 			}
 			l, err := NewLink(b.Listen, seed+int64(len(w.links)))
--- a/internal/load/command/group.go
+++ b/internal/load/command/group.go
@@ -32,6 +32,7 @@
 			&cli.IntFlag{Name: "members", Value: 5, Usage: "of which up to 5 vote"},
 			&cli.IntFlag{Name: "duties", Value: 2},
 			&cli.DurationFlag{Name: "lease", Value: time.Second},
+			&cli.StringFlag{Name: "cost", Usage: "no faults: what a member costs, by number of members `N,N,...`; 0 for senders in no group"},
 			&cli.StringFlag{Name: "json", Usage: "write the reports to `FILE`"},
 			&cli.StringFlag{Name: "line", Usage: "write the last game's time line to `FILE`, an event a line"},
 			&cli.StringFlag{Name: "png", Usage: "draw the last game into `FILE`: who held what, over the faults"},
@@ -47,6 +48,9 @@
 	if c.Int("members") < 3 || c.Int("duties") < 1 || c.Int("games") < 1 || lease < 200*time.Millisecond {
 		return errors.New("load group: --members from 3, --duties and --games from 1, --lease from 200ms")
 	}
+	if list := c.String("cost"); list != "" {
+		return cost(c, program, list)
+	}
 	kinds := strings.Split(c.String("kinds"), ",")
 	for _, k := range kinds {
 		if _, ok := fleet.Do[k]; !ok {
@@ -138,3 +142,31 @@
 	}
 	return err
 }
+
+// costFor is how long a cost is measured.
+const costFor = 10 * time.Second
+
+func cost(c *cli.Command, program, list string) error {
+	sizes, err := numbers(list)
+	if err != nil {
+		return fmt.Errorf("load group: --cost: %w", err)
+	}
+	for _, n := range sizes {
+		dir, err := fleet.TempDir()
+		if err != nil {
+			return err
+		}
+		lease := c.Duration("lease")
+		g := fleet.Game{Program: program, Dir: dir, Members: max(n, 3), Duties: 1, Lease: lease, Every: lease, Longest: lease / 4, Seed: 1}
+		x, err := g.MeasureCost(costFor, n == 0)
+		_ = os.RemoveAll(dir)
+		if err != nil {
+			return err
+		}
+		if _, err := fmt.Fprintf(c.Root().Writer, "%3d members: %.2f%% of a core and %.1f MB each (the leader %.2f%%, %.1f MB), %.0f bytes/s each\n", n, 100*x.CPU,
+			x.RSSMB, 100*x.LeaderCPU, x.LeaderMB, x.BytesPerS); err != nil {
+			return err
+		}
+	}
+	return nil
+}
