--- a/internal/app/group_test.go
+++ b/internal/app/group_test.go
@@ -10,16 +10,18 @@
 
 // Real processes with a relay between each two, and the same faults each time: the holder is stopped past its lease and goes on,
 // the leader is killed, the holder is cut off from the others but not from the receiver, hears and is not heard, is heard and
-// does not hear; two halves, a bridge, slow links, all killed in one instant, one emptied, one put back. No act overlaps another
+// does not hear; two halves, a bridge, slow links, all killed in one instant, one emptied, one put back; a duty handed
+// on by order, and by a holder that ends in order. No act overlaps another
 // of its duty, none of an older epoch is taken, and every duty is held again at the end.
 func TestGroupThroughFaults(t *testing.T) {
 	const lease = 500 * time.Millisecond
 	step := func(do string, whom ...string) fleet.Step { return fleet.Step{Do: do, Whom: whom, For: 2 * lease} }
 	plan := []fleet.Step{step("stop", "holder:duty1"), step("kill", "leader"), step("cut", "holder:duty1"), step("mute", "holder:duty2"),
 		step("deaf", "leader"), step("part", "a", "b"), step("bridge", "a", "c"), step("slow", "b"), step("stop", "leader"), step("empty", "c"),
-		step("killall"), step("old", "b")}
+		step("killall"), step("hand", "d"),
+		step("term", "holder:duty1"), step("old", "b")}
 	for i := range plan {
-		plan[i].At = time.Duration(i) * 4 * lease
+		plan[i].At = time.Duration(i) * 3 * lease
 	}
 	dir, err := fleet.TempDir()
 	if err != nil {
--- a/internal/fleet/check.go
+++ b/internal/fleet/check.go
@@ -100,7 +100,7 @@
 			continue
 		}
 		for d, o := range last {
-			if slices.Contains(strings.Split(e.Who, "+"), o.Who) || Do[e.What] <= 0 {
+			if slices.Contains(strings.Split(e.Who, "+"), o.Who) != (e.What == "hand") || Do[e.What] <= 0 {
 				fault[d] = e
 			}
 		}
--- a/internal/fleet/world.go
+++ b/internal/fleet/world.go
@@ -274,13 +274,20 @@
 		}
 		return func() error { _ = p.Continue(); return nil }, nil
 	}
+	if s.Do == "hand" {
+		return func() error { return nil }, w.hand("duty1", whom[0])
+	}
 	var ended []string
 	for _, name := range whom {
 		if p := w.Proc(name); p != nil {
 			if over, _ := p.Ended(); over {
 				continue // another step has it
 			}
-			go p.Kill()
+			if s.Do == "term" {
+				go func() { _ = p.Term(termFor); p.Kill() }()
+			} else {
+				go p.Kill()
+			}
 			ended = append(ended, name)
 		}
 	}
@@ -301,6 +308,20 @@
 	}, err
 }
 
+// termFor is how long a member has to end in order.
+const termFor = 8 * time.Second
+
+// hand lets a member have a duty. A member that is down, or a group that cannot hand it on just now, is no error of the game's.
+func (w *World) hand(duty, to string) error {
+	for _, m := range w.Members {
+		var r struct{ Error string }
+		if AskSocket(m.Socket(), "hand "+duty+" "+to, &r) == nil && r.Error == "" {
+			return nil
+		}
+	}
+	return nil
+}
+
 // FreePort is an address of loopback that was free just now.
 func FreePort() (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
