What a life believes outlives it: limits, waits, outages, cold returns, usual times

Cause, seen before: lives that know no limit make 47 of 77 calls in the half second after a mass restart, at a limit of 57. Change: logic.Remember and Recall (the hand-over's codec without messages), internal/memory (check sum, both clocks, the boot's id, rename), written off the decision path at most once a second; 64 KiB of disk_mb.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -83,7 +83,7 @@
 	}
 	wire := loop.New()
 	opt := sender.Options{Carry: wire.Post, Name: cfg.Name, Settings: cfg.Settings, Seed: int64(cfg.Seed), Dir: cfg.State,
-		Disk: int64(cfg.JournalMB() * (1 << 20)), Log: log}
+		Disk: int64(cfg.JournalMB() * (1 << 20)), Log: log, Memory: true}
 	if trace {
 		opt.Trace = os.Stderr
 		log.Info().Interface("settings", cfg.Settings).Interface("limits", cfg.Limits).Msg("traced")
--- /dev/null
+++ b/internal/memory/memory.go
@@ -0,0 +1,146 @@
+// Package memory is the file in which a life leaves what it believes for the next one: the codec and the judgement of clocks, both
+// pure, and the file's writing and reading. What is torn, another's, too large or of another version is dropped: it costs knowledge
+// and nothing else.
+package memory
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"brackendale/logic"
+
+	"golang.org/x/sys/unix"
+)
+
+// Most is how many bytes the file has at most; while it is replaced there are two of them.
+const Most = 32 << 10
+
+const (
+	fileName = "memory"
+	magic    = "brackendale memory 1\n"
+	head     = len(magic) + 8 // and the check sum and the length of what follows
+)
+
+var table = crc32.MakeTable(crc32.Castagnoli)
+
+// Clock is a moment by both clocks of a machine, in microseconds.
+type Clock struct {
+	Wall int64
+	Boot int64  // since the machine's start, suspended time included
+	ID   string // of that start
+}
+
+// Image is what is kept.
+type Image struct {
+	Name   string // of the sender
+	At     Clock
+	Module logic.Saved
+}
+
+// ErrBad tells that a file is of no use.
+var ErrBad = errors.New("memory: not readable")
+
+// Encode makes a file's bytes.
+func Encode(m Image) ([]byte, error) {
+	var out bytes.Buffer
+	out.WriteString(magic)
+	out.Write(make([]byte, 8))
+	if err := json.NewEncoder(&out).Encode(m); err != nil {
+		return nil, fmt.Errorf("memory: %w", err)
+	}
+	raw := out.Bytes()
+	if len(raw) > Most {
+		return nil, fmt.Errorf("memory: %d bytes are more than %d", len(raw), Most)
+	}
+	binary.LittleEndian.PutUint32(raw[len(magic):], crc32.Checksum(raw[head:], table))
+	binary.LittleEndian.PutUint32(raw[len(magic)+4:], uint32(len(raw)-head))
+	return raw, nil
+}
+
+// Decode reads a file's bytes. The error is ErrBad where they are not whole or of another version.
+func Decode(raw []byte) (m Image, err error) {
+	switch {
+	case len(raw) < head || string(raw[:len(magic)]) != magic:
+		return m, fmt.Errorf("%w: it does not begin as one of this version", ErrBad)
+	case binary.LittleEndian.Uint32(raw[len(magic)+4:]) != uint32(len(raw)-head) || crc32.Checksum(raw[head:], table) != binary.LittleEndian.Uint32(raw[len(magic):]):
+		return m, fmt.Errorf("%w: it is torn", ErrBad)
+	}
+	if err := json.Unmarshal(raw[head:], &m); err != nil {
+		return Image{}, fmt.Errorf("%w: %w", ErrBad, err)
+	}
+	return m, nil
+}
+
+// Since is how long ago an image was made, in microseconds, and by how much the times in it have to be moved to be of the wall
+// clock as it is now. Without the same start of the machine only the wall clock tells, and one that went back counts as no time.
+func Since(at, now Clock) (away, move int64) {
+	wall := now.Wall - at.Wall
+	away = max(0, wall)
+	if at.ID != "" && at.ID == now.ID && now.Boot >= at.Boot {
+		away = now.Boot - at.Boot
+	}
+	return away, wall - away
+}
+
+// Now reads the machine's clocks.
+func Now() (c Clock) {
+	c.Wall = time.Now().UnixMicro()
+	var ts unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts) == nil {
+		c.Boot = ts.Nano() / 1000
+	}
+	if raw, err := os.ReadFile("/proc/sys/kernel/random/boot_id"); err == nil {
+		c.ID = strings.TrimSpace(string(raw))
+	}
+	return c
+}
+
+// Write puts an image in the place of the one in dir.
+func Write(dir string, m Image) error {
+	raw, err := Encode(m)
+	if err != nil {
+		return err
+	}
+	next := filepath.Join(dir, fileName+".new")
+	if err := os.WriteFile(next, raw, 0o600); err != nil {
+		return errors.Join(fmt.Errorf("memory: %w", err), os.Remove(next))
+	}
+	if err := os.Rename(next, filepath.Join(dir, fileName)); err != nil {
+		return fmt.Errorf("memory: %w", err)
+	}
+	return nil
+}
+
+// Read reads the image in dir; there is false where there is no file. The error tells why what is there is of no use to the
+// sender of that name.
+func Read(dir, name string) (m Image, there bool, err error) {
+	_ = os.Remove(filepath.Join(dir, fileName+".new")) // of a life that ended while it wrote
+	f, err := os.Open(filepath.Join(dir, fileName))
+	if errors.Is(err, os.ErrNotExist) {
+		return m, false, nil
+	}
+	if err != nil {
+		return m, true, fmt.Errorf("memory: %w", err)
+	}
+	defer f.Close()
+	raw, err := io.ReadAll(io.LimitReader(f, Most+1))
+	if err != nil {
+		return m, true, fmt.Errorf("memory: %w", err)
+	}
+	if m, err = Decode(raw); err != nil {
+		return m, true, err
+	}
+	if m.Name != name {
+		return Image{}, true, fmt.Errorf("%w: it is of %.40q, and this is %q", ErrBad, m.Name, name)
+	}
+	return m, true, nil
+}
--- /dev/null
+++ b/internal/memory/memory_test.go
@@ -0,0 +1,77 @@
+package memory
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"brackendale/logic"
+)
+
+func image() Image {
+	return Image{Name: "n1", At: Clock{Wall: 1_000_000, Boot: 50, ID: "x"}, Module: logic.Saved{Form: logic.SavedForm,
+		Dests: []logic.SavedDest{{Dest: 7, Bits: []float64{2.5}, Ints: []int64{900_000}}}}}
+}
+
+// What is written is read; a file with any one bit turned over, cut anywhere, another sender's or of another version is dropped, and
+// nothing is there without one.
+func TestFile(t *testing.T) {
+	dir := t.TempDir()
+	if _, there, err := Read(dir, "n1"); there || err != nil {
+		t.Fatal(there, err)
+	}
+	if err := Write(dir, image()); err != nil {
+		t.Fatal(err)
+	}
+	m, there, err := Read(dir, "n1")
+	if err != nil || !there || m.At != image().At || len(m.Module.Dests) != 1 || m.Module.Dests[0].Bits[0] != 2.5 {
+		t.Fatalf("%+v %v %v", m, there, err)
+	}
+	if _, _, err := Read(dir, "n2"); !errors.Is(err, ErrBad) {
+		t.Errorf("another sender's: %v", err)
+	}
+	path := filepath.Join(dir, fileName)
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range raw {
+		bad := append([]byte(nil), raw...)
+		bad[i] ^= 1 << (i % 8)
+		if _, err := Decode(bad); !errors.Is(err, ErrBad) {
+			t.Fatalf("byte %d turned over: %v", i, err)
+		}
+		if _, err := Decode(raw[:i]); !errors.Is(err, ErrBad) {
+			t.Fatalf("cut at %d: %v", i, err)
+		}
+	}
+	big := image()
+	big.Name = strings.Repeat("x", Most)
+	if err := Write(dir, big); err == nil {
+		t.Error("a file over the bound was written")
+	}
+}
+
+// How long a sender was away, and how far the clock was set meanwhile, whatever the clocks did.
+func TestSince(t *testing.T) {
+	const s, h = 1_000_000, 3600 * 1_000_000
+	at := Clock{Wall: 100 * h, Boot: 10 * h, ID: "x"}
+	for _, c := range []struct {
+		what       string
+		now        Clock
+		away, move int64
+	}{
+		{"nothing odd", Clock{100*h + 3*s, 10*h + 3*s, "x"}, 3 * s, 0},
+		{"set an hour forward", Clock{101*h + 3*s, 10*h + 3*s, "x"}, 3 * s, h},
+		{"set an hour back", Clock{99*h + 3*s, 10*h + 3*s, "x"}, 3 * s, -h},
+		{"started anew", Clock{100*h + 90*s, 20 * s, "y"}, 90 * s, 0},
+		{"started anew and set back", Clock{99 * h, 20 * s, "y"}, 0, -h},
+		{"no id", Clock{100*h + s, 0, ""}, s, 0},
+	} {
+		if away, move := Since(at, c.now); away != c.away || move != c.move {
+			t.Errorf("%s: away %d, moved %d", c.what, away, move)
+		}
+	}
+}
--- /dev/null
+++ b/logic/memory_test.go
@@ -0,0 +1,149 @@
+package logic
+
+import (
+	"encoding/json"
+	"testing"
+)
+
+// next is another life's rig that has taken up what a life left, so much later by a clock that was set by move meanwhile.
+func next(t *testing.T, g *rig, s Settings, later, move int64) *rig {
+	t.Helper()
+	raw, err := json.Marshal(g.r.Remember(100))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m Saved
+	if err := json.Unmarshal(raw, &m); err != nil {
+		t.Fatal(err)
+	}
+	m.Move(move)
+	r, err := New(s, 11)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &rig{t: t, r: r, now: g.now + later + move, try: map[string]int{}, at: map[string]string{}}
+	if err := r.Recall(m, n.now); err != nil {
+		t.Fatal(err)
+	}
+	n.step(Event{Kind: Listed, How: "whole", List: []Endpoint{ep("a", "plain", "z", 1)}})
+	return n
+}
+
+// Many lives that begin in one instant, each with messages for a limit that was told to the lives before: with what those left, the
+// sum of first calls stays near the limit; without, all go at once. What was left says nothing of another deployment's limit once
+// an answer has come.
+func TestFirstCallsKeepToALimitThatWasTold(t *testing.T) {
+	s := crowdOf(80)
+	s.Report.Fields, s.Weights = []string{"x0", "x1"}, "silent"
+	g := newRig(t, s, ep("a", "plain", "z", 1))
+	e := g.msg("safe", 1)
+	g.step(e)
+	good := g.out(e.ID, "GOOD")
+	good.Report = []float64{0.5, 40}
+	g.wait(100*ms, good)
+	first := func(memory bool) (calls int) {
+		for seed := range int64(80) {
+			r, err := New(s, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			n := &rig{t: t, r: r, now: g.now + 3000*ms, try: map[string]int{}, at: map[string]string{}}
+			if memory {
+				if err := r.Recall(g.r.Remember(100), n.now); err != nil {
+					t.Fatal(err)
+				}
+			}
+			n.step(Event{Kind: Listed, How: "whole", List: []Endpoint{ep("a", "plain", "z", 1)}})
+			m := n.msg("safe", 1)
+			m.Deadline += 60_000 * ms
+			n.step(m)
+			n.run(500*ms, func(a Action) bool { return false })
+			calls += n.try[m.ID]
+		}
+		return calls
+	}
+	if with, without := first(true), first(false); with > 28 || without < 70 {
+		t.Errorf("first calls of 80 lives in half a second at a limit of 40: %d with what was left, %d without", with, without)
+	}
+}
+
+// A wait is heeded to its end, also where the clock was set an hour forward or back meanwhile; what is out is tried singly and does
+// not refuse; what comes back cold is paced to the same end; and old beliefs, or those of another version, are worth nothing.
+func TestBeliefs(t *testing.T) {
+	const hour = 3600_000 * ms
+	for _, move := range []int64{0, hour, -hour / 6} {
+		g := newRig(t, site(), ep("a", "plain", "z", 1))
+		g.warm(1, 12)
+		e := g.msg("safe", 1)
+		g.step(e)
+		full := g.out(e.ID, "FULL")
+		full.HoldMs = 5000
+		g.wait(10*ms, full)
+		n := next(t, g, site(), 2000*ms, move)
+		m := n.msg("safe", 1)
+		m.Deadline += 60_000 * ms
+		if n.step(m); n.try[m.ID] != 0 {
+			t.Errorf("moved by %d: sent in a told wait", move)
+		}
+		if _, ok := n.run(2800*ms, issued(m.ID)); ok {
+			t.Errorf("moved by %d: sent in a told wait", move)
+		}
+		if _, ok := n.run(1500*ms, issued(m.ID)); !ok {
+			t.Errorf("moved by %d: the wait does not end", move)
+		}
+	}
+
+	g := newRig(t, site(), ep("a", "plain", "z", 1))
+	g.warm(1, 40)
+	e := g.msg("safe", 1)
+	e.Deadline += hour
+	g.step(e)
+	for range 100 {
+		var res []Event
+		for _, a := range g.acts {
+			if a.Kind == Issue {
+				res = append(res, g.out(a.ID, "NOCONN"))
+			}
+		}
+		g.wait(50*ms, append(res, Event{Kind: Woke})...)
+	}
+	if !g.r.dest(1).whole.down {
+		t.Fatal("not out")
+	}
+	n := next(t, g, site(), 1000*ms, 0)
+	var list []Event
+	for range 20 {
+		m := n.msg("safe", 1)
+		m.Deadline += hour
+		list = append(list, m)
+	}
+	if acts := n.step(list...); count(acts, PushBack) != 0 || count(acts, Issue) > 1 {
+		t.Errorf("out: %d refused, %d sent at once", count(acts, PushBack), count(acts, Issue))
+	}
+	a, ok := n.run(5000*ms, func(a Action) bool { return a.Kind == Issue })
+	if !ok {
+		t.Fatal("what was out is never tried")
+	}
+	n.wait(50*ms, n.out(a.ID, "GOOD"))
+	n.wait(1000 * ms)
+	if h := n.r.Health(n.now); len(h) != 1 || !h[0].Returning {
+		t.Fatalf("%+v", h)
+	}
+	cold := n.r.dest(1).whole.warmAt
+	if c := next(t, n, site(), 500*ms, 0); c.r.dest(1).whole.warmAt != cold {
+		t.Errorf("cold until %d, and after a restart until %d", cold, c.r.dest(1).whole.warmAt)
+	}
+	if o := next(t, n, site(), hour, 0).r.dest(1).whole; o.answers != 0 || o.down || o.warmAt != 0 || o.ill != 0 {
+		t.Error("an hour old, and believed")
+	}
+	m := n.r.Remember(100)
+	m.Form++
+	if r, _ := New(site(), 1); r.Recall(m, n.now) == nil || len(r.dests) != 0 {
+		t.Error("another version was taken up")
+	}
+	m.Form--
+	m.Dests[0].Whole.Ints = m.Dests[0].Whole.Ints[:3]
+	if r, _ := New(site(), 1); r.Recall(m, n.now) == nil || len(r.dests) != 0 {
+		t.Error("half of it was taken up")
+	}
+}
--- /dev/null
+++ b/sender/memory.go
@@ -0,0 +1,89 @@
+package sender
+
+import (
+	"time"
+
+	"brackendale/internal/memory"
+)
+
+// memoryGap is the least time between two images of what this life believes; memoryAge is after how long there is a new one though
+// nothing that matters has changed.
+const (
+	memoryGap = time.Second
+	memoryAge = 10 * time.Second
+)
+
+// memoryDests is of how many destinations an image tells: they take some 250 bytes each.
+const memoryDests = 100
+
+// remembering is what becomes of the images. Run's goroutine owns all but the channel.
+type remembering struct {
+	last  time.Time
+	worth uint64
+	write chan memory.Image // to the goroutine that writes; nil: nothing is left behind
+	done  chan struct{}
+}
+
+// recall takes up what an earlier life left in the folder, if it is of any use.
+func (s *Sender) recall() {
+	m, there, err := memory.Read(s.opt.Dir, s.opt.Name)
+	if !there {
+		return
+	}
+	if err == nil {
+		now := memory.Now()
+		away, move := memory.Since(m.At, now)
+		m.Module.Move(move)
+		if err = s.relay.Recall(m.Module, now.Wall); err == nil {
+			s.log.Info().Int64("away_ms", away/1000).Int64("clock_moved_ms", move/1000).Int("destinations", len(m.Module.Dests)).Msg("what the last life knew")
+			return
+		}
+	}
+	s.log.Warn().Err(err).Msg("what the last life knew is dropped")
+}
+
+// startRemembering begins the goroutine that writes.
+func (s *Sender) startRemembering() {
+	s.memory.write, s.memory.done = make(chan memory.Image, 1), make(chan struct{})
+	go func() {
+		defer close(s.memory.done)
+		said := false
+		for m := range s.memory.write {
+			if err := memory.Write(s.opt.Dir, m); err != nil && !said {
+				said = true
+				s.log.Warn().Err(err).Msg("what this life knows is not kept")
+			}
+		}
+	}()
+}
+
+// remember hands an image to the writer where it is time for one. It never waits: an image that finds the writer busy is made anew
+// later.
+func (s *Sender) remember(end bool) {
+	if s.memory.write == nil || s.heir != nil {
+		return
+	}
+	now := time.Now()
+	if !end && now.Sub(s.memory.last) < memoryGap {
+		return
+	}
+	worth := s.relay.Worth()
+	if worth == s.memory.worth && !end && now.Sub(s.memory.last) < memoryAge {
+		return
+	}
+	select {
+	case s.memory.write <- memory.Image{Name: s.opt.Name, At: memory.Now(), Module: s.relay.Remember(memoryDests)}:
+		s.memory.last, s.memory.worth = now, worth
+	default:
+	}
+}
+
+// stopRemembering writes a last image and waits until it is written.
+func (s *Sender) stopRemembering() {
+	if s.memory.write == nil {
+		return
+	}
+	s.remember(true)
+	close(s.memory.write)
+	<-s.memory.done
+}
--- /dev/null
+++ b/sender/memory_test.go
@@ -0,0 +1,95 @@
+package sender
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"brackendale/logic"
+
+	"github.com/rs/zerolog"
+)
+
+// A life that ends leaves what it was told, and the next one heeds it; a memory of another sender, a torn one, and a journal without
+// memory cost nothing but that; a folder too small for both keeps messages alone.
+func TestMemoryOverLives(t *testing.T) {
+	dir := t.TempDir()
+	life := func(name string, disk int64, f func(*Sender)) string {
+		t.Helper()
+		var log bytes.Buffer
+		s, err := New(Options{Name: name, Settings: site(), Dir: dir, Disk: disk, Memory: true, Log: zerolog.New(&log)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Routes("whole", []Route{{Endpoint: logic.Endpoint{Addr: "a", Kind: "k", Dest: 1, State: "live"}, Proto: "p"}})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- s.Run(ctx) }()
+		f(s)
+		cancel()
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+		return log.String()
+	}
+	waits := func(s *Sender) (us int64) {
+		t.Helper()
+		heard := make(chan int64, 1)
+		s.Health(nil, func(list []logic.Health, _ []int64) {
+			us := int64(0)
+			for _, h := range list {
+				us = max(us, h.WaitUs)
+			}
+			heard <- us
+		})
+		select {
+		case us = <-heard:
+		case <-time.After(20 * time.Second):
+			t.Fatal("no answer")
+		}
+		return us
+	}
+	life("n", 1<<20, func(s *Sender) {
+		s.Steer(logic.Event{Kind: logic.Heeded, Dest: 1, Deadline: s.Now() + 50e6})
+		for until := time.Now().Add(20 * time.Second); waits(s) == 0 && time.Now().Before(until); { // until a step has taken it up
+			time.Sleep(time.Millisecond)
+		}
+	})
+	log := life("n", 1<<20, func(s *Sender) {
+		if us := waits(s); us < 20e6 {
+			t.Errorf("a wait of 50 s is forgotten: %d us left", us)
+		}
+	})
+	if !strings.Contains(log, "what the last life knew") {
+		t.Error(log)
+	}
+	if log := life("other", 1<<20, func(s *Sender) {
+		if us := waits(s); us != 0 {
+			t.Errorf("another sender's wait: %d", us)
+		}
+	}); !strings.Contains(log, "dropped") {
+		t.Error(log)
+	}
+	path := filepath.Join(dir, "memory")
+	raw, err := os.ReadFile(path)
+	if err == nil {
+		err = os.WriteFile(path, raw[:len(raw)/2], 0o600)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	if log := life("other", 1<<20, func(*Sender) {}); !strings.Contains(log, "torn") {
+		t.Error(log)
+	}
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	life("n", 100_000, func(*Sender) {})
+	if _, err := os.Stat(path); !os.IsNotExist(err) {
+		t.Errorf("a folder that is too small has a memory: %v", err)
+	}
+}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"brackendale/internal/memory"
 	"brackendale/internal/spool"
 	"brackendale/internal/telemetry"
 	"brackendale/internal/trace"
@@ -35,6 +36,9 @@
 	Book     *telemetry.Book // the figures that are kept; nil: none
 	Trace    io.Writer       // gets a line for each step that was told or did anything; nil: none
 
+	// Memory lets this life take up what the last one believed, and leave what it believes; both lie in Dir.
+	Memory bool
+
 	// From is what another process's sender gave when it stood still; this one goes on in its place. nil: a start anew.
 	From *Checkpoint
 
@@ -90,6 +94,7 @@
 	afar     map[string]Action
 	pressed  pressure
 	trace    *trace.Writer // nil: not asked for
+	memory   remembering
 }
 
 // maxEnds is how many of the last ends are kept to be shown.
@@ -112,6 +117,9 @@
 			return nil, err
 		}
 	}
+	if opt.Memory = opt.Memory && opt.Disk >= 16*memory.Most; opt.Memory { // messages go before beliefs
+		opt.Disk -= 2 * memory.Most
+	}
 	sp, err := spool.Open(opt.Dir, opt.Disk)
 	if err != nil {
 		return nil, err
@@ -124,6 +132,9 @@
 	if opt.Trace != nil {
 		s.trace = trace.NewWriter(opt.Trace, opt.Name)
 	}
+	if opt.Memory && opt.From == nil {
+		s.recall()
+	}
 	for _, l := range opt.Settings.Lanes {
 		s.lanes[l.Name] = l
 	}
@@ -162,6 +173,10 @@
 			_ = s.spool.Close()
 		}
 	}()
+	if s.opt.Memory {
+		s.startRemembering()
+		defer s.stopRemembering()
+	}
 	s.take() // the module hears of the route table before it hears of what was held
 	s.restore()
 	for {
@@ -177,6 +192,7 @@
 		if err := s.turn(); err != nil {
 			return err
 		}
+		s.remember(false)
 		if s.asked != nil {
 			s.stand()
 		}
