--- a/logic/memory.go
+++ b/logic/memory.go
@@ -102,6 +102,7 @@
 
 // believe takes up what is still worth something of a route.
 func (r *Relay) believe(rt, was *route) {
+	rt.waitUntil = min(was.waitUntil, r.now+heedUs)
 	age := r.now - max(was.lastSend, was.lastAnswer, was.lastStrike)
 	if age < 0 || age > oldestUs {
 		return
@@ -112,14 +113,15 @@
 		rt.srtt, rt.dev, rt.usual, rt.peak = was.usual, was.dev, was.usual, was.peak*half
 	}
 	rt.ill, rt.illBase, rt.illAt = was.illBase*half, was.illBase*half, r.now
-	rt.waitUntil = min(was.waitUntil, r.now+heedUs)
 	if limit := was.told.Save(); was.told.Known() && !math.IsInf(limit[1], 0) && r.set.Weights == "silent" {
 		rt.told = share.Load([3]float64{0, limit[1], 0}) // what was left of it is not known
 		rt.hint = limit[1] / r.senders
 		if r.many > 0 {
 			rt.limited, rt.rate, rt.mark, rt.lastCut = true, r.ceiling(rt), r.ceiling(rt), r.now
 			rt.lastSend = r.now // or the bucket would be one that is idle, and forgotten
-			r.scatter(rt)
+			// What all who come back hold came in while they were away, at about the limit: it takes as long to send.
+			wait := min(1, rt.rate*float64(min(age, spreadUs))/1e6)
+			rt.tokens, rt.tokenAt = 1-wait*r.rng.Float64(), r.now
 		}
 	}
 	switch {
