A life that knows a limit sends one call to find out, at a moment spread over what all hold

Change: a believed limit only spreads the first call (firstAt); the first answer then does what it does in any life.

--- a/logic/memory.go
+++ b/logic/memory.go
@@ -116,12 +116,11 @@
 	if limit := was.told.Save(); was.told.Known() && !math.IsInf(limit[1], 0) && r.set.Weights == "silent" {
 		rt.told = share.Load([3]float64{0, limit[1], 0}) // what was left of it is not known
 		rt.hint = limit[1] / r.senders
-		if r.many > 0 {
-			rt.limited, rt.rate, rt.mark, rt.lastCut = true, r.ceiling(rt), r.ceiling(rt), r.now
-			rt.lastSend = r.now // or the bucket would be one that is idle, and forgotten
-			// What all who come back hold came in while they were away, at about the limit: it takes as long to send.
-			wait := min(1, rt.rate*float64(min(age, spreadUs))/1e6)
-			rt.tokens, rt.tokenAt = 1-wait*r.rng.Float64(), r.now
+		// One call finds out how things are, as in a life that knows nothing, but all that come back at once must not find out at
+		// once: of so many, each with what its clients brought while it was away, as many have a call as the even part tells.
+		if even := rt.told.Even(r.senders); r.many > 0 && even > 0 {
+			with := 1 - math.Exp(-even*float64(min(age, spreadUs))/1e6)
+			rt.firstAt = r.now + int64(r.many*r.rng.Float64()*with/even*1e6)
 		}
 	}
 	switch {
--- a/logic/neighbours.go
+++ b/logic/neighbours.go
@@ -96,6 +96,9 @@
 
 // within tells whether a call may leave by what others told, and when else.
 func (rt *route) within(now int64) (bool, int64) {
+	if now < rt.firstAt { // the first call of a life that is one of many
+		return false, rt.firstAt
+	}
 	if rt.down && now < rt.elsewhere { // another tries it for all
 		return false, rt.elsewhere
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -106,6 +106,7 @@
 	trialAt, gap, warmAt, coldAt, passed                 int64
 	told                                                 share.Limit // of its limit, by answers
 	bound                                                *bound      // nil: nobody has told of a share
+	firstAt                                              int64       // no call of this life before
 	elsewhere                                            int64       // until then another sender alone tries it while it is out
 }
 
