--- a/internal/group/folder.go
+++ b/internal/group/folder.go
@@ -139,7 +139,7 @@
 		return errors.New("group: this folder has been through its first start")
 	}
 	if voters[name] == "" {
-		return fmt.Errorf("group: %s is not among the members of its file", name)
+		return errUnlisted
 	}
 	f.Forced = true
 	return f.save()
@@ -149,6 +149,9 @@
 // voters for good. What the others agreed on without this one is lost; its epochs are above any that they can have given, and
 // the lowest of them is returned. No process may have the folder.
 func Recover(dir, name string, voters map[string]string) (epoch uint64, err error) {
+	if voters[name] == "" {
+		return 0, errUnlisted
+	}
 	f, err := readFolder(dir, name, voters)
 	if err != nil {
 		return 0, err
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -345,7 +345,11 @@
 // raftDir is where the log lies in a group's folder.
 func raftDir(dir string) string { return filepath.Join(dir, "raft") }
 
-// Join makes this member one that votes: the group lets it in with an empty log.
+// errUnlisted refuses a vote to a member that the files do not name. Members whose folders are lost ask those whom their files
+// name: they would not find a group that lives on in others, and could found a second one beside it.
+var errUnlisted = errors.New("this member is not among members in its file: name it there in every file first")
+
+// Join makes this member, which has left, one that votes again: the group lets it in with an empty log.
 func (g *Group) Join() error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -353,6 +357,8 @@
 	switch {
 	case f == nil:
 		return errors.New(g.why)
+	case g.opt.Voters[g.opt.Name] == "":
+		return errUnlisted
 	case f.Voter:
 		return errors.New("this member votes already")
 	}
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -393,7 +393,7 @@
 	}
 }
 
-// Members beside the voters hold duties too, one of them is made a voter and leaves again; a receiver that knows a newer epoch ends
+// Members beside the voters hold duties too and cannot vote; one that its file names is let in, leaves and comes again; a receiver that knows a newer epoch ends
 // a holding at once.
 func TestMembersBesideVoters(t *testing.T) {
 	c := newCrew(t, append([]string{"d"}, three...), "x", "y", "z")
@@ -423,13 +423,20 @@
 			return false
 		}
 	}
-	if err := c.now["d"].Join(); err != nil {
-		t.Fatal(err)
+	if err := c.now["d"].Join(); err == nil {
+		t.Error("a member that no file names votes")
+	}
+	c.stop("d")
+	if _, err := group.Recover(d.Dir, "d", d.Voters); err == nil {
+		t.Error("a group was recovered on a member that no file names: others would not find it")
 	}
+	d.Voters["d"] = d.Listen
+	c.start("d")
 	c.until("it votes", votes(true))
 	ctx, stop := context.WithTimeout(context.Background(), long)
 	defer stop()
 	c.until("it votes no more", func() bool { _ = c.now["d"].Leave(ctx); return votes(false)() })
+	c.until("it votes again", func() bool { _ = c.now["d"].Join(); return votes(true)() })
 	from := c.line.Now()
 	c.recv.Behave(0, 409, false)
 	c.until("given up", func() bool {
