--- a/logic/memory.go
+++ b/logic/memory.go
@@ -14,6 +14,7 @@
 
 const (
 	believeUs = 60_000_000 // usual times and shares of failures have half of their weight after so long
+	paceMark  = 10.0       // up to so many times the pace of before successes raise the rate as below the paper's mark
 	outUs     = 30_000_000 // a destination that was out counts as out for so long
 	oldestUs  = 600_000_000
 )
@@ -44,7 +45,8 @@
 	for _, p := range list[:min(most, len(list))] {
 		rt := *p.d.whole
 		// What is never believed takes no room.
-		rt.rate, rt.mark, rt.tokens, rt.sendRate, rt.goodRate, rt.hint, rt.srtt = 0, 0, 0, 0, 0, 0, 0
+		rt.tokens, rt.sendRate, rt.hint, rt.srtt = 0, 0, 0, 0
+		rt.rate, rt.mark, rt.goodRate = brief(rt.rate), brief(rt.mark), brief(rt.goodRate)
 		rt.tokenAt, rt.lastCut, rt.sendAt, rt.goodAt, rt.failedAt, rt.illAt, rt.trialAt, rt.gap, rt.coldAt, rt.passed = 0, 0, 0, 0, 0, 0, 0, 0, 0, 0
 		rt.illBase = r.lasting(p.d.whole)
 		rt.peak, rt.usual, rt.dev, rt.ill, rt.illBase = brief(rt.peak), brief(rt.usual), brief(rt.dev), 0, brief(rt.illBase)
@@ -62,7 +64,8 @@
 	return math.Round(x*p) / p
 }
 
-// Worth is a number that changes when something has changed which the next life should know: a limit, an outage, a return, a wait.
+// Worth is a number that changes when something has changed which the next life should know: a limit, an outage, a return,
+// a wait, a pace that has doubled.
 func (r *Relay) Worth() (sum uint64) {
 	for id, d := range r.byDest {
 		rt := d.whole
@@ -71,6 +74,8 @@
 		if rt.down {
 			x ^= 0x5bd1e995
 		}
+		x ^= uint64(math.Log2(1+rt.answers)) << 40 // and how much is known of it at all, and its pace, by halves and doubles
+		x ^= uint64(int64(math.Round(math.Log2(1e-3+d.inRate)))) << 48
 		sum += x * 0xff51afd7ed558ccd // in any order
 	}
 	return sum
@@ -123,6 +128,16 @@
 			rt.firstAt = r.now + int64(r.many*r.rng.Float64()*with/even*1e6)
 		}
 	}
+	if pace := max(was.goodRate, rt.dest.inRate); !rt.told.Known() && pace > 0 && age < believeUs {
+		// Where nobody tells of a limit, what went well before is what may be sent first; from there successes raise it. All who
+		// come back with what their clients brought meanwhile would else send it in one instant. Where refusals had limited the
+		// pace, what they had left counts.
+		rt.limited, rt.rate, rt.mark, rt.lastSend = true, max(pace, sigma/r.senders), paceMark*pace, r.now
+		if was.limited && was.rate > 0 {
+			rt.rate, rt.mark = min(rt.rate, was.rate), was.mark
+		}
+		rt.tokens, rt.tokenAt = r.rng.Float64(), r.now
+	}
 	switch {
 	case was.down && age < outUs:
 		rt.failedAt, rt.lastStrike, rt.strikes = r.now, r.now, 1
