A life tells when it serves in full; a page on coming back

Need: the time to full service after a restart must be measured by the program itself, with where it went. Result: tests of the definition; -race green.

--- a/sender/memory.go
+++ b/sender/memory.go
@@ -24,11 +24,11 @@
 	done  chan struct{}
 }
 
-// recall takes up what an earlier life left in the folder, if it is of any use.
-func (s *Sender) recall() {
+// recall takes up what an earlier life left in the folder; false where there is nothing of use.
+func (s *Sender) recall() bool {
 	m, there, err := memory.Read(s.opt.Dir, s.opt.Name)
 	if !there {
-		return
+		return false
 	}
 	if err == nil {
 		now := memory.Now()
@@ -36,10 +36,11 @@
 		m.Module.Move(move)
 		if err = s.relay.Recall(m.Module, now.Wall); err == nil {
 			s.log.Info().Int64("away_ms", away/1000).Int64("clock_moved_ms", move/1000).Int("destinations", len(m.Module.Dests)).Msg("what the last life knew")
-			return
+			return true
 		}
 	}
 	s.log.Warn().Err(err).Msg("what the last life knew is dropped")
+	return false
 }
 
 // startRemembering begins the goroutine that writes.
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -95,6 +95,7 @@
 	pressed  pressure
 	trace    *trace.Writer // nil: not asked for
 	memory   remembering
+	life     life
 }
 
 // maxEnds is how many of the last ends are kept to be shown.
@@ -120,10 +121,12 @@
 	if opt.Memory = opt.Memory && opt.Disk >= 16*memory.Most; opt.Memory { // messages go before beliefs
 		opt.Disk -= 2 * memory.Most
 	}
+	began := time.Now()
 	sp, err := spool.Open(opt.Dir, opt.Disk)
 	if err != nil {
 		return nil, err
 	}
+	read := time.Since(began)
 	s := &Sender{opt: opt, relay: relay, spool: sp, log: opt.Log, started: time.Now(),
 		tick: time.Duration(opt.Settings.TickUs) * time.Microsecond, wake: make(chan struct{}, 1),
 		fronts: map[string]Ingress{}, carriers: map[string]Egress{}, routes: map[string]Route{},
@@ -132,9 +135,11 @@
 	if opt.Trace != nil {
 		s.trace = trace.NewWriter(opt.Trace, opt.Name)
 	}
-	if opt.Memory && opt.From == nil {
-		s.recall()
-	}
+	s.life.journal, s.life.left = read, map[string]bool{}
+	knows := opt.Memory && opt.From == nil && s.recall()
+	s.life.memory = time.Since(s.started)
+	s.life.start = found(opt.From != nil, len(sp.Entries()) > 0, knows)
+	s.book.Also(s.Life)
 	for _, l := range opt.Settings.Lanes {
 		s.lanes[l.Name] = l
 	}
@@ -219,6 +224,7 @@
 		s.press()
 		s.level()
 		s.serves()
+		s.service()
 	}
 	if batch := s.carry; len(batch) > 0 && err == nil {
 		s.carry = make([]word, 0, min(len(batch), keepMost))
@@ -295,9 +301,11 @@
 		if e.OpenAt != 0 {
 			s.spool.Closed(e.ID, true)
 		}
+		s.life.left[e.ID] = true
 		s.events = append(s.events, logic.Event{Kind: logic.Arrived, Held: true, ID: e.ID, Class: e.Class,
 			Tenant: e.Tenant, Dest: e.Dest, Deadline: e.Deadline, Attempts: e.Attempts, FirstRunUs: e.FirstRun, Zone: e.Zone})
 	}
+	s.life.takenUp, s.life.looked = len(s.life.left), time.Now()
 	if s.open > 0 || len(s.tell) > 0 {
 		s.log.Info().Int("open", s.open).Int("owed", len(s.tell)).Msg("taken up from the spool")
 	}
@@ -427,6 +435,7 @@
 			s.end(o.ID, Delivered, 0)
 		} else if o.Over {
 			s.open--
+			s.ended(o.ID)
 			s.book.Ended(e.Class, telemetry.BadGateway)
 			s.gone(o.ID)
 		}
@@ -493,6 +502,7 @@
 	s.judged = time.Time{}
 	if how != "stale_copy" || len(list) > 0 {
 		s.known = true
+		s.since(&s.life.list)
 	}
 }
 
@@ -617,6 +627,7 @@
 		return
 	}
 	s.open--
+	s.ended(id)
 	if len(s.stats.Ends) == maxEnds {
 		s.stats.Ends = slices.Delete(s.stats.Ends, 0, 1)
 	}
@@ -773,6 +784,7 @@
 		c.hops = append(c.hops, Hop{ID: e.ID, Key: e.Key, Class: e.Class, Body: e.Body, N: e.Attempts, LimitUs: a.LimitUs,
 			Deadline: e.Deadline})
 		s.spool.Hop(e.ID, to.Zone, now)
+		s.since(&s.life.first)
 		s.stats.Sent++
 		if r := s.seen[a.Addr]; r != nil {
 			r.Out++
