--- a/internal/config/group.go
+++ b/internal/config/group.go
@@ -131,10 +131,13 @@
 		if !ok {
 			return fault(key("kind"), "%q is no kind of duty: call, return, limit, roll or verify", d.Kind)
 		}
-		for name, set := range map[string]bool{"url": d.URL != "", "every_ms": d.EveryMs != 0, "longest_ms": d.LongestMs != 0, "dest": d.Dest != 0,
-			"per_s": d.PerS != 0, "at_once": d.AtOnce != 0, "out_ms": d.OutMs != 0} {
-			if set && !slices.Contains(keys, name) {
-				return fault(key(name), "is no key of a duty of the kind %s", d.Kind)
+		for _, k := range []struct { // in the order of the page: of several the first is told
+			name string
+			set  bool
+		}{{"url", d.URL != ""}, {"every_ms", d.EveryMs != 0}, {"longest_ms", d.LongestMs != 0}, {"dest", d.Dest != 0}, {"per_s", d.PerS != 0},
+			{"at_once", d.AtOnce != 0}, {"out_ms", d.OutMs != 0}} {
+			if k.set && !slices.Contains(keys, k.name) {
+				return fault(key(k.name), "is no key of a duty of the kind %s", d.Kind)
 			}
 		}
 		if d.Kind == DutyRoll {
