Test: a sender killed again and again with whatever memory; an idle life reaches full service too

Seen by the new test: a life whose last message ended within a tenth of a second of its start never said that it serves in full: nothing happened any more that let it look (service). Change: it looks again every half second until then.

--- /dev/null
+++ b/internal/app/back_test.go
@@ -0,0 +1,75 @@
+package app
+
+import (
+	"errors"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"brackendale/internal/fleet"
+)
+
+// A sender that is killed again and again, ten times in a row before any life can get far, with its memory kept, lost, torn, of an
+// earlier life, or too big: every charge that was taken on has one end, none is applied twice, and the last life serves in full.
+func TestKilledWithWhateverMemory(t *testing.T) {
+	kills, err := strconv.Atoi(os.Getenv("BRACKENDALE_KILLS"))
+	if err != nil {
+		kills = 12
+	}
+	rng := rand.New(rand.NewSource(2))
+	o := newOffice(t)
+	memory, earlier := filepath.Join(o.state(), "memory"), filepath.Join(o.dir, "earlier")
+	end := o.crowd(4)
+	cases := map[string]int{}
+	for i := range kills {
+		p := o.start()
+		o.ready(p)
+		wait := time.Duration(rng.Intn(40)) * time.Millisecond
+		if i%3 == 2 { // long enough for an image
+			wait += 1100 * time.Millisecond
+		}
+		time.Sleep(wait)
+		_ = p.Process.Kill()
+		<-p.ended
+		raw, err := os.ReadFile(memory)
+		what := []string{"kept", "lost", "torn", "earlier", "big"}[rng.Intn(5)]
+		if err != nil {
+			what = "none yet"
+		}
+		cases[what]++
+		switch err = nil; what {
+		case "lost":
+			err = os.Remove(memory)
+		case "torn":
+			_, err = fleet.Tear(memory, rng)
+		case "earlier":
+			if old, rerr := os.ReadFile(earlier); rerr == nil {
+				err = os.WriteFile(memory, old, 0o600)
+			}
+			err = errors.Join(err, os.WriteFile(earlier, raw, 0o600))
+		case "big":
+			err = os.WriteFile(memory, append(raw, make([]byte, 1<<20)...), 0o600)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	p := o.start()
+	o.ready(p)
+	end()
+	o.settled()
+	for until := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		if _, text := p.ask("GET", "/api/telemetry", ""); strings.Contains(text, "\nlb_life_full 1\n") {
+			break
+		}
+		if time.Now().After(until) {
+			_, text := p.ask("GET", "/api/telemetry", "")
+			t.Fatalf("never in full service\n%s\n%s", text, p.said)
+		}
+	}
+	t.Logf("%d kills, %v, %d taken on", kills, cases, len(o.taken))
+}
--- a/sender/life.go
+++ b/sender/life.go
@@ -15,6 +15,7 @@
 	taken  uint64     // when it was looked at last
 	second [10]uint64 // taken on in each of the last tenths of a second
 	at     int
+	asked  bool // to look again
 
 	start            string // how the folder was found
 	takenUp          int
@@ -66,10 +67,20 @@
 // lookGap is between two looks at whether there is full service: a tenth of the second that counts.
 const lookGap = 100 * time.Millisecond
 
+// askGap is after how long a life that is not in full service looks again though nothing has happened.
+const askGap = 500 * time.Millisecond
+
 // service looks whether this life serves in full, until it does.
 func (s *Sender) service() {
 	l := &s.life
-	if l.full.Load() != 0 || time.Since(l.looked) < lookGap {
+	if l.full.Load() != 0 {
+		return
+	}
+	if !l.asked { // where nothing happens any more nobody would look again
+		l.asked = true
+		time.AfterFunc(askGap, func() { s.Post(func() { l.asked = false }) })
+	}
+	if time.Since(l.looked) < lookGap {
 		return
 	}
 	for n := min(int(time.Since(l.looked)/lookGap), len(l.second)); n > 0; n-- {
