Tests: another version, a follower's disk, acts that never end; one start for games with a partner

Need: hard cases of the duties that had no test. Change: three cases in the group's tests; herd and limit share their start, and the tools one way to write reports.

--- a/internal/fleet/herd.go
+++ b/internal/fleet/herd.go
@@ -43,24 +43,12 @@
 
 // Play plays it.
 func (g Herd) Play() (rep HerdReport, err error) {
-	p, err := NewPartner(g.PerS)
+	p, w, names, ports, err := LimitGame{Program: g.Program, Dir: g.Dir, Senders: g.Senders, PerS: g.PerS}.before()
 	if err != nil {
 		return rep, err
 	}
 	defer p.Close()
-	names, _ := Game{Members: g.Senders}.Names()
-	ports := map[string]string{}
-	w, err := NewWorld(g.Program, g.Dir, names, []string{}, 1, NewTimeline(), func(m *Member) string {
-		ports[m.Name] = "127.0.0.1:" + m.port()
-		return LimitGame{}.site(m, nil, ports[m.Name], p.Addr())
-	})
-	if err != nil {
-		return rep, err
-	}
 	defer w.Close()
-	if err := w.Up(); err != nil {
-		return rep, err
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var all sync.WaitGroup
 	defer all.Wait()
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -158,26 +158,37 @@
 // settled is the time in which all have noticed that a partner is down.
 const settled = 6 * time.Second
 
-// Play plays it.
-func (g LimitGame) Play() (out []Phase, err error) {
-	p, err := NewPartner(g.PerS)
-	if err != nil {
-		return nil, err
+// before starts senders before one partner. ports are where their clients find them; the first three vote where they are a group.
+func (g LimitGame) before() (p *Partner, w *World, names []string, ports map[string]string, err error) {
+	if p, err = NewPartner(g.PerS); err != nil {
+		return nil, nil, nil, nil, err
 	}
-	defer p.Close()
-	names, _ := Game{Members: g.Senders}.Names()
-	ports := map[string]string{}
-	w, err := NewWorld(g.Program, g.Dir, names, names[:3], 1, NewTimeline(), func(m *Member) string {
+	names, _ = Game{Members: g.Senders}.Names()
+	ports = map[string]string{}
+	voting := names[:min(3, len(names))]
+	w, err = NewWorld(g.Program, g.Dir, names, voting, 1, NewTimeline(), func(m *Member) string {
 		ports[m.Name] = "127.0.0.1:" + m.port()
-		return g.site(m, names[:3], ports[m.Name], p.Addr())
+		return g.site(m, voting, ports[m.Name], p.Addr())
 	})
+	if err == nil {
+		if err = w.Up(); err != nil {
+			w.Close()
+		}
+	}
 	if err != nil {
-		return nil, err
+		p.Close()
 	}
-	defer w.Close()
-	if err := w.Up(); err != nil {
+	return p, w, names, ports, err
+}
+
+// Play plays it.
+func (g LimitGame) Play() (out []Phase, err error) {
+	p, w, names, ports, err := g.before()
+	if err != nil {
 		return nil, err
 	}
+	defer p.Close()
+	defer w.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	var all sync.WaitGroup
 	defer all.Wait()
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -1,9 +1,11 @@
 package group_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -198,6 +200,16 @@
 	defer stop()
 	c.until("handed", func() bool { return c.now[other(to)].Order(ctx, "hand", "x", to) == nil })
 	c.until("it has it", func() bool { return c.acts() == to })
+	c.recv.Behave(length, 0, false) // no act ends in time: each is given up, with a word why, and the duty is held on
+	c.until("it says why", func() bool {
+		for _, d := range c.now[to].Duties() {
+			if d.Holder == to && strings.Contains(d.Why, "deadline") {
+				return true
+			}
+		}
+		return false
+	})
+	c.recv.Behave(0, 0, false)
 	c.stop(to)
 	c.until("it has gone", func() bool { return c.acts() != to })
 	if err := c.now[who].Order(ctx, "hand", "x", to); err == nil {
@@ -314,9 +326,12 @@
 		group.FailStore(c.opts[n], bad[n])
 	}
 	c.start(three...)
-	for range 2 {
+	for i := range 3 {
 		c.acts()
 		lead := c.leader()
+		if i == 1 { // a follower's
+			lead = other(lead)
+		}
 		bad[lead].Store(true)
 		c.until("another leads", func() bool { return c.leader() != lead })
 		c.acts()
@@ -378,6 +393,17 @@
 		o.Dir = c.opts["c"].Dir + "-copy"
 		copyFolder(t, c.opts["c"].Dir, o.Dir)
 	})
+	conn, err := net.Dial("tcp", c.listen["a"])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := conn.Write([]byte(`{"v":99,"for":"ask","from":"z","to":"a"}` + "\n")); err != nil {
+		t.Fatal(err)
+	}
+	if line, err := bufio.NewReader(conn).ReadString('\n'); err != nil || !strings.Contains(line, "version 99") {
+		t.Errorf("another version: %q %v", line, err)
+	}
 	c.acts()
 	c.sound()
 }
--- a/internal/load/command/command.go
+++ b/internal/load/command/command.go
@@ -35,6 +35,22 @@
 	}}
 }
 
+// report writes what was measured where --json says.
+func report(c *cli.Command, rep any) error {
+	file := c.String("json")
+	if file == "" {
+		return nil
+	}
+	raw, err := json.MarshalIndent(rep, "", " ")
+	if err == nil {
+		err = os.WriteFile(file, append(raw, '\n'), 0o644)
+	}
+	if err != nil {
+		return fmt.Errorf("load: %w", err)
+	}
+	return nil
+}
+
 func idleFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "proto", Value: "amqp", Usage: "the clients' protocol: amqp or resp"},
@@ -96,14 +112,8 @@
 	if err := rep.Table(c.Root().Writer); err != nil {
 		return err
 	}
-	if file := c.String("json"); file != "" {
-		raw, err := json.MarshalIndent(rep, "", " ")
-		if err == nil {
-			err = os.WriteFile(file, append(raw, '\n'), 0o644)
-		}
-		if err != nil {
-			return fmt.Errorf("load idle: %w", err)
-		}
+	if err := report(c, rep); err != nil {
+		return err
 	}
 	if file := c.String("png"); file != "" {
 		return rep.Plot(file)
--- a/internal/load/command/group.go
+++ b/internal/load/command/group.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -90,14 +89,8 @@
 	if err := show(c.Root().Writer, all); err != nil {
 		return err
 	}
-	if file := c.String("json"); file != "" {
-		raw, err := json.MarshalIndent(reps, "", " ")
-		if err == nil {
-			err = os.WriteFile(file, append(raw, '\n'), 0o600)
-		}
-		if err != nil {
-			return fmt.Errorf("load group: %w", err)
-		}
+	if err := report(c, reps); err != nil {
+		return err
 	}
 	if file := c.String("line"); file != "" {
 		f, err := os.Create(file)
--- a/internal/load/command/herd.go
+++ b/internal/load/command/herd.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"os"
-	"sync"
 	"time"
 
 	"brackendale/internal/fleet"
@@ -42,24 +40,12 @@
 	if x := c.String("against"); x != "" {
 		programs = append(programs, x)
 	}
-	reps, errs := make([]fleet.HerdReport, len(programs)), make([]error, len(programs))
-	var all sync.WaitGroup
-	for i, p := range programs {
-		all.Add(1)
-		go func() {
-			defer all.Done()
-			dir, err := fleet.TempDir()
-			if err != nil {
-				errs[i] = err
-				return
-			}
-			defer os.RemoveAll(dir)
-			reps[i], errs[i] = fleet.Herd{Program: p, Dir: dir, Senders: c.Int("senders"), Kill: c.Int("kill"), PerS: c.Float("per-s"), Come: c.Float("come"),
-				Warm: c.Duration("warm"), Out: c.Duration("out"), Down: c.Duration("down"), Empty: c.Bool("empty"), Watch: c.Duration("watch")}.Play()
-		}()
-	}
-	all.Wait()
-	if err := errors.Join(errs...); err != nil {
+	reps := make([]fleet.HerdReport, len(programs))
+	if err := sideBySide(len(programs), func(i int, dir string) (err error) {
+		reps[i], err = fleet.Herd{Program: programs[i], Dir: dir, Senders: c.Int("senders"), Kill: c.Int("kill"), PerS: c.Float("per-s"), Come: c.Float("come"),
+			Warm: c.Duration("warm"), Out: c.Duration("out"), Down: c.Duration("down"), Empty: c.Bool("empty"), Watch: c.Duration("watch")}.Play()
+		return err
+	}); err != nil {
 		return err
 	}
 	for i, r := range reps {
--- a/internal/load/command/limit.go
+++ b/internal/load/command/limit.go
@@ -35,24 +35,12 @@
 	if c.Int("senders") < 3 || c.Int("kill") < 0 || c.Int("kill") >= c.Int("senders") || !(c.Float("per-s") > 0) || !(c.Float("demand") > 0) {
 		return errors.New("load limit: --senders from 3, --kill under that, --per-s and --demand above 0")
 	}
-	out, errs := make([][]fleet.Phase, 2), make([]error, 2)
-	var both sync.WaitGroup
-	for i, group := range []bool{true, false} {
-		both.Add(1)
-		go func() {
-			defer both.Done()
-			dir, err := fleet.TempDir()
-			if err != nil {
-				errs[i] = err
-				return
-			}
-			defer os.RemoveAll(dir)
-			out[i], errs[i] = fleet.LimitGame{Program: program, Dir: dir, Senders: c.Int("senders"), PerS: c.Float("per-s"), Demand: c.Float("demand"),
-				Group: group, Warm: c.Duration("warm"), Each: c.Duration("each"), Down: c.Duration("down"), Kill: c.Int("kill")}.Play()
-		}()
-	}
-	both.Wait()
-	if err := errors.Join(errs...); err != nil {
+	out := make([][]fleet.Phase, 2)
+	if err := sideBySide(2, func(i int, dir string) (err error) {
+		out[i], err = fleet.LimitGame{Program: program, Dir: dir, Senders: c.Int("senders"), PerS: c.Float("per-s"), Demand: c.Float("demand"),
+			Group: i == 0, Warm: c.Duration("warm"), Each: c.Duration("each"), Down: c.Duration("down"), Kill: c.Int("kill")}.Play()
+		return err
+	}); err != nil {
 		return err
 	}
 	for i, p := range out[0] {
@@ -63,3 +51,23 @@
 	}
 	return nil
 }
+
+// sideBySide plays so many games at once, each in a folder of its own.
+func sideBySide(n int, play func(i int, dir string) error) error {
+	errs := make([]error, n)
+	var all sync.WaitGroup
+	for i := range n {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			dir, err := fleet.TempDir()
+			if err == nil {
+				defer os.RemoveAll(dir)
+				err = play(i, dir)
+			}
+			errs[i] = err
+		}()
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
