duties shows each duty of the file; a return's leases go by its duty's name

Need: an operator looks for every name of the file; limit, roll and return were there only under the names of their leases. Change: notes for those; the lease on trying a destination is DUTY@DESTINATION.

--- a/internal/app/neighbours.go
+++ b/internal/app/neighbours.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -26,22 +25,22 @@
 	group *group.Group
 	log   zerolog.Logger
 	name  string
-	heeds bool    // there is a duty of the kind return
+	heeds string  // the duty of the kind return; empty: none
 	dests []int64 // that have a limit
 	wants []atomic.Int64
 	news  chan []logic.Health // what the core said last
 	tries map[int64]bool      // destinations that this member alone tries just now; of the group's goroutine that asks
 }
 
-// returnPrefix begins the leases on trying a destination that is out; its number follows.
-const returnPrefix = "return@"
+// trying is the lease on trying a destination that is out.
+func (n *neighbours) trying(dest int64) string { return n.heeds + "@" + strconv.FormatInt(dest, 10) }
 
 func newNeighbours(core *sender.Sender, cfg config.Config, log zerolog.Logger) *neighbours {
 	c := cfg.Group
 	n := &neighbours{core: core, log: log, name: c.Name, news: make(chan []logic.Health, 1), tries: map[int64]bool{}}
 	o := group.Options{Name: c.Name, Listen: c.Listen, Voters: c.Voters, Dir: GroupDir(cfg), Weight: c.Weight, Log: log,
 		Terms: lease.Terms{Length: time.Duration(c.LeaseMs) * time.Millisecond, Drift: c.Drift},
-		Ready: func() bool { ok, _ := core.Ready(); return ok }, Told: n.told}
+		Ready: func() bool { ok, _ := core.Ready(); return ok }, Told: n.told, Notes: map[string]string{}}
 	for _, d := range c.Duties {
 		x := group.Duty{Name: d.Name, Every: time.Duration(d.EveryMs) * time.Millisecond, Longest: time.Duration(d.LongestMs) * time.Millisecond}
 		switch d.Kind {
@@ -52,12 +51,14 @@
 			x.Round, x.Do = true, verify(cfg, log)
 			o.Duties = append(o.Duties, x)
 		case config.DutyReturn:
-			n.heeds = true
+			n.heeds, o.Notes[d.Name] = d.Name, "nothing is out, or see "+d.Name+"@DESTINATION"
 		case config.DutyLimit:
 			n.dests = append(n.dests, d.Dest)
 			o.Limits = append(o.Limits, n.limit(d, len(n.dests)-1))
+			o.Notes[d.Name] = "it is divided: see " + d.Name + "/MEMBER"
 		case config.DutyRoll:
 			o.Rolls = append(o.Rolls, group.Roll{Name: d.Name, AtOnce: d.AtOnce, Out: time.Duration(d.OutMs) * time.Millisecond})
+			o.Notes[d.Name] = "nobody is out, or see " + d.Name + "#1"
 		}
 	}
 	n.wants = make([]atomic.Int64, len(n.dests))
@@ -95,7 +96,7 @@
 
 // told takes in what the group says with each answer of its leader.
 func (n *neighbours) told(hints []group.Hint, held map[string]string, until time.Duration) {
-	if !n.heeds {
+	if n.heeds == "" {
 		return
 	}
 	var list []logic.Event
@@ -110,7 +111,7 @@
 		}
 	}
 	for name, who := range held {
-		dest, err := strconv.ParseInt(strings.TrimPrefix(name, returnPrefix), 10, 64)
+		dest, err := strconv.ParseInt(strings.TrimPrefix(name, n.heeds+"@"), 10, 64)
 		if err != nil || back[dest] {
 			continue
 		}
@@ -152,7 +153,7 @@
 }
 
 func (n *neighbours) say(list []logic.Health) {
-	if !n.heeds {
+	if n.heeds == "" {
 		return
 	}
 	var hints []group.Hint
@@ -160,7 +161,7 @@
 	for _, h := range list {
 		hints = append(hints, group.Hint{Dest: h.Dest, Waits: h.WaitUs, Out: h.Out, Returning: h.Returning, SinceUs: h.SinceUs})
 		if h.Out && h.Wanted { // who has nothing to send does not try
-			claims = append(claims, fmt.Sprint(returnPrefix, h.Dest))
+			claims = append(claims, n.trying(h.Dest))
 		}
 	}
 	n.group.Says(hints)
@@ -175,7 +176,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	if n.heeds || len(n.dests) > 0 {
+	if n.heeds != "" || len(n.dests) > 0 {
 		go n.watch(ctx)
 	}
 	go func() { defer close(done); n.group.Run(ctx) }()
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -34,6 +34,8 @@
 	Duties []Duty
 	Limits []Limit
 	Rolls  []Roll
+	// Notes are duties of the file that are no lease of that name, and what is shown of them.
+	Notes map[string]string
 	// Told hears what the others said with each answer of the leader: hints, and who holds what this member claims (by name;
 	// it may be this one), until when that counts by the group's clock. It must not wait. nil: nobody listens.
 	Told  func(hints []Hint, held map[string]string, until time.Duration)
--- a/internal/group/member.go
+++ b/internal/group/member.go
@@ -497,6 +497,9 @@
 	now := g.clock()
 	lost := g.alone(now)
 	list := map[string]DutyView{}
+	for name, why := range g.opt.Notes {
+		list[name] = DutyView{Name: name, Why: why}
+	}
 	for name := range g.runners {
 		list[name] = DutyView{Name: name, Why: "not heard of yet"}
 	}
@@ -519,7 +522,7 @@
 				d.Why = lost
 			}
 		case lost != "":
-			d.Holder, d.LeftMs, d.Acts, d.Why = "", 0, 0, lost
+			d.Holder, d.LeftMs, d.Acts, d.Why = "", 0, 0, lost // of what is divided each has its even part
 		case d.Holder == g.opt.Name: // it has let go of it, and the leader has not heard yet
 			d.Holder, d.LeftMs, d.Why = "", 0, "given back"
 		}
