--- a/internal/group/lead.go
+++ b/internal/group/lead.go
@@ -458,7 +458,7 @@
 		}
 	}
 	if a.Leader, a.At = g.leaderNow(); b.Want {
-		v := g.look2(g.clock())
+		v := g.overview(g.clock())
 		a.View = &v
 	}
 	g.mu.Unlock()
--- a/internal/group/member.go
+++ b/internal/group/member.go
@@ -404,8 +404,8 @@
 	Why     string   `json:"why,omitempty"`
 }
 
-// look2 is the leader's view. The lock is held.
-func (g *Group) look2(now time.Duration) view {
+// overview is the leader's view. The lock is held.
+func (g *Group) overview(now time.Duration) view {
 	v := view{Leader: g.opt.Name, Lives: maps.Clone(g.table.Lives), Addrs: maps.Clone(g.table.Addrs)}
 	offered := map[string]bool{}
 	for name, l := range g.table.Leases {
