Images are looked for once a second, not each turn; a limit needs a destination that shares it

Found in the last read: remember walked all destinations on every turn once a second had passed without news, and each image read the boot's id from a file on the deciding goroutine; a limit on a destination whose routes are apart, or that no route has, was held to nothing in silence; the sum of two throttled links was the faster one; three methods that nothing called. Change: one look a second, the id read once, a fault that names duty[i].dest, the slower link, the methods are gone. Result: the packages' tests, with two new faulty files.

--- a/internal/app/group_test.go
+++ b/internal/app/group_test.go
@@ -28,7 +28,7 @@
 		t.Fatal(err)
 	}
 	defer os.RemoveAll(dir)
-	rep, line, err := fleet.Game{Program: os.Args[0], Dir: dir, Members: 5, Duties: 2, Lease: lease, Every: lease / 10, Longest: lease / 4,
+	rep, _, err := fleet.Game{Program: os.Args[0], Dir: dir, Members: 5, Duties: 2, Lease: lease, Every: lease / 10, Longest: lease / 4,
 		Takes: 5 * time.Millisecond, Seed: 1, Plan: plan}.Play()
 	if err != nil {
 		t.Fatal(err)
@@ -37,5 +37,4 @@
 		t.Errorf("%+v, %d hand-overs", v, len(rep.Handovers))
 	}
 	t.Logf("%d acts, %d refused, %d hand-overs, %v", rep.Verdict.Acts, rep.Verdict.Refused, len(rep.Handovers), rep.Lapses)
-	_ = line
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -366,5 +367,26 @@
 	if len(f.Route) == 0 && f.Discovery == "" {
 		return fault(path+": route", "names no egress target")
 	}
+	return limited(path, f)
+}
+
+// limited checks that each limit of a group belongs to a destination of the file whose routes share it: one whose routes have
+// limits of their own would be held to nothing.
+func limited(path string, f *file) error {
+	for i, d := range f.Duty {
+		if d.Kind != DutyLimit {
+			continue
+		}
+		known := f.Discovery != ""
+		for _, r := range f.Route {
+			apart := slices.ContainsFunc(f.Kind, func(k Kind) bool { return k.Name == r.Kind && k.Apart })
+			if known = known || r.Dest == d.Dest; r.Dest == d.Dest && apart {
+				return fault(fmt.Sprintf("%s: duty[%d].dest", path, i), "the routes of destination %d have limits of their own (kind %s)", d.Dest, r.Kind)
+			}
+		}
+		if !known {
+			return fault(fmt.Sprintf("%s: duty[%d].dest", path, i), "no route has destination %d", d.Dest)
+		}
+	}
 	return nil
 }
--- a/internal/config/group_test.go
+++ b/internal/config/group_test.go
@@ -84,7 +84,9 @@
 		swap(`kind = "roll"`, "kind = \"roll\"\nout_ms = 5"):                             "duty[3].out_ms",
 		swap(`name = "restarts"`+"\nkind = \"roll\"", "name = \"r\"\nkind = \"return\""): "duty[3].kind",
 		swap(`name = "restarts"`+"\nkind = \"roll\"", "name = \"r\"\nkind = \"limit\"\ndest = 1\nper_s = 3"): "duty[3].dest",
-		duties: "duty",
+		duties:                       "duty",
+		swap("dest = 1", "dest = 9"): "duty[2].dest",
+		group + duties + "[[kind]]\nname = \"k\"\napart = true\n[[route]]\nname = \"r2\"\nkind = \"k\"\ndest = 1\nproto = \"http\"\ndial = \"127.0.0.1:3\"\n": "duty[2].dest",
 	} {
 		file := "[limits]\ndisk_mb = 16\n" + strings.TrimPrefix(small, "[limits]\n") + text
 		if _, err := load(t, "", file, nil); err == nil || !strings.Contains(err.Error(), key) {
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -198,9 +198,6 @@
 	return first
 }
 
-// Gone books that a member has left on purpose: it is not waited for when it comes back.
-func (p *Presence) Gone(name string) { delete(p.seen, name) }
-
 // Here tells whether a member is there, and whether it has settled.
 func (p *Presence) Here(name string, now time.Duration) (here, settled bool) {
 	v := p.seen[name]
@@ -258,6 +255,3 @@
 	r.fails++
 	r.next = max(r.next, now+r.Every*time.Duration(min(1<<min(r.fails, 10), maxBack)))
 }
-
-// Fails is how many acts in a row have failed.
-func (r *Rhythm) Fails() int { return r.fails }
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -49,13 +49,6 @@
 // Close ends it.
 func (p *Partner) Close() { _ = p.ln.Close() }
 
-// Limit sets the limit from now on.
-func (p *Partner) Limit(rate float64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.rate, p.level = rate, min(p.level, rate*partnerBurst)
-}
-
 // Down lets it take calls and end their connections without an answer, or serve again.
 func (p *Partner) Down(down bool) { p.down.Store(down) }
 
--- a/internal/fleet/world.go
+++ b/internal/fleet/world.go
@@ -171,7 +171,11 @@
 }
 
 func (a Weather) and(b Weather) Weather {
-	return Weather{Cut: a.Cut || b.Cut, Delay: a.Delay + b.Delay, Jitter: a.Jitter + b.Jitter, BytesPerS: max(a.BytesPerS, b.BytesPerS),
+	slow := min(a.BytesPerS, b.BytesPerS) // 0 is no bound
+	if slow == 0 {
+		slow = max(a.BytesPerS, b.BytesPerS)
+	}
+	return Weather{Cut: a.Cut || b.Cut, Delay: a.Delay + b.Delay, Jitter: a.Jitter + b.Jitter, BytesPerS: slow,
 		Drop: max(a.Drop, b.Drop), Double: max(a.Double, b.Double), DoubleBy: max(a.DoubleBy, b.DoubleBy)}
 }
 
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -14,6 +14,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 
 	"brackendale/logic"
@@ -98,12 +99,19 @@
 	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts) == nil {
 		c.Boot = ts.Nano() / 1000
 	}
-	if raw, err := os.ReadFile("/proc/sys/kernel/random/boot_id"); err == nil {
-		c.ID = strings.TrimSpace(string(raw))
-	}
+	c.ID = bootID()
 	return c
 }
 
+// bootID is the id of the machine's start. It is read once: images are made on the goroutine that decides.
+var bootID = sync.OnceValue(func() string {
+	raw, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSpace(string(raw))
+})
+
 // Write puts an image in the place of the one in dir.
 func Write(dir string, m Image) error {
 	raw, err := Encode(m)
--- a/sender/memory.go
+++ b/sender/memory.go
@@ -18,10 +18,11 @@
 
 // remembering is what becomes of the images. Run's goroutine owns all but the channel.
 type remembering struct {
-	last  time.Time
-	worth uint64
-	write chan memory.Image // to the goroutine that writes; nil: nothing is left behind
-	done  chan struct{}
+	last   time.Time // of the last image
+	looked time.Time // when it was last asked whether one is due
+	worth  uint64
+	write  chan memory.Image // to the goroutine that writes; nil: nothing is left behind
+	done   chan struct{}
 }
 
 // recall takes up what an earlier life left in the folder; false where there is nothing of use.
@@ -65,9 +66,10 @@
 		return
 	}
 	now := time.Now()
-	if !end && now.Sub(s.memory.last) < memoryGap {
+	if !end && now.Sub(s.memory.looked) < memoryGap { // looking costs a walk over all destinations: not each turn
 		return
 	}
+	s.memory.looked = now
 	worth := s.relay.Worth()
 	if worth == s.memory.worth && !end && now.Sub(s.memory.last) < memoryAge {
 		return
