Tests take ports that the kernel gives to nobody else

Change: fleet.FreePort looks below 32768, where nobody is given a port unasked; the app's tests use it too.

--- a/internal/app/idle_test.go
+++ b/internal/app/idle_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"brackendale/internal/config"
+	"brackendale/internal/fleet"
 	"brackendale/internal/net/amqp"
 	"brackendale/internal/standin"
 
@@ -74,12 +75,11 @@
 func newAppliance(t *testing.T) *appliance {
 	t.Helper()
 	free := func() string {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		at, err := fleet.FreePort()
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer ln.Close()
-		return ln.Addr().String()
+		return at
 	}
 	dir := t.TempDir()
 	t.Setenv("LB_STATE", dir)
--- a/internal/app/upgrade_test.go
+++ b/internal/app/upgrade_test.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"brackendale/internal/config"
+	"brackendale/internal/fleet"
 	"brackendale/internal/handover"
 	"brackendale/internal/spool"
 	"brackendale/internal/standin"
@@ -137,12 +138,11 @@
 // start begins a process beside those that run.
 func (o *office) start() *process {
 	o.t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free just now
+	control, err := fleet.FreePort()
 	if err != nil {
 		o.t.Fatal(err)
 	}
-	p := &process{Cmd: exec.Command(os.Args[0]), control: ln.Addr().String(), said: &bytes.Buffer{}, ended: make(chan error, 1)}
-	_ = ln.Close()
+	p := &process{Cmd: exec.Command(os.Args[0]), control: control, said: &bytes.Buffer{}, ended: make(chan error, 1)}
 	p.Env = append(os.Environ(), "BRACKENDALE_TEST_SERVE="+o.site(), "LB_STATE="+o.state(), "LB_ACCEPT_FD=3", "LB_CONTROL="+p.control)
 	p.ExtraFiles = []*os.File{o.file}
 	p.Stderr = p.said
--- a/internal/fleet/world.go
+++ b/internal/fleet/world.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -326,12 +327,20 @@
 	return nil
 }
 
-// FreePort is an address of loopback that was free just now.
+// nextPort is where FreePort looks next. It stays below the ports that the kernel gives to whoever asks for any (from 32768 on):
+// one of those may be somebody else's by the time it is listened on.
+var nextPort atomic.Int64
+
+const firstPort, ports = 15_000, 16_000
+
+// FreePort is an address of loopback that nobody listens on, and that no one is given who does not ask for it.
 func FreePort() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("fleet: %w", err)
+	nextPort.CompareAndSwap(0, int64(os.Getpid())*101) // other processes look elsewhere
+	for range ports {
+		at := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%ports)
+		if ln, err := net.Listen("tcp", at); err == nil {
+			return at, ln.Close()
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", errors.New("fleet: no free port")
 }
