--- /dev/null
+++ b/internal/testkit/ci/judge_test.go
@@ -0,0 +1,50 @@
+// Package ci tests the landing check's own tools.
+package ci
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// The known failures are exactly the tests that may fail: any other failure, a listed test that passes or does not exist, a line
+// of another form, a fourth line and a failure that names no test are refused.
+func TestKnownFailures(t *testing.T) {
+	const one, two = "TestOne | a cause | 33\n", "TestTwo | a cause | 34\n"
+	const failsOne = "--- FAIL: TestOne (0.01s)\n    x_test.go:3: no\nFAIL\nFAIL\tsome/package\t0.1s\n"
+	for _, c := range []struct {
+		name, list, output, status string
+		passes                     bool
+	}{
+		{"all green", "# none\n", "ok  \tsome/package\t0.1s\n", "0", true},
+		{"the listed one fails", "# a comment\n\n" + one, failsOne, "1", true},
+		{"an unlisted one fails", two, failsOne, "1", false},
+		{"one more fails", one, failsOne + strings.ReplaceAll(failsOne, "One", "Two"), "1", false},
+		{"a listed one passes", one + two, failsOne, "1", false},
+		{"a listed one is not there", one, "ok  \tsome/package\t0.1s\n", "0", false},
+		{"no cause", "TestOne\n", failsOne, "1", false},
+		{"four", one + two + strings.ReplaceAll(one, "One", "A") + strings.ReplaceAll(one, "One", "B"), failsOne, "1", false},
+		{"a panic beside it", one, failsOne + "panic: no\n", "1", false},
+		{"a build that fails", "", "FAIL\tsome/package [build failed]\n", "1", false},
+		{"a timeout", "", "panic: test timed out after 5m0s\n", "1", false},
+		{"a failure that names nobody", "", "FAIL\tsome/package\t0.1s\n", "1", false},
+		{"beside a listed one a failure that names nobody", one, failsOne + "FAIL\tother/package\t0.1s\n", "1", false},
+		{"only a part of a test fails", one, "    --- FAIL: TestOne/part (0.01s)\n" + failsOne, "1", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			dir := t.TempDir()
+			list, output := filepath.Join(dir, "list"), filepath.Join(dir, "output")
+			for file, text := range map[string]string{list: c.list, output: c.output} {
+				if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+					t.Fatal(err)
+				}
+			}
+			said, err := exec.Command("bash", "../../../.ci/judge-tests", list, output, c.status).CombinedOutput()
+			if passes := err == nil; passes != c.passes {
+				t.Errorf("passes: %v\n%s", passes, said)
+			}
+		})
+	}
+}
