--- /dev/null
+++ b/internal/app/faults_test.go
@@ -0,0 +1,291 @@
+package app
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"brackendale/internal/clock"
+	"brackendale/internal/folder"
+	"brackendale/internal/standin"
+)
+
+// faultsKey names, in a child's environment, what goes wrong around it, as JSON of faults.
+const faultsKey = "BRACKENDALE_TEST_FAULTS"
+
+// faults is what goes wrong around a process of the test's.
+type faults struct {
+	WallStep time.Duration // by which its wall clock is off
+	BootID   string        // of its machine's start; empty: the true one
+	Folder   []folderFault
+}
+
+// folderFault lets operations on files of the state folder fail.
+type folderFault struct {
+	Call  folder.Call
+	Name  string // of the file
+	Errno syscall.Errno
+	After int    // bytes of a write that are written before it fails
+	First int    // the first operation of the kind that fails, counted from 1
+	Count int    // how many fail from there on
+	While string // a file: in place of First and Count, all fail while it is there
+}
+
+// with is the environment of a process with these faults.
+func (f faults) with() string {
+	raw, err := json.Marshal(f)
+	if err != nil {
+		panic(err)
+	}
+	return faultsKey + "=" + string(raw)
+}
+
+// meet lets this process meet the faults that its environment names.
+func meet(text string) {
+	var f faults
+	if err := json.Unmarshal([]byte(text), &f); err != nil {
+		panic(err)
+	}
+	clock.StepWall(f.WallStep)
+	if f.BootID != "" {
+		clock.SetBootID(f.BootID)
+	}
+	counts := make([]atomic.Int64, len(f.Folder))
+	folder.SetHook(func(c folder.Call, name string) *folder.Fault {
+		for i, x := range f.Folder {
+			if x.Call != c || x.Name != name {
+				continue
+			}
+			n := int(counts[i].Add(1))
+			fails := n >= x.First && n < x.First+x.Count
+			if x.While != "" {
+				_, err := os.Stat(x.While)
+				fails = err == nil
+			}
+			if fails {
+				return &folder.Fault{Err: x.Errno, After: x.After}
+			}
+		}
+		return nil
+	})
+}
+
+// startWith begins a process with these faults around it.
+func (o *office) startWith(f faults) *process {
+	o.env = []string{f.with()}
+	defer func() { o.env = nil }()
+	return o.start()
+}
+
+// submit hands one message in on a connection of its own and returns the answer's line.
+func (o *office) submit(id, params string) string {
+	for until := time.Now().Add(standin.Long); time.Now().Before(until); time.Sleep(2 * time.Millisecond) {
+		c, err := net.Dial("tcp", o.clients)
+		if err != nil {
+			continue
+		}
+		_ = c.SetDeadline(time.Now().Add(standin.Long))
+		words := []string{"SUBMIT", "0", id, params, "body " + id}
+		var text strings.Builder
+		fmt.Fprintf(&text, "*%d\r\n", len(words))
+		for _, w := range words {
+			fmt.Fprintf(&text, "$%d\r\n%s\r\n", len(w), w)
+		}
+		_, _ = io.WriteString(c, text.String())
+		line, _ := bufio.NewReader(c).ReadString('\n')
+		_ = c.Close()
+		if line != "" {
+			return strings.TrimSpace(line)
+		}
+	}
+	return ""
+}
+
+// takenOn hands messages in and fails the test where one is not taken on.
+func (o *office) takenOn(name string, n int, params string) {
+	o.t.Helper()
+	for i := range n {
+		id := fmt.Sprint(name, "-", i)
+		if line := o.submit(id, params); line != "+OK" {
+			o.t.Fatalf("%s: %q", id, line)
+		}
+		o.mu.Lock()
+		o.taken[id] = true
+		o.mu.Unlock()
+	}
+}
+
+// shut lets the partner refuse all calls until open is called; applied counts what it takes after that.
+func (o *office) shut() (open func()) {
+	var isOpen atomic.Bool
+	o.answer = func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if !isOpen.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		o.mu.Lock()
+		o.applied[r.Header.Get("Req-Id")]++
+		o.mu.Unlock()
+	}
+	var once sync.Once
+	return func() { once.Do(func() { isOpen.Store(true) }) }
+}
+
+// The wall clock is an hour on, or back, when the sender starts again, killed or ended in order: what had waited is still tried
+// once its partner is open, and what the partner never takes has its end in time.
+func TestWallClockStepsBetweenProcesses(t *testing.T) {
+	for _, step := range []time.Duration{time.Hour, -time.Hour, 3 * time.Second, -3 * time.Second} {
+		for _, signal := range []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM} {
+			t.Run(fmt.Sprint(step, " ", signal), func(t *testing.T) {
+				t.Parallel()
+				o := newOffice(t)
+				open := o.shut()
+				p := o.start()
+				o.ready(p)
+				o.takenOn("long", 8, "c=charge,t=x,d=20000,dest=7")
+				o.takenOn("short", 8, "c=charge,t=x,d=6000,dest=7")
+				due := time.Now().Add(6 * time.Second)
+				_ = p.Process.Signal(signal)
+				<-p.ended
+				o.ready(o.startWith(faults{WallStep: step}))
+				// A restart's grace on notices, and the page's slack, are over by then.
+				time.Sleep(time.Until(due.Add(1900 * time.Millisecond)))
+				o.mu.Lock()
+				for id, end := range o.finals {
+					if strings.HasPrefix(id, "long") {
+						t.Errorf("%s is %s with two thirds of its time left", id, end)
+					}
+				}
+				for i := range 8 {
+					if id := fmt.Sprint("short-", i); o.finals[id] == "" {
+						t.Errorf("%s has no end two seconds after its time", id)
+					}
+				}
+				o.mu.Unlock()
+				open()
+				o.settled()
+				for i := range 8 {
+					if id := fmt.Sprint("long-", i); o.applied[id] != 1 {
+						t.Errorf("%s was delivered %d times", id, o.applied[id])
+					}
+				}
+			})
+		}
+	}
+}
+
+// Writes to the journal fail with EIO or ENOSPC, once, a few times, in a row, whole or behind a part of a record, with the cut
+// behind them failing too: the sender lives on, and after a kill each message that was taken on is delivered once or has its end.
+func TestJournalWritesFail(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.EIO, syscall.ENOSPC, syscall.EINTR, syscall.ENOMEM} {
+		for _, after := range []int{0, 13, 1 << 20} {
+			for _, cut := range []bool{false, true} {
+				t.Run(fmt.Sprint(errno.Error(), " after ", after, " cut fails ", cut), func(t *testing.T) {
+					t.Parallel()
+					o := newOffice(t)
+					var list []folderFault
+					for _, at := range [][2]int{{3, 1}, {8, 3}, {20, 5}} {
+						list = append(list, folderFault{Call: folder.CallWrite, Name: "spool", Errno: errno, After: after, First: at[0], Count: at[1]})
+					}
+					if cut {
+						list = append(list, folderFault{Call: folder.CallTruncate, Name: "spool", Errno: errno, First: 2, Count: 3})
+					}
+					p := o.startWith(faults{Folder: list})
+					o.ready(p)
+					stop := o.crowd(4)
+					enough := func(n int) {
+						t.Helper()
+						for until := time.Now().Add(standin.Long); ; time.Sleep(5 * time.Millisecond) {
+							o.mu.Lock()
+							taken := len(o.taken)
+							o.mu.Unlock()
+							if taken >= n {
+								return
+							}
+							select {
+							case err := <-p.ended:
+								t.Fatalf("it ended with %d taken on: %v\n%s", taken, err, p.said)
+							default:
+							}
+							if time.Now().After(until) {
+								t.Fatalf("only %d are taken on\n%s", taken, p.said)
+							}
+						}
+					}
+					enough(60)
+					_ = p.Process.Kill()
+					<-p.ended
+					p = o.start()
+					o.ready(p)
+					stop()
+					o.settled()
+				})
+			}
+		}
+	}
+}
+
+// The folder fails while a sender starts: it waits and says so, answers on its second address that it is not ready, and is ready
+// once the folder works.
+func TestStartWithAFailingFolder(t *testing.T) {
+	for _, c := range []folderFault{{Call: folder.CallOpen, Name: "lock"}, {Call: folder.CallOpen, Name: "spool"},
+		{Call: folder.CallRead, Name: "spool"}, {Call: folder.CallTruncate, Name: "spool"}, {Call: folder.CallRemove, Name: "spool.new"}} {
+		for _, errno := range []syscall.Errno{syscall.EIO, syscall.ENOSPC, syscall.EMFILE} {
+			t.Run(fmt.Sprint(c.Call, " ", c.Name, " ", errno.Error()), func(t *testing.T) {
+				t.Parallel()
+				o := newOffice(t)
+				open := o.shut()
+				p := o.start()
+				o.ready(p)
+				o.takenOn("held", 3, "c=charge,t=x,d=20000,dest=7")
+				_ = p.Process.Kill()
+				<-p.ended
+				if c.Call == folder.CallTruncate { // there is something to cut
+					f, err := os.OpenFile(filepath.Join(o.state(), "spool"), os.O_WRONLY|os.O_APPEND, 0)
+					if err != nil {
+						t.Fatal(err)
+					}
+					_, _ = f.WriteString("half a rec")
+					_ = f.Close()
+				}
+				c.Errno, c.While = errno, filepath.Join(t.TempDir(), "fails")
+				if err := os.WriteFile(c.While, nil, 0o600); err != nil {
+					t.Fatal(err)
+				}
+				p = o.startWith(faults{Folder: []folderFault{c}})
+				for until := time.Now().Add(standin.Long); ; time.Sleep(5 * time.Millisecond) {
+					status, why := p.ask("GET", "/api/ready", "")
+					if status >= 400 && strings.Contains(why, "folder") {
+						break
+					}
+					select {
+					case err := <-p.ended:
+						t.Fatalf("it ended: %v\n%s", err, p.said)
+					default:
+					}
+					if time.Now().After(until) {
+						t.Fatalf("it does not say so: %d %q\n%s", status, why, p.said)
+					}
+				}
+				if err := os.Remove(c.While); err != nil {
+					t.Fatal(err)
+				}
+				o.ready(p)
+				open()
+				o.settled()
+			})
+		}
+	}
+}
--- a/internal/app/idle_test.go
+++ b/internal/app/idle_test.go
@@ -142,6 +142,9 @@
 	if kill := os.Getenv(killKey); kill != "" {
 		killedAt(kill)
 	}
+	if text := os.Getenv(faultsKey); text != "" {
+		meet(text)
+	}
 	if file != "" {
 		if err := Serve(context.Background(), file, How{}); err != nil {
 			fmt.Fprintln(os.Stderr, err)
--- a/internal/app/upgrade_test.go
+++ b/internal/app/upgrade_test.go
@@ -46,6 +46,7 @@
 	slow    time.Duration
 	kind    string                                       // of the partner; with "k" three messages go in a call
 	refused int                                          // requests
+	env     []string                                     // of the next process, beside the usual
 	answer  func(w http.ResponseWriter, r *http.Request) // of the partner, in place of its own; set before the first call
 }
 
@@ -144,6 +145,7 @@
 	}
 	p := &process{Cmd: exec.Command(os.Args[0]), control: control, said: &bytes.Buffer{}, ended: make(chan error, 1)}
 	p.Env = append(os.Environ(), "BRACKENDALE_TEST_SERVE="+o.site(), "LB_STATE="+o.state(), "LB_ACCEPT_FD=3", "LB_CONTROL="+p.control)
+	p.Env = append(p.Env, o.env...)
 	p.ExtraFiles = []*os.File{o.file}
 	p.Stderr = p.said
 	if err := p.Start(); err != nil {
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -10,16 +10,12 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
-	"io"
 	"os"
 	"path/filepath"
-	"strings"
-	"sync"
-	"time"
 
+	"brackendale/internal/clock"
+	"brackendale/internal/folder"
 	"brackendale/logic"
-
-	"golang.org/x/sys/unix"
 )
 
 // Most is how many bytes the file has at most; while it is replaced there are two of them.
@@ -33,17 +29,10 @@
 
 var table = crc32.MakeTable(crc32.Castagnoli)
 
-// Clock is a moment by both clocks of a machine, in microseconds.
-type Clock struct {
-	Wall int64
-	Boot int64  // since the machine's start, suspended time included
-	ID   string // of that start
-}
-
 // Image is what is kept.
 type Image struct {
 	Name   string // of the sender
-	At     Clock
+	At     clock.Reading
 	Module logic.Saved
 }
 
@@ -91,46 +80,22 @@
 
 // Since is how long ago an image was made, in microseconds, and by how much the times in it have to be moved to be of the wall
 // clock as it is now. Without the same start of the machine only the wall clock tells, and one that went back counts as no time.
-func Since(at, now Clock) (away, move int64) {
-	wall := now.Wall - at.Wall
+func Since(at, now clock.Reading) (away, move int64) {
+	wall := int64(now.Wall - at.Wall)
 	away = max(0, wall)
 	if at.ID != "" && at.ID == now.ID && now.Boot >= at.Boot {
-		away = now.Boot - at.Boot
+		away = int64(now.Boot - at.Boot)
 	}
 	return away, wall - away
 }
 
-// Now reads the machine's clocks.
-func Now() (c Clock) {
-	c.Wall = time.Now().UnixMicro()
-	var ts unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts) == nil {
-		c.Boot = ts.Nano() / 1000
-	}
-	c.ID = bootID()
-	return c
-}
-
-// bootID is the id of the machine's start. It is read once: images are made on the goroutine that decides.
-var bootID = sync.OnceValue(func() string {
-	raw, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
-	if err != nil {
-		return ""
-	}
-	return strings.TrimSpace(string(raw))
-})
-
 // Write puts an image in the place of the one in dir.
 func Write(dir string, m Image) error {
 	raw, err := Encode(m)
 	if err != nil {
 		return err
 	}
-	next := filepath.Join(dir, fileName+".new")
-	if err := os.WriteFile(next, raw, 0o600); err != nil {
-		return errors.Join(fmt.Errorf("memory: %w", err), os.Remove(next))
-	}
-	if err := os.Rename(next, filepath.Join(dir, fileName)); err != nil {
+	if err := folder.Replace(filepath.Join(dir, fileName), raw); err != nil {
 		return fmt.Errorf("memory: %w", err)
 	}
 	return nil
@@ -139,19 +104,15 @@
 // Read reads the image in dir; there is false where there is no file. The error tells why what is there is of no use to the
 // sender of that name.
 func Read(dir, name string) (m Image, there bool, err error) {
-	_ = os.Remove(filepath.Join(dir, fileName+".new")) // of a life that ended while it wrote
-	f, err := os.Open(filepath.Join(dir, fileName))
+	path := filepath.Join(dir, fileName)
+	_ = folder.Remove(folder.Scratch(path)) // of a life that ended while it wrote
+	raw, err := folder.Read(path, Most)
 	if errors.Is(err, os.ErrNotExist) {
 		return m, false, nil
 	}
 	if err != nil {
 		return m, true, fmt.Errorf("memory: %w", err)
 	}
-	defer f.Close()
-	raw, err := io.ReadAll(io.LimitReader(f, Most+1))
-	if err != nil {
-		return m, true, fmt.Errorf("memory: %w", err)
-	}
 	if m, err = Decode(raw); err != nil {
 		return m, true, err
 	}
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -7,11 +7,12 @@
 	"strings"
 	"testing"
 
+	"brackendale/internal/clock"
 	"brackendale/logic"
 )
 
 func image() Image {
-	return Image{Name: "n1", At: Clock{Wall: 1_000_000, Boot: 50, ID: "x"}, Module: logic.Saved{Form: logic.SavedForm,
+	return Image{Name: "n1", At: clock.Reading{Wall: 1_000_000, Boot: 50, ID: "x"}, Module: logic.Saved{Form: logic.SavedForm,
 		Dests: []logic.SavedDest{{Dest: 7, Bits: []float64{2.5}, Ints: []int64{900_000}}}}}
 }
 
@@ -65,18 +66,18 @@
 // How long a sender was away, and how far the clock was set meanwhile, whatever the clocks did.
 func TestSince(t *testing.T) {
 	const s, h = 1_000_000, 3600 * 1_000_000
-	at := Clock{Wall: 100 * h, Boot: 10 * h, ID: "x"}
+	at := clock.Reading{Wall: 100 * h, Boot: 10 * h, ID: "x"}
 	for _, c := range []struct {
 		what       string
-		now        Clock
+		now        clock.Reading
 		away, move int64
 	}{
-		{"nothing odd", Clock{100*h + 3*s, 10*h + 3*s, "x"}, 3 * s, 0},
-		{"set an hour forward", Clock{101*h + 3*s, 10*h + 3*s, "x"}, 3 * s, h},
-		{"set an hour back", Clock{99*h + 3*s, 10*h + 3*s, "x"}, 3 * s, -h},
-		{"started anew", Clock{100*h + 90*s, 20 * s, "y"}, 90 * s, 0},
-		{"started anew and set back", Clock{99 * h, 20 * s, "y"}, 0, -h},
-		{"no id", Clock{100*h + s, 0, ""}, s, 0},
+		{"nothing odd", clock.Reading{Wall: 100*h + 3*s, Boot: 10*h + 3*s, ID: "x"}, 3 * s, 0},
+		{"set an hour forward", clock.Reading{Wall: 101*h + 3*s, Boot: 10*h + 3*s, ID: "x"}, 3 * s, h},
+		{"set an hour back", clock.Reading{Wall: 99*h + 3*s, Boot: 10*h + 3*s, ID: "x"}, 3 * s, -h},
+		{"started anew", clock.Reading{Wall: 100*h + 90*s, Boot: 20 * s, ID: "y"}, 90 * s, 0},
+		{"started anew and set back", clock.Reading{Wall: 99 * h, Boot: 20 * s, ID: "y"}, 0, -h},
+		{"no id", clock.Reading{Wall: 100*h + s, Boot: 0, ID: ""}, s, 0},
 	} {
 		if away, move := Since(at, c.now); away != c.away || move != c.move {
 			t.Errorf("%s: away %d, moved %d", c.what, away, move)
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -8,13 +8,14 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
-	"io"
 	"maps"
 	"math"
 	"os"
 	"path/filepath"
 	"slices"
 	"syscall"
+
+	"brackendale/internal/folder"
 )
 
 // Entry is one message as the spool knows it.
@@ -83,8 +84,8 @@
 // Spool is the open journal. It belongs to one goroutine.
 type Spool struct {
 	dir   string
-	lock  *os.File // held for as long as the journal is written; the kernel drops it with the process
-	f     *os.File
+	lock  *folder.File // held for as long as the journal is written; the kernel drops it with the process
+	f     *folder.File
 	spare *os.File // a descriptor for a compaction while there is no other; nil: it could not be had
 	size  int64    // of the file, as written
 	most  int64    // of the file: half the budget, so that a compaction fits beside it
@@ -114,15 +115,15 @@
 			_ = s.lock.Close()
 		}
 	}()
-	if err := os.Remove(s.path() + ".new"); err != nil && !errors.Is(err, os.ErrNotExist) {
+	if err := folder.Remove(folder.Scratch(s.path())); err != nil {
 		return nil, fmt.Errorf("spool: %w", err)
 	}
-	f, err := os.OpenFile(s.path(), os.O_RDWR|os.O_CREATE, 0o600)
+	f, err := folder.Open(s.path(), os.O_RDWR|os.O_CREATE)
 	if err != nil {
 		return nil, fmt.Errorf("spool: %w", err)
 	}
 	s.f = f
-	raw, err := io.ReadAll(io.LimitReader(f, budget+maxRec))
+	raw, err := f.ReadAll(budget + maxRec)
 	if err != nil {
 		return nil, fmt.Errorf("spool: reading: %w", err)
 	}
@@ -134,7 +135,7 @@
 			return nil, fmt.Errorf("spool: %w", err)
 		}
 	}
-	if _, err := f.Seek(s.size, io.SeekStart); err != nil {
+	if err := f.SeekTo(s.size); err != nil {
 		return nil, fmt.Errorf("spool: %w", err)
 	}
 	for _, e := range s.live {
@@ -155,12 +156,12 @@
 func (s *Spool) path() string { return filepath.Join(s.dir, fileName) }
 
 // hold takes the lock, or fails at once.
-func hold(path string) (*os.File, error) {
-	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
+func hold(path string) (*folder.File, error) {
+	f, err := folder.Open(path, os.O_RDWR|os.O_CREATE)
 	if err != nil {
 		return nil, fmt.Errorf("spool: %w", err)
 	}
-	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+	if err := syscall.Flock(f.Descriptor(), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		if errors.Is(err, syscall.EWOULDBLOCK) {
 			err = ErrHeld
 		}
@@ -361,7 +362,7 @@
 		if terr := s.f.Truncate(s.size); terr != nil {
 			return fmt.Errorf("spool: writing: %w", errors.Join(err, terr))
 		}
-		_, serr := s.f.Seek(s.size, io.SeekStart)
+		serr := s.f.SeekTo(s.size)
 		return fmt.Errorf("spool: writing: %w", errors.Join(err, serr))
 	}
 	s.size += int64(n)
@@ -385,8 +386,8 @@
 	if int64(len(out)) > s.most {
 		return ErrFull
 	}
-	name := s.path() + ".new"
-	create := func() (*os.File, error) { return os.OpenFile(name, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600) }
+	name := folder.Scratch(s.path())
+	create := func() (*folder.File, error) { return folder.Open(name, os.O_RDWR|os.O_CREATE|os.O_TRUNC) }
 	f, err := create()
 	if errors.Is(err, syscall.EMFILE) && s.spare != nil { // idle clients, say, hold all the others
 		s.release()
@@ -397,11 +398,11 @@
 		return fmt.Errorf("spool: %w", err)
 	}
 	if _, err = f.Write(out); err == nil {
-		err = os.Rename(name, s.path())
+		err = folder.Rename(name, s.path())
 	}
 	if err != nil {
 		_ = f.Close() // the old file still stands
-		return fmt.Errorf("spool: compaction: %w", errors.Join(err, os.Remove(name)))
+		return fmt.Errorf("spool: compaction: %w", errors.Join(err, folder.Remove(name)))
 	}
 	_ = s.f.Close() // its file is gone already
 	s.f, s.size, s.buf, s.anew = f, int64(len(out)), s.buf[:0], false
--- a/sender/memory.go
+++ b/sender/memory.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"brackendale/internal/clock"
 	"brackendale/internal/memory"
 )
 
@@ -32,11 +33,11 @@
 		return false
 	}
 	if err == nil {
-		now := memory.Now()
+		now := clock.Now()
 		away, move := memory.Since(m.At, now)
 		m.Module.Move(move)
-		if err = s.relay.Recall(m.Module, now.Wall); err == nil {
-			s.ends.perS = s.relay.Came(now.Wall) // until messages have ended in this life: what came in went out
+		if err = s.relay.Recall(m.Module, int64(now.Wall)); err == nil {
+			s.ends.perS = s.relay.Came(int64(now.Wall)) // until messages have ended in this life: what came in went out
 			s.log.Info().Int64("away_ms", away/1000).Int64("clock_moved_ms", move/1000).Int("destinations", len(m.Module.Dests)).Msg("what the last life knew")
 			return true
 		}
@@ -76,7 +77,7 @@
 		return
 	}
 	select {
-	case s.memory.write <- memory.Image{Name: s.opt.Name, At: memory.Now(), Module: s.relay.Remember(memoryDests)}:
+	case s.memory.write <- memory.Image{Name: s.opt.Name, At: clock.Now(), Module: s.relay.Remember(memoryDests)}:
 		s.memory.last, s.memory.worth = now, worth
 	default:
 	}
--- a/sender/origin.go
+++ b/sender/origin.go
@@ -2,11 +2,10 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
-	"os"
 	"path/filepath"
 
+	"brackendale/internal/folder"
 	"brackendale/internal/origin"
 	"brackendale/internal/spool"
 	"brackendale/logic"
@@ -25,6 +24,9 @@
 
 const noteName = "life"
 
+// noteMost is how many bytes of a note are read.
+const noteMost = 4 << 10
+
 // origin judges the folder and notes this life in it. The journal names the life first, together with all doubts about an old
 // folder's messages: between the two there is no moment at which the folder looks older than it is, and once it is noted, a life
 // that follows at once finds the doubts.
@@ -117,7 +119,7 @@
 	if at, err := spool.Stamp(dir); err == nil {
 		f.At = origin.Stamp(at)
 	}
-	raw, err := os.ReadFile(filepath.Join(dir, noteName))
+	raw, err := folder.Read(filepath.Join(dir, noteName), noteMost)
 	f.Noted = err == nil && json.Unmarshal(raw, &f.Note) == nil
 	return f
 }
@@ -127,11 +129,10 @@
 	if err != nil {
 		return fmt.Errorf("noting this life: %w", err)
 	}
-	next := filepath.Join(dir, noteName+".new")
-	if err := os.WriteFile(next, append(raw, '\n'), 0o600); err != nil {
-		return errors.Join(fmt.Errorf("noting this life: %w", err), os.Remove(next))
+	if err := folder.Replace(filepath.Join(dir, noteName), append(raw, '\n')); err != nil {
+		return fmt.Errorf("noting this life: %w", err)
 	}
-	return os.Rename(next, filepath.Join(dir, noteName))
+	return nil
 }
 
 func message(e *spool.Entry, l logic.Lane) origin.Message {
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"brackendale/internal/clock"
 	"brackendale/internal/comeback"
 	"brackendale/internal/crossing"
 	"brackendale/internal/memory"
@@ -58,6 +59,7 @@
 	spool   *spool.Spool
 	log     zerolog.Logger
 	started time.Time
+	base    int64 // what Now tells at started
 	tick    time.Duration
 
 	mu   sync.Mutex
@@ -136,7 +138,7 @@
 		return nil, err
 	}
 	read := time.Since(began)
-	s := &Sender{opt: opt, relay: relay, spool: sp, log: opt.Log, started: time.Now(),
+	s := &Sender{opt: opt, relay: relay, spool: sp, log: opt.Log, started: time.Now(), base: int64(clock.Now().Wall),
 		tick: time.Duration(opt.Settings.TickUs) * time.Microsecond, wake: make(chan struct{}, 1),
 		fronts: map[string]Ingress{}, carriers: map[string]Egress{}, routes: map[string]Route{},
 		lanes: map[string]logic.Lane{}, kinds: map[string]int{}, coming: map[string]bool{}, seen: map[string]*RouteState{}, book: opt.Book,
@@ -184,7 +186,7 @@
 }
 
 // Now is the wall clock in microseconds as read at the start, carried on by the steady clock.
-func (s *Sender) Now() int64 { return s.started.UnixMicro() + time.Since(s.started).Microseconds() }
+func (s *Sender) Now() int64 { return s.base + time.Since(s.started).Microseconds() }
 
 // Run takes up what the spool holds and serves until ctx ends.
 func (s *Sender) Run(ctx context.Context) error {
