One steady clock for all that outlives a process, and no errno of the folder ends it

Change: clock.Instant (CLOCK_BOOTTIME and the boot id) is the type of all such times; journals of the wall clock are read once, and those of another boot keep the time that was left and take attempts as too old for any repeat. All that a round records is one record, written at an offset; what a failed write left is cut off before the next. At the start the process waits for the folder and says so.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -6,6 +6,7 @@
 import (
 	"strconv"
 
+	"brackendale/internal/clock"
 	"brackendale/logic"
 )
 
@@ -28,24 +29,24 @@
 	return [...]string{"admitted", "told to wait", "drained", "moved", "window over", "time up", "stopped"}[v]
 }
 
-// Attempt is what the verdict depends on. Times are of one clock, in microseconds.
+// Attempt is what the verdict depends on.
 type Attempt struct {
 	Endpoint logic.Endpoint // as it was when the attempt was decided
-	StartBy  int64          // it may leave before then; 0: at any time
-	Deadline int64          // its first message may be delivered until then
+	StartBy  clock.Instant  // it may leave before then; 0: at any time
+	Deadline clock.Instant  // its first message may be delivered until then
 }
 
 // Gate holds what is known just now. It belongs to one goroutine.
 type Gate struct {
-	apart   map[string]bool  // kinds of endpoint that have limits of their own
-	dests   map[string]int64 // of the endpoints that want new attempts
-	waits   map[string]int64 // until when, by who told them; those that are over stay until the next is told
+	apart   map[string]bool          // kinds of endpoint that have limits of their own
+	dests   map[string]int64         // of the endpoints that want new attempts
+	waits   map[string]clock.Instant // until when, by who told them; those that are over stay until the next is told
 	stopped bool
 }
 
 // New makes a gate that knows no endpoint.
 func New(set logic.Settings) *Gate {
-	g := &Gate{apart: map[string]bool{}, dests: map[string]int64{}, waits: map[string]int64{}}
+	g := &Gate{apart: map[string]bool{}, dests: map[string]int64{}, waits: map[string]clock.Instant{}}
 	for i, k := range set.MachineTypes {
 		g.apart[k] = i < len(set.Family.OwnLimits) && set.Family.OwnLimits[i]
 	}
@@ -71,7 +72,7 @@
 }
 
 // Wait books that an endpoint told to wait until then. The longest wait that was told holds.
-func (g *Gate) Wait(x logic.Endpoint, now, until int64) {
+func (g *Gate) Wait(x logic.Endpoint, now, until clock.Instant) {
 	for of, at := range g.waits {
 		if at <= now {
 			delete(g.waits, of)
@@ -85,7 +86,7 @@
 func (g *Gate) Stop() { g.stopped = true }
 
 // Admit judges an attempt now.
-func (g *Gate) Admit(a Attempt, now int64) Verdict {
+func (g *Gate) Admit(a Attempt, now clock.Instant) Verdict {
 	dest, listed := g.dests[a.Endpoint.Addr]
 	switch {
 	case g.stopped:
@@ -105,4 +106,4 @@
 }
 
 // Until is when the wait that binds an endpoint ends, or ended; 0: none.
-func (g *Gate) Until(x logic.Endpoint) int64 { return g.waits[g.Limit(x)] }
+func (g *Gate) Until(x logic.Endpoint) clock.Instant { return g.waits[g.Limit(x)] }
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -118,7 +118,11 @@
 	}
 	defer r.Stop()
 	r.Refused = (&refusals{log: log, now: wire.Now}).tell
-	core, from, old, err := become(cfg, log, func(st *handover.State) (*sender.Sender, error) {
+	waiting := func(string) {}
+	if calls != nil {
+		waiting = calls.Starting
+	}
+	core, from, old, err := become(ctx, term, cfg, log, waiting, func(st *handover.State) (*sender.Sender, error) {
 		if opt.From = nil; st != nil {
 			opt.From = &st.Core
 		}
@@ -176,7 +180,7 @@
 			return
 		}
 		go leave() // duties go to others while this sender still ends what it has
-		core.Stop(core.Now() + stopAfter.Microseconds())
+		core.Stop(core.Now().Add(stopAfter))
 		began := time.Now()
 		open, told := make(chan int, 1), make(chan bool)
 		wire.Post(func() { open <- f.room.Used() })
--- a/internal/app/faults_test.go
+++ b/internal/app/faults_test.go
@@ -243,6 +243,7 @@
 	for _, c := range []folderFault{{Call: folder.CallOpen, Name: "lock"}, {Call: folder.CallOpen, Name: "spool"},
 		{Call: folder.CallRead, Name: "spool"}, {Call: folder.CallTruncate, Name: "spool"}, {Call: folder.CallRemove, Name: "spool.new"}} {
 		for _, errno := range []syscall.Errno{syscall.EIO, syscall.ENOSPC, syscall.EMFILE} {
+			c := c // each case sets its own error
 			t.Run(fmt.Sprint(c.Call, " ", c.Name, " ", errno.Error()), func(t *testing.T) {
 				t.Parallel()
 				o := newOffice(t)
--- a/internal/app/heir.go
+++ b/internal/app/heir.go
@@ -1,13 +1,17 @@
 package app
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 
+	"brackendale/internal/clock"
 	"brackendale/internal/config"
+	"brackendale/internal/folder"
 	"brackendale/internal/handover"
 	"brackendale/internal/spool"
 	"brackendale/sender"
@@ -26,17 +30,22 @@
 
 // become opens the core of this process: at once where nobody holds the journal, after a hand-over where an elder does. The
 // link is nil where there was none. make opens the core; its error is spool.ErrHeld where somebody holds the journal.
-func become(cfg config.Config, log zerolog.Logger, open func(*handover.State) (*sender.Sender, error)) (
-	*sender.Sender, *handover.State, *link, error) {
+func become(ctx context.Context, term <-chan os.Signal, cfg config.Config, log zerolog.Logger, waiting func(why string),
+	open func(*handover.State) (*sender.Sender, error)) (*sender.Sender, *handover.State, *link, error) {
 	var m handover.Heir
 	why := error(spool.ErrHeld)
-	for until := time.Now().Add(becomeIn); time.Now().Before(until); time.Sleep(lookGap) {
+	said := false
+	for until := time.Now().Add(becomeIn); time.Now().Before(until); {
 		if cfg.Upgrade {
 			st, l, err := ask(&m, cfg)
 			if err == nil {
 				core, err := open(st)
 				if err != nil {
 					l.close()
+					if folder.Transient(err) { // the old process starts anew, or this one does from the journal
+						why = err
+						continue
+					}
 					return nil, nil, nil, err
 				}
 				log.Info().Int("open", len(st.Core.Module.Msgs)).Msg("upgrade: taken over from the old process")
@@ -52,6 +61,21 @@
 			m.On(handover.Free)
 			return core, nil, nil, nil
 		}
+		select {
+		case <-time.After(lookGap):
+		case <-ctx.Done():
+			return nil, nil, nil, ctx.Err()
+		case <-term:
+			return nil, nil, nil, errLeft // nothing is taken on yet
+		}
+		if folder.Transient(err) && !errors.Is(err, spool.ErrHeld) {
+			if waiting("the state folder: " + err.Error()); !said {
+				said = true
+				log.Error().Err(err).Msg("the state folder cannot be used: waiting until it can")
+			}
+			until = time.Now().Add(becomeIn)
+			continue
+		}
 		if !errors.Is(err, spool.ErrHeld) {
 			return nil, nil, nil, err
 		}
@@ -96,7 +120,7 @@
 	if w.Kind != "state" {
 		return nil, nil, handover.ErrWord
 	}
-	if err = sender.Fits(cfg.Settings, &w.State.Core, time.Now().UnixMicro()); err != nil {
+	if err = sender.Fits(cfg.Settings, &w.State.Core, clock.Steady()); err != nil {
 		return nil, nil, err
 	}
 	if m.On(handover.Loaded) != handover.SayTaken {
--- a/internal/app/neighbours.go
+++ b/internal/app/neighbours.go
@@ -77,14 +77,12 @@
 	rate := int64(d.PerS * 1000)
 	return group.Limit{Name: d.Name, Rate: rate, Want: func() int64 { return n.wants[i].Load() },
 		Use: func(amount int64, until time.Duration, even int64) {
-			n.core.Steer(logic.Event{Kind: logic.Bounded, Dest: d.Dest, Share: amount, Even: even, Deadline: n.wall(until)})
+			n.core.Steer(logic.Event{Kind: logic.Bounded, Dest: d.Dest, Share: amount, Even: even, Deadline: instant(until)})
 		}}
 }
 
-// wall is a time of the group's clock by the core's.
-func (n *neighbours) wall(at time.Duration) int64 {
-	return n.core.Now() + (at - group.Boottime()).Microseconds()
-}
+// instant is a time of the group's clock in the form of the module's events: both are the machine's steady clock.
+func instant(at time.Duration) int64 { return at.Microseconds() }
 
 // verify is an act that reads the journal back.
 func verify(cfg config.Config, log zerolog.Logger) func(context.Context, group.Act) error {
@@ -108,7 +106,7 @@
 	back := map[int64]bool{} // has answered somebody: each finds out for itself now
 	for _, h := range hints {
 		if h.Waits > 0 {
-			list = append(list, logic.Event{Kind: logic.Heeded, Dest: h.Dest, Deadline: n.core.Now() + h.Waits})
+			list = append(list, logic.Event{Kind: logic.Heeded, Dest: h.Dest, Deadline: int64(n.core.Now()) + h.Waits})
 		}
 		if h.Returning {
 			back[h.Dest] = true
@@ -120,7 +118,7 @@
 		if err != nil || back[dest] {
 			continue
 		}
-		e := logic.Event{Kind: logic.Elsewhere, Dest: dest, Deadline: n.wall(until)}
+		e := logic.Event{Kind: logic.Elsewhere, Dest: dest, Deadline: instant(until)}
 		if who == n.name {
 			e.Deadline = 0
 		}
--- a/internal/cli/recover.go
+++ b/internal/cli/recover.go
@@ -7,8 +7,8 @@
 	"fmt"
 	"os"
 	"text/tabwriter"
-	"time"
 
+	"brackendale/internal/clock"
 	"brackendale/internal/config"
 	"brackendale/internal/origin"
 	"brackendale/sender"
@@ -46,7 +46,7 @@
 		if err != nil {
 			return err
 		}
-		p, err := sender.PlanFor(dir, cfg.Name, how, cfg.Settings, int64(cfg.JournalMB()*(1<<20)), time.Now().UnixMicro())
+		p, err := sender.PlanFor(dir, cfg.Name, how, cfg.Settings, int64(cfg.JournalMB()*(1<<20)), clock.Steady())
 		if err != nil {
 			return fmt.Errorf("%s: %w", dir, err)
 		}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -22,6 +22,9 @@
 // Sub is the time from another instant to this one.
 func (t Instant) Sub(from Instant) time.Duration { return time.Duration(t-from) * time.Microsecond }
 
+// Microseconds is a span as the settings give it.
+func Microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
 // WallTime is a moment of the wall clock, in microseconds of Unix time. It may be stepped at any time.
 type WallTime int64
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -33,11 +33,12 @@
 
 // Server listens on the second address.
 type Server struct {
-	ln     net.Listener
-	http   *http.Server
-	write  func(io.Writer) error // the figures
-	format string                // their media type
-	core   atomic.Pointer[core]  // nil: the process is starting
+	ln       net.Listener
+	http     *http.Server
+	write    func(io.Writer) error  // the figures
+	format   string                 // their media type
+	core     atomic.Pointer[core]   // nil: the process is starting
+	starting atomic.Pointer[string] // what callers hear until then; nil: that it starts
 
 	mu   sync.Mutex
 	open []*conn // that have finished no call, the oldest first
@@ -70,6 +71,16 @@
 	s.core.Store(&core{ready, exclude})
 }
 
+// Starting sets what callers hear while no core has joined.
+func (s *Server) Starting(why string) { s.starting.Store(&why) }
+
+func (s *Server) notYet() string {
+	if why := s.starting.Load(); why != nil {
+		return *why
+	}
+	return "starting"
+}
+
 // Addr is where it listens.
 func (s *Server) Addr() net.Addr { return s.ln.Addr() }
 
@@ -153,7 +164,7 @@
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux() // answers 404 and 405
 	mux.HandleFunc("GET /api/ready", func(w http.ResponseWriter, _ *http.Request) {
-		ok, why := false, "starting"
+		ok, why := false, s.notYet()
 		if c := s.core.Load(); c != nil {
 			ok, why = c.ready()
 		}
@@ -181,7 +192,7 @@
 			}
 			c := s.core.Load()
 			if c == nil {
-				say(w, http.StatusServiceUnavailable, "starting")
+				say(w, http.StatusServiceUnavailable, s.notYet())
 				return
 			}
 			ctx, cancel := context.WithTimeout(r.Context(), doneIn)
--- a/internal/folder/folder.go
+++ b/internal/folder/folder.go
@@ -57,7 +57,10 @@
 }
 
 // File is an open file.
-type File struct{ file *os.File }
+type File struct {
+	file *os.File
+	path string
+}
 
 // Open opens a file, which is made where flag has os.O_CREATE; only its owner may use it.
 func Open(path string, flag int) (*File, error) {
@@ -68,12 +71,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &File{f}, nil
+	return &File{f, path}, nil
 }
 
 // ReadAll reads the file from its beginning, at most so many bytes of it.
 func (f *File) ReadAll(most int64) ([]byte, error) {
-	if err := check(CallRead, f.file.Name()); err != nil {
+	if err := check(CallRead, f.path); err != nil {
 		return nil, err
 	}
 	return io.ReadAll(io.NewSectionReader(f.file, 0, most))
@@ -81,31 +84,16 @@
 
 // WriteAt writes all of b at an offset; where it fails, a part of it may have been written.
 func (f *File) WriteAt(b []byte, offset int64) (int, error) {
-	if x := fault(CallWrite, f.file.Name()); x != nil {
+	if x := fault(CallWrite, f.path); x != nil {
 		n, err := f.file.WriteAt(b[:min(x.After, len(b))], offset)
-		return n, errors.Join(&os.PathError{Op: "write", Path: f.file.Name(), Err: x.Err}, err)
+		return n, errors.Join(&os.PathError{Op: "write", Path: f.path, Err: x.Err}, err)
 	}
 	return f.file.WriteAt(b, offset)
 }
 
-// Write writes all of b behind what was written last; where it fails, a part of it may have been written.
-func (f *File) Write(b []byte) (int, error) {
-	if x := fault(CallWrite, f.file.Name()); x != nil {
-		n, err := f.file.Write(b[:min(x.After, len(b))])
-		return n, errors.Join(&os.PathError{Op: "write", Path: f.file.Name(), Err: x.Err}, err)
-	}
-	return f.file.Write(b)
-}
-
-// SeekTo sets where Write goes on.
-func (f *File) SeekTo(offset int64) error {
-	_, err := f.file.Seek(offset, io.SeekStart)
-	return err
-}
-
 // Truncate cuts the file.
 func (f *File) Truncate(size int64) error {
-	if err := check(CallTruncate, f.file.Name()); err != nil {
+	if err := check(CallTruncate, f.path); err != nil {
 		return err
 	}
 	return f.file.Truncate(size)
@@ -117,12 +105,16 @@
 // Close closes the file.
 func (f *File) Close() error { return f.file.Close() }
 
-// Rename puts a file in the place of another.
-func Rename(from, to string) error {
-	if err := check(CallRename, to); err != nil {
+// Rename gives the file another name, in the place of a file that has it.
+func (f *File) Rename(path string) error {
+	if err := check(CallRename, path); err != nil {
 		return err
 	}
-	return os.Rename(from, to)
+	if err := os.Rename(f.path, path); err != nil {
+		return err
+	}
+	f.path = path
+	return nil
 }
 
 // Remove removes a file; one that is not there is no error.
@@ -145,11 +137,10 @@
 	if err != nil {
 		return err
 	}
-	_, err = f.WriteAt(raw, 0)
-	if err = errors.Join(err, f.Close()); err == nil {
-		err = Rename(Scratch(path), path)
+	if _, err = f.WriteAt(raw, 0); err == nil {
+		err = f.Rename(path)
 	}
-	if err != nil {
+	if err = errors.Join(err, f.Close()); err != nil {
 		return errors.Join(err, Remove(Scratch(path)))
 	}
 	return nil
--- a/internal/handover/words.go
+++ b/internal/handover/words.go
@@ -6,11 +6,12 @@
 	"fmt"
 	"io"
 
+	"brackendale/internal/clock"
 	"brackendale/sender"
 )
 
 // Version is that of the words below. Two sides of different versions hand over by the journal alone.
-const Version = 1
+const Version = 2
 
 // maxWord bounds one word in bytes: a state with all that the limits let a sender hold.
 const maxWord = 16 << 20
@@ -40,7 +41,8 @@
 // Offer is a request that one of the elder's clients hands in.
 type Offer struct {
 	ID, Class, Tenant, Key string
-	Dest, Deadline         int64
+	Dest                   int64
+	Deadline               clock.Instant
 	Body                   []byte
 	Front                  string
 	Note                   string
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -23,7 +23,7 @@
 
 const (
 	fileName = "memory"
-	magic    = "brackendale memory 1\n"
+	magic    = "brackendale memory 2\n"
 	head     = len(magic) + 8 // and the check sum and the length of what follows
 )
 
@@ -78,15 +78,15 @@
 	return m, nil
 }
 
-// Since is how long ago an image was made, in microseconds, and by how much the times in it have to be moved to be of the wall
-// clock as it is now. Without the same start of the machine only the wall clock tells, and one that went back counts as no time.
+// Since is how long ago an image was made, in microseconds, and by how much the times in it have to be moved to be of the steady
+// clock as it runs now: by nothing within one boot of the machine. Between two boots only the wall clock tells how long, and one
+// that went back counts as no time.
 func Since(at, now clock.Reading) (away, move int64) {
-	wall := int64(now.Wall - at.Wall)
-	away = max(0, wall)
 	if at.ID != "" && at.ID == now.ID && now.Boot >= at.Boot {
-		away = int64(now.Boot - at.Boot)
+		return int64(now.Boot - at.Boot), 0
 	}
-	return away, wall - away
+	away = max(0, int64(now.Wall-at.Wall))
+	return away, int64(now.Boot-at.Boot) - away
 }
 
 // Write puts an image in the place of the one in dir.
--- a/internal/net/amqpfront/egress.go
+++ b/internal/net/amqpfront/egress.go
@@ -529,7 +529,7 @@
 func (l *link) publish(ch *lane, p *pub) {
 	ch.ledger.add(p)
 	p.ch = ch
-	left := max(1, (p.attempt.Deadline-l.e.core.Now())/1000)
+	left := max(1, p.attempt.Deadline.Sub(l.e.core.Now()).Milliseconds())
 	props := &amqp.Props{MessageID: p.attempt.ID, Type: p.attempt.Class, DeliveryMode: 2, Expiration: strconv.FormatInt(left, 10)}
 	if p.attempt.Key != "" {
 		props.Headers = amqp.Table{"idempotency-key": p.attempt.Key}
--- a/internal/net/amqpfront/session.go
+++ b/internal/net/amqpfront/session.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"brackendale/internal/access"
+	"brackendale/internal/clock"
 	"brackendale/internal/net/amqp"
 	"brackendale/internal/net/conns"
 	"brackendale/internal/net/reactor"
@@ -485,7 +486,7 @@
 	}
 	x := &publish{ch: ch, tag: ch.published}
 	x.Request = sender.Request{ID: p.MessageID, Class: p.Type, Tenant: p.AppID, Key: key, Dest: dest,
-		Deadline: core.Now() + limit, Body: m.Body, Front: s.vh.front, Note: p.ReplyTo + "\x00" + p.CorrelationID,
+		Deadline: core.Now().Add(clock.Microseconds(limit)), Body: m.Body, Front: s.vh.front, Note: p.ReplyTo + "\x00" + p.CorrelationID,
 		Ref: x}
 	if ch.tx != nil {
 		if !ch.txRoom(len(m.Body) + txEach) {
--- a/internal/net/platform/egress.go
+++ b/internal/net/platform/egress.go
@@ -79,7 +79,7 @@
 		}
 		e.out[h.ID] = c
 	}
-	limit = max(1000, min(limit, c.may.Deadline-now))
+	limit = max(1000, min(limit, c.may.Deadline.Sub(now).Microseconds()))
 	e.r.Arm(&c.timer, time.Duration(limit)*time.Microsecond, 0, timers.Func(func() { c.giveUp(sender.Late) }))
 	if c.link = e.take(to, limit); c.link == nil {
 		c.link = &link{}
@@ -127,7 +127,7 @@
 		return
 	}
 	now := e.core.Now()
-	e.Gate.Wait(to.Endpoint, now, now+o.HoldMs*1000+1) // now is cut to a whole microsecond
+	e.Gate.Wait(to.Endpoint, now, now.Add(time.Duration(o.HoldMs)*time.Millisecond)+1) // now is cut to a whole microsecond
 	for c := range e.calls(e.Gate.Limit(to.Endpoint)) {
 		if c.link.used && !c.link.written() {
 			c.link.fail(errHeld)
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -2,7 +2,12 @@
 // sender's; and what becomes of each message in it then. It is pure: no I/O, no clock.
 package origin
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+
+	"brackendale/internal/clock"
+)
 
 // Stamp tells a file from its copies: a copy has another number, or another time of birth. The number of the device is not in it,
 // since it may be another after each start of the machine.
@@ -45,21 +50,21 @@
 	return ""
 }
 
-// Message is what the journal tells of one. Times are in microseconds.
+// Message is what the journal tells of one.
 type Message struct {
 	Effect            string // of its class: repeatable, by_key, once
-	Deadline          int64  // by the wall clock
-	HardLimit, Window int64  // of its class
+	Deadline          clock.Instant
+	HardLimit, Window time.Duration // of its class
 	Attempts          int
-	FirstRun          int64 // when the first attempt left that may have run; 0: none
-	OpenAt            int64 // when the attempt left that was out at the end; 0: none
+	FirstRun          clock.Instant // when the first attempt left that may have run; 0: none
+	OpenAt            clock.Instant // when the attempt left that was out at the end; 0: none
 	End               string
 	Heard             bool
 }
 
 // Doubt tells how many attempts a message has had, and since when one may have run (0: none), as the next life has to take it. In
 // an old folder any message may have been sent since, from the moment on at which it can have been taken on at the earliest.
-func (m Message) Doubt(old bool) (attempts int, firstRun int64) {
+func (m Message) Doubt(old bool) (attempts int, firstRun clock.Instant) {
 	attempts, firstRun = m.Attempts, m.FirstRun
 	if m.OpenAt != 0 && firstRun == 0 {
 		firstRun = m.OpenAt
@@ -67,7 +72,7 @@
 	if !old || m.Effect == "repeatable" {
 		return attempts, firstRun
 	}
-	from := m.Deadline - m.HardLimit
+	from := m.Deadline.Add(-m.HardLimit)
 	if firstRun == 0 || from < firstRun {
 		firstRun = max(from, 1)
 	}
@@ -88,7 +93,7 @@
 )
 
 // Of is the fate of a message at a time.
-func (m Message) Of(now int64, old bool) Fate {
+func (m Message) Of(now clock.Instant, old bool) Fate {
 	_, first := m.Doubt(old)
 	switch {
 	case m.Heard:
@@ -97,7 +102,7 @@
 		return ToldAgain
 	case m.End != "":
 		return Told
-	case first != 0 && (m.Effect == "once" || m.Effect == "by_key" && now >= first+m.Window):
+	case first != 0 && (m.Effect == "once" || m.Effect == "by_key" && now >= first.Add(m.Window)):
 		return Doubtful
 	case now >= m.Deadline:
 		return Late
--- a/sender/comeback.go
+++ b/sender/comeback.go
@@ -30,5 +30,5 @@
 	if most == 0 {
 		most = math.MaxInt64
 	}
-	return s.door.Turn(s.Now(), s.open, s.ends.now(time.Since(s.started)), refusedMs*1000, most, s.rng.Float64()) / 1000
+	return s.door.Turn(int64(s.Now()), s.open, s.ends.now(time.Since(s.started)), refusedMs*1000, most, s.rng.Float64()) / 1000
 }
--- a/sender/group.go
+++ b/sender/group.go
@@ -110,20 +110,18 @@
 	return left
 }
 
-// write records a group that stands, as one record.
+// write records a group that stands; all that a step records is there for the next process, or nothing.
 func (s *Sender) write(g *Group) {
 	if g.v != Taken {
 		return
 	}
-	s.spool.Group(func() {
-		for _, x := range g.fresh {
-			s.open++
-			s.spool.Take(entry(x))
-		}
-		for _, id := range g.Settle {
-			s.settle(id)
-		}
-	})
+	for _, x := range g.fresh {
+		s.open++
+		s.spool.Take(entry(x))
+	}
+	for _, id := range g.Settle {
+		s.settle(id)
+	}
 	for _, x := range g.Offers {
 		s.again(x)
 	}
--- a/sender/handover.go
+++ b/sender/handover.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"brackendale/internal/clock"
 	"brackendale/logic"
 )
 
@@ -128,10 +129,10 @@
 }
 
 // Fits tells whether a sender could go on from a checkpoint; the error says why not.
-func Fits(set logic.Settings, cp *Checkpoint, now int64) error {
+func Fits(set logic.Settings, cp *Checkpoint, now clock.Instant) error {
 	relay, err := logic.New(set, 0)
 	if err != nil {
 		return err
 	}
-	return relay.Load(cp.Module, now)
+	return relay.Load(cp.Module, int64(now))
 }
--- a/sender/later.go
+++ b/sender/later.go
@@ -1,10 +1,14 @@
 package sender
 
-import "container/heap"
+import (
+	"container/heap"
 
-// due is what falls due at a moment, in microseconds.
+	"brackendale/internal/clock"
+)
+
+// due is an id and when it is to be forgotten.
 type due struct {
-	at int64
+	at clock.Instant
 	id string
 }
 
@@ -27,14 +31,14 @@
 }
 
 // add keeps an id until then and tells whether it is the first to fall due. Most come in order: those cost no search.
-func (l *later) add(at int64, id string) (first bool) {
+func (l *later) add(at clock.Instant, id string) (first bool) {
 	*l = append(*l, due{at, id})
 	heap.Fix(l, len(*l)-1)
 	return (*l)[0] == due{at, id}
 }
 
 // take gives the ids that have fallen due.
-func (l *later) take(now int64) (ids []string) {
+func (l *later) take(now clock.Instant) (ids []string) {
 	for len(*l) > 0 && (*l)[0].at <= now {
 		x, _ := heap.Pop(l).(due)
 		ids = append(ids, x.id)
--- a/sender/memory.go
+++ b/sender/memory.go
@@ -36,8 +36,8 @@
 		now := clock.Now()
 		away, move := memory.Since(m.At, now)
 		m.Module.Move(move)
-		if err = s.relay.Recall(m.Module, int64(now.Wall)); err == nil {
-			s.ends.perS = s.relay.Came(int64(now.Wall)) // until messages have ended in this life: what came in went out
+		if err = s.relay.Recall(m.Module, int64(now.Boot)); err == nil {
+			s.ends.perS = s.relay.Came(int64(now.Boot)) // until messages have ended in this life: what came in went out
 			s.log.Info().Int64("away_ms", away/1000).Int64("clock_moved_ms", move/1000).Int("destinations", len(m.Module.Dests)).Msg("what the last life knew")
 			return true
 		}
--- a/sender/neighbours.go
+++ b/sender/neighbours.go
@@ -24,8 +24,8 @@
 		now := s.Now()
 		wants := make([]int64, len(dests))
 		for i, d := range dests {
-			wants[i] = s.relay.Want(now, d)
+			wants[i] = s.relay.Want(int64(now), d)
 		}
-		done(s.relay.Health(now), wants)
+		done(s.relay.Health(int64(now)), wants)
 	})
 }
--- a/sender/origin.go
+++ b/sender/origin.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"path/filepath"
 
+	"brackendale/internal/clock"
 	"brackendale/internal/folder"
 	"brackendale/internal/origin"
 	"brackendale/internal/spool"
@@ -89,8 +90,8 @@
 	if m.Of(s.Now(), s.life.old != "") == origin.Doubtful {
 		s.life.doubtful++
 	}
-	return logic.Event{Kind: logic.Arrived, Held: true, ID: e.ID, Class: e.Class, Tenant: e.Tenant, Dest: e.Dest, Deadline: e.Deadline,
-		Attempts: attempts, FirstRunUs: firstRun, Zone: e.Zone}
+	return logic.Event{Kind: logic.Arrived, Held: true, ID: e.ID, Class: e.Class, Tenant: e.Tenant, Dest: e.Dest, Deadline: int64(e.Deadline),
+		Attempts: attempts, FirstRunUs: int64(firstRun), Zone: e.Zone}
 }
 
 // doubt books that a message of an old folder may have been sent since, where that matters: the next life finds the folder as this
@@ -136,7 +137,7 @@
 }
 
 func message(e *spool.Entry, l logic.Lane) origin.Message {
-	return origin.Message{Effect: l.Effect, Deadline: e.Deadline, HardLimit: l.HardLimitUs, Window: l.WindowUs, Attempts: e.Attempts,
+	return origin.Message{Effect: l.Effect, Deadline: e.Deadline, HardLimit: clock.Microseconds(l.HardLimitUs), Window: clock.Microseconds(l.WindowUs), Attempts: e.Attempts,
 		FirstRun: e.FirstRun, OpenAt: e.OpenAt, End: e.End, Heard: e.Heard}
 }
 
@@ -157,8 +158,8 @@
 	Owed   []Owed              `json:"owed"`
 }
 
-// PlanFor reads a folder that no process uses, and changes nothing in it. now is the wall clock in microseconds; budget is in bytes.
-func PlanFor(dir, name string, how Folder, set logic.Settings, budget, now int64) (Plan, error) {
+// PlanFor reads a folder that no process uses, and changes nothing in it. now is the steady clock; budget is in bytes.
+func PlanFor(dir, name string, how Folder, set logic.Settings, budget int64, now clock.Instant) (Plan, error) {
 	list, life, err := spool.Look(dir, budget)
 	if err != nil {
 		return Plan{}, err
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -59,7 +59,7 @@
 	spool   *spool.Spool
 	log     zerolog.Logger
 	started time.Time
-	base    int64 // what Now tells at started
+	base    clock.Instant // the steady clock at started
 	tick    time.Duration
 
 	mu   sync.Mutex
@@ -125,7 +125,7 @@
 		return nil, err
 	}
 	if opt.From != nil {
-		if err := relay.Load(opt.From.Module, time.Now().UnixMicro()); err != nil {
+		if err := relay.Load(opt.From.Module, int64(clock.Steady())); err != nil {
 			return nil, err
 		}
 	}
@@ -138,7 +138,7 @@
 		return nil, err
 	}
 	read := time.Since(began)
-	s := &Sender{opt: opt, relay: relay, spool: sp, log: opt.Log, started: time.Now(), base: int64(clock.Now().Wall),
+	s := &Sender{opt: opt, relay: relay, spool: sp, log: opt.Log, started: time.Now(), base: clock.Steady(),
 		tick: time.Duration(opt.Settings.TickUs) * time.Microsecond, wake: make(chan struct{}, 1),
 		fronts: map[string]Ingress{}, carriers: map[string]Egress{}, routes: map[string]Route{},
 		lanes: map[string]logic.Lane{}, kinds: map[string]int{}, coming: map[string]bool{}, seen: map[string]*RouteState{}, book: opt.Book,
@@ -154,6 +154,15 @@
 		s.lanes[l.Name] = l
 	}
 	s.life.start.Store(started(opt.From != nil, len(sp.Entries()) > 0, knows))
+	sp.SetClock(s.Now)
+	for _, e := range sp.Entries() { // times of another boot are moved, and may lie too far ahead
+		if l, ok := s.lanes[e.Class]; ok {
+			sp.Limit(e.ID, s.Now().Add(clock.Microseconds(l.HardLimitUs)))
+		}
+	}
+	if lost := sp.Lost(); lost > 0 {
+		s.log.Warn().Int64("bytes", lost).Msg("the journal's end could not be read and is cut off")
+	}
 	if s.life.old = s.origin(); s.life.old != "" {
 		s.life.start.Store(startOld)
 		s.log.Error().Str("why", s.life.old).Int("messages", len(sp.Entries())).
@@ -185,8 +194,8 @@
 	}
 }
 
-// Now is the wall clock in microseconds as read at the start, carried on by the steady clock.
-func (s *Sender) Now() int64 { return s.base + time.Since(s.started).Microseconds() }
+// Now is the steady clock: another process on this machine reads the same. It is read once, and carried on without a system call.
+func (s *Sender) Now() clock.Instant { return s.base.Add(time.Since(s.started)) }
 
 // Run takes up what the spool holds and serves until ctx ends.
 func (s *Sender) Run(ctx context.Context) error {
@@ -211,9 +220,7 @@
 		if rest := s.tick - time.Since(s.last); rest > 0 {
 			time.Sleep(rest)
 		}
-		if err := s.turn(); err != nil {
-			return err
-		}
+		s.turn()
 		s.remember(false)
 		if s.asked != nil && s.stall.why != nil { // what is not written could not be handed over
 			close(s.asked.state)
@@ -237,17 +244,16 @@
 }
 
 // turn takes in what was posted, makes one step and hands the fronts what it led to.
-func (s *Sender) turn() error {
+func (s *Sender) turn() {
 	s.take()
-	var err error
 	if s.heir == nil {
-		err = s.round()
+		s.round()
 		s.press()
 		s.level()
 		s.serves()
 		s.service()
 	}
-	if batch := s.carry; len(batch) > 0 && err == nil {
+	if batch := s.carry; len(batch) > 0 {
 		crossing.At(crossing.StepDecided)
 		s.carry = make([]word, 0, min(len(batch), keepMost))
 		s.opt.Carry(func() {
@@ -256,7 +262,6 @@
 			}
 		})
 	}
-	return err
 }
 
 // level books the levels of the figures: the targets' at every change of the table and every levelGap.
@@ -396,7 +401,7 @@
 	s.offers = append(s.offers, x)
 	s.coming[x.ID] = true
 	s.events = append(s.events, logic.Event{Kind: logic.Arrived, ID: x.ID, Class: x.Class, Tenant: x.Tenant,
-		Dest: x.Dest, Deadline: x.Deadline})
+		Dest: x.Dest, Deadline: int64(x.Deadline)})
 }
 
 // Knows tells whether a class is one that the settings name.
@@ -573,15 +578,15 @@
 // forgetLater drops an id that is remembered once its class would not let the message live any more,
 // counted twice: from its deadline on.
 func (s *Sender) forgetLater(e *spool.Entry) {
-	at := e.Deadline + s.lanes[e.Class].HardLimitUs
+	at := e.Deadline.Add(clock.Microseconds(s.lanes[e.Class].HardLimitUs))
 	if s.old.add(at, e.ID) {
 		s.ring(at)
 	}
 }
 
 // ring sets the one timer of what is to be forgotten. It may be late: an id that is kept longer does no harm.
-func (s *Sender) ring(at int64) {
-	d := max(forgetGap, time.Duration(at-s.Now())*time.Microsecond)
+func (s *Sender) ring(at clock.Instant) {
+	d := max(forgetGap, at.Sub(s.Now()))
 	if s.oldTimer == nil {
 		s.oldTimer = time.AfterFunc(d, func() { s.Post(s.forget) })
 		return
@@ -605,14 +610,14 @@
 }
 
 // Stop is called once at a planned end: from here only attempts start that should end before the time given.
-func (s *Sender) Stop(until int64) {
+func (s *Sender) Stop(until clock.Instant) {
 	s.Post(func() {
 		if s.heir != nil {
 			return
 		}
 		s.stops = true
-		s.events = append(s.events, logic.Event{Kind: logic.Stopping, Deadline: until})
-		s.log.Info().Int64("left_ms", (until-s.Now())/1000).Int("open", s.open).Msg("stopping")
+		s.events = append(s.events, logic.Event{Kind: logic.Stopping, Deadline: int64(until)})
+		s.log.Info().Int64("left_ms", until.Sub(s.Now()).Milliseconds()).Int("open", s.open).Msg("stopping")
 	})
 }
 
@@ -681,17 +686,17 @@
 }
 
 // round is one step of the module, its record in the spool, and then its actions.
-func (s *Sender) round() error {
+func (s *Sender) round() {
 	if !s.writes() {
-		return nil
+		return
 	}
 	events, offers, groups := s.events, s.offers, s.groups
 	s.events, s.offers, s.groups, s.promised, s.last = nil, nil, nil, 0, time.Now()
 	clear(s.coming)
 	now := s.Now()
-	acts := s.relay.Step(now, events)
+	acts := s.relay.Step(int64(now), events)
 	if s.trace != nil {
-		s.trace.Step(now, events, acts, func(addr string) int64 { return s.routes[addr].Dest })
+		s.trace.Step(int64(now), events, acts, func(addr string) int64 { return s.routes[addr].Dest })
 	}
 	defer s.reuse(events, offers)
 
@@ -725,9 +730,7 @@
 		}
 	}
 	if err := s.spool.Flush(); err != nil {
-		if err := s.stalled(err, offers, groups, ended, calls); err != nil {
-			return err
-		}
+		s.stalled(err, offers, groups, ended, calls)
 		calls, groups = nil, nil
 	} else {
 		for _, done := range s.written {
@@ -738,24 +741,13 @@
 	for _, g := range groups {
 		s.answerGroup(g)
 	}
-	for _, x := range offers {
-		if x.Front != "" && x.group == nil {
-			e, ok := ended[x.ID]
-			if !ok {
-				e.v = Taken
-			}
-			s.answer(x, e.v, e.wait)
-		}
-	}
+	s.answerOffers(offers, ended)
 	var tell []*spool.Entry
 	if s.stall.why == nil {
 		tell, s.tell = s.tell, nil
 	}
 	for _, e := range tell {
-		if in := s.fronts[e.Front]; in != nil {
-			s.carry = append(s.carry, word{in: in, id: e.ID, note: e.Note, end: e.End, waitMs: e.WaitMs, again: e.Told})
-			e.Told = true
-		}
+		s.tellEnd(e)
 	}
 	for _, a := range acts {
 		s.act(a)
@@ -769,7 +761,14 @@
 			s.Report(Outcome{ID: h.ID, N: h.N, Target: c.to.Addr, Reason: NoConn})
 		}
 	}
-	return nil
+}
+
+// tellEnd hands an end to the front that its client came by.
+func (s *Sender) tellEnd(e *spool.Entry) {
+	if in := s.fronts[e.Front]; in != nil {
+		s.carry = append(s.carry, word{in: in, id: e.ID, note: e.Note, end: e.End, waitMs: e.WaitMs, again: e.Told})
+		e.Told = true
+	}
 }
 
 // keepMost bounds the lists that one step leaves to the next.
@@ -828,9 +827,9 @@
 
 // startBy is until when an attempt may be written. The module decides within the time for which a target knows a key, but a connection
 // may come up long after that.
-func (s *Sender) startBy(e *spool.Entry) int64 {
+func (s *Sender) startBy(e *spool.Entry) clock.Instant {
 	if l := s.lanes[e.Class]; e.FirstRun != 0 && l.Effect == "by_key" {
-		return e.FirstRun + l.WindowUs - s.opt.Settings.TickUs
+		return e.FirstRun.Add(clock.Microseconds(l.WindowUs - s.opt.Settings.TickUs))
 	}
 	return 0
 }
--- a/sender/types.go
+++ b/sender/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"brackendale/internal/clock"
 	"brackendale/logic"
 )
 
@@ -10,7 +11,7 @@
 type Request struct {
 	ID, Class, Tenant, Key string
 	Dest                   int64
-	Deadline               int64 // wall clock in microseconds: until then it may be delivered
+	Deadline               clock.Instant // until then it may be delivered
 	Body                   []byte
 	Front                  string // the name under which its ingress was added
 	Note                   string // what that ingress wants back with the end
@@ -70,9 +71,9 @@
 	ID, Key, Class string
 	Body           []byte
 	N              int
-	LimitUs        int64 // from now; the egress gives it up then
-	Deadline       int64 // of the request: wall clock in microseconds
-	StartBy        int64 // it must not be written later, by the same clock: its key is forgotten soon after; 0: no such time
+	LimitUs        int64         // from now; the egress gives it up then
+	Deadline       clock.Instant // of the request
+	StartBy        clock.Instant // it must not be written later: its key is forgotten soon after; 0: no such time
 }
 
 // Egress carries attempts to egress targets of one protocol, on the fronts' goroutine.
