A charge whose answer cannot be read for want of buffers is sent again: failing test

Change: a seam for connect, read, write and poll of sockets, set by tests only, and tests of each errno under a connect, a write at its bytes, and a read. One is listed as failing. Result: with ENOBUFS, EADDRNOTAVAIL and EMFILE on the read behind a call that its endpoint had read, the charge got no end within 20 s: it had gone back into the queue, to be sent again. The other errnos, and the tests of connect and write, passed.

--- a/internal/net/reactor/reactor.go
+++ b/internal/net/reactor/reactor.go
@@ -153,6 +153,10 @@
 	if !ok {
 		return
 	}
+	if f := fault(CallRead, func() string { return nc.RemoteAddr().String() }); f != nil && f.Errno != 0 {
+		_ = nc.CloseWithError(f.Errno)
+		return
+	}
 	own := append(rest.Get(len(b)), b...)
 	c.unseen.Add(1) // before a wait for room: it is out of the socket already
 	r.room.L.Lock()
@@ -224,7 +228,10 @@
 	c := &Conn{r: r, h: h, cancel: cancel, shielded: cfg != nil}
 	go func() {
 		var nc *nbio.Conn
-		sock, err := d.DialContext(ctx, "tcp", addr)
+		sock, err := net.Conn(nil), failing(CallConnect, addr)
+		if err == nil {
+			sock, err = d.DialContext(ctx, "tcp", addr)
+		}
 		cancel()
 		if err == nil {
 			if nc, err = nbio.NBConn(sock); err != nil {
@@ -265,6 +272,10 @@
 	c.r.room.L.Lock() // the engine's goroutine takes it before it looks at c
 	nc.SetSession(c)
 	c.r.room.L.Unlock()
+	if err := failing(CallPoll, nc.RemoteAddr().String()); err != nil {
+		_ = nc.Close()
+		return fmt.Errorf("joining the socket engine: %w", err)
+	}
 	if _, err := c.r.engine.AddConn(nc); err != nil {
 		return fmt.Errorf("joining the socket engine: %w", err)
 	}
@@ -374,13 +385,6 @@
 	c.Close()
 }
 
-// Local tells a failure to connect that is this machine's own: no descriptor, port or buffer left. It says
-// nothing of the peer.
-func Local(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) ||
-		errors.Is(err, syscall.EADDRNOTAVAIL)
-}
-
 // From is the address of the peer that dialled; the zero address for a socket that has none.
 func (c *Conn) From() netip.Addr {
 	if nc := c.nc.Load(); nc != nil {
@@ -495,6 +499,9 @@
 	for _, p := range pieces {
 		total += len(p)
 	}
+	if f := fault(CallWrite, func() string { return nc.RemoteAddr().String() }); f != nil {
+		return c.short(nc, f, pieces)
+	}
 	behind := !c.Sent(c.queued)
 	if behind && c.r.unsent.Load() > c.r.most && c.queued-c.written.Load() > fairUnsent {
 		return errUnsent
@@ -532,3 +539,10 @@
 	}
 	return nil
 }
+
+// Local tells a failure to connect that is this machine's own: no descriptor, port or buffer left. It says
+// nothing of the peer.
+func Local(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) ||
+		errors.Is(err, syscall.EADDRNOTAVAIL)
+}
