One typed table says what a failed socket call proves, for both egresses

Cause: reactor.Local (EMFILE, ENFILE, ENOBUFS, EADDRNOTAVAIL) was asked of errors of any call, so a read that failed so counted as proof that nothing ran; ENOMEM, EINTR, EAGAIN, ENETDOWN and missing ways on a connect counted as the endpoint's fault. Change: internal/net/failure: connect, write or read, and machine, path or peer. A missing way (ENETUNREACH, EACCES, EPERM) is the machine's for two connects in a row to a target, then the target's; EHOSTUNREACH stays the peer's.

--- a/internal/net/amqpfront/egress.go
+++ b/internal/net/amqpfront/egress.go
@@ -14,6 +14,7 @@
 	"brackendale/internal/admission"
 	"brackendale/internal/net/amqp"
 	"brackendale/internal/net/conns"
+	"brackendale/internal/net/failure"
 	"brackendale/internal/net/reactor"
 	"brackendale/internal/timers"
 	"brackendale/logic"
@@ -294,6 +295,7 @@
 	e       *Egress
 	key     string
 	to      amqp.Target
+	up      bool // the connection is, and the handshake may be under way
 	ready   bool
 	blocked bool
 	ending  bool
@@ -323,7 +325,10 @@
 func (l *link) Quiet() bool { return l.conn.Quiet() }
 
 // Up opens the protocol.
-func (l *link) Up(*reactor.Conn) { l.write([]byte(amqp.Preamble)) }
+func (l *link) Up(*reactor.Conn) {
+	l.up = true
+	l.write([]byte(amqp.Preamble))
+}
 
 // Data handles the frames that are whole.
 func (l *link) Data(c *reactor.Conn, b []byte) {
@@ -347,7 +352,7 @@
 
 // Down ends all that is out or waits.
 func (l *link) Down(_ *reactor.Conn, err error) {
-	if reactor.Local(err) { // it never came up, for a reason that says nothing of the broker
+	if !l.up && failure.Of(failure.Connect, err).Blame != failure.Peer { // it says nothing of the broker
 		for _, p := range l.waiting {
 			p.report(sender.Moot, 0)
 		}
--- a/internal/net/platform/egress.go
+++ b/internal/net/platform/egress.go
@@ -13,6 +13,7 @@
 	"brackendale/internal/admission"
 	"brackendale/internal/crossing"
 	"brackendale/internal/net/conns"
+	"brackendale/internal/net/failure"
 	"brackendale/internal/net/http1"
 	"brackendale/internal/net/reactor"
 	"brackendale/internal/timers"
@@ -33,6 +34,7 @@
 	pools   map[string][]*link // idle links by target, the latest used last
 	out     map[string]*call
 	table   *conns.Table
+	paths   paths
 
 	// Gate judges each attempt at the last instant. Other egresses of the same core may share it.
 	Gate *admission.Gate
@@ -41,7 +43,7 @@
 // NewEgress makes the endpoints' side; its connections take their descriptors from room.
 func NewEgress(core *sender.Sender, r *reactor.Reactor, set logic.Settings, room *conns.Room) *Egress {
 	e := &Egress{core: core, r: r, fields: set.Report.Fields, pools: map[string][]*link{}, out: map[string]*call{},
-		table: room.NewTargets(), Gate: admission.New(set),
+		table: room.NewTargets(), paths: paths{}, Gate: admission.New(set),
 		connect: time.Duration(set.Caps.ConnectTimeoutUs) * time.Microsecond,
 		idle:    time.Duration(set.Caps.KeepaliveUs) * time.Microsecond * 9 / 10}
 	if e.connect <= 0 {
@@ -240,6 +242,7 @@
 func (e *Egress) Routes(changed []sender.Route) {
 	for _, r := range changed {
 		if e.Gate.List(r.Endpoint); r.State != "live" {
+			e.paths.up(r.Addr)
 			e.Trim(r)
 		}
 	}
@@ -313,11 +316,14 @@
 	}
 	o := sender.Outcome{Target: c.to.Addr}
 	var ends map[string]string
+	if c.link.up {
+		c.e.paths.up(c.to.Addr)
+	}
 	switch {
-	case reactor.Local(err) || err == errNoRoom || err == errHeld && !c.link.written():
-		o.Reason = sender.Moot // it never left, and that says nothing of the target. By now its connection takes no more: this is sure
-	case err != nil && !c.link.written():
-		o.Reason = sender.NoConn // its last byte has not left: proof that nothing ran
+	case err != nil && !c.link.written(): // proof that nothing ran: by now its connection takes no more
+		if o.Reason = sender.NoConn; c.blameless(err) {
+			o.Reason = sender.Moot
+		}
 	case err != nil && a != nil && a.Status == 200 && len(c.attempts) == 1:
 		o.Reason = sender.Good // its first line is true whatever became of the rest
 	case err == errGivenUp:
@@ -352,6 +358,24 @@
 	}
 }
 
+// blameless tells whether the failure of a call that never left says nothing of its target.
+func (c *call) blameless(err error) bool {
+	if err == errNoRoom || err == errHeld {
+		return true
+	}
+	if c.link.up {
+		return failure.Of(failure.Write, err).Blame != failure.Peer
+	}
+	switch failure.Of(failure.Connect, err).Blame {
+	case failure.Machine:
+		return true
+	case failure.Path:
+		return c.e.paths.failed(c.to.Addr)
+	default:
+		return false
+	}
+}
+
 // backoffHeader tells, in milliseconds, for how long nothing may come.
 const backoffHeader = "X-Backoff-Ms"
 
--- a/internal/net/reactor/reactor.go
+++ b/internal/net/reactor/reactor.go
@@ -539,10 +539,3 @@
 	}
 	return nil
 }
-
-// Local tells a failure to connect that is this machine's own: no descriptor, port or buffer left. It says
-// nothing of the peer.
-func Local(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) ||
-		errors.Is(err, syscall.EADDRNOTAVAIL)
-}
