--- a/internal/app/faults_test.go
+++ b/internal/app/faults_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,7 +21,9 @@
 	"time"
 
 	"brackendale/internal/clock"
+	"brackendale/internal/fleet"
 	"brackendale/internal/folder"
+	"brackendale/internal/net/reactor"
 	"brackendale/internal/standin"
 )
 
@@ -29,6 +35,16 @@
 	WallStep time.Duration // by which its wall clock is off
 	BootID   string        // of its machine's start; empty: the true one
 	Folder   []folderFault
+	Sockets  []socketFault
+}
+
+// socketFault lets calls on sockets fail.
+type socketFault struct {
+	Call  reactor.SocketCall
+	Addr  string // empty: any
+	Errno syscall.Errno
+	First int
+	Count int
 }
 
 // folderFault lets operations on files of the state folder fail.
@@ -61,6 +77,18 @@
 	if f.BootID != "" {
 		clock.SetBootID(f.BootID)
 	}
+	calls := make([]atomic.Int64, len(f.Sockets))
+	reactor.SetFaultHook(func(c reactor.SocketCall, addr string) *reactor.SocketFault {
+		for i, x := range f.Sockets {
+			if x.Call != c || x.Addr != "" && x.Addr != addr {
+				continue
+			}
+			if n := int(calls[i].Add(1)); n >= x.First && n < x.First+x.Count {
+				return &reactor.SocketFault{Errno: x.Errno}
+			}
+		}
+		return nil
+	})
 	counts := make([]atomic.Int64, len(f.Folder))
 	folder.SetHook(func(c folder.Call, name string) *folder.Fault {
 		for i, x := range f.Folder {
@@ -290,3 +318,77 @@
 		}
 	}
 }
+
+// Listening and accepting fail for a moment: the sender is ready once they work, and takes on what comes.
+func TestListenAndAcceptFail(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL, syscall.EADDRINUSE, syscall.ENOMEM, syscall.EMFILE} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			a := newAppliance(t)
+			c := exec.Command(os.Args[0])
+			var said bytes.Buffer
+			c.Stderr = &said
+			c.Env = append(os.Environ(), "BRACKENDALE_TEST_SERVE="+a.file, faults{Sockets: []socketFault{
+				{Call: reactor.CallListen, Errno: errno, First: 1, Count: 3}, {Call: reactor.CallAccept, Errno: errno, First: 1, Count: 3}}}.with())
+			if err := c.Start(); err != nil {
+				t.Fatal(err)
+			}
+			ended := make(chan error, 1)
+			go func() { ended <- c.Wait() }()
+			defer func() { _ = c.Process.Kill() }()
+			for until := time.Now().Add(standin.Long); ; time.Sleep(10 * time.Millisecond) {
+				select {
+				case err := <-ended:
+					t.Fatalf("it ended: %v\n%s", err, &said)
+				default:
+				}
+				if conn, err := net.Dial("tcp", a.amqp); err == nil {
+					_ = conn.SetDeadline(time.Now().Add(time.Second))
+					_, _ = io.WriteString(conn, "AMQP\x00\x00\x09\x01")
+					n, _ := conn.Read(make([]byte, 1))
+					_ = conn.Close()
+					if n == 1 {
+						return
+					}
+				}
+				if time.Now().After(until) {
+					t.Fatalf("nobody is answered\n%s", &said)
+				}
+			}
+		})
+	}
+}
+
+// A configuration that cannot be read in the moment of its SIGHUP, since all descriptors are in use, is followed once it can be:
+// nobody signals again, and the old discovery ends.
+func TestReloadWithoutDescriptors(t *testing.T) {
+	o := newOffice(t)
+	p := o.start()
+	o.ready(p)
+	asked := make(chan string, 100)
+	next := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.Path
+		<-r.Context().Done()
+	}))
+	defer func() { next.CloseClientConnections(); next.Close() }()
+	raw, err := os.ReadFile(o.site())
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := regexp.MustCompile(`discovery = ".*"`).ReplaceAll(raw, []byte(fmt.Sprintf("discovery = %q", next.Listener.Addr().String())))
+	if err := os.WriteFile(o.site(), changed, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := fleet.NoDescriptors(p.Process.Pid, true); err != nil {
+		t.Fatal(err)
+	}
+	_ = p.Process.Signal(syscall.SIGHUP)
+	time.Sleep(200 * time.Millisecond)
+	if err := fleet.NoDescriptors(p.Process.Pid, false); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-asked:
+	case <-time.After(5 * time.Second):
+		t.Fatalf("the new discovery is not asked\n%s", p.said)
+	}
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -57,12 +57,16 @@
 	if err != nil {
 		return nil, err
 	}
+	return serve(ln, write, format), nil
+}
+
+func serve(ln net.Listener, write func(io.Writer) error, format string) *Server {
 	s := &Server{ln: ln, write: write, format: format}
 	s.http = &http.Server{Handler: s.handler(), ReadTimeout: wholeIn, WriteTimeout: answerIn, MaxHeaderBytes: maxHead,
 		ErrorLog: log.New(io.Discard, "", 0)}
 	s.http.SetKeepAlivesEnabled(false)
 	go func() { _ = s.http.Serve(door{ln, s}) }()
-	return s, nil
+	return s
 }
 
 // Join lets calls ask a core. ready tells whether this process takes messages, or why not; exclude takes an endpoint out or puts
--- a/internal/fleet/proc.go
+++ b/internal/fleet/proc.go
@@ -102,6 +102,21 @@
 	return nil
 }
 
+// NoDescriptors takes all further descriptors from a running process, or gives them back.
+func NoDescriptors(pid int, none bool) error {
+	var was unix.Rlimit
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &was); err != nil {
+		return fmt.Errorf("fleet: descriptors: %w", err)
+	}
+	if was.Cur = was.Max; none {
+		was.Cur = 1
+	}
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &was, nil); err != nil {
+		return fmt.Errorf("fleet: descriptors: %w", err)
+	}
+	return nil
+}
+
 // Term asks it to end in order and waits so long for that; an error tells that it did not end, or how.
 func (p *Proc) Term(wait time.Duration) error {
 	if err := p.signal(syscall.SIGTERM); err != nil {
--- a/internal/net/reactor/listen.go
+++ b/internal/net/reactor/listen.go
@@ -50,6 +50,9 @@
 }
 
 func (r *Reactor) listen(network, addr string, word []byte, cfg *tls.Config, accept func(*Conn) Handler) (*Listener, error) {
+	if err := failing(CallListen, addr); err != nil {
+		return nil, fmt.Errorf("listening on %s: %w", addr, err)
+	}
 	lc := net.ListenConfig{KeepAlive: -1} // idle clients are heard by their protocol, or not at all
 	ln, err := lc.Listen(context.Background(), network, addr)
 	if err != nil {
@@ -117,6 +120,10 @@
 			time.Sleep(p.wait(l.r.Now(), int(rate)))
 		}
 		sock, err := l.Accept()
+		if f := fault(CallAccept, l.Addr().String); f != nil && f.Errno != 0 && err == nil {
+			_ = sock.Close() // as one that the system could not hand over
+			err = f.Errno
+		}
 		if errors.Is(err, net.ErrClosed) {
 			l.release()
 			return
