A start, an accept and a reload that the system refuses for a moment are tried again

Cause: newFronts, control.Listen, reactor.New, console.Listen and elder.listen ended the process on any error; net/http's server ends for good on accept errors that are not marked temporary (ENOBUFS, ENOMEM, EPERM); app.reload read the configuration once.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -107,13 +107,24 @@
 	}
 	var calls *control.Server
 	if cfg.Control != "" {
-		if calls, err = control.Listen(cfg.Control, opt.Book.Write, telemetry.Format); err != nil {
+		err := retryStart(ctx, term, log, func() error {
+			calls, err = control.Listen(cfg.Control, opt.Book.Write, telemetry.Format)
+			return err
+		})
+		if errors.Is(err, errLeft) {
+			return err
+		}
+		if err != nil {
 			return &config.KeyError{Key: "control (LB_CONTROL)", Err: err}
 		}
 		defer calls.Close()
 	}
-	r, err := reactor.New(wire, int64(cfg.Limits.MemoryMB*unsentShare*(1<<20)))
-	if err != nil {
+	retry := func(part func() error) error { return retryStart(ctx, term, log, part) }
+	var r *reactor.Reactor
+	if err := retry(func() error {
+		r, err = reactor.New(wire, int64(cfg.Limits.MemoryMB*unsentShare*(1<<20)))
+		return err
+	}); err != nil {
 		return err
 	}
 	defer r.Stop()
@@ -138,7 +149,8 @@
 		duties = near.group
 		opt.Book.Also(duties.Figures)
 	}
-	f, err := newFronts(core, r, cfg, from, console.Asked{Group: duties, Drain: drain(core, duties, log, func() { term <- syscall.SIGTERM })})
+	asked := console.Asked{Group: duties, Drain: drain(core, duties, log, func() { term <- syscall.SIGTERM })}
+	f, err := newFronts(core, r, cfg, from, asked, retry)
 	if err != nil {
 		return err
 	}
@@ -156,7 +168,7 @@
 		go h.follow()
 	}
 	if cfg.Upgrade {
-		if err := e.listen(); err != nil {
+		if err := e.listen(ctx); err != nil {
 			return err
 		}
 		defer e.close()
@@ -165,7 +177,7 @@
 		for {
 			select {
 			case <-again:
-				reload(core, wire, f, file, log)
+				reload(ctx, core, wire, f, file, again, log)
 			case <-ctx.Done():
 				return
 			}
@@ -225,14 +237,23 @@
 }
 
 // reload reads the configuration again and follows what may change under a running sender: where the
-// registry is, or the appliance's own routes. A bad file changes nothing.
-func reload(core *sender.Sender, wire *loop.Loop, f *fronts, file string, log zerolog.Logger) {
-	cfg, err := config.Load(os.Getenv, file)
+// registry is, or the appliance's own routes. A bad file changes nothing. Nobody signals again where it could not be read just now,
+// or was being replaced once more: it is read again for a while, unless another signal comes.
+func reload(ctx context.Context, core *sender.Sender, wire *loop.Loop, f *fronts, file string, again <-chan os.Signal, log zerolog.Logger) {
+	cfg, err := readAgain(file, log)
 	if err != nil {
-		log.Error().Err(err).Msg("reload: the old configuration stands")
-		return
+		log.Warn().Err(err).Msg("reload: read again in a moment")
 	}
-	if err := descriptors(&cfg, log); err != nil {
+	for began := time.Now(); err != nil && time.Since(began) < reloadPatience; cfg, err = readAgain(file, log) {
+		select {
+		case <-time.After(reloadGap):
+		case <-again:
+			began = time.Now()
+		case <-ctx.Done():
+			return
+		}
+	}
+	if err != nil {
 		log.Error().Err(err).Msg("reload: the old configuration stands")
 		return
 	}
@@ -246,6 +267,15 @@
 	})
 }
 
+// readAgain reads the configuration of a process that serves.
+func readAgain(file string, log zerolog.Logger) (config.Config, error) {
+	cfg, err := config.Load(os.Getenv, file)
+	if err == nil {
+		err = descriptors(&cfg, log)
+	}
+	return cfg, err
+}
+
 // unsentShare is how much of the memory limit may wait for peers that do not read.
 const unsentShare = 0.1
 
@@ -417,8 +447,9 @@
 }
 
 // newFronts joins the sides to the core. from is what another process handed over, or nil; asked is what
-// the console asks beside them.
-func newFronts(core *sender.Sender, r *reactor.Reactor, cfg config.Config, from *handover.State, asked console.Asked) (*fronts, error) {
+// the console asks beside them; retry does what the system may refuse for a moment.
+func newFronts(core *sender.Sender, r *reactor.Reactor, cfg config.Config, from *handover.State, asked console.Asked,
+	retry func(part func() error) error) (*fronts, error) {
 	f := &fronts{room: conns.NewRoom(cfg.ClientSockets()), targets: conns.NewRoom(cfg.TargetSockets()),
 		tables: map[string]*conns.Table{}}
 	table := func(front string) *conns.Table {
@@ -434,7 +465,7 @@
 		return err
 	}
 	listen := func(addr string, word []byte, accept func(*reactor.Conn) reactor.Handler) error {
-		return follow(r.Listen("tcp", addr, word, accept))
+		return retry(func() error { return follow(r.Listen("tcp", addr, word, accept)) })
 	}
 	f.egress = platform.NewEgress(core, r, cfg.Settings, f.targets)
 	core.AddEgress(platform.Proto, f.egress)
@@ -486,8 +517,10 @@
 			}
 		}
 		if f.secure.Store(cfg.Secure.Server); cfg.AMQP.TLS.Listen != "" {
-			ln, err := r.ListenTLS("tcp", cfg.AMQP.TLS.Listen, f.serverTLS(), in.Accept)
-			if err := follow(ln, err); err != nil {
+			err := retry(func() error {
+				return follow(r.ListenTLS("tcp", cfg.AMQP.TLS.Listen, f.serverTLS(), in.Accept))
+			})
+			if err != nil {
 				return nil, err
 			}
 		}
@@ -498,8 +531,11 @@
 		if !filepath.IsAbs(path) {
 			path = filepath.Join(cfg.State, path)
 		}
-		ln, err := console.Listen(path, core, asked)
-		if err != nil {
+		var ln net.Listener
+		if err := retry(func() (err error) {
+			ln, err = console.Listen(path, core, asked)
+			return err
+		}); err != nil {
 			return nil, err
 		}
 		f.ends = append(f.ends, func() { _ = ln.Close() })
--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -58,7 +58,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	duties := []group.Duty{{Name: "nightly", Every: time.Second, Longest: time.Second, Do: func(context.Context, group.Act) error { return nil }}}
-	f, err := newFronts(core, r, cfg, nil, console.Asked{Group: group.New(group.Options{Name: "alone", Terms: lease.Terms{Length: time.Second}, Duties: duties})})
+	f, err := newFronts(core, r, cfg, nil, console.Asked{Group: group.New(group.Options{Name: "alone", Terms: lease.Terms{Length: time.Second}, Duties: duties})},
+		func(part func() error) error { return part() })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/app/elder.go
+++ b/internal/app/elder.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -11,7 +12,9 @@
 	"time"
 
 	"brackendale/internal/config"
+	"brackendale/internal/folder"
 	"brackendale/internal/handover"
+	"brackendale/internal/net/failure"
 	"brackendale/internal/net/loop"
 	"brackendale/sender"
 
@@ -62,48 +65,93 @@
 	release func()
 
 	mu     sync.Mutex
+	closed bool
 	m      handover.Elder
 	n      uint64
 	offers map[uint64]*sender.Request // passed on and not answered
 	to     *link
 }
 
-// listen lets a new process ask for this one's place.
-func (e *elder) listen() error {
+// listen lets a new process ask for this one's place. Where the folder takes no socket just now the sender serves all the same, and
+// listens once it does.
+func (e *elder) listen(ctx context.Context) error {
+	err := e.listenOnce()
+	if err == nil || !failure.Transient(err) {
+		return err
+	}
+	e.log.Warn().Err(err).Msg("upgrade: no new process can ask yet")
+	go func() {
+		for failure.Transient(err) {
+			select {
+			case <-time.After(startGap):
+			case <-ctx.Done():
+				return
+			}
+			err = e.listenOnce()
+		}
+	}()
+	return nil
+}
+
+func (e *elder) listenOnce() error {
 	path, release, err := upgradeSocket(e.cfg.State)
 	if err != nil {
 		return err
 	}
-	e.release = release
-	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) { // a killed process's: the journal is ours
+	ln, err := listenUnix(path)
+	if err != nil {
+		release()
 		return fmt.Errorf("upgrade: %w", err)
 	}
-	if e.ln, err = net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"}); err != nil {
-		return fmt.Errorf("upgrade: %w", err)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closed {
+		release()
+		return ln.Close()
 	}
-	e.ln.SetUnlinkOnClose(false) // the heir's stands there by then
+	e.ln, e.release = ln, release
+	go e.accept(ln)
+	return nil
+}
+
+// listenUnix listens at a path in the folder, which is this process's: what stands there is a killed one's.
+func listenUnix(path string) (*net.UnixListener, error) {
+	if err := folder.Remove(path); err != nil {
+		return nil, err
+	}
+	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		return nil, err
+	}
+	ln.SetUnlinkOnClose(false) // the heir's stands there by then
 	if err := os.Chmod(path, 0o600); err != nil {
-		return errors.Join(fmt.Errorf("upgrade: %w", err), e.ln.Close())
+		return nil, errors.Join(err, ln.Close())
 	}
-	go func() {
-		for {
-			c, err := e.ln.Accept()
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			if err != nil {
-				time.Sleep(retireGap)
-				continue
-			}
-			go e.meet(newLink(c))
+	return ln, nil
+}
+
+func (e *elder) accept(ln *net.UnixListener) {
+	for {
+		c, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
 		}
-	}()
-	return nil
+		if err != nil {
+			time.Sleep(retireGap)
+			continue
+		}
+		go e.meet(newLink(c))
+	}
 }
 
 func (e *elder) close() {
-	_ = e.ln.Close()
-	e.release()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.closed = true
+	if e.ln != nil {
+		_ = e.ln.Close()
+		e.release()
+	}
 }
 
 func (e *elder) on(ev handover.Event) handover.Act {
--- a/internal/app/faults_test.go
+++ b/internal/app/faults_test.go
@@ -23,6 +23,7 @@
 	"brackendale/internal/clock"
 	"brackendale/internal/fleet"
 	"brackendale/internal/folder"
+	"brackendale/internal/handover"
 	"brackendale/internal/net/reactor"
 	"brackendale/internal/standin"
 )
@@ -269,7 +270,7 @@
 // once the folder works.
 func TestStartWithAFailingFolder(t *testing.T) {
 	for _, c := range []folderFault{{Call: folder.CallOpen, Name: "lock"}, {Call: folder.CallOpen, Name: "spool"},
-		{Call: folder.CallRead, Name: "spool"}, {Call: folder.CallTruncate, Name: "spool"}, {Call: folder.CallRemove, Name: "spool.new"}} {
+		{Call: folder.CallRead, Name: "spool"}, {Call: folder.CallTruncate, Name: "spool"}, {Call: folder.CallRemove, Name: "spool.new"}, {Call: folder.CallRemove, Name: "upgrade.sock"}} {
 		for _, errno := range []syscall.Errno{syscall.EIO, syscall.ENOSPC, syscall.EMFILE} {
 			c := c // each case sets its own error
 			t.Run(fmt.Sprint(c.Call, " ", c.Name, " ", errno.Error()), func(t *testing.T) {
@@ -299,6 +300,9 @@
 					if status >= 400 && strings.Contains(why, "folder") {
 						break
 					}
+					if c.Name == "upgrade.sock" && status == http.StatusOK { // it serves all the same
+						break
+					}
 					select {
 					case err := <-p.ended:
 						t.Fatalf("it ended: %v\n%s", err, p.said)
@@ -314,11 +318,36 @@
 				o.ready(p)
 				open()
 				o.settled()
+				if c.Name == "upgrade.sock" { // and the next process can take its place
+					for until := time.Now().Add(standin.Long); !strings.Contains(o.speakQuietly(), "welcome"); time.Sleep(10 * time.Millisecond) {
+						if time.Now().After(until) {
+							t.Fatal("no new process can ask")
+						}
+					}
+				}
 			})
 		}
 	}
 }
 
+// speakQuietly greets as a new process would, and gives what it hears; empty: nobody is there.
+func (o *office) speakQuietly() string {
+	path, release, err := upgradeSocket(o.state())
+	if err != nil {
+		return ""
+	}
+	defer release()
+	c, err := net.Dial("unix", path)
+	if err != nil {
+		return ""
+	}
+	l := newLink(c)
+	defer l.close()
+	l.say(handover.Word{Kind: "hello", Version: handover.Version})
+	w, _ := l.hear(standin.Long)
+	return w.Kind
+}
+
 // Listening and accepting fail for a moment: the sender is ready once they work, and takes on what comes.
 func TestListenAndAcceptFail(t *testing.T) {
 	for _, errno := range []syscall.Errno{syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL, syscall.EADDRINUSE, syscall.ENOMEM, syscall.EMFILE} {
--- a/internal/app/heir.go
+++ b/internal/app/heir.go
@@ -11,8 +11,8 @@
 
 	"brackendale/internal/clock"
 	"brackendale/internal/config"
-	"brackendale/internal/folder"
 	"brackendale/internal/handover"
+	"brackendale/internal/net/failure"
 	"brackendale/internal/spool"
 	"brackendale/sender"
 
@@ -42,7 +42,7 @@
 				core, err := open(st)
 				if err != nil {
 					l.close()
-					if folder.Transient(err) { // the old process starts anew, or this one does from the journal
+					if failure.Transient(err) { // the old process starts anew, or this one does from the journal
 						why = err
 						continue
 					}
@@ -68,7 +68,7 @@
 		case <-term:
 			return nil, nil, nil, errLeft // nothing is taken on yet
 		}
-		if folder.Transient(err) && !errors.Is(err, spool.ErrHeld) {
+		if failure.Transient(err) && !errors.Is(err, spool.ErrHeld) {
 			if waiting("the state folder: " + err.Error()); !said {
 				said = true
 				log.Error().Err(err).Msg("the state folder cannot be used: waiting until it can")
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -91,6 +91,9 @@
 // Close ends it and all of its connections.
 func (s *Server) Close() error { return s.http.Close() }
 
+// acceptGap is between two tries to accept where that fails.
+const acceptGap = 20 * time.Millisecond
+
 // door makes room for each newcomer.
 type door struct {
 	net.Listener
@@ -100,6 +103,10 @@
 // Accept takes a newcomer; with no room left the one that has finished no call for longest goes.
 func (d door) Accept() (net.Conn, error) {
 	nc, err := d.Listener.Accept()
+	for err != nil && !errors.Is(err, net.ErrClosed) { // the server gives up for good on errors that pass, such as ENOBUFS
+		time.Sleep(acceptGap)
+		nc, err = d.Listener.Accept()
+	}
 	if err != nil {
 		return nil, err
 	}
