--- /dev/null
+++ b/internal/spool/faults_test.go
@@ -0,0 +1,152 @@
+package spool
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"brackendale/internal/clock"
+	"brackendale/internal/folder"
+)
+
+// A write fails behind any of its bytes, and the cut behind it too, once, or for as long as it is tried three times: killed then, the
+// next process finds all that was written before and nothing of that round, unless all of it has left; and written again, all of it.
+func TestWriteFailsAtEveryByte(t *testing.T) {
+	size := 1
+	for after := 0; after <= size; after++ {
+		for _, fails := range []int{1, 3} {
+			for _, cut := range []bool{true, false} {
+				dir := t.TempDir()
+				s := open(t, dir, budget)
+				s.Take(&Entry{ID: "old", Body: []byte("body")})
+				flush(t, s)
+				writes := fails
+				undo := folder.SetHook(func(c folder.Call, name string) *folder.Fault {
+					if name != fileName || c == folder.CallTruncate && cut {
+						return nil
+					}
+					if c == folder.CallTruncate || c == folder.CallWrite && writes > 0 {
+						if c == folder.CallWrite {
+							writes--
+						}
+						return &folder.Fault{Err: syscall.EIO, After: after}
+					}
+					return nil
+				})
+				s.Take(&Entry{ID: "new", Body: []byte("body")})
+				s.Attempt("old", "z", 7)
+				size = len(s.buf)
+				for range fails {
+					if err := s.Flush(); err == nil {
+						t.Fatal("no error")
+					}
+					s.Take(&Entry{ID: "more" + string(rune('a'+len(s.buf)%26))}) // what is recorded meanwhile
+					s.Gone("more" + string(rune('a'+len(s.buf)%26)))
+				}
+				killed := t.TempDir()
+				raw, err := os.ReadFile(filepath.Join(dir, fileName))
+				if err == nil {
+					err = os.WriteFile(filepath.Join(killed, fileName), raw, 0o600)
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+				next := open2(t, killed)
+				if all := next.Get("new") != nil; next.Get("old") == nil || all != (next.Get("old").OpenAt != 0) || all && (cut || after < size) {
+					t.Fatalf("after %d of %d, cut %v: %s", after, size, cut, list(next))
+				}
+				undo()
+				flush(t, s)
+				want := list(s)
+				_ = s.Close()
+				if got := list(open(t, dir, budget)); got != want {
+					t.Fatalf("after %d of %d, cut %v\ngot  %s\nwant %s", after, size, cut, got, want)
+				}
+			}
+		}
+	}
+}
+
+// open2 opens a journal while faults are set for another one: it opens without them.
+func open2(t *testing.T, dir string) *Spool {
+	t.Helper()
+	raw, err := os.ReadFile(filepath.Join(dir, fileName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Spool{live: map[string]*Entry{}, out: map[string]bool{}}
+	s.replay(raw)
+	return s
+}
+
+// In another boot of the machine the clock starts anew: what was never tried keeps the time it had left, however long nobody wrote,
+// and an attempt lies so far back that no repeat depends on its age. Within a boot nothing moves.
+func TestAnotherBoot(t *testing.T) {
+	dir := t.TempDir()
+	defer clock.SetBootID("one")()
+	s := open(t, dir, budget)
+	now := clock.Steady()
+	s.SetClock(func() clock.Instant { return now })
+	s.Take(&Entry{ID: "untried", Deadline: now.Add(9 * time.Second)})
+	s.Take(&Entry{ID: "out", Deadline: now.Add(9 * time.Second)})
+	s.Attempt("out", "z", now)
+	s.Take(&Entry{ID: "ran", Deadline: now.Add(9 * time.Second)})
+	s.Attempt("ran", "z", now)
+	s.Closed("ran", true)
+	flush(t, s)
+	_ = s.Close()
+	s = open(t, dir, budget)
+	if e := s.Get("untried"); e.Deadline != now.Add(9*time.Second) || s.Get("out").OpenAt != now || s.Get("ran").FirstRun != now || s.anew {
+		t.Fatal("times moved within a boot: ", list(s))
+	}
+	_ = s.Close()
+	defer clock.SetBootID("two")()
+	for range 2 {
+		began := clock.Steady()
+		s = open(t, dir, budget)
+		for _, id := range []string{"untried", "out", "ran"} {
+			if left := s.Get(id).Deadline.Sub(began); left < 8*time.Second || left > 11*time.Second {
+				t.Errorf("%s has %v left", id, left)
+			}
+		}
+		if s.Get("out").OpenAt != longAgo || s.Get("ran").FirstRun != longAgo || s.Get("untried").FirstRun != 0 {
+			t.Error(list(s))
+		}
+		flush(t, s)
+		_ = s.Close()
+	}
+}
+
+// A journal of the version that wrote the wall clock's times is read: an hour more or less is not believed.
+func TestWallClockJournal(t *testing.T) {
+	for _, step := range []time.Duration{0, time.Hour, -time.Hour} {
+		dir := t.TempDir()
+		wall := clock.Instant(clock.Now().Wall).Add(-2 * time.Second)
+		raw := []byte(magicWall)
+		raw = (&Entry{ID: "untried", Deadline: wall.Add(9 * time.Second)}).append(raw)
+		raw = (&Entry{ID: "out", Deadline: wall.Add(9 * time.Second), Attempts: 0}).append(raw)
+		b, at := begin(raw)
+		b = appendText(append(b, recAttempt), "out")
+		b = appendInt(b, int64(wall))
+		raw = finish(appendText(b, "z"), at)
+		if err := os.WriteFile(filepath.Join(dir, fileName), raw, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		clock.StepWall(step)
+		began := clock.Steady()
+		s := open(t, dir, budget)
+		clock.StepWall(-step)
+		left := s.Get("untried").Deadline.Sub(began)
+		if left < 6*time.Second || left > 10*time.Second || s.Get("out").OpenAt != longAgo || s.Get("out").Attempts != 1 {
+			t.Errorf("%v: %v left, %s", step, left, list(s))
+		}
+		flush(t, s)
+		want := list(s)
+		_ = s.Close()
+		if got := list(open(t, dir, budget)); got != want {
+			t.Errorf("got  %s\nwant %s", got, want)
+		}
+	}
+}
--- a/internal/spool/records.go
+++ b/internal/spool/records.go
@@ -129,7 +129,7 @@
 func appendClock(b []byte, now clock.Instant, bootID string) []byte {
 	b, at := begin(b)
 	b = appendText(append(b, recClock), "")
-	return finish(appendText(binary.AppendVarint(b, int64(now)), bootID), at)
+	return finish(appendText(appendInt(b, int64(now)), bootID), at)
 }
 
 func appendLife(b []byte, n uint64) []byte {
@@ -210,3 +210,5 @@
 	r.b = r.b[n:]
 	return t
 }
+
+func appendInt(p []byte, n int64) []byte { return binary.AppendVarint(p, n) }
