A seeded soak of one real process, and the drain that it found: failing test

Change: internal/soak (clients, endpoints, discovery and a director of its own, seeded; rules judged at those three) and internal/testkit/faults for children of tests. The judge takes what the agent has as told whether a process is up or not. TestDrainedAcrossARestart fails in both its cases.

--- a/internal/app/faults_test.go
+++ b/internal/app/faults_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -20,104 +19,17 @@
 	"testing"
 	"time"
 
-	"brackendale/internal/clock"
 	"brackendale/internal/fleet"
 	"brackendale/internal/folder"
 	"brackendale/internal/handover"
 	"brackendale/internal/net/reactor"
 	"brackendale/internal/standin"
+	"brackendale/internal/testkit/faults"
 )
 
-// faultsKey names, in a child's environment, what goes wrong around it, as JSON of faults.
-const faultsKey = "BRACKENDALE_TEST_FAULTS"
-
-// faults is what goes wrong around a process of the test's.
-type faults struct {
-	WallStep time.Duration // by which its wall clock is off
-	StepIn   time.Duration // after its start; 0: from the start
-	BootID   string        // of its machine's start; empty: the true one
-	Folder   []folderFault
-	Sockets  []socketFault
-}
-
-// socketFault lets calls on sockets fail.
-type socketFault struct {
-	Call  reactor.SocketCall
-	Addr  string // empty: any
-	Errno syscall.Errno
-	First int
-	Count int
-}
-
-// folderFault lets operations on files of the state folder fail.
-type folderFault struct {
-	Call  folder.Call
-	Name  string // of the file
-	Errno syscall.Errno
-	After int    // bytes of a write that are written before it fails
-	First int    // the first operation of the kind that fails, counted from 1
-	Count int    // how many fail from there on
-	While string // a file: in place of First and Count, all fail while it is there
-}
-
-// with is the environment of a process with these faults.
-func (f faults) with() string {
-	raw, err := json.Marshal(f)
-	if err != nil {
-		panic(err)
-	}
-	return faultsKey + "=" + string(raw)
-}
-
-// meet lets this process meet the faults that its environment names.
-func meet(text string) {
-	var f faults
-	if err := json.Unmarshal([]byte(text), &f); err != nil {
-		panic(err)
-	}
-	if f.StepIn == 0 {
-		clock.StepWall(f.WallStep)
-	} else {
-		time.AfterFunc(f.StepIn, func() { clock.StepWall(f.WallStep) })
-	}
-	if f.BootID != "" {
-		clock.SetBootID(f.BootID)
-	}
-	calls := make([]atomic.Int64, len(f.Sockets))
-	reactor.SetFaultHook(func(c reactor.SocketCall, addr string) *reactor.SocketFault {
-		for i, x := range f.Sockets {
-			if x.Call != c || x.Addr != "" && x.Addr != addr {
-				continue
-			}
-			if n := int(calls[i].Add(1)); n >= x.First && n < x.First+x.Count {
-				return &reactor.SocketFault{Errno: x.Errno}
-			}
-		}
-		return nil
-	})
-	counts := make([]atomic.Int64, len(f.Folder))
-	folder.SetHook(func(c folder.Call, name string) *folder.Fault {
-		for i, x := range f.Folder {
-			if x.Call != c || x.Name != name {
-				continue
-			}
-			n := int(counts[i].Add(1))
-			fails := n >= x.First && n < x.First+x.Count
-			if x.While != "" {
-				_, err := os.Stat(x.While)
-				fails = err == nil
-			}
-			if fails {
-				return &folder.Fault{Err: x.Errno, After: x.After}
-			}
-		}
-		return nil
-	})
-}
-
 // startWith begins a process with these faults around it.
-func (o *office) startWith(f faults) *process {
-	o.env = []string{f.with()}
+func (o *office) startWith(f faults.Faults) *process {
+	o.env = []string{f.Env()}
 	defer func() { o.env = nil }()
 	return o.start()
 }
@@ -188,14 +100,14 @@
 				t.Parallel()
 				o := newOffice(t)
 				open := o.shut()
-				var first, second faults
+				var first, second faults.Faults
 				switch when {
 				case "running":
-					first = faults{WallStep: step, StepIn: time.Second}
+					first = faults.Faults{WallStep: step, StepIn: time.Second}
 				case "ending":
-					first = faults{WallStep: step, StepIn: 1500 * time.Millisecond}
+					first = faults.Faults{WallStep: step, StepIn: 1500 * time.Millisecond}
 				default:
-					second = faults{WallStep: step}
+					second = faults.Faults{WallStep: step}
 				}
 				p := o.startWith(first)
 				o.ready(p)
@@ -264,7 +176,7 @@
 	o.takenOn("held", 4, "c=charge,t=x,d=20000,dest=7") // behind a call that hangs
 	_ = p.Process.Kill()
 	<-p.ended
-	o.ready(o.startWith(faults{BootID: "another", WallStep: -time.Hour}))
+	o.ready(o.startWith(faults.Faults{BootID: "another", WallStep: -time.Hour}))
 	o.settled()
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -287,14 +199,14 @@
 				t.Run(fmt.Sprint(errno.Error(), " after ", after, " cut fails ", cut), func(t *testing.T) {
 					t.Parallel()
 					o := newOffice(t)
-					var list []folderFault
+					var list []faults.Folder
 					for _, at := range [][2]int{{3, 1}, {8, 3}, {20, 5}} {
-						list = append(list, folderFault{Call: folder.CallWrite, Name: "spool", Errno: errno, After: after, First: at[0], Count: at[1]})
+						list = append(list, faults.Folder{Call: folder.CallWrite, Name: "spool", Errno: errno, After: after, First: at[0], Count: at[1]})
 					}
 					if cut {
-						list = append(list, folderFault{Call: folder.CallTruncate, Name: "spool", Errno: errno, First: 2, Count: 3})
+						list = append(list, faults.Folder{Call: folder.CallTruncate, Name: "spool", Errno: errno, First: 2, Count: 3})
 					}
-					p := o.startWith(faults{Folder: list})
+					p := o.startWith(faults.Faults{Folder: list})
 					o.ready(p)
 					stop := o.crowd(4)
 					enough := func(n int) {
@@ -332,7 +244,7 @@
 // The folder fails while a sender starts: it waits and says so, answers on its second address that it is not ready, and is ready
 // once the folder works.
 func TestStartWithAFailingFolder(t *testing.T) {
-	for _, c := range []folderFault{{Call: folder.CallOpen, Name: "lock"}, {Call: folder.CallOpen, Name: "spool"},
+	for _, c := range []faults.Folder{{Call: folder.CallOpen, Name: "lock"}, {Call: folder.CallOpen, Name: "spool"},
 		{Call: folder.CallRead, Name: "spool"}, {Call: folder.CallTruncate, Name: "spool"}, {Call: folder.CallRemove, Name: "spool.new"}, {Call: folder.CallRemove, Name: "upgrade.sock"}} {
 		for _, errno := range []syscall.Errno{syscall.EIO, syscall.ENOSPC, syscall.EMFILE} {
 			c := c // each case sets its own error
@@ -357,7 +269,7 @@
 				if err := os.WriteFile(c.While, nil, 0o600); err != nil {
 					t.Fatal(err)
 				}
-				p = o.startWith(faults{Folder: []folderFault{c}})
+				p = o.startWith(faults.Faults{Folder: []faults.Folder{c}})
 				for until := time.Now().Add(standin.Long); ; time.Sleep(5 * time.Millisecond) {
 					status, why := p.ask("GET", "/api/ready", "")
 					if status >= 400 && strings.Contains(why, "folder") {
@@ -419,8 +331,8 @@
 			c := exec.Command(os.Args[0])
 			var said bytes.Buffer
 			c.Stderr = &said
-			c.Env = append(os.Environ(), "BRACKENDALE_TEST_SERVE="+a.file, faults{Sockets: []socketFault{
-				{Call: reactor.CallListen, Errno: errno, First: 1, Count: 3}, {Call: reactor.CallAccept, Errno: errno, First: 1, Count: 3}}}.with())
+			c.Env = append(os.Environ(), "BRACKENDALE_TEST_SERVE="+a.file, faults.Faults{Sockets: []faults.Socket{
+				{Call: reactor.CallListen, Errno: errno, First: 1, Count: 3}, {Call: reactor.CallAccept, Errno: errno, First: 1, Count: 3}}}.Env())
 			if err := c.Start(); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/app/idle_test.go
+++ b/internal/app/idle_test.go
@@ -16,6 +16,7 @@
 	"brackendale/internal/fleet"
 	"brackendale/internal/net/amqp"
 	"brackendale/internal/standin"
+	"brackendale/internal/testkit/faults"
 
 	"github.com/rabbitmq/amqp091-go"
 )
@@ -142,9 +143,7 @@
 	if kill := os.Getenv(killKey); kill != "" {
 		killedAt(kill)
 	}
-	if text := os.Getenv(faultsKey); text != "" {
-		meet(text)
-	}
+	faults.Meet()
 	if file != "" {
 		if err := Serve(context.Background(), file, How{}); err != nil {
 			fmt.Fprintln(os.Stderr, err)
--- a/internal/fleet/proc.go
+++ b/internal/fleet/proc.go
@@ -53,8 +53,8 @@
 // Pid is its process id.
 func (p *Proc) Pid() int { return p.cmd.Process.Pid }
 
-// signal reaches the process while it has not been waited for, so that its pid is its own.
-func (p *Proc) signal(s syscall.Signal) error {
+// Signal reaches the process while it has not been waited for, so that its pid is its own.
+func (p *Proc) Signal(s syscall.Signal) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.ended {
@@ -63,18 +63,21 @@
 	return p.cmd.Process.Signal(s)
 }
 
+// Done is closed once the process has ended.
+func (p *Proc) Done() <-chan struct{} { return p.done }
+
 // Kill ends it as a crash would, and waits for that.
 func (p *Proc) Kill() {
-	if err := p.signal(syscall.SIGKILL); err == nil {
+	if err := p.Signal(syscall.SIGKILL); err == nil {
 		<-p.done
 	}
 }
 
 // Stop makes it stand still, all threads of it, until Continue.
-func (p *Proc) Stop() error { return p.signal(syscall.SIGSTOP) }
+func (p *Proc) Stop() error { return p.Signal(syscall.SIGSTOP) }
 
 // Continue lets it go on.
-func (p *Proc) Continue() error { return p.signal(syscall.SIGCONT) }
+func (p *Proc) Continue() error { return p.Signal(syscall.SIGCONT) }
 
 // Full lets each further write of the process to a file fail as on a disk without room, or succeed again. Nothing but this process
 // notices: it is its own bound on the size of files that is lowered, and the error is that of a file too large.
@@ -119,7 +122,7 @@
 
 // Term asks it to end in order and waits so long for that; an error tells that it did not end, or how.
 func (p *Proc) Term(wait time.Duration) error {
-	if err := p.signal(syscall.SIGTERM); err != nil {
+	if err := p.Signal(syscall.SIGTERM); err != nil {
 		return err
 	}
 	select {
--- a/internal/net/platform/watch_test.go
+++ b/internal/net/platform/watch_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
 	"brackendale/internal/comeback"
 	"brackendale/internal/config"
+	"brackendale/internal/standin"
+	"brackendale/sender"
 )
 
 // list is what an agent answers: the endpoint e1 in a state, as of a version.
@@ -125,3 +130,63 @@
 		}
 	}
 }
+
+// An endpoint is drained while the sender starts again, with a list in its configuration that is older: what it held is not sent
+// there, since the agent has that news and answers at once. Where the agent is silent, what the process before was told still counts.
+func TestDrainedAcrossARestart(t *testing.T) {
+	for _, heard := range []string{"while it was down", "by the process before"} {
+		t.Run(heard, func(t *testing.T) {
+			w := newWorld(t)
+			hang := make(chan bool)
+			w.answer = func(rw http.ResponseWriter, _ *http.Request, _ string) { <-hang }
+			other := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { w.calls <- r }))
+			defer other.Close()
+			addr, kill := w.start()
+			w.submit(addr, "first", "safe", "50000")
+			wait(t, w.calls)
+			for i := range 20 { // behind it, or out as well
+				w.submit(addr, fmt.Sprint("m", i), "safe", "50000")
+			}
+			news := fmt.Sprintf(`{"seq":2,"whole":false,"hosts":[{"host":"e1","block":7,"class":"k","health":"leaving","dial":%q},`+
+				`{"host":"e2","block":7,"class":"k","health":"active","dial":%q}]}`, w.dial, other.Listener.Addr())
+			if heard == "by the process before" {
+				w.changes <- news
+				for until := time.Now().Add(standin.Long); ; time.Sleep(time.Millisecond) {
+					got := make(chan bool, 1)
+					w.core.Post(func() {
+						got <- slices.ContainsFunc(w.core.State().Routes, func(r sender.RouteState) bool { return r.Name == "e2" })
+					})
+					if wait(t, got) {
+						break
+					}
+					if time.Now().After(until) {
+						t.Fatal("the news never came")
+					}
+				}
+				time.Sleep(50 * time.Millisecond) // the news is kept beside the steps
+			}
+			kill()
+			close(hang)
+			for len(w.calls) > 0 {
+				<-w.calls
+			}
+			w.answer = ok
+			if heard == "while it was down" {
+				w.changes <- news
+			}
+			w.start()
+			if heard == "while it was down" {
+				for range 21 {
+					if r := wait(t, w.calls); r.Host == w.dial {
+						t.Fatal("sent to an endpoint that wants nothing new")
+					}
+				}
+				return
+			}
+			time.Sleep(2 * w.grace) // the agent says nothing, and nothing else may take it
+			if len(w.calls) > 0 {
+				t.Fatal("sent to an endpoint that wants nothing new")
+			}
+		})
+	}
+}
--- a/internal/net/reactor/fault.go
+++ b/internal/net/reactor/fault.go
@@ -25,7 +25,7 @@
 // SocketFault is how a call fails.
 type SocketFault struct {
 	Errno syscall.Errno // 0: the call is only short
-	After int           // of a write or a read: so many bytes come through first
+	After int           // of a write or a read: so many bytes come through first; what came before an error is read before it
 }
 
 // FaultHook tells how a call is to fail, by the address of the peer, or the one that is listened on; nil: it does not.
--- a/internal/net/reactor/listen.go
+++ b/internal/net/reactor/listen.go
@@ -119,10 +119,11 @@
 		if rate := l.perSec.Load(); rate > 0 {
 			time.Sleep(p.wait(l.r.Now(), int(rate)))
 		}
-		sock, err := l.Accept()
-		if f := fault(CallAccept, l.Addr().String); f != nil && f.Errno != 0 && err == nil {
-			_ = sock.Close() // as one that the system could not hand over
-			err = f.Errno
+		sock, err := net.Conn(nil), error(nil)
+		if f := fault(CallAccept, l.Addr().String); f != nil && f.Errno != 0 {
+			err = f.Errno // who comes waits in the backlog
+		} else {
+			sock, err = l.Accept()
 		}
 		if errors.Is(err, net.ErrClosed) {
 			l.release()
--- a/internal/net/reactor/reactor.go
+++ b/internal/net/reactor/reactor.go
@@ -154,8 +154,10 @@
 		return
 	}
 	if f := fault(CallRead, func() string { return nc.RemoteAddr().String() }); f != nil && f.Errno != 0 {
-		_ = nc.CloseWithError(f.Errno)
-		return
+		defer func() { _ = nc.CloseWithError(f.Errno) }()
+		if b = b[:min(f.After, len(b))]; len(b) == 0 {
+			return
+		}
 	}
 	own := append(rest.Get(len(b)), b...)
 	c.unseen.Add(1) // before a wait for room: it is out of the socket already
--- /dev/null
+++ b/internal/soak/discovery.go
@@ -0,0 +1,212 @@
+package soak
+
+import (
+	"bufio"
+	"encoding/json"
+	"math/rand"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"brackendale/internal/config"
+)
+
+// change is one of the list's.
+type change struct {
+	seq  int64
+	host config.Host
+	at   time.Time
+}
+
+// discovery is the list of endpoints, behind an agent that may move, be down, slow, or fall silent.
+type discovery struct {
+	judge *Judge
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	seq     int64
+	hosts   map[string]config.Host
+	changes []change
+	down    bool // the agent is silent and learns nothing
+	pending []config.Host
+	silent  time.Time     // when the watches that were open last fell silent
+	moved   time.Time     // the last SIGHUP
+	wake    chan struct{} // closed when something changes
+	ends    map[string]*endpoint
+	servers []*http.Server
+}
+
+func newDiscovery(j *Judge, rng *rand.Rand) *discovery {
+	return &discovery{judge: j, rng: rng, hosts: map[string]config.Host{}, wake: make(chan struct{}), ends: map[string]*endpoint{}}
+}
+
+// agent opens one more address of the agent's. The ones before close their connections a little later.
+func (d *discovery) agent() (addr string, err error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	s := &http.Server{Handler: http.HandlerFunc(d.serve)}
+	go func() { _ = s.Serve(ln) }()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, old := range d.servers {
+		time.AfterFunc(1500*time.Millisecond, func() { _ = old.Close() })
+	}
+	d.servers = []*http.Server{s}
+	return ln.Addr().String(), nil
+}
+
+// list changes an entry. The sender counts as told when the agent has it, after SIGHUP and a silent watch a little later.
+func (d *discovery) list(h config.Host, e *endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ends[h.Host] = e
+	if d.down {
+		d.pending = append(d.pending, h)
+		return
+	}
+	d.learn(h)
+}
+
+func (d *discovery) learn(h config.Host) {
+	now := time.Now()
+	d.seq++
+	if h.Health == "left" {
+		delete(d.hosts, h.Host)
+	} else {
+		d.hosts[h.Host] = h
+	}
+	d.changes = append(d.changes, change{d.seq, h, now})
+	told := now
+	if at := d.moved.Add(toldAfterHUP); now.Before(at) {
+		told = at
+	}
+	if at := d.silent.Add(toldSilent); now.Before(at) && at.After(told) {
+		told = at
+	}
+	if e := d.ends[h.Host]; h.Health != "active" && e != nil {
+		e.mu.Lock()
+		if e.told.IsZero() || told.Before(e.told) {
+			e.told = told
+		}
+		e.mu.Unlock()
+	}
+	close(d.wake)
+	d.wake = make(chan struct{})
+}
+
+func (d *discovery) setDown(down bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = down
+	if !down {
+		for _, h := range d.pending {
+			d.learn(h)
+		}
+		d.pending = nil
+	}
+}
+
+// fallSilent lets the watches that are open never answer.
+func (d *discovery) fallSilent() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silent = time.Now()
+	for _, c := range d.changes[max(0, len(d.changes)-10):] { // what was just told may not have been written
+		if e := d.ends[c.host.Host]; e != nil && d.silent.Sub(c.at) < slack {
+			e.mu.Lock()
+			if !e.told.IsZero() {
+				e.told = d.silent.Add(toldSilent)
+			}
+			e.mu.Unlock()
+		}
+	}
+}
+
+// moves books a SIGHUP.
+func (d *discovery) moves() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.moved = time.Now()
+}
+
+func (d *discovery) known() config.List {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.whole()
+}
+
+func (d *discovery) whole() config.List {
+	l := config.List{Seq: d.seq, Whole: true}
+	for _, h := range d.hosts {
+		l.Hosts = append(l.Hosts, h)
+	}
+	return l
+}
+
+func (d *discovery) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v2/finals" {
+		var f struct{ ID, State string }
+		for dec := json.NewDecoder(bufio.NewReader(r.Body)); dec.Decode(&f) == nil; {
+			d.judge.ends(f.ID, f.State)
+		}
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	began := time.Now()
+	index, watch := int64(-1), r.URL.Query().Get("index") != ""
+	if watch {
+		index, _ = strconv.ParseInt(r.URL.Query().Get("index"), 10, 64)
+	}
+	ms, _ := strconv.Atoi(r.URL.Query().Get("wait"))
+	for until := began.Add(time.Duration(ms) * time.Millisecond); ; {
+		d.mu.Lock()
+		deaf := d.down || watch && began.Before(d.silent)
+		ready := !watch || d.seq > index
+		wake := d.wake
+		var answer []byte
+		if !deaf && (ready || !time.Now().Before(until)) {
+			answer = d.answer(watch, index)
+		}
+		d.mu.Unlock()
+		if answer != nil {
+			_, _ = w.Write(answer)
+			return
+		}
+		gap := 20 * time.Millisecond // the end of a silence is not told apart
+		select {
+		case <-r.Context().Done():
+			return
+		case <-wake:
+		case <-time.After(gap):
+		}
+	}
+}
+
+// answer is a whole list, or what has changed since a version; some come indented.
+func (d *discovery) answer(watch bool, index int64) []byte {
+	l := config.List{Seq: d.seq}
+	if watch && d.rng.Intn(4) > 0 && index <= d.seq {
+		for _, c := range d.changes {
+			if c.seq > index {
+				l.Hosts = append(l.Hosts, c.host)
+			}
+		}
+	} else {
+		l = d.whole()
+	}
+	if l.Hosts == nil {
+		l.Hosts = []config.Host{}
+	}
+	raw, err := json.Marshal(l)
+	if d.rng.Intn(3) == 0 {
+		raw, err = json.MarshalIndent(l, "", "  ")
+	}
+	if err != nil {
+		panic(err) // strings and numbers
+	}
+	return raw
+}
--- /dev/null
+++ b/internal/soak/judge.go
@@ -0,0 +1,309 @@
+// Package soak plays a seeded day of troubles against one real process of the sender, with clients, endpoints and discovery of its
+// own, and judges it by the platform's rules as they show at those three, never by the sender's own word.
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+)
+
+// The slack of the rules on sockets, and the times that the platform's pages name.
+const (
+	slack        = 50 * time.Millisecond  // every limit is so much longer
+	endSlack     = 300 * time.Millisecond // an end may come so long after the message's time is up
+	waitCrossing = 100 * time.Millisecond // calls that come so soon after a told wait are let through
+	restartGrace = 1500 * time.Millisecond
+	answerWait   = 400 * time.Millisecond // of a client
+	badClientDue = 3 * time.Second
+	termToKill   = 3700 * time.Millisecond
+	killToStart  = 600 * time.Millisecond
+	readyDue     = 10 * time.Second
+	toldAfterHUP = 4 * time.Second
+	toldSilent   = 6 * time.Second
+)
+
+// verdict is what a client heard when it handed a message in.
+type verdict uint8
+
+const (
+	unheard verdict = iota
+	takenOn
+	refused
+	failed
+	withdrawn // it waited for too long and left, or its connection ended
+)
+
+// message is one that a client hands in.
+type message struct {
+	id, class, key, body string
+	dest                 int64
+	deadline             time.Time
+	verdict              verdict
+	heard                time.Time
+	calls                []*attempt
+	delivered            time.Time
+	end                  string
+	ended                time.Time
+	unanswered           bool // its connection ended behind its last byte with no answer, and not by a kill
+}
+
+// attempt is one call of a message, as its endpoint saw it.
+type attempt struct {
+	at     time.Time // its last byte
+	mayRun bool
+	open   bool
+}
+
+// span is a time in which a restart excuses what is late.
+type span struct{ from, to time.Time }
+
+// Judge books what clients, endpoints and discovery see, and what breaks a rule.
+type Judge struct {
+	mu       sync.Mutex
+	began    time.Time
+	windows  map[string]time.Duration // of the classes that may be repeated by key
+	effects  map[string]string
+	messages map[string]*message
+	waits    map[int64]span // told, by destination
+	restarts []span         // the last one's end is zero while the sender is down
+	broken   []string
+	counts   map[string]int
+
+	breaks bool      // connections of clients break by themselves, too
+	crowd  time.Time // until then new connections may be shut unread
+}
+
+func newJudge() *Judge {
+	return &Judge{began: time.Now(), windows: map[string]time.Duration{}, effects: map[string]string{}, messages: map[string]*message{},
+		waits: map[int64]span{}, counts: map[string]int{}}
+}
+
+// violate books a broken rule. The caller holds the lock.
+func (j *Judge) violate(format string, args ...any) {
+	j.broken = append(j.broken, fmt.Sprintf("%.3f ", time.Since(j.began).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// Violate books a broken rule.
+func (j *Judge) Violate(format string, args ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.violate(format, args...)
+}
+
+func (j *Judge) submitted(m *message) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.messages[m.id] = m
+	j.counts["submitted"]++
+}
+
+// heard books the answer to handing a message in.
+func (j *Judge) heard(m *message, v verdict) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	m.verdict, m.heard = v, time.Now()
+	j.counts[[]string{"unheard", "taken on", "refused", "failed", "withdrawn"}[v]]++
+}
+
+// cut books that a connection ended behind a message's last byte with no answer. again tells that it was a new connection, on which
+// no earlier request explains it.
+func (j *Judge) cut(m *message, fresh bool) {
+	j.heard(m, withdrawn)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.down(time.Now(), time.Second) {
+		return // the process was killed, or ends
+	}
+	j.counts["cut"]++
+	if j.breaks {
+		return
+	}
+	if m.unanswered = true; fresh && time.Now().After(j.crowd) {
+		j.violate("lost: %s was written to a new connection that was ended with no answer", m.id)
+	}
+}
+
+// down tells whether a restart excuses something at a time, or did until so long before.
+func (j *Judge) down(at time.Time, before time.Duration) bool {
+	return slices.ContainsFunc(j.restarts, func(s span) bool {
+		return !at.Before(s.from) && (s.to.IsZero() || at.Before(s.to.Add(before)))
+	})
+}
+
+// stops books the first signal of a restart, and serves that the sender is ready again.
+func (j *Judge) stops() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.restarts = append(j.restarts, span{from: time.Now()})
+}
+
+// starts books a new process: told waits are over.
+func (j *Judge) starts() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	clear(j.waits)
+}
+
+func (j *Judge) serves() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if n := len(j.restarts); n > 0 && j.restarts[n-1].to.IsZero() {
+		j.restarts[n-1].to = time.Now().Add(restartGrace)
+	}
+}
+
+// arrives judges a call whose last byte has come: first is when its first one came. gone tells that the message is over, and nothing
+// of it runs.
+func (j *Judge) arrives(e *endpoint, id, key, body string, first time.Time) (a *attempt, gone bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := time.Now()
+	j.counts["calls"]++
+	m := j.messages[id]
+	if m == nil || m.key != key || m.body != body {
+		j.violate("misrouted: nobody handed in %q with key %q in this form", id, key)
+		return &attempt{}, true
+	}
+	if m.dest != e.dest {
+		j.violate("misrouted: %s is for %d, and came to %s of %d", id, m.dest, e.name, e.dest)
+	}
+	if told := e.toldAt(); !told.IsZero() && first.Sub(told) > e.grace+slack {
+		j.violate("drain: %s came to %s %v after it was told to want nothing", id, e.name, first.Sub(told))
+	}
+	if w, ok := j.waits[m.dest]; ok && now.Before(w.to) && now.Sub(w.from) > waitCrossing {
+		j.violate("wait: %s came to %d %v before a told wait was over, and %v after it was told", id, m.dest, w.to.Sub(now), now.Sub(w.from))
+	}
+	switch {
+	case (m.verdict == refused || m.verdict == failed) && first.After(m.heard):
+		j.violate("refused: %s was sent %v after its client had heard that it is not taken on", id, first.Sub(m.heard))
+	case m.unanswered && first.After(m.heard):
+		j.violate("lost: %s was sent after its connection had been ended with no answer", id)
+	case m.end != "" && first.After(m.ended):
+		j.violate("ended: %s was sent %v after it had ended as %s", id, first.Sub(m.ended), m.end)
+	}
+	for _, o := range m.calls {
+		if o.open {
+			j.violate("twice at once: %s came while a call of it is out", id)
+		}
+	}
+	j.repeats(m, now)
+	a = &attempt{at: now, open: true}
+	m.calls = append(m.calls, a)
+	return a, !now.Before(m.deadline) || m.verdict == withdrawn || m.end != ""
+}
+
+// settles waits a moment for the end of an earlier call's connection to be seen here: it may have ended just before.
+func (j *Judge) settles(id string) {
+	for until := time.Now().Add(slack); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		j.mu.Lock()
+		m := j.messages[id]
+		open := m != nil && slices.ContainsFunc(m.calls, func(o *attempt) bool { return o.open })
+		j.mu.Unlock()
+		if !open {
+			return
+		}
+	}
+}
+
+// repeats judges a call by those before it that may have run.
+func (j *Judge) repeats(m *message, now time.Time) {
+	i := slices.IndexFunc(m.calls, func(o *attempt) bool { return o.mayRun })
+	if i < 0 {
+		return
+	}
+	since := now.Sub(m.calls[i].at)
+	switch {
+	case j.effects[m.class] == "once":
+		j.violate("duplicate: %s came again %v after a call that may have run", m.id, since)
+	case j.effects[m.class] == "by_key" && since > j.windows[m.class]+slack:
+		j.violate("duplicate: %s came again %v after a call that may have run", m.id, since)
+	case j.effects[m.class] != "repeatable":
+		j.counts["repeats"]++
+	}
+}
+
+// over books how a call ended.
+func (j *Judge) over(a *attempt, mayRun bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	a.open, a.mayRun = false, a.mayRun || mayRun
+}
+
+// runs books that a call may have run from here on.
+func (j *Judge) runs(a *attempt) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	a.mayRun = true
+}
+
+// delivered books a 200 that was written.
+func (j *Judge) delivered(id string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if m := j.messages[id]; m != nil && m.delivered.IsZero() {
+		m.delivered = time.Now()
+		j.counts["delivered"]++
+	}
+}
+
+// tellsWait books a wait as it is written.
+func (j *Judge) tellsWait(dest int64, d time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := time.Now()
+	if w := j.waits[dest]; now.Add(d).After(w.to) {
+		j.waits[dest] = span{now, now.Add(d)}
+	}
+	j.counts["waits told"]++
+}
+
+// ends books a notice.
+func (j *Judge) ends(id, state string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	m := j.messages[id]
+	if m == nil {
+		j.violate("misrouted: a notice of %q, which nobody handed in", id)
+		return
+	}
+	if m.end != "" {
+		return // a notice for a message that is over does no harm
+	}
+	m.end, m.ended = state, time.Now()
+	j.counts[state]++
+	ran := slices.ContainsFunc(m.calls, func(a *attempt) bool { return a.mayRun || a.open })
+	if state == "returned" && ran && j.effects[m.class] == "once" {
+		j.violate("duplicate: %s is returned, and may have run", id)
+	}
+}
+
+// due is when a message must have its end at the latest. No notice is overdue in a restart.
+func (j *Judge) due(m *message) time.Time {
+	at := m.deadline.Add(endSlack + slack)
+	for _, s := range j.restarts {
+		if !at.Before(s.from) && (s.to.IsZero() || at.Before(s.to)) {
+			at = s.to
+		}
+	}
+	return at
+}
+
+// close judges what has no end, once all deadlines are over.
+func (j *Judge) close() (broken []string, counts map[string]int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for id, m := range j.messages {
+		due := j.due(m)
+		over := !m.delivered.IsZero() || m.end != "" && !m.ended.After(due)
+		if m.verdict == takenOn && !over {
+			late := "never"
+			if m.end != "" {
+				late = fmt.Sprint(m.ended.Sub(due), " late")
+			}
+			j.violate("lost: %s (%s, %d calls) has its end %s", id, m.class, len(m.calls), late)
+		}
+	}
+	return j.broken, j.counts
+}
--- /dev/null
+++ b/internal/soak/world.go
@@ -0,0 +1,323 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"brackendale/internal/config"
+	"brackendale/internal/fleet"
+	"brackendale/internal/folder"
+	"brackendale/internal/net/reactor"
+	"brackendale/internal/testkit/faults"
+	"brackendale/logic"
+)
+
+// Options is one run.
+type Options struct {
+	Seed    int64
+	Program string   // the sender's
+	Args    []string // that let it serve
+	Env     []string
+	Dir     string // for its folder, its configuration and its log
+	Length  time.Duration
+}
+
+// Report is what came of it.
+type Report struct {
+	Seed   int64
+	Acts   []string // what was done, and when
+	Counts map[string]int
+	Broken []string
+}
+
+// world is one run while it is played.
+type world struct {
+	opt       Options
+	judge     *Judge
+	discovery *discovery
+	rng       *rand.Rand // the director's
+	listen    string
+	endpoints []*endpoint
+	named     int
+	proc      *fleet.Proc
+	log       *os.File
+	acts      []string
+	expected  bool // the process is being ended
+	sockets   int
+	wall      time.Duration // of the processes that start from now on
+	errno     bool          // and some of their socket calls fail
+}
+
+// The deployment: one class of each effect, three destinations with one to three endpoints, calls of up to two messages.
+const (
+	destinations = 3
+	grace        = 2 * time.Second
+	window       = 4 * time.Second
+)
+
+var classes = []logic.Lane{
+	{Name: "safe", Effect: "repeatable", AimUs: 1.5e6, HardLimitUs: 5e6, Worth: 1},
+	{Name: "key", Effect: "by_key", Group: "all", AimUs: 2e6, HardLimitUs: 8e6, WindowUs: window.Microseconds(), Worth: 2},
+	{Name: "charge", Effect: "once", AimUs: 2e6, HardLimitUs: 9e6, Worth: 4},
+}
+
+func settings() (s logic.Settings) {
+	s.Replicas, s.TickUs, s.Discovery, s.Weights, s.MachineTypes = 1, 5000, "pushed", "silent", []string{"k"}
+	s.Lanes = classes
+	s.Family.OwnLimits, s.Family.PerCall, s.Family.Workers, s.Family.Decay = []bool{false}, []int{2}, 24, "halves"
+	s.Caps.Cancel, s.Caps.OpenCap, s.Caps.MaxAttempts, s.Caps.RetryAfter, s.Caps.MaxRetryAfterUs = true, 400, 8, true, 3e6
+	s.Caps.ConnectTimeoutUs, s.Caps.KeepaliveUs, s.Caps.StreamsPerConn = 1500e3, 5e6, 1
+	s.Rules.FallUs, s.Rules.ColdFrom, s.Rules.FallMultiple, s.Rules.WarmAfterUs = 2e6, 0.2, 2, 4e6
+	s.Rules.StopWithinUs, s.Rules.AnswerSlackUs = grace.Microseconds(), 20e3
+	return s
+}
+
+// message draws one for a client.
+func (w *world) message(id string, rng *rand.Rand) *message {
+	l := classes[rng.Intn(len(classes))]
+	d := time.Duration(l.HardLimitUs) * time.Microsecond
+	if rng.Intn(4) == 0 { // little time left
+		d = time.Duration(30+rng.Intn(1500)) * time.Millisecond
+	}
+	m := &message{id: fmt.Sprintf("%x-%s", w.opt.Seed, id), class: l.Name, dest: int64(1 + rng.Intn(destinations)), deadline: time.Now().Add(d)}
+	m.body = fmt.Sprintf("body of %s\r\n", m.id)
+	if l.Effect == "by_key" {
+		m.key = "k" + m.id
+	}
+	return m
+}
+
+// act books what the director does.
+func (w *world) act(format string, args ...any) {
+	w.acts = append(w.acts, fmt.Sprintf("%.3f ", time.Since(w.judge.began).Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (w *world) path(name string) string { return filepath.Join(w.opt.Dir, name) }
+
+// diskFails is there while writes to the journal fail.
+func (w *world) diskFails() string { return w.path("disk-fails") }
+
+// configure replaces the configuration's file.
+func (w *world) configure(addr string) error {
+	raw, err := json.Marshal(map[string]any{"name": "n1", "listen": w.listen, "discovery": addr, "seed": fmt.Sprintf("%x", w.rng.Int63()),
+		"limits": config.Limits{Cores: 1, MemoryMB: 64, Sockets: w.sockets, DiskMB: 1}, "known": w.discovery.known(), "settings": settings()})
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(w.path("next.json"), raw, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(w.path("next.json"), w.path("config.json"))
+}
+
+// start begins a process and waits until it answers PING, in the background.
+func (w *world) start() error {
+	f := faults.Faults{WallStep: w.wall, Folder: []faults.Folder{
+		{Call: folder.CallWrite, Name: "spool", Errno: syscall.EIO, After: w.rng.Intn(300), While: w.diskFails()},
+		{Call: folder.CallTruncate, Name: "spool", Errno: syscall.EIO, While: w.diskFails() + "-to-cut"},
+		{Call: folder.CallWrite, Name: "memory.new", Errno: syscall.ENOSPC, While: w.diskFails()}}}
+	if w.errno {
+		for i, call := range []reactor.SocketCall{reactor.CallConnect, reactor.CallAccept, reactor.CallRead, reactor.CallWrite, reactor.CallPoll} {
+			errnos := map[reactor.SocketCall][]syscall.Errno{
+				reactor.CallConnect: {syscall.ENETUNREACH, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.EINTR, syscall.EHOSTUNREACH},
+				reactor.CallAccept:  {syscall.ECONNABORTED, syscall.ENFILE, syscall.ENOBUFS, syscall.EINTR},
+				reactor.CallRead:    {syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENOBUFS},
+				reactor.CallWrite:   {0, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, 0},
+				reactor.CallPoll:    {syscall.ENOMEM, syscall.ENOSPC}}[call]
+			after := w.rng.Intn(200)
+			if call == reactor.CallRead {
+				after = 1 << 20 // what has come is read before the error
+			}
+			f.Sockets = append(f.Sockets, faults.Socket{Call: call, Errno: errnos[w.rng.Intn(len(errnos))], After: after,
+				First: 5 + w.rng.Intn(20), Count: 1 + w.rng.Intn(3), Every: 23 + 10*i + w.rng.Intn(40)})
+		}
+	}
+	env := append([]string{"LB_CONFIG=" + w.path("config.json"), "LB_STATE=" + w.path("state"), f.Env()}, w.opt.Env...)
+	p, err := fleet.Start(w.opt.Program, w.opt.Args, env, w.log)
+	if err != nil {
+		return err
+	}
+	w.proc, w.expected = p, false
+	w.judge.starts()
+	began := time.Now()
+	for !w.pings() {
+		if time.Since(began) > readyDue {
+			w.judge.Violate("ready: not within %v", readyDue)
+			return nil
+		}
+		if w.crashed() {
+			return nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	w.judge.serves()
+	w.act("ready after %v", time.Since(began).Round(time.Millisecond))
+	return nil
+}
+
+// crashed tells whether the process has ended with nobody asking for it, and books it.
+func (w *world) crashed() bool {
+	select {
+	case <-w.proc.Done():
+		if !w.expected {
+			w.expected = true
+			w.judge.Violate("crash: the process ended by itself\n%s", w.tail())
+		}
+		return true
+	default:
+		return false
+	}
+}
+
+// tail is the end of the log.
+func (w *world) tail() string {
+	raw, _ := os.ReadFile(w.log.Name())
+	lines := bytes.Split(raw, []byte("\n"))
+	return string(bytes.Join(lines[max(0, len(lines)-12):], []byte("\n")))
+}
+
+func (w *world) pings() bool {
+	c, err := net.DialTimeout("tcp", w.listen, 100*time.Millisecond)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(answerWait))
+	_, _ = io.WriteString(c, command("PING"))
+	line, _ := bufio.NewReader(c).ReadString('\n')
+	return line == "+PONG\r\n"
+}
+
+// kill ends the process as a crash, and starts the next one.
+func (w *world) kill() error {
+	w.act("SIGKILL")
+	w.judge.stops()
+	w.expected = true
+	w.proc.Kill()
+	time.Sleep(killToStart)
+	return w.start()
+}
+
+// restart is a planned one: SIGTERM, twice in some, or behind a SIGHUP, and SIGKILL at the page's earliest.
+func (w *world) restart() error {
+	n := w.rng.Intn(4)
+	w.act("SIGTERM, form %d", n)
+	w.judge.stops()
+	w.expected = true
+	began := time.Now()
+	_ = w.proc.Signal(syscall.SIGTERM)
+	switch n {
+	case 1:
+		_ = w.proc.Signal(syscall.SIGTERM)
+	case 2:
+		_ = w.proc.Signal(syscall.SIGHUP)
+	case 3:
+		time.Sleep(time.Duration(w.rng.Intn(3000)) * time.Millisecond)
+		_ = w.proc.Signal(syscall.SIGTERM)
+	}
+	select {
+	case <-w.proc.Done():
+	case <-time.After(termToKill - time.Since(began)):
+		w.act("still there at the kill")
+	}
+	w.proc.Kill()
+	time.Sleep(killToStart)
+	return w.start()
+}
+
+// reload moves discovery, several times in a row in some.
+func (w *world) reload() error {
+	for n := 1 + w.rng.Intn(3); n > 0; n-- {
+		addr, err := w.discovery.agent()
+		if err != nil {
+			return err
+		}
+		if err := w.configure(addr); err != nil {
+			return err
+		}
+		w.discovery.moves()
+		w.act("SIGHUP")
+		_ = w.proc.Signal(syscall.SIGHUP)
+		time.Sleep(time.Duration(w.rng.Intn(300)) * time.Millisecond)
+	}
+	return nil
+}
+
+// add lists a new endpoint.
+func (w *world) add(dest int64) error {
+	w.named++
+	e, err := newEndpoint(fmt.Sprintf("e%d", w.named), dest, grace, w.judge, rand.New(rand.NewSource(w.opt.Seed*1000+int64(w.named))))
+	if err != nil {
+		return err
+	}
+	w.endpoints = append(w.endpoints, e)
+	w.discovery.list(w.host(e, "active"), e)
+	return nil
+}
+
+func (w *world) host(e *endpoint, health string) config.Host {
+	return config.Host{Host: e.name, Dial: e.dial(), Site: "a", Class: "k", Block: e.dest, Health: health, Share: 1}
+}
+
+// replace drains an endpoint, in some lets it go at once, and lists another in its place.
+func (w *world) replace() error {
+	i := w.rng.Intn(len(w.endpoints))
+	e := w.endpoints[i]
+	w.act("%s of %d is replaced", e.name, e.dest)
+	if err := w.add(e.dest); err != nil {
+		return err
+	}
+	w.endpoints = append(w.endpoints[:i:i], w.endpoints[i+1:]...)
+	health := []string{"leaving", "left"}[w.rng.Intn(2)]
+	w.discovery.list(w.host(e, health), e)
+	time.AfterFunc(9*time.Second, func() {
+		if health == "leaving" {
+			w.discovery.list(w.host(e, "left"), e)
+		}
+		e.close()
+	})
+	return nil
+}
+
+// crowd fills descriptors with clients that say nothing, and in some with bad ones.
+func (w *world) crowd() {
+	n := 50 + w.rng.Intn(2*w.sockets)
+	w.act("a crowd of %d", n)
+	w.judge.mu.Lock()
+	w.judge.crowd = time.Now().Add(time.Duration(n)*2*time.Millisecond + badClientDue)
+	w.judge.mu.Unlock()
+	var all sync.WaitGroup
+	for i := range n {
+		all.Add(1)
+		text := badText[w.rng.Intn(len(badText))]
+		go func() {
+			defer all.Done()
+			time.Sleep(time.Duration(i) * 2 * time.Millisecond)
+			w.bad(text)
+		}()
+	}
+}
+
+// diskTrouble lets writes to the folder fail for a while; in some the cut behind them too.
+func (w *world) diskTrouble() {
+	d := []time.Duration{20 * time.Millisecond, 300 * time.Millisecond, 3 * time.Second}[w.rng.Intn(3)]
+	names := []string{w.diskFails()}
+	if w.rng.Intn(2) == 0 {
+		names = append(names, w.diskFails()+"-to-cut")
+	}
+	w.act("the folder fails for %v, the cuts too: %v", d, len(names) == 2)
+	for _, name := range names {
+		_ = os.WriteFile(name, nil, 0o600)
+		time.AfterFunc(d, func() { _ = os.Remove(name) })
+	}
+}
