No call by a list from before the start until there is news; drains outlast the process

Cause: Watch gave the configuration's list to the core as it is, and the first step sent by it before the first call to discovery; what the process before was told was kept nowhere. Change: the entries of a list from before the start take no calls until the first answer, which is asked for with a wait of 1 ms, or 300 ms of silence behind it; the memory keeps up to 256 names of targets that want nothing new, at once when one is told, and corrects older lists by them. A hand-over passes them on. The test of the watch answers that first call and goes on as before.

--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -34,6 +34,7 @@
 	Name   string // of the sender
 	At     clock.Reading
 	Module logic.Saved
+	Gone   []string // targets that wanted nothing new, the latest last
 }
 
 // ErrBad tells that a file is of no use.
--- a/internal/net/platform/platform_test.go
+++ b/internal/net/platform/platform_test.go
@@ -34,6 +34,7 @@
 	calls    chan *http.Request
 	answer   func(w http.ResponseWriter, r *http.Request, body string)
 	mu       sync.Mutex
+	silent   bool        // the agent answers only with changes
 	reject   int         // finals that are answered with an error first
 	asked    chan string // the watch's versions
 	changes  chan string
@@ -74,9 +75,21 @@
 			return
 		}
 		w.asked <- r.URL.Query().Get("index")
+		now := make(chan time.Time)
+		if r.URL.Query().Get("wait") == "1" && !w.silent {
+			close(now) // an agent answers at once
+		}
+		select {
+		case list := <-w.changes:
+			_, _ = io.WriteString(rw, list)
+			return
+		default:
+		}
 		select {
 		case list := <-w.changes:
 			_, _ = io.WriteString(rw, list)
+		case <-now:
+			_, _ = io.WriteString(rw, `{"seq":`+r.URL.Query().Get("index")+`,"whole":false,"hosts":[]}`)
 		case <-r.Context().Done():
 		}
 	}))
--- a/internal/net/platform/registry.go
+++ b/internal/net/platform/registry.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,6 +22,7 @@
 // no gap between two calls is longer than what is left of it.
 const (
 	watchMs    = 3_000
+	firstMs    = 1                       // of the first call of a life that knows a list
 	watchSlack = 500 * time.Millisecond  // after a watch's own time
 	agentLimit = time.Second             // for connects to the agent, and for answers that come at once
 	againGap   = 50 * time.Millisecond   // first gap before what failed is asked again, alone: within 200 ms
@@ -47,8 +49,9 @@
 	seq     int64 // of the list that is held, from 0 up; noSeq: none, the whole list is wanted
 	link    *link
 	state   watchState
-	refused *comeback.Ask // the gaps after refusals: other senders ask the same registry
-	silent  *comeback.Ask // the gaps after calls that nobody answered
+	refused *comeback.Ask  // the gaps after refusals: other senders ask the same registry
+	silent  *comeback.Ask  // the gaps after calls that nobody answered
+	unsure  []sender.Route // the list of an earlier time, by which nothing is sent until there is news; nil: it is believed
 }
 
 // noSeq stands where no version is known. 0 is one: that of a list that has not changed yet.
@@ -70,16 +73,44 @@
 // first moment: the first call waits for less than the grace, so that not all senders that were started at once ask at once.
 func Watch(core *sender.Sender, r *reactor.Reactor, addr string, known config.List, by Watched) *Registry {
 	g := newRegistry(core, r, addr, known.Seq, by)
-	core.Routes("stale_copy", Routes(known))
 	if known.Seq < 0 || known.Seq == 0 && len(known.Hosts) == 0 {
 		g.seq = noSeq
+		core.Routes("stale_copy", Routes(known))
 		r.Post(g.resume)
-	} else {
-		r.Post(func() { r.After(g.first(by), g.resume) })
+		return g
 	}
+	g.unsure = Routes(known)
+	core.Routes("stale_copy", unsent(g.unsure))
+	first := g.first(by)
+	r.Post(func() {
+		r.After(first, g.resume)
+		r.After(first+unsureMost, g.believe)
+	})
 	return g
 }
 
+// unsureMost is how long nothing is sent by an older list once its first call is out: the agent answers at once, or is silent.
+const unsureMost = 300 * time.Millisecond
+
+// unsent is a list by which nothing is sent. What it names is known all the same: messages for it are taken on.
+func unsent(list []sender.Route) []sender.Route {
+	list = slices.Clone(list)
+	for i := range list {
+		if list[i].State == "live" {
+			list[i].State = "quiescing"
+		}
+	}
+	return list
+}
+
+// believe takes the older list for what it says, once.
+func (g *Registry) believe() {
+	if g.unsure != nil && g.state != watchOver {
+		g.core.Routes("stale_copy", g.unsure)
+	}
+	g.unsure = nil
+}
+
 // first is how long the first call of a life that knows a list waits.
 func (g *Registry) first(by Watched) time.Duration {
 	return min(g.refused.Start(), by.Grace/2, startMost)
@@ -151,9 +182,12 @@
 	}
 	path, limit := "/registry/instances", agentLimit
 	if g.state = watchAsks; g.seq != noSeq {
-		g.state = watchOpen
-		path += "?index=" + strconv.FormatInt(g.seq, 10) + "&wait=" + strconv.Itoa(watchMs)
-		limit = watchMs*time.Millisecond + watchSlack
+		wait := watchMs
+		if g.state = watchOpen; g.unsure != nil { // that nothing has changed is news, too
+			wait = firstMs
+		}
+		path += "?index=" + strconv.FormatInt(g.seq, 10) + "&wait=" + strconv.Itoa(wait)
+		limit = time.Duration(wait)*time.Millisecond + watchSlack
 	}
 	l := g.link
 	var timer timers.Timer
@@ -198,6 +232,10 @@
 	if l.Whole {
 		how = "whole"
 	}
+	if l.Whole {
+		g.unsure = nil
+	}
+	g.believe()
 	if l.Whole || len(l.Hosts) > 0 {
 		g.core.Routes(how, Routes(l.List))
 	}
--- /dev/null
+++ b/sender/drained.go
@@ -0,0 +1,46 @@
+package sender
+
+import "slices"
+
+// drained is which targets were told to want nothing new, the latest last. The list in a configuration may be older than what the
+// process before has heard, and discovery may be silent when the next one starts.
+type drained struct {
+	names   []string
+	changed bool // since it was last kept
+}
+
+// The bounds of what is remembered: names are ever new, and an older list names few of those that have gone.
+const (
+	drainedMost  = 256
+	drainedBytes = 8 << 10
+)
+
+// hear books news of a target.
+func (d *drained) hear(r Route) {
+	i := slices.Index(d.names, r.Addr)
+	if gone := r.State != "live"; gone == (i >= 0) {
+		return
+	}
+	d.changed = true
+	if i >= 0 {
+		d.names = slices.Delete(d.names, i, i+1)
+		return
+	}
+	d.names = append(d.names, r.Addr)
+	size := 0
+	for _, name := range d.names {
+		size += len(name)
+	}
+	for len(d.names) > drainedMost || size > drainedBytes {
+		size -= len(d.names[0])
+		d.names = slices.Delete(d.names, 0, 1)
+	}
+}
+
+// correct gives an entry of an older list the state that is known.
+func (d *drained) correct(r Route) Route {
+	if r.State == "live" && slices.Contains(d.names, r.Addr) {
+		r.State = "quiescing"
+	}
+	return r
+}
--- a/sender/handover.go
+++ b/sender/handover.go
@@ -19,6 +19,7 @@
 	Routes []Route
 	Over   []string // ids of messages that are over
 	Listed []string // names that were ever listed
+	Gone   []string // targets that wanted nothing new
 }
 
 // Heir is the process that goes on in place of this one. Its methods are called on Run's goroutine and must not wait.
@@ -74,7 +75,7 @@
 }
 
 func (s *Sender) checkpoint() Checkpoint {
-	cp := Checkpoint{Module: s.relay.Save(), Over: s.over.ids()}
+	cp := Checkpoint{Module: s.relay.Save(), Over: s.over.ids(), Gone: s.drained.names}
 	for _, r := range s.routes {
 		cp.Routes = append(cp.Routes, r)
 	}
@@ -95,6 +96,7 @@
 	for _, name := range cp.Listed {
 		s.listed.add(name)
 	}
+	s.drained.names = cp.Gone
 	s.afar = map[string]Action{}
 	for _, a := range s.relay.Out() {
 		if e := s.spool.Get(a.ID); e == nil || e.End != "" || e.OpenAt == 0 {
--- a/sender/memory.go
+++ b/sender/memory.go
@@ -1,6 +1,7 @@
 package sender
 
 import (
+	"slices"
 	"time"
 
 	"brackendale/internal/clock"
@@ -37,6 +38,7 @@
 		away, move := memory.Since(m.At, now)
 		m.Module.Move(move)
 		if err = s.relay.Recall(m.Module, int64(now.Boot)); err == nil {
+			s.drained.names = m.Gone
 			s.ends.perS = s.relay.Came(int64(now.Boot)) // until messages have ended in this life: what came in went out
 			s.log.Info().Int64("away_ms", away/1000).Int64("clock_moved_ms", move/1000).Int("destinations", len(m.Module.Dests)).Msg("what the last life knew")
 			return true
@@ -68,21 +70,25 @@
 		return
 	}
 	now := time.Now()
-	if !end && now.Sub(s.memory.looked) < memoryGap { // looking costs a walk over all destinations: not each turn
+	if !end && !s.drained.changed && now.Sub(s.memory.looked) < memoryGap { // looking costs a walk over all destinations: not each turn
 		return
 	}
 	s.memory.looked = now
 	worth := s.relay.Worth()
-	if worth == s.memory.worth && !end && now.Sub(s.memory.last) < memoryAge {
+	if worth == s.memory.worth && !end && !s.drained.changed && now.Sub(s.memory.last) < memoryAge {
 		return
 	}
 	select {
-	case s.memory.write <- memory.Image{Name: s.opt.Name, At: clock.Now(), Module: s.relay.Remember(memoryDests)}:
-		s.memory.last, s.memory.worth = now, worth
+	case s.memory.write <- s.image():
+		s.memory.last, s.memory.worth, s.drained.changed = now, worth, false
 	default:
 	}
 }
 
+func (s *Sender) image() memory.Image {
+	return memory.Image{Name: s.opt.Name, At: clock.Now(), Module: s.relay.Remember(memoryDests), Gone: slices.Clone(s.drained.names)}
+}
+
 // stopRemembering writes a last image and waits until it is written.
 func (s *Sender) stopRemembering() {
 	if s.memory.write == nil {
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -102,6 +102,7 @@
 	pressed  pressure
 	trace    *trace.Writer // nil: not asked for
 	memory   remembering
+	drained  drained
 	life     life
 	stall    stall
 	ends     pace
@@ -490,12 +491,18 @@
 		for name, r := range s.routes {
 			if !slices.ContainsFunc(list, func(x Route) bool { return x.Addr == name }) {
 				r.State = "dead"
+				s.drained.hear(r)
 				by[r.Proto] = append(by[r.Proto], r)
 			}
 		}
 		s.routes = map[string]Route{}
 	}
 	for _, r := range list {
+		if how == "stale_copy" {
+			r = s.drained.correct(r)
+		} else {
+			s.drained.hear(r)
+		}
 		if s.routes[r.Addr] = r; r.Cold { // said once
 			x := r
 			x.Cold = false
