--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"os/signal"
@@ -475,7 +476,10 @@
 	f.ends = append(f.ends, r.FinishAll, f.egress.Stop, f.brokers.Stop)
 	core.AddEgress(amqpfront.Proto, f.brokers)
 	by := platform.Watched{Senders: cfg.Settings.Replicas, Seed: int64(cfg.Seed),
-		Grace: time.Duration(cfg.Settings.Rules.StopWithinUs) * time.Microsecond}
+		Grace: time.Duration(cfg.Settings.Rules.StopWithinUs) * time.Microsecond, Age: math.MaxInt64 / 2}
+	if away, ok := core.Away(); ok {
+		by.Age = away
+	}
 	switch {
 	case cfg.Discovery == "":
 		core.Routes("whole", platform.Routes(cfg.Known))
--- a/internal/net/platform/platform_test.go
+++ b/internal/net/platform/platform_test.go
@@ -43,6 +43,7 @@
 	most     int    // clients
 	senders  int    // that share the registry
 	grace    time.Duration
+	age      time.Duration // of the list, when the sender starts
 	registry *Registry
 	seq      int64 // of the list that the sender last held
 	core     *sender.Sender
@@ -112,7 +113,7 @@
 		w.core, w.in, w.r = core, in, r
 		core.AddIngress(Front, in)
 		core.AddEgress(Proto, NewEgress(core, r, standin.Settings(), conns.NewRoom(100)))
-		w.registry = Watch(core, r, agent, w.hosts("active"), Watched{Senders: w.senders, Seed: 1, Grace: w.grace})
+		w.registry = Watch(core, r, agent, w.hosts("active"), Watched{Senders: w.senders, Seed: 1, Grace: w.grace, Age: w.age})
 		return in.Accept
 	})
 }
--- a/internal/net/platform/registry.go
+++ b/internal/net/platform/registry.go
@@ -62,6 +62,7 @@
 	Senders int           // that share the registry: what was turned away is asked again by their number
 	Seed    int64         // of the moments that are drawn
 	Grace   time.Duration // for which an endpoint that wants nothing new may still be sent to once that is told
+	Age     time.Duration // since a process of this sender last had news, or would have had them
 }
 
 func newRegistry(core *sender.Sender, r *reactor.Reactor, addr string, seq int64, by Watched) *Registry {
@@ -70,7 +71,8 @@
 }
 
 // Watch starts with the list that the sender last held and keeps it up to date. What has changed since counts as told from the
-// first moment: the first call waits for less than the grace, so that not all senders that were started at once ask at once.
+// first moment: the first call waits for less than the grace, so that not all senders that were started at once ask at once. Nothing
+// is sent by knowledge that is older than the grace, until there is news or the agent turns out to be silent.
 func Watch(core *sender.Sender, r *reactor.Reactor, addr string, known config.List, by Watched) *Registry {
 	g := newRegistry(core, r, addr, known.Seq, by)
 	if known.Seq < 0 || known.Seq == 0 && len(known.Hosts) == 0 {
@@ -80,17 +82,34 @@
 		return g
 	}
 	g.unsure = Routes(known)
-	core.Routes("stale_copy", unsent(g.unsure))
-	first := g.first(by)
+	first, trusted := g.first(by), by.Grace-by.Age-pauseMost
+	if trusted > 0 {
+		core.Routes("stale_copy", g.unsure)
+	} else {
+		core.Routes("stale_copy", unsent(g.unsure))
+	}
 	r.Post(func() {
 		r.After(first, g.resume)
+		if trusted > 0 && trusted < first+unsureMost {
+			r.After(trusted, g.doubt)
+		}
 		r.After(first+unsureMost, g.believe)
 	})
 	return g
 }
 
+// doubt sends nothing more by the older list.
+func (g *Registry) doubt() {
+	if g.unsure != nil && g.state != watchOver {
+		g.core.Routes("stale_copy", unsent(g.unsure))
+	}
+}
+
+// pauseMost is how long this process may be held up between reading its clock and writing.
+const pauseMost = 150 * time.Millisecond
+
 // unsureMost is how long nothing is sent by an older list once its first call is out: the agent answers at once, or is silent.
-const unsureMost = 300 * time.Millisecond
+const unsureMost = 150 * time.Millisecond
 
 // unsent is a list by which nothing is sent. What it names is known all the same: messages for it are taken on.
 func unsent(list []sender.Route) []sender.Route {
--- a/internal/net/platform/watch_test.go
+++ b/internal/net/platform/watch_test.go
@@ -176,7 +176,7 @@
 				<-w.calls
 			}
 			w.answer = ok
-			if heard == "while it was down" {
+			if w.age = time.Hour; heard == "while it was down" {
 				w.changes <- news
 			} else {
 				w.silent = true
@@ -197,3 +197,19 @@
 		})
 	}
 }
+
+// By a list that is younger than the grace calls leave at once; when it gets older than that with no news, none does any more, until
+// the agent has answered or is known to be silent.
+func TestOldListIsTrustedForItsGrace(t *testing.T) {
+	w := newWorld(t)
+	w.silent, w.answer = true, ok
+	w.grace, w.age = time.Hour, 0
+	addr, kill := w.start()
+	w.submit(addr, "a", "safe", "50000")
+	wait(t, w.calls)
+	kill()
+	w.age = 2 * time.Hour
+	addr, _ = w.start()
+	w.submit(addr, "b", "safe", "50000")
+	wait(t, w.calls) // the agent is silent
+}
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -64,6 +64,8 @@
 	seen      clock.Instant // the latest time that the file named when it was opened, by the clock of that time
 	bootID    string        // of the machine's start in which the file was written
 	wallTimes bool          // the file's times are of the wall clock
+	rebased   bool          // they were moved to the clock that runs now
+	fresh     bool          // there was no journal
 }
 
 // Open reads the journal in dir, or starts one. What a torn tail holds was never acted upon: it is cut off. The error is
@@ -110,7 +112,7 @@
 	s.lost = int64(len(raw)) - s.size
 	s.torn = s.lost > 0
 	if now := clock.Now(); s.size == 0 {
-		s.anew = true
+		s.anew, s.fresh = true, len(raw) == 0
 	} else if !s.sameClock(now) {
 		s.rebase(now)
 	}
@@ -129,6 +131,13 @@
 // killed while it wrote, or, where there are more, a file that was damaged.
 func (s *Spool) Lost() int64 { return s.lost }
 
+// Seen is the latest time that the process before is known to have written the journal; ok is false where nothing tells, or the clock
+// has started anew since.
+func (s *Spool) Seen() (at clock.Instant, ok bool) { return s.seen, s.seen > 0 && !s.rebased }
+
+// New tells whether there was no journal when it was opened.
+func (s *Spool) New() bool { return s.fresh }
+
 // SetClock lets the journal read the time from the sender's own clock, which must be the machine's steady one.
 func (s *Spool) SetClock(now func() clock.Instant) { s.now = now }
 
--- a/internal/spool/times.go
+++ b/internal/spool/times.go
@@ -47,7 +47,7 @@
 			e.OpenAt = longAgo
 		}
 	}
-	s.anew = true
+	s.anew, s.rebased = true, true
 }
 
 // Limit lets a message be delivered until then at the latest.
