--- a/internal/net/platform/registry.go
+++ b/internal/net/platform/registry.go
@@ -51,7 +51,8 @@
 	state   watchState
 	refused *comeback.Ask  // the gaps after refusals: other senders ask the same registry
 	silent  *comeback.Ask  // the gaps after calls that nobody answered
-	unsure  []sender.Route // the list of an earlier time, by which nothing is sent until there is news; nil: it is believed
+	unsure  []sender.Route // the list of an earlier time, while there is no news; nil: there is
+	doubted bool           // nothing is sent by it
 }
 
 // noSeq stands where no version is known. 0 is one: that of a list that has not changed yet.
@@ -86,6 +87,7 @@
 	if trusted > 0 {
 		core.Routes("stale_copy", g.unsure)
 	} else {
+		g.doubted = true
 		core.Routes("stale_copy", unsent(g.unsure))
 	}
 	r.Post(func() {
@@ -101,6 +103,7 @@
 // doubt sends nothing more by the older list.
 func (g *Registry) doubt() {
 	if g.unsure != nil && g.state != watchOver {
+		g.doubted = true
 		g.core.Routes("stale_copy", unsent(g.unsure))
 	}
 }
@@ -124,7 +127,7 @@
 
 // believe takes the older list for what it says, once.
 func (g *Registry) believe() {
-	if g.unsure != nil && g.state != watchOver {
+	if g.unsure != nil && g.doubted && g.state != watchOver {
 		g.core.Routes("stale_copy", g.unsure)
 	}
 	g.unsure = nil
