An offer that may have been recorded after all is told nothing

Change: such an offer has no answer until nothing of it can be read back; its client gives up after 400 ms by itself, which the protocol has words for. The refusal by failure goes.

--- a/sender/stall.go
+++ b/sender/stall.go
@@ -6,9 +6,6 @@
 	"brackendale/logic"
 )
 
-// unsure is how long an offer waits for its refusal while the journal may still hold it. Its client waits for 400 ms.
-const unsure = 200 * time.Millisecond
-
 // stallGap is between two tries to write what the folder did not take, and between two looks at what has run out of time meanwhile.
 const stallGap = 50 * time.Millisecond
 
@@ -19,7 +16,6 @@
 	waits   bool      // a step is due that tries again
 	groups  []*Group  // taken on by the step that failed: answered once they are recorded
 	refused []refusal // offers of that step: answered once nothing of it can be read back
-	since   time.Time // the step that failed
 }
 
 // refusal is an offer and the answer that it gets.
@@ -31,7 +27,7 @@
 // stalled undoes a step that could not be recorded: what came with it is refused, and no call leaves. Ends that it led to are told
 // later. However the folder failed, what was taken on before is still owed, so the sender goes on and tries again.
 func (s *Sender) stalled(err error, offers []*Request, groups []*Group, ended map[string]early, calls []*call) {
-	s.stall.why, s.stall.since = err, time.Now()
+	s.stall.why = err
 	s.log.Error().Err(err).Msg("the journal cannot be written: nothing is taken on or sent until it can")
 	undone := map[string]bool{} // offers that were recorded nowhere; true: a call was to leave
 	for _, x := range offers {
@@ -72,7 +68,8 @@
 }
 
 // answerOffers answers the offers of a step. While something of a step that could not be recorded may still be read back by the
-// next process, as if its offers had been taken on, none of them is told that handing it in again does no harm.
+// next process, as if its offers had been taken on, nobody knows what becomes of them, and none is told: a refusal would say that
+// handing it in again does no harm, a failure that nothing is sent any more. Their clients give up by themselves.
 func (s *Sender) answerOffers(offers []*Request, ended map[string]early) {
 	for _, x := range offers {
 		if x.Front == "" || x.group != nil {
@@ -97,7 +94,12 @@
 		return true
 	}
 	written := s.spool.Flush() == nil
-	s.answerRefused(written || !s.spool.Torn())
+	if written || !s.spool.Torn() {
+		for _, r := range s.stall.refused {
+			s.answer(r.offer, r.early.v, r.early.wait)
+		}
+		s.stall.refused = nil
+	}
 	if !written {
 		for _, g := range s.groups {
 			g.v, g.wait = Busy, s.comeBack()
@@ -121,21 +123,6 @@
 	return true
 }
 
-// answerRefused answers the offers of the step that failed: as decided where nothing of it can be read back, and else, before their
-// clients give up, as failed: such a client does not hand in again what the next process may deliver.
-func (s *Sender) answerRefused(sure bool) {
-	if !sure && time.Since(s.stall.since) < unsure {
-		return
-	}
-	for _, r := range s.stall.refused {
-		if !sure {
-			r.early = early{Failed, 0}
-		}
-		s.answer(r.offer, r.early.v, r.early.wait)
-	}
-	s.stall.refused = nil
-}
-
 // endOverdue ends what has run out of time while the journal cannot be written, and tells such ends. They need no record: nothing
 // of such a message leaves any more, and the next process would come to the same end.
 func (s *Sender) endOverdue() {
