--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -174,6 +174,7 @@
 		d.mu.Unlock()
 		if answer != nil {
 			_, _ = w.Write(answer)
+			d.judge.count("list bytes", len(answer))
 			return
 		}
 		gap := 20 * time.Millisecond // the end of a silence is not told apart
--- a/internal/soak/endpoints.go
+++ b/internal/soak/endpoints.go
@@ -55,6 +55,7 @@
 			if err != nil {
 				return
 			}
+			j.count("connections", 1)
 			e.mu.Lock()
 			e.conns[c] = true
 			e.mu.Unlock()
--- /dev/null
+++ b/internal/soak/growth.go
@@ -0,0 +1,92 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"brackendale/internal/fleet"
+)
+
+// Need is what a sender needed on a calm day with endpoints that are replaced now and then.
+type Need struct {
+	Endpoints, Senders int
+	CPU                time.Duration
+	PeakMB             float64
+	Descriptors        int // most
+	Connections        int // made to endpoints
+	ListKB             float64
+	Served             float64 // delivered, of what was handed in
+	Broken             []string
+}
+
+// Measure plays such a day: the traffic is the same whatever the number of endpoints and of senders that share them.
+func Measure(opt Options) (n Need, err error) {
+	w := &world{opt: opt, judge: newJudge(), rng: rand.New(rand.NewSource(opt.Seed)), sockets: 512}
+	for _, l := range classes {
+		w.judge.effects[l.Name], w.judge.windows[l.Name] = l.Effect, time.Duration(l.WindowUs)*time.Microsecond
+	}
+	w.discovery = newDiscovery(w.judge, rand.New(rand.NewSource(opt.Seed+1)))
+	if err := w.open(); err != nil {
+		return n, err
+	}
+	defer func() {
+		w.expected = true
+		w.proc.Kill()
+		for _, e := range w.endpoints {
+			e.close()
+		}
+		_ = w.log.Close()
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), opt.Length)
+	defer cancel()
+	var all sync.WaitGroup
+	for i := range crew {
+		c := &client{w: w, n: i, rng: rand.New(rand.NewSource(opt.Seed*100 + int64(i)))}
+		all.Add(1)
+		go func() { defer all.Done(); c.run(ctx) }()
+	}
+	for ctx.Err() == nil {
+		time.Sleep(time.Second)
+		if err := w.replace(); err != nil {
+			return n, err
+		}
+		if fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.proc.Pid())); err == nil {
+			n.Descriptors = max(n.Descriptors, len(fds))
+		}
+	}
+	all.Wait()
+	time.Sleep(2 * time.Second)
+	n.Endpoints, n.Senders = len(w.endpoints), max(1, opt.Senders)
+	n.CPU, n.PeakMB = used(w.proc)
+	time.Sleep(time.Duration(classes[len(classes)-1].HardLimitUs) * time.Microsecond)
+	var counts map[string]int
+	n.Broken, counts = w.judge.close()
+	n.Connections, n.ListKB = counts["connections"], float64(counts["list bytes"])/1024
+	n.Served = float64(counts["delivered"]) / float64(max(1, counts["submitted"]))
+	return n, nil
+}
+
+// used is the processor time and the peak of the memory of a process.
+func used(p *fleet.Proc) (cpu time.Duration, peakMB float64) {
+	const tick = 10 * time.Millisecond // of the kernel's accounting as it shows it
+	if raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid())); err == nil {
+		if fields := bytes.Fields(raw[bytes.LastIndexByte(raw, ')')+1:]); len(fields) > 12 {
+			user, _ := strconv.Atoi(string(fields[11]))
+			system, _ := strconv.Atoi(string(fields[12]))
+			cpu = time.Duration(user+system) * tick
+		}
+	}
+	if raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Pid())); err == nil {
+		if _, after, ok := bytes.Cut(raw, []byte("VmHWM:")); ok {
+			kb, _ := strconv.Atoi(string(bytes.Fields(after)[0]))
+			peakMB = float64(kb) / 1024
+		}
+	}
+	return cpu, peakMB
+}
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -92,6 +92,12 @@
 	j.violate(format, args...)
 }
 
+func (j *Judge) count(what string, n int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.counts[what] += n
+}
+
 func (j *Judge) submitted(m *message) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -50,8 +50,12 @@
 	if w.listen, err = fleet.FreePort(); err != nil {
 		return err
 	}
-	for dest := range int64(destinations) {
-		for range 1 + w.rng.Intn(3) {
+	for dest := range int64(w.destinations()) {
+		n := 1 + w.rng.Intn(3)
+		if w.opt.Destinations > 0 {
+			n = 2
+		}
+		for range n {
 			if err := w.add(dest + 1); err != nil {
 				return err
 			}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -72,3 +72,39 @@
 		})
 	}
 }
+
+// What a sender needs grows little with the endpoints that there are: descriptors, connections, bytes of lists, memory and the share
+// served stay within the bounds for larger fleets. By hand BRACKENDALE_GROWTH names the endpoints, "200,800,3200", or the senders
+// that share 200, "x30,x300,x900", and the figures are told with the processor time.
+func TestGrowthOfTheFleet(t *testing.T) {
+	text, length := os.Getenv("BRACKENDALE_GROWTH"), 20*time.Second
+	if text == "" {
+		text, length = "20,120", 5*time.Second
+	}
+	var first Need
+	for i, size := range strings.Split(text, ",") {
+		opt := Options{Seed: 1, Program: os.Args[0], Env: []string{serveKey + "=1"}, Dir: t.TempDir(), Length: length, Destinations: 100}
+		if n, err := strconv.Atoi(size); err == nil {
+			opt.Destinations = n / 2
+		} else if opt.Senders, err = strconv.Atoi(size[1:]); err != nil {
+			t.Fatal(err)
+		}
+		n, err := Measure(opt)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%d endpoints, %d senders: %v of processor time, %.1f MB, %d descriptors, %d connections, %.0f KB of lists, %.3f served",
+			n.Endpoints, n.Senders, n.CPU, n.PeakMB, n.Descriptors, n.Connections, n.ListKB, n.Served)
+		for _, x := range n.Broken {
+			t.Error(x)
+		}
+		if i == 0 {
+			first = n
+		}
+		thousands := float64(n.Endpoints) / 1000
+		if n.PeakMB > 1.5*first.PeakMB+8+4*thousands || n.Descriptors > 2*first.Descriptors+40 ||
+			n.Connections > first.Connections*5/2+40 || n.ListKB > 2*first.ListKB+64+500*thousands || n.Served < 0.85*first.Served {
+			t.Errorf("over a bound: %+v against %+v", n, first)
+		}
+	}
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -30,6 +31,10 @@
 	Env     []string
 	Dir     string // for its folder, its configuration and its log
 	Length  time.Duration
+
+	// A fleet of another size: destinations with two endpoints each, and senders that share them, in place of those drawn.
+	Destinations int
+	Senders      int
 }
 
 // Report is what came of it.
@@ -60,9 +65,8 @@
 
 // The deployment: one class of each effect, three destinations with one to three endpoints, calls of up to two messages.
 const (
-	destinations = 3
-	grace        = 2 * time.Second
-	window       = 4 * time.Second
+	grace  = 2 * time.Second
+	window = 4 * time.Second
 )
 
 var classes = []logic.Lane{
@@ -71,8 +75,8 @@
 	{Name: "charge", Effect: "once", AimUs: 2e6, HardLimitUs: 9e6, Worth: 4},
 }
 
-func settings() (s logic.Settings) {
-	s.Replicas, s.TickUs, s.Discovery, s.Weights, s.MachineTypes = 1, 5000, "pushed", "silent", []string{"k"}
+func settings(senders int) (s logic.Settings) {
+	s.Replicas, s.TickUs, s.Discovery, s.Weights, s.MachineTypes = senders, 5000, "pushed", "silent", []string{"k"}
 	s.Lanes = classes
 	s.Family.OwnLimits, s.Family.PerCall, s.Family.Workers, s.Family.Decay = []bool{false}, []int{2}, 24, "halves"
 	s.Caps.Cancel, s.Caps.OpenCap, s.Caps.MaxAttempts, s.Caps.RetryAfter, s.Caps.MaxRetryAfterUs = true, 400, 8, true, 3e6
@@ -89,7 +93,7 @@
 	if rng.Intn(4) == 0 { // little time left
 		d = time.Duration(30+rng.Intn(1500)) * time.Millisecond
 	}
-	m := &message{id: fmt.Sprintf("%x-%s", w.opt.Seed, id), class: l.Name, dest: int64(1 + rng.Intn(destinations)), deadline: time.Now().Add(d)}
+	m := &message{id: fmt.Sprintf("%x-%s", w.opt.Seed, id), class: l.Name, dest: int64(1 + rng.Intn(w.destinations())), deadline: time.Now().Add(d)}
 	m.body = fmt.Sprintf("body of %s\r\n", m.id)
 	if l.Effect == "by_key" {
 		m.key = "k" + m.id
@@ -97,6 +101,11 @@
 	return m
 }
 
+// usualDestinations is how many there are on an ordinary day.
+const usualDestinations = 3
+
+func (w *world) destinations() int { return cmp.Or(w.opt.Destinations, usualDestinations) }
+
 // act books what the director does.
 func (w *world) act(format string, args ...any) {
 	w.acts = append(w.acts, fmt.Sprintf("%.3f ", time.Since(w.judge.began).Seconds())+fmt.Sprintf(format, args...))
@@ -110,7 +119,7 @@
 // configure replaces the configuration's file.
 func (w *world) configure(addr string) error {
 	raw, err := json.Marshal(map[string]any{"name": "n1", "listen": w.listen, "discovery": addr, "seed": fmt.Sprintf("%x", w.rng.Int63()),
-		"limits": config.Limits{Cores: 1, MemoryMB: 64, Sockets: w.sockets, DiskMB: 1}, "known": w.discovery.known(), "settings": settings()})
+		"limits": config.Limits{Cores: 1, MemoryMB: 64, Sockets: w.sockets, DiskMB: 1}, "known": w.discovery.known(), "settings": settings(max(1, w.opt.Senders))})
 	if err != nil {
 		return err
 	}
--- a/logic/ramp_test.go
+++ b/logic/ramp_test.go
@@ -87,7 +87,11 @@
 // Whatever the number of senders, how the partner was out, for how long, and who was restarted meanwhile: the sum of what they send
 // stays within what is put down to chance, and ordinary service is not starved for it.
 func TestTheSumOfAColdReturnIsWithinChance(t *testing.T) {
-	for _, n := range []int{3, 20, 30, 300} {
+	sizes := []int{3, 20, 30, 300}
+	if os.Getenv("BRACKENDALE_RAMP") != "" { // by hand: minutes
+		sizes = []int{2, 3, 5, 10, 20, 29, 30, 80, 300, 900}
+	}
+	for _, n := range sizes {
 		for _, out := range []string{"", "BAD", "LATE"} {
 			for _, restarted := range []float64{0, 0.4, 1} {
 				for _, mute := range []bool{false, true} {
