--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -74,8 +74,8 @@
 }
 
 // What a sender needs grows little with the endpoints that there are: descriptors, connections, bytes of lists, memory and the share
-// served stay within the bounds for larger fleets. By hand BRACKENDALE_GROWTH names the endpoints, "200,800,3200", or the senders
-// that share 200, "x30,x300,x900", and the figures are told with the processor time.
+// served stay within the bounds for larger fleets. By hand BRACKENDALE_GROWTH names the endpoints, and the senders that share them,
+// "200x300,800x300,3200x900", and the figures are told with the processor time.
 func TestGrowthOfTheFleet(t *testing.T) {
 	text, length := os.Getenv("BRACKENDALE_GROWTH"), 20*time.Second
 	if text == "" {
@@ -83,10 +83,13 @@
 	}
 	var first Need
 	for i, size := range strings.Split(text, ",") {
-		opt := Options{Seed: 1, Program: os.Args[0], Env: []string{serveKey + "=1"}, Dir: t.TempDir(), Length: length, Destinations: 100}
-		if n, err := strconv.Atoi(size); err == nil {
-			opt.Destinations = n / 2
-		} else if opt.Senders, err = strconv.Atoi(size[1:]); err != nil {
+		opt := Options{Seed: 1, Program: os.Args[0], Env: []string{serveKey + "=1"}, Dir: t.TempDir(), Length: length}
+		endpoints, senders, _ := strings.Cut(size, "x")
+		count, err := strconv.Atoi(endpoints)
+		if err == nil && senders != "" {
+			opt.Senders, err = strconv.Atoi(senders)
+		}
+		if opt.Destinations = count / 2; err != nil {
 			t.Fatal(err)
 		}
 		n, err := Measure(opt)
