--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -24,18 +24,19 @@
 type discovery struct {
 	judge *Judge
 
-	mu      sync.Mutex
-	rng     *rand.Rand
-	seq     int64
-	hosts   map[string]config.Host
-	changes []change
-	down    bool // the agent is silent and learns nothing
-	pending []config.Host
-	silent  time.Time     // when the watches that were open last fell silent
-	moved   time.Time     // the last SIGHUP
-	wake    chan struct{} // closed when something changes
-	ends    map[string]*endpoint
-	servers []*http.Server
+	mu          sync.Mutex
+	rng         *rand.Rand
+	seq         int64
+	hosts       map[string]config.Host
+	changes     []change
+	changesOnly bool // a watch is never answered with the whole list
+	down        bool // the agent is silent and learns nothing
+	pending     []config.Host
+	silent      time.Time     // when the watches that were open last fell silent
+	moved       time.Time     // the last SIGHUP
+	wake        chan struct{} // closed when something changes
+	ends        map[string]*endpoint
+	servers     []*http.Server
 }
 
 func newDiscovery(j *Judge, rng *rand.Rand) *discovery {
@@ -190,7 +191,7 @@
 // answer is a whole list, or what has changed since a version; some come indented.
 func (d *discovery) answer(watch bool, index int64) []byte {
 	l := config.List{Seq: d.seq}
-	if watch && d.rng.Intn(4) > 0 && index <= d.seq {
+	if watch && (d.changesOnly || d.rng.Intn(4) > 0) && index <= d.seq {
 		for _, c := range d.changes {
 			if c.seq > index {
 				l.Hosts = append(l.Hosts, c.host)
--- a/internal/soak/growth.go
+++ b/internal/soak/growth.go
@@ -32,6 +32,7 @@
 		w.judge.effects[l.Name], w.judge.windows[l.Name] = l.Effect, time.Duration(l.WindowUs)*time.Microsecond
 	}
 	w.discovery = newDiscovery(w.judge, rand.New(rand.NewSource(opt.Seed+1)))
+	w.discovery.changesOnly = true
 	if err := w.open(); err != nil {
 		return n, err
 	}
