--- a/internal/app/faults_test.go
+++ b/internal/app/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -19,10 +20,12 @@
 	"testing"
 	"time"
 
+	"brackendale/internal/clock"
 	"brackendale/internal/fleet"
 	"brackendale/internal/folder"
 	"brackendale/internal/handover"
 	"brackendale/internal/net/reactor"
+	"brackendale/internal/spool"
 	"brackendale/internal/standin"
 	"brackendale/internal/testkit/faults"
 )
@@ -396,3 +399,116 @@
 		t.Fatalf("the new discovery is not asked\n%s", p.said)
 	}
 }
+
+// A new process takes over while a charge of the old one waits for its connection: the partner accepts nobody until then. It is
+// charged once, whoever sends it.
+func TestHandOverWhileACallWaitsForItsConnection(t *testing.T) {
+	o := newOffice(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	if err == nil {
+		err = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), 0) }) // room for one that is not accepted
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.dial = ln.Addr().String()
+	p := o.start()
+	o.ready(p)
+	o.takenOn("charge", 3, "c=charge,t=x,d=15000,dest=7")
+	time.Sleep(100 * time.Millisecond) // its connect is under way: nothing shows that from outside
+	next := o.start()
+	o.ready(next)
+	_ = first.Close()
+	partner := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		o.mu.Lock()
+		o.applied[r.Header.Get("Req-Id")]++
+		o.mu.Unlock()
+	})}
+	go func() { _ = partner.Serve(ln) }()
+	defer partner.Close()
+	o.end(p)
+	o.settled()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for i := range 3 {
+		if id := fmt.Sprint("charge-", i); o.applied[id] != 1 {
+			t.Errorf("%s was charged %d times, and has the end %q", id, o.applied[id], o.finals[id])
+		}
+	}
+}
+
+// A sender starts with a journal that is as full as its budget lets it be, a disk without room and a silent discovery: it is ready
+// within 10 s, by the list that it knows.
+func TestReadyWithAFullJournalAFullDiskAndNoDiscovery(t *testing.T) {
+	dir := t.TempDir()
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // accepts nobody
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	listen, err := fleet.FreePort()
+	if err != nil {
+		t.Fatal(err)
+	}
+	const disk = 3 << 20
+	s, err := spool.Open(dir, disk)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	for e := (&spool.Entry{Class: "a", Front: "platform", Dest: 1, Deadline: clock.Steady().Add(time.Hour), Body: make([]byte, 2000)}); ; n++ {
+		x := *e
+		if x.ID = fmt.Sprint("m", n); !s.Room(spool.Need(&x), 0) {
+			break
+		}
+		s.Take(&x)
+	}
+	if err := errors.Join(s.Flush(), s.Close()); err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(dir, "config.json")
+	text := fmt.Sprintf(`{"name":"n","listen":%q,"discovery":%q,"limits":{"cores":1,"memory_mb":64,"sockets":128,"disk_mb":3},
+		"known":{"seq":9,"whole":true,"hosts":[{"host":"e","dial":"127.0.0.1:1","class":"k","block":1,"health":"active"}]},
+		"settings":{"tickUs":5000,"discovery":"pushed","machineTypes":["k"],"lanes":[{"name":"a","effect":"once","hardLimitUs":4000000}],
+		"familyInfo":{"workers":2,"perCall":[1],"ownLimits":[false]},"rules":{"stopSendingWithinUs":2000000}}}`, listen, silent.Addr())
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var said bytes.Buffer
+	c := exec.Command(os.Args[0])
+	c.Stderr = &said
+	c.Env = append(os.Environ(), "BRACKENDALE_TEST_SERVE=platform", "LB_CONFIG="+file, "LB_STATE="+dir, faults.Faults{Folder: []faults.Folder{
+		{Call: folder.CallWrite, Name: "spool", Errno: syscall.ENOSPC, First: 1, Count: 20},
+		{Call: folder.CallWrite, Name: "spool.new", Errno: syscall.ENOSPC, First: 1, Count: 20}}}.Env())
+	began := time.Now()
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Process.Kill(); _ = c.Wait() }()
+	for {
+		if conn, err := net.Dial("tcp", listen); err == nil {
+			_, _ = io.WriteString(conn, "*1\r\n$4\r\nPING\r\n")
+			_ = conn.SetDeadline(time.Now().Add(time.Second))
+			line, _ := bufio.NewReader(conn).ReadString('\n')
+			_ = conn.Close()
+			if line == "+PONG\r\n" {
+				break
+			}
+		}
+		if time.Since(began) > 10*time.Second {
+			t.Fatalf("not ready after 10 s with %d messages\n%s", n, &said)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Logf("%d messages, ready after %v", n, time.Since(began))
+}
--- a/internal/app/idle_test.go
+++ b/internal/app/idle_test.go
@@ -144,7 +144,10 @@
 		killedAt(kill)
 	}
 	faults.Meet()
-	if file != "" {
+	if file == "platform" { // LB_CONFIG alone
+		file = ""
+	}
+	if os.Getenv("BRACKENDALE_TEST_SERVE") != "" || file != "" {
 		if err := Serve(context.Background(), file, How{}); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
--- a/internal/app/upgrade_test.go
+++ b/internal/app/upgrade_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -47,6 +48,7 @@
 	slow    time.Duration
 	kind    string                                       // of the partner; with "k" three messages go in a call
 	refused int                                          // requests
+	dial    string                                       // where the partner is listed; empty: where it is
 	env     []string                                     // of the next process, beside the usual
 	answer  func(w http.ResponseWriter, r *http.Request) // of the partner, in place of its own; set before the first call
 }
@@ -85,7 +87,7 @@
 			return
 		}
 		_ = json.NewEncoder(w).Encode(config.List{Seq: 1, Whole: true, Hosts: []config.Host{{Host: "e1", Block: 7, Class: o.kind, Health: "active",
-			Dial: partner.Listener.Addr().String()}}})
+			Dial: cmp.Or(o.dial, partner.Listener.Addr().String())}}})
 	}))
 	t.Cleanup(func() { agent.CloseClientConnections(); partner.CloseClientConnections() })
 	ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -142,7 +142,7 @@
 	case 8, 9:
 		return w.replace()
 	case 10:
-		d := time.Duration(300+w.rng.Intn(5000)) * time.Millisecond
+		d := time.Duration(300+w.rng.Intn(5000)*(1+w.rng.Intn(3))) * time.Millisecond
 		w.act("discovery is down for %v", d)
 		w.discovery.setDown(true)
 		time.AfterFunc(d, func() { w.discovery.setDown(false) })
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -55,7 +55,11 @@
 			if keep := os.Getenv("BRACKENDALE_SOAK_KEEP"); keep != "" {
 				dir = fmt.Sprintf("%s/%d", keep, seed)
 			}
-			r, err := Run(Options{Seed: seed, Program: os.Args[0], Env: []string{serveKey + "=1"}, Dir: dir, Length: 25 * time.Second})
+			opt := Options{Seed: seed, Program: os.Args[0], Env: []string{serveKey + "=1"}, Dir: dir, Length: 25 * time.Second}
+			if text := os.Getenv("BRACKENDALE_SOAK_STRACE"); text != "" { // by hand: its words, "-e inject=..." for one
+				opt.Program, opt.Args = "strace", append(strings.Fields("-D -f -qq -o "+dir+"/strace "+text), os.Args[0])
+			}
+			r, err := Run(opt)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/spool/faults_test.go
+++ b/internal/spool/faults_test.go
@@ -150,3 +150,28 @@
 		}
 	}
 }
+
+// A budget that is lowered between two processes cuts nothing off, and what cannot be read back is told.
+func TestLoweredBudgetAndLostBytes(t *testing.T) {
+	dir := t.TempDir()
+	s := open(t, dir, budget)
+	for i := range 40 {
+		s.Take(&Entry{ID: string(rune('A' + i)), Body: make([]byte, 20_000)})
+	}
+	flush(t, s)
+	want := list(s)
+	_ = s.Close()
+	f, err := os.OpenFile(filepath.Join(dir, fileName), os.O_WRONLY|os.O_APPEND, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = f.WriteString("half a record")
+	_ = f.Close()
+	s = open(t, dir, 64<<10)
+	if got := list(s); got != want || s.Lost() != int64(len("half a record")) {
+		t.Fatalf("%d bytes lost, %d of %d messages left", s.Lost(), len(s.Entries()), 40)
+	}
+	if s.Room(1, 0) {
+		t.Error("there is room in a budget that is overdrawn")
+	}
+}
