--- a/internal/net/reactor/limits_test.go
+++ b/internal/net/reactor/limits_test.go
@@ -158,3 +158,21 @@
 		t.Fatal("bytes are still counted of connections that have ended:", n)
 	}
 }
+
+// One accept that fails among many that succeed hardly holds up those that wait; while none succeeds the pauses grow to their bound.
+func TestPauseAfterAFailedAccept(t *testing.T) {
+	if first := acceptPause(0); first > time.Millisecond {
+		t.Error("the first:", first)
+	}
+	last := time.Duration(0)
+	for n := range 100 {
+		d := acceptPause(n)
+		if d < last || d > pauseMost {
+			t.Errorf("after %d: %v", n, d)
+		}
+		last = d
+	}
+	if last != pauseMost {
+		t.Error("the longest:", last)
+	}
+}
--- a/internal/net/reactor/listen.go
+++ b/internal/net/reactor/listen.go
@@ -35,6 +35,7 @@
 	pause  chan chan struct{} // given to serve; closed to go on
 	paused chan struct{}      // the one that is given
 	spare  *os.File           // a descriptor kept for the moment when there is no other
+	failed int                // accepts in a row
 }
 
 // Listen accepts connections; accept names the handler of each, or nil to turn it away. word, if not nil, is what a
@@ -143,6 +144,7 @@
 			l.short(err)
 			continue
 		}
+		l.failed = 0
 		nc, err := nbio.NBConn(sock)
 		if err != nil {
 			<-room
@@ -189,12 +191,25 @@
 	}
 }
 
+// The pause after an accept that failed: short after one, since those that wait in the backlog are owed an answer in time, and longer
+// while nothing comes of it.
+const (
+	pauseLeast = time.Millisecond
+	pauseMost  = 20 * time.Millisecond
+)
+
+// acceptPause is how long to wait after so many failures in a row before the last one.
+func acceptPause(before int) time.Duration {
+	return min(pauseMost, pauseLeast<<min(before, 8))
+}
+
 // short answers for a newcomer that there was no descriptor for: it would hang in the backlog, unheard. The spare
 // descriptor lets it in for long enough to be told.
 func (l *Listener) short(err error) {
 	if l.spare == nil || !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) {
 		l.reserve()
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(acceptPause(l.failed))
+		l.failed++
 		return
 	}
 	l.release()
--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -103,6 +103,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.down = down
+	if down {
+		d.unlearn()
+	}
 	if !down {
 		for _, h := range d.pending {
 			d.learn(h)
@@ -111,6 +114,21 @@
 	}
 }
 
+// unlearn takes back what was told in this moment: the agent may have fallen silent before it was written, and then learns it when
+// it is back.
+func (d *discovery) unlearn() {
+	for n := len(d.changes); n > 0 && time.Since(d.changes[n-1].at) < slack; n = len(d.changes) {
+		h := d.changes[n-1].host
+		d.changes = d.changes[:n-1]
+		d.pending = append([]config.Host{h}, d.pending...)
+		if e := d.ends[h.Host]; e != nil && h.Health != "active" {
+			e.mu.Lock()
+			e.told = time.Time{}
+			e.mu.Unlock()
+		}
+	}
+}
+
 // fallSilent lets the watches that are open never answer.
 func (d *discovery) fallSilent() {
 	d.mu.Lock()
