The core by job: intake, step, endings and routes are files of their own

Cause: sender/sender.go had 857 lines and held four jobs; the soak's two plays built their world alike.

--- a/internal/soak/growth.go
+++ b/internal/soak/growth.go
@@ -27,23 +27,12 @@
 
 // Measure plays such a day: the traffic is the same whatever the number of endpoints and of senders that share them.
 func Measure(opt Options) (n Need, err error) {
-	w := &world{opt: opt, judge: newJudge(), rng: rand.New(rand.NewSource(opt.Seed)), sockets: 512}
-	for _, l := range classes {
-		w.judge.effects[l.Name], w.judge.windows[l.Name] = l.Effect, time.Duration(l.WindowUs)*time.Microsecond
-	}
-	w.discovery = newDiscovery(w.judge, rand.New(rand.NewSource(opt.Seed+1)))
-	w.discovery.changesOnly = true
+	w := newWorld(opt)
+	w.sockets, w.discovery.changesOnly = 512, true
 	if err := w.open(); err != nil {
 		return n, err
 	}
-	defer func() {
-		w.expected = true
-		w.proc.Kill()
-		for _, e := range w.endpoints {
-			e.close()
-		}
-		_ = w.log.Close()
-	}()
+	defer w.close()
 	ctx, cancel := context.WithTimeout(context.Background(), opt.Length)
 	defer cancel()
 	var all sync.WaitGroup
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -13,25 +13,14 @@
 
 // Run plays one day. The error says that it could not be played.
 func Run(opt Options) (Report, error) {
-	w := &world{opt: opt, judge: newJudge(), rng: rand.New(rand.NewSource(opt.Seed))}
+	w := newWorld(opt)
 	w.sockets = []int{128, 256}[w.rng.Intn(2)]
 	w.errno = w.rng.Intn(2) == 0
 	w.judge.breaks = w.errno
-	for _, l := range classes {
-		w.judge.effects[l.Name], w.judge.windows[l.Name] = l.Effect, time.Duration(l.WindowUs)*time.Microsecond
-	}
-	w.discovery = newDiscovery(w.judge, rand.New(rand.NewSource(opt.Seed+1)))
 	if err := w.open(); err != nil {
 		return Report{}, err
 	}
-	defer func() {
-		w.expected = true
-		w.proc.Kill()
-		for _, e := range w.endpoints {
-			e.close()
-		}
-		_ = w.log.Close()
-	}()
+	defer w.close()
 	if err := w.play(); err != nil {
 		return Report{}, err
 	}
@@ -39,6 +28,25 @@
 	return Report{Seed: opt.Seed, Acts: w.acts, Counts: counts, Broken: broken}, nil
 }
 
+func newWorld(opt Options) *world {
+	w := &world{opt: opt, judge: newJudge(), rng: rand.New(rand.NewSource(opt.Seed))}
+	for _, l := range classes {
+		w.judge.effects[l.Name], w.judge.windows[l.Name] = l.Effect, time.Duration(l.WindowUs)*time.Microsecond
+	}
+	w.discovery = newDiscovery(w.judge, rand.New(rand.NewSource(opt.Seed+1)))
+	return w
+}
+
+// close ends all that the world runs.
+func (w *world) close() {
+	w.expected = true
+	w.proc.Kill()
+	for _, e := range w.endpoints {
+		e.close()
+	}
+	_ = w.log.Close()
+}
+
 // open builds the world and starts the sender.
 func (w *world) open() (err error) {
 	if err := os.MkdirAll(w.path("state"), 0o700); err != nil {
--- /dev/null
+++ b/sender/endings.go
@@ -0,0 +1,169 @@
+package sender
+
+import (
+	"slices"
+	"time"
+
+	"brackendale/internal/clock"
+	"brackendale/internal/spool"
+	"brackendale/internal/telemetry"
+	"brackendale/logic"
+)
+
+// maxEnds is how many of the last ends are kept to be shown.
+const maxEnds = 10
+
+// Report books how attempts that shared a call ended.
+func (s *Sender) Report(list ...Outcome) {
+	s.Post(func() {
+		if s.heir != nil {
+			s.heir.Report(list)
+			return
+		}
+		for _, o := range list {
+			s.report(o)
+		}
+	})
+}
+
+func (s *Sender) report(o Outcome) {
+	delete(s.afar, o.ID)
+	mayRun := o.Reason != Full && o.Reason != NoConn && o.Reason != Moot
+	s.spool.Closed(o.ID, mayRun)
+	if r := s.seen[o.Target]; r != nil {
+		r.Out--
+		r.LastReason = o.Reason
+		if o.Reason == Good {
+			r.Good++
+		} else {
+			r.Lost++
+		}
+	}
+	if e := s.spool.Get(o.ID); e != nil && e.End == "" {
+		if o.Reason == Good {
+			s.end(o.ID, Delivered, 0)
+		} else if o.Over {
+			s.open--
+			s.ended(o.ID)
+			s.book.Ended(e.Class, telemetry.BadGateway)
+			s.gone(o.ID)
+		}
+	}
+	s.events = append(s.events, logic.Event{Kind: logic.Reported, ID: o.ID, N: o.N, Addr: o.Target,
+		Reason: o.Reason, Finished: o.Over || o.Reason == Good, HoldMs: o.HoldMs, Report: o.Load})
+}
+
+// Settle books that the ends of requests have arrived.
+func (s *Sender) Settle(ids ...string) {
+	s.Post(func() {
+		if s.heir != nil {
+			return // the heir tells the end again
+		}
+		for _, id := range ids {
+			s.settle(id)
+		}
+	})
+}
+
+func (s *Sender) settle(id string) {
+	e := s.spool.Get(id)
+	if e == nil || e.End == "" || e.Heard {
+		return
+	}
+	if in := s.fronts[e.Front]; in != nil && in.Remembers() {
+		s.spool.Heard(id)
+		s.forgetLater(e)
+		return
+	}
+	s.gone(id)
+}
+
+// gone takes a message off the books.
+func (s *Sender) gone(id string) {
+	if e := s.spool.Get(id); e != nil {
+		s.spool.Gone(id)
+		s.past(e)
+	}
+}
+
+// past remembers that a message is over. A front that remembers ids by itself lets go of one only when it may
+// be used anew, and then owes an end for it.
+func (s *Sender) past(e *spool.Entry) {
+	if in := s.fronts[e.Front]; in != nil && !in.Remembers() {
+		s.over.add(e.ID)
+	}
+}
+
+// forgetLater drops an id that is remembered once its class would not let the message live any more,
+// counted twice: from its deadline on.
+func (s *Sender) forgetLater(e *spool.Entry) {
+	at := e.Deadline.Add(clock.Microseconds(s.lanes[e.Class].HardLimitUs))
+	if s.old.add(at, e.ID) {
+		s.ring(at)
+	}
+}
+
+// ring sets the one timer of what is to be forgotten. It may be late: an id that is kept longer does no harm.
+func (s *Sender) ring(at clock.Instant) {
+	d := max(forgetGap, at.Sub(s.Now()))
+	if s.oldTimer == nil {
+		s.oldTimer = time.AfterFunc(d, func() { s.Post(s.forget) })
+		return
+	}
+	s.oldTimer.Reset(d)
+}
+
+// forgetGap is the least time between two times of forgetting.
+const forgetGap = 20 * time.Millisecond
+
+func (s *Sender) forget() {
+	if s.heir != nil {
+		return
+	}
+	for _, id := range s.old.take(s.Now()) {
+		s.gone(id)
+	}
+	if len(s.old) > 0 {
+		s.ring(s.old[0].at)
+	}
+}
+
+// end books the end of a request that was taken on. It is told once the round is written.
+func (s *Sender) end(id, end string, waitMs int64) {
+	e := s.spool.Get(id)
+	if e == nil || e.End != "" {
+		return
+	}
+	s.open--
+	s.ended(id)
+	s.ends.add(time.Since(s.started))
+	if len(s.stats.Ends) == maxEnds {
+		s.stats.Ends = slices.Delete(s.stats.Ends, 0, 1)
+	}
+	s.stats.Ends = append(s.stats.Ends, EndState{e.ID, e.Class, end, waitMs, time.Now()})
+	switch end {
+	case Delivered:
+		s.stats.Delivered++
+		s.book.Ended(e.Class, telemetry.Passed)
+	case Returned:
+		s.stats.Back++
+		s.book.Ended(e.Class, telemetry.Dropped)
+	default:
+		s.stats.Failed++
+		s.book.Ended(e.Class, telemetry.BadGateway)
+	}
+	if in := s.fronts[e.Front]; in != nil && !in.Owes(end) {
+		s.gone(id)
+		return
+	}
+	s.spool.End(id, end, waitMs)
+	s.tell = append(s.tell, e)
+}
+
+// tellEnd hands an end to the front that its client came by.
+func (s *Sender) tellEnd(e *spool.Entry) {
+	if in := s.fronts[e.Front]; in != nil {
+		s.carry = append(s.carry, word{in: in, id: e.ID, note: e.Note, end: e.End, waitMs: e.WaitMs, again: e.Told})
+		e.Told = true
+	}
+}
--- /dev/null
+++ b/sender/routes.go
@@ -0,0 +1,80 @@
+package sender
+
+import (
+	"slices"
+	"time"
+
+	"brackendale/logic"
+)
+
+// Serves tells whether the route table has had a target of that destination. Its last one may have left
+// for a moment, until another takes its place.
+func (s *Sender) Serves(dest int64) bool { _, ok := s.dests.Load(dest); return ok }
+
+// Routes books news of the route table. how is patch, whole or stale_copy.
+func (s *Sender) Routes(how string, list []Route) {
+	for _, r := range list { // before a client is told that there is no such destination
+		s.dests.Store(r.Dest, true)
+	}
+	s.Post(func() { s.list(how, list) })
+}
+
+func (s *Sender) list(how string, list []Route) {
+	if s.heir != nil {
+		return
+	}
+	e := logic.Event{Kind: logic.Listed, How: how}
+	by := map[string][]Route{}
+	if how != "patch" { // what a whole list lacks is gone
+		for name, r := range s.routes {
+			if !slices.ContainsFunc(list, func(x Route) bool { return x.Addr == name }) {
+				r.State = "dead"
+				s.drained.hear(r)
+				by[r.Proto] = append(by[r.Proto], r)
+			}
+		}
+		s.routes = map[string]Route{}
+	}
+	for _, r := range list {
+		if how == "stale_copy" {
+			r = s.drained.correct(r)
+		} else {
+			s.drained.hear(r)
+		}
+		if s.routes[r.Addr] = r; r.Cold { // said once
+			x := r
+			x.Cold = false
+			s.routes[r.Addr] = x
+		}
+		if r.State == "dead" {
+			delete(s.routes, r.Addr)
+		}
+		s.listed.add(r.Addr)
+		if r.State == "live" && s.spool.Out(r.Addr) {
+			r.State = "quiescing"
+		}
+		e.List = append(e.List, r.Endpoint)
+		by[r.Proto] = append(by[r.Proto], r)
+	}
+	for name := range s.seen {
+		if _, ok := s.routes[name]; !ok {
+			delete(s.seen, name)
+		}
+	}
+	for name := range s.routes {
+		if s.seen[name] == nil {
+			s.seen[name] = &RouteState{}
+		}
+	}
+	for proto, c := range s.carriers {
+		if changed := by[proto]; len(changed) > 0 {
+			s.tellLater(func() { c.Routes(changed) })
+		}
+	}
+	s.events = append(s.events, e)
+	s.judged = time.Time{}
+	if how != "stale_copy" || len(list) > 0 {
+		s.known = true
+		s.since(&s.life.list)
+	}
+}
--- /dev/null
+++ b/sender/step.go
@@ -0,0 +1,198 @@
+package sender
+
+import (
+	"time"
+
+	"brackendale/internal/clock"
+	"brackendale/internal/crossing"
+	"brackendale/internal/spool"
+	"brackendale/logic"
+)
+
+// turn takes in what was posted, makes one step and hands the fronts what it led to.
+func (s *Sender) turn() {
+	s.take()
+	if s.heir == nil {
+		s.round()
+		s.press()
+		s.level()
+		s.serves()
+		s.service()
+	}
+	if batch := s.carry; len(batch) > 0 {
+		crossing.At(crossing.StepDecided)
+		s.carry = make([]word, 0, min(len(batch), keepMost))
+		s.opt.Carry(func() {
+			for i := range batch {
+				batch[i].say()
+			}
+		})
+	}
+}
+
+// Tried counts messages that were written whole to a target. Any goroutine may call it.
+func (s *Sender) Tried(n int) { s.book.Tried(n) }
+
+// round is one step of the module, its record in the spool, and then its actions.
+func (s *Sender) round() {
+	if !s.writes() {
+		return
+	}
+	events, offers, groups := s.events, s.offers, s.groups
+	s.events, s.offers, s.groups, s.promised, s.last = nil, nil, nil, 0, time.Now()
+	clear(s.coming)
+	now := s.Now()
+	acts := s.relay.Step(int64(now), events)
+	if s.trace != nil {
+		s.trace.Step(int64(now), events, acts, func(addr string) int64 { return s.routes[addr].Dest })
+	}
+	defer s.reuse(events, offers)
+
+	// What one round takes and ends at once was never taken on: its client hears that and nothing is kept.
+	ended := map[string]early{}
+	for _, a := range acts {
+		switch a.Kind {
+		case logic.PushBack:
+			ended[a.ID] = early{Busy, a.WaitUs / 1000}
+		case logic.Abort:
+			ended[a.ID] = early{Failed, 0}
+		}
+	}
+	acts = s.whole(groups, ended, acts)
+	for _, g := range groups {
+		s.write(g)
+	}
+	for _, x := range offers {
+		if _, ok := ended[x.ID]; !ok && x.Front != "" && x.group == nil {
+			s.open++
+			s.spool.Take(entry(x))
+		}
+	}
+	calls := s.calls(acts)
+	for _, a := range acts {
+		switch a.Kind {
+		case logic.PushBack:
+			s.end(a.ID, Returned, a.WaitUs/1000)
+		case logic.Abort:
+			s.end(a.ID, Abandoned, 0)
+		}
+	}
+	if err := s.spool.Flush(); err != nil {
+		s.stalled(err, offers, groups, ended, calls)
+		calls, groups = nil, nil
+	} else {
+		for _, done := range s.written {
+			done(nil)
+		}
+		s.written = nil
+	}
+	for _, g := range groups {
+		s.answerGroup(g)
+	}
+	s.answerOffers(offers, ended)
+	var tell []*spool.Entry
+	if s.stall.why == nil {
+		tell, s.tell = s.tell, nil
+	}
+	for _, e := range tell {
+		s.tellEnd(e)
+	}
+	for _, a := range acts {
+		s.act(a)
+	}
+	for _, c := range calls {
+		if out := s.carriers[c.to.Proto]; out != nil {
+			s.tellLater(func() { out.Send(c.to, c.attempts) })
+			continue
+		}
+		for _, h := range c.attempts { // no egress for its protocol: it never left
+			s.Report(Outcome{ID: h.ID, N: h.N, Target: c.to.Addr, Reason: NoConn})
+		}
+	}
+}
+
+// keepMost bounds the lists that one step leaves to the next.
+const keepMost = 4096
+
+// reuse gives the lists of a step that is over to the next, unless that has begun its own: the module and the fronts keep
+// what is in them, but not them.
+func (s *Sender) reuse(events []logic.Event, offers []*Request) {
+	if s.events == nil && cap(events) <= keepMost {
+		clear(events)
+		s.events = events[:0]
+	}
+	if s.offers == nil && cap(offers) <= keepMost {
+		clear(offers)
+		s.offers = offers[:0]
+	}
+}
+
+// call is what travels together.
+type call struct {
+	to       Route
+	attempts []Attempt
+}
+
+// calls groups the sends of a round by target as the module counted them, and records each attempt.
+func (s *Sender) calls(acts []logic.Action) []*call {
+	var list []*call
+	last := map[string]*call{}
+	now := s.Now()
+	for _, a := range acts {
+		if a.Kind != logic.Issue {
+			continue
+		}
+		e, to := s.spool.Get(a.ID), s.routes[a.Addr]
+		if e == nil { // the module holds what the spool does not: only a fault of this program's
+			s.log.Error().Str("id", a.ID).Msg("an attempt of an unknown request")
+			continue
+		}
+		c := last[a.Addr]
+		if c == nil || len(c.attempts) >= max(1, s.kinds[to.Kind]) {
+			c = &call{to: to}
+			last[a.Addr] = c
+			list = append(list, c)
+		}
+		c.attempts = append(c.attempts, Attempt{ID: e.ID, Key: e.Key, Class: e.Class, Body: e.Body, N: e.Attempts, LimitUs: a.LimitUs,
+			Deadline: e.Deadline, StartBy: s.startBy(e)})
+		s.spool.Attempt(e.ID, to.Zone, now)
+		s.since(&s.life.first)
+		s.stats.Sent++
+		if r := s.seen[a.Addr]; r != nil {
+			r.Out++
+		}
+	}
+	return list
+}
+
+// startBy is until when an attempt may be written. The module decides within the time for which a target knows a key, but a connection
+// may come up long after that.
+func (s *Sender) startBy(e *spool.Entry) clock.Instant {
+	if l := s.lanes[e.Class]; e.FirstRun != 0 && l.Effect == "by_key" {
+		return e.FirstRun.Add(clock.Microseconds(l.WindowUs - s.opt.Settings.TickUs))
+	}
+	return 0
+}
+
+func (s *Sender) act(a logic.Action) {
+	switch a.Kind {
+	case logic.Sleep:
+		time.AfterFunc(time.Duration(a.DelayUs)*time.Microsecond, func() {
+			s.Post(func() { s.events = append(s.events, logic.Event{Kind: logic.Woke}) })
+		})
+	case logic.Recall:
+		if _, ok := s.afar[a.ID]; ok && s.elder != nil {
+			s.elder.Recall(a.ID, a.N)
+			return
+		}
+		for _, c := range s.carriers {
+			s.tellLater(func() { c.Recall(a.ID, a.N) })
+		}
+	case logic.FreeLinks:
+		if to, ok := s.routes[a.Addr]; ok && s.carriers[to.Proto] != nil {
+			s.tellLater(func() { s.carriers[to.Proto].Trim(to) })
+		}
+	case logic.WriteLog:
+		s.log.Info().Msg(a.Text)
+	}
+}
