--- a/logic/logic.go
+++ b/logic/logic.go
@@ -57,7 +57,7 @@
 	illUnsafe  = 0.3        // share of failures above which unsafe messages wait
 	lastUs     = 5_000_000  // what has been so for so long lasts, e-fold: waiting does not mend it
 	coldSafety = 1.3        // of the fall-back budget by the low guess of capacity; hunts found no rule near
-	coldSpare  = 1.15       // a limit is so far below the capacity at least, by what sites tell of their spare room
+	coldSpare  = 1.15       // capacity over the limit at least, by what sites tell
 	peakKnown  = 30         // successes in this life after which a route's peak says what it can take
 	batchCold  = 0.25       // weight of each further message of a call against that budget
 	backoffUs  = 250_000    // before a message that failed goes again; doubled three times at most
@@ -696,9 +696,9 @@
 	return max(x, 1e6/(float64(max(ru.FallUs, 500_000))*float64(r.set.Replicas)))
 }
 
-// coldMargin is how far all senders together may go above the budget of a cold route by the low guess of its capacity, which is
-// coldSpare too low at least; x is this sender's part of that budget. What is put down to chance counts for less the more calls the
-// whole budget holds.
+// coldMargin is how far all senders together may go above the budget of a cold route by the low guess of
+// its capacity, which is coldSpare too low at least; x is this sender's part of that budget. What is put
+// down to chance counts for less the more calls the whole budget holds.
 func (r *Relay) coldMargin(x float64) float64 {
 	calls := x * r.senders * float64(r.set.Rules.FallUs) / 1e6
 	if calls <= 0 {
