A blocking common socket no longer holds the predecessor's event loop

Cause: Listener.Close waits for the accept in progress, which is a blocking one then, and ran on the event loop; Pause cannot interrupt it, so that a hand-over waited for the loop. Failpoints at the steps of a hot restart; the flag is cleared at each of them.

--- a/internal/app/incarnation.go
+++ b/internal/app/incarnation.go
@@ -11,6 +11,7 @@
 	"brackendale/internal/admin"
 	"brackendale/internal/config"
 	"brackendale/internal/console"
+	"brackendale/internal/failpoint"
 	"brackendale/internal/group"
 	"brackendale/internal/hotrestart"
 	"brackendale/internal/metrics"
@@ -234,6 +235,7 @@
 	if inc.peers != nil {
 		member = inc.peers.group
 	}
+	failpoint.Reach(failpoint.JournalOpened)
 	drainer := &drainer{core: inc.core, group: member, log: inc.log, shutDown: inc.startShutdown}
 	inc.transport, err = newTransport(transportParams{
 		core:     inc.core,
@@ -244,6 +246,7 @@
 		retry:    func(part func() error) error { return inc.retry(ctx, part) },
 	})
 	inc.handover.state = nil
+	failpoint.Reach(failpoint.SocketInherited)
 	return err
 }
 
--- a/internal/app/predecessor.go
+++ b/internal/app/predecessor.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"brackendale/internal/config"
+	"brackendale/internal/failpoint"
 	"brackendale/internal/hotrestart"
 	"brackendale/internal/net/failure"
 	"brackendale/internal/net/loop"
@@ -171,6 +172,7 @@
 		p.log.Info().Msg("hot restart: a new process has connected: preparing to release the journal")
 		link.send(hotrestart.Message{Kind: hotrestart.KindWelcome, Version: hotrestart.Version})
 		p.setShares(halfShare, fullShare)
+		failpoint.Reach(failpoint.SuccessorWelcomed)
 		p.handOver(link)
 	case hotrestart.Retire:
 		refuse(link, "another version: it gets the journal once this process has ended")
@@ -201,6 +203,7 @@
 		p.goOn(link, hotrestart.StepTimedOut, nil, err)
 		return
 	}
+	failpoint.Reach(failpoint.CoreQuiesced)
 	began := time.Now()
 	link.send(hotrestart.Message{Kind: hotrestart.KindState, State: &state})
 	if msg, err = link.receive(quiesceTimeout); err != nil || msg.Kind != hotrestart.KindStateAccepted ||
@@ -215,8 +218,10 @@
 	p.log.Info().Dur("stood_ms", time.Since(began)).Int("out", len(state.Core.Scheduler.Calls)).
 		Msg("hot restart: the successor has the journal: this process drains")
 	_ = p.listener.Close()
+	failpoint.Reach(failpoint.JournalReleased)
 	p.loop.Post(func() {
 		p.transport.release()
+		failpoint.Reach(failpoint.TransportReleased)
 		p.awaitDrained()
 	})
 	p.followSuccessor(link)
@@ -229,6 +234,7 @@
 	// Read before the core stands still: its endpoint list is then no older than this version.
 	p.loop.Post(func() { listVersion <- p.transport.listVersion() })
 	p.transport.pauseListeners()
+	failpoint.Reach(failpoint.ListenersPaused)
 	state = hotrestart.State{Discovery: p.cfg.Discovery, ListVersion: <-listVersion}
 	checkpoint, resume := p.core.Quiesce()
 	var ok bool
--- a/internal/app/transport_start.go
+++ b/internal/app/transport_start.go
@@ -4,10 +4,8 @@
 	"cmp"
 	"crypto/tls"
 	"errors"
-	"fmt"
 	"math"
 	"net"
-	"os"
 	"path/filepath"
 	"time"
 
@@ -20,8 +18,6 @@
 	"brackendale/internal/net/reactor"
 	"brackendale/scheduler"
 	"brackendale/sender"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -29,8 +25,6 @@
 	unknownDowntime = time.Duration(math.MaxInt64 / 2)
 	// noListVersion is the version of an endpoint list that another registry has sent.
 	noListVersion = -1
-	// firstOwnFD is above the standard streams.
-	firstOwnFD = 3
 )
 
 // errNoServerTLS reports a TLS client of a sender whose configuration has lost its certificates.
@@ -114,11 +108,11 @@
 		noRoomReply = platform.TurnedAway
 	}
 	if params.cfg.AcceptFD > 0 {
-		inherited, err := inheritedListener(params.cfg.AcceptFD)
+		listener, err := params.reactor.ListenInherited(params.cfg.AcceptFD, noRoomReply, t.platformIngress.Accept)
 		if err != nil {
 			return &config.KeyError{Key: "LB_ACCEPT_FD", Err: err}
 		}
-		t.addListener(params.reactor.ListenOn(inherited, noRoomReply, nil, t.platformIngress.Accept), params.cfg)
+		t.addListener(listener, params.cfg)
 	} else if err := t.listen(params, addr, noRoomReply, t.platformIngress.Accept); err != nil {
 		return err
 	}
@@ -219,15 +213,3 @@
 	t.listeners = append(t.listeners, listener)
 	t.stops = append(t.stops, func() { _ = listener.Close() })
 }
-
-// inheritedListener is the listening socket that this process was given. It works on a copy of the descriptor: the
-// socket goes on in other processes, and a later incarnation of this one takes it again.
-func inheritedListener(fd int) (net.Listener, error) {
-	own, err := unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, firstOwnFD)
-	if err != nil {
-		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
-	}
-	file := os.NewFile(uintptr(own), "clients")
-	defer file.Close()
-	return net.FileListener(file)
-}
--- a/internal/failpoint/failpoint.go
+++ b/internal/failpoint/failpoint.go
@@ -17,8 +17,28 @@
 	CloseDecided Point = "a client's connection is to be closed, its socket is not shut"
 	// On the goroutine that shuts the process down.
 	ShutdownReached Point = "the end of a planned shutdown has come, the fronts are not ended yet"
+
+	// The steps of a hot restart, first those of the predecessor. On the goroutine of its connection:
+	SuccessorWelcomed Point = "a successor has been welcomed, the core still runs"
+	ListenersPaused   Point = "the listeners are paused, the core still runs"
+	CoreQuiesced      Point = "the core stands still, its state is not sent"
+	JournalReleased   Point = "the journal is released, the listeners are not closed"
+	// On the loop.
+	TransportReleased Point = "the listeners are closed, clients have not been retired"
+	// Those of the successor, on the goroutine that starts it.
+	JournalOpened   Point = "the journal is open, the clients' socket is not taken"
+	SocketInherited Point = "the clients' socket is taken, the sender does not serve"
+	// On the goroutine of the signal.
+	ShutdownBegun Point = "the core stops, the fronts still serve"
 )
 
+// HotRestart has the steps of a hot restart, in their order in each process.
+func HotRestart() []Point {
+	return []Point{
+		SuccessorWelcomed, ListenersPaused, CoreQuiesced, JournalReleased, TransportReleased, JournalOpened, SocketInherited,
+	}
+}
+
 var hook atomic.Pointer[func(Point)]
 
 // Reach calls the hook, if there is one. The program calls it as it passes a point.
--- a/internal/net/reactor/listen.go
+++ b/internal/net/reactor/listen.go
@@ -19,10 +19,11 @@
 const maxUnhandled = 16
 
 // Listener accepts connections. It has its own accept loop, since the engine's ends for good when descriptors run out
-// for a moment. Any goroutine may call its methods.
+// for a moment. Any goroutine may call its methods, except where one says otherwise.
 type Listener struct {
 	net.Listener
 	reactor   *Reactor
+	inherited bool                // other processes hold its socket, too
 	accept    func(*Conn) Handler // runs on the loop's goroutine
 	rejection []byte              // the reply without a descriptor; nil: none
 	tls       *tls.Config         // nil: plain
@@ -33,6 +34,8 @@
 	pauses chan chan struct{} // pauses for serve, each closed to continue
 	paused chan struct{}      // the pause in force; nil: none
 
+	finished bool // no newcomer is on the way to its handler any more; for the loop's goroutine
+
 	// For serve's goroutine.
 	spare    *os.File // a descriptor in reserve for a reply when there is no other
 	failures int      // failed accepts in a row
@@ -61,22 +64,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("listening on %s: %w", addr, err)
 	}
-	return r.ListenOn(listener, rejection, cfg, accept), nil
+	return r.start(&Listener{Listener: listener, rejection: rejection, tls: cfg, accept: accept}), nil
 }
 
-// ListenOn accepts from an existing listener, as one that was inherited; cfg nil: plain. The Listener closes it; its
-// socket may go on in other processes.
-func (r *Reactor) ListenOn(listener net.Listener, rejection []byte, cfg *tls.Config,
-	accept func(*Conn) Handler,
-) *Listener {
-	l := &Listener{
-		Listener:  listener,
-		reactor:   r,
-		accept:    accept,
-		rejection: rejection,
-		tls:       cfg,
-		pauses:    make(chan chan struct{}, 1),
-	}
+// start starts a listener's accept loop.
+func (r *Reactor) start(l *Listener) *Listener {
+	l.reactor = r
+	l.pauses = make(chan chan struct{}, 1)
 	l.reserveSpare()
 	go l.serve()
 	return l
@@ -118,13 +112,26 @@
 	}
 }
 
-// Close stops accepting for good.
+// Close stops accepting for good. The close of an inherited socket waits for the accept in progress, which other
+// processes can make a blocking one: it goes on in the background.
 func (l *Listener) Close() error {
+	if l.inherited {
+		go func() { _ = l.closeAndWait() }()
+		return nil
+	}
+	return l.closeAndWait()
+}
+
+func (l *Listener) closeAndWait() error {
 	err := l.Listener.Close()
 	l.Resume()
 	return err
 }
 
+// Finished tells whether accepting has ended for good and each newcomer was given its handler. Only for the loop's
+// goroutine.
+func (l *Listener) Finished() bool { return l.finished }
+
 // SetRate bounds the newcomers per second; 0 is no bound. Those above it wait in the listener's backlog.
 func (l *Listener) SetRate(perSecond int) { l.acceptRate.Store(int64(perSecond)) }
 
@@ -141,6 +148,7 @@
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			l.releaseSpare()
+			l.reactor.Post(func() { l.finished = true }) // behind the newcomers
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			<-unhandled
