A predecessor does not end while a newcomer has no handler yet

Seen by callers: at an upgrade a request on a new connection met a reset and had no answer. Cause: awaitDrained counted clients, offers and attempts. A newcomer that the accept loop had taken and not yet passed on to the event loop was in none of them; the process ended with it. A blocking accept makes that window wide, a loaded machine too. Change: a listener tells when its accept loop has ended and each newcomer has its handler; a predecessor waits for that.

--- a/internal/app/idle_test.go
+++ b/internal/app/idle_test.go
@@ -150,6 +150,9 @@
 	if kill := os.Getenv(killKey); kill != "" {
 		killedAt(kill)
 	}
+	if os.Getenv(holdNewcomerKey) != "" {
+		holdNewcomerWhileDraining()
+	}
 	if blocking := os.Getenv(blockingKey); blocking != "" {
 		clearNonblockAt(blocking)
 	}
--- a/internal/app/predecessor.go
+++ b/internal/app/predecessor.go
@@ -290,7 +290,7 @@
 
 // awaitDrained closes idle client connections and ends this process once nothing is in flight. It runs on the loop.
 func (p *predecessor) awaitDrained() {
-	clients := p.transport.retireClients()
+	clients := p.transport.acceptingListeners() + p.transport.retireClients()
 	p.mu.Lock()
 	offers := len(p.offers)
 	p.mu.Unlock()
--- a/internal/app/transport.go
+++ b/internal/app/transport.go
@@ -105,6 +105,16 @@
 	return t.platformIngress.Retire()
 }
 
+// acceptingListeners is the number of listeners whose last newcomers have no handler yet.
+func (t *transport) acceptingListeners() (count int) {
+	for _, listener := range t.listeners {
+		if !listener.Finished() {
+			count++
+		}
+	}
+	return count
+}
+
 // inFlight is the number of attempts in flight.
 func (t *transport) inFlight() int { return t.platformEgress.Out() + t.amqpEgress.Out() }
 
--- a/internal/failpoint/failpoint.go
+++ b/internal/failpoint/failpoint.go
@@ -28,6 +28,8 @@
 	// Those of the successor, on the goroutine that starts it.
 	JournalOpened   Point = "the journal is open, the clients' socket is not taken"
 	SocketInherited Point = "the clients' socket is taken, the sender does not serve"
+	// On the accepting goroutine of a listener.
+	NewcomerAccepted Point = "a newcomer is accepted, it is not on its way to the loop"
 	// On the goroutine of the signal.
 	ShutdownBegun Point = "the core stops, the fronts still serve"
 )
--- a/internal/net/platform/close_test.go
+++ b/internal/net/platform/close_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"brackendale/internal/failpoint"
+	"brackendale/internal/net/conntable"
 )
 
 // command words a SUBMIT.
@@ -130,3 +131,38 @@
 		t.Errorf("%d taken on", n)
 	}
 }
+
+// A new connection is not retired while its first command may be on its way: the command would be lost. It is once it
+// has been silent for long, or idle behind a command.
+func TestRetireLeavesNewConnections(t *testing.T) {
+	w := newWorld(t)
+	addr, _ := w.start()
+	retire := func() (left int) {
+		done := make(chan bool)
+		w.r.Post(func() { left = w.in.Retire(); close(done) })
+		<-done
+		return left
+	}
+	admitted := func(n int) {
+		for open := -1; open != n; {
+			w.held(func() { open = w.in.table.Len() })
+		}
+	}
+	c := dialRaw(t, addr)
+	admitted(1)
+	if left := retire(); left != 1 {
+		t.Fatal(left, "are left of a new connection")
+	}
+	c.ping()
+	if left := retire(); left != 0 {
+		t.Fatal(left, "are left that were idle behind a command")
+	}
+	dialRaw(t, addr)
+	admitted(1)
+	w.held(func() {
+		w.in.table.Each(func(e *conntable.Entry) { w.in.table.Move(e, conntable.Fresh, w.r.Now()-firstCommandTime) })
+	})
+	if left := retire(); left != 0 {
+		t.Fatal(left, "are left of a silent connection")
+	}
+}
--- a/internal/net/platform/ingress.go
+++ b/internal/net/platform/ingress.go
@@ -205,11 +205,17 @@
 	})
 }
 
+// firstCommandTime is how long a new connection is not retired: its first command may be on its way, and its client
+// would take the end of a new connection for a lost command.
+const firstCommandTime = time.Second
+
 // Retire closes the connections that have no pending reply and no unread or partial command, and
 // returns how many are left.
 func (in *Ingress) Retire() int {
+	now := in.reactor.Now()
 	in.table.Each(func(entry *conntable.Entry) {
-		if cl, ok := entry.Owner().(*client); ok && cl.isIdle() {
+		isNew := entry.Class() == conntable.Fresh && now-entry.Since() < firstCommandTime
+		if cl, ok := entry.Owner().(*client); ok && !isNew && cl.isIdle() {
 			cl.close()
 		}
 	})
--- a/internal/net/reactor/listen.go
+++ b/internal/net/reactor/listen.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"brackendale/internal/failpoint"
+
 	"github.com/lesismal/nbio"
 )
 
@@ -167,6 +169,7 @@
 			l.acceptFailed(err)
 			continue
 		}
+		failpoint.Reach(failpoint.NewcomerAccepted)
 		l.reactor.Post(func() {
 			<-unhandled
 			l.handle(socket)
