A reply for want of a descriptor does not undo a listener's pause

Seen by callers: none for sure; found by looking for the same fault elsewhere. At the connection limit a predecessor could go on accepting while it stood still for the hand-over. Cause: replyWithSpare cleared the accept deadline at its end, which a pause may have set meanwhile. Change: the deadline is set under the pause's lock, and not while a pause lasts. Result: TestPauseDuringAReplyWithTheSpare fails without the check for a pause ('a newcomer was accepted during the pause') and passes with it; package reactor passes.

--- a/internal/net/reactor/accept.go
+++ b/internal/net/reactor/accept.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net"
 	"os"
 	"syscall"
 	"time"
@@ -59,22 +58,26 @@
 // backlog without an answer.
 func (l *Listener) replyWithSpare() {
 	l.releaseSpare()
-	tcp, _ := l.Listener.(*net.TCPListener)
-	if tcp != nil {
-		_ = tcp.SetDeadline(time.Now().Add(spareAcceptLimit))
-	}
+	l.setAcceptDeadline(time.Now().Add(spareAcceptLimit))
 	if socket, err := l.Accept(); err == nil {
 		_ = socket.SetDeadline(time.Now().Add(spareReplyLimit))
 		_, _ = socket.Write(l.rejection)
 		_, _ = socket.Read(make([]byte, spareReadSize)) // a close with unread bytes would be a reset and could overtake it
 		_ = socket.Close()
 	}
-	if tcp != nil {
-		_ = tcp.SetDeadline(time.Time{})
-	}
+	l.setAcceptDeadline(time.Time{})
 	l.reserveSpare()
 }
 
+// setAcceptDeadline bounds the next accept, unless a pause has begun, whose deadline has passed and stays.
+func (l *Listener) setAcceptDeadline(deadline time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if listener, ok := l.Listener.(deadliner); ok && l.paused == nil {
+		_ = listener.SetDeadline(deadline)
+	}
+}
+
 // reserveSpare opens the spare descriptor, if the listener has a reply to send on it.
 func (l *Listener) reserveSpare() {
 	if l.rejection == nil || l.spare != nil {
