Many connections over a limit are closed one portion behind the other

Seen by callers: of 700 silent clients 402 were closed after the 3 s that are owed; 64 a quarter of a second, however many are due.

--- a/internal/net/connlimit/limiter.go
+++ b/internal/net/connlimit/limiter.go
@@ -45,11 +45,11 @@
 // socket is spared, and after a pause of the process nobody is evicted for a while: the requests may have arrived
 // during it.
 func (l *Limiter) Due(*timers.Timer) {
-	next := l.sweepInterval
+	next, slack := l.sweepInterval, timers.Coarse
 	if !l.reactor.Stalled() && l.Table.Expire(l.reactor.Now(), evictionsPerSweep, conntable.Unread, conntable.End) {
-		next = 0
+		next, slack = 0, timers.Soft
 	}
 	if l.Table.Len() > 0 {
-		l.reactor.Arm(&l.timer, next, timers.Coarse, l)
+		l.reactor.Arm(&l.timer, next, slack, l)
 	}
 }
