Bytes that come after a limit no longer extend it

Seen by callers: clients that never end a command or a frame kept their places as long as they sent a byte now and then. Change: what had arrived at the limit is marked; once it was handled the connection is judged, whatever has come since. AMQP frames have a time of their own also where no read ends with one. TestAgainstModel asserted that whatever is unread spares a connection, which was the fault; it asserts now that what had arrived at the limit does, and that nobody stays once it was read.

--- a/internal/net/amqpfront/brokerlink.go
+++ b/internal/net/amqpfront/brokerlink.go
@@ -56,8 +56,11 @@
 // Evict closes a connection that no attempt uses.
 func (l *brokerLink) Evict(conntable.Reason) { l.closeIdle() }
 
-// Quiet tells whether all that was received has been handled.
-func (l *brokerLink) Quiet() bool { return l.conn.Quiet() }
+// MarkArrived marks what the peer has sent until now.
+func (l *brokerLink) MarkArrived() (known bool) { return l.conn.MarkArrived() }
+
+// MarkHandled tells whether all before the mark was handled.
+func (l *brokerLink) MarkHandled() bool { return l.conn.MarkHandled() }
 
 // Up sends the protocol header.
 func (l *brokerLink) Up(*reactor.Conn) {
--- a/internal/net/amqpfront/session.go
+++ b/internal/net/amqpfront/session.go
@@ -95,8 +95,11 @@
 	}
 }
 
-// Quiet tells whether all that was received has been handled.
-func (s *session) Quiet() bool { return s.conn.Quiet() }
+// MarkArrived marks what the peer has sent until now.
+func (s *session) MarkArrived() (known bool) { return s.conn.MarkArrived() }
+
+// MarkHandled tells whether all before the mark was handled.
+func (s *session) MarkHandled() bool { return s.conn.MarkHandled() }
 
 // Drained delivers the answers that waited while the client did not read.
 func (s *session) Drained(*reactor.Conn) {
@@ -140,13 +143,18 @@
 			return
 		}
 	}
+	unhandled := s.partialFrame.Len() + len(received)
 	if err := s.eachFrame(received, s.handleFrame); err != nil {
 		s.closeWith(0, err)
 	}
 	s.ingress.core.Submit(s.ingress.submissions...)
 	s.ingress.submissions = nil
-	if partial := s.partialFrame.Len() > 0; partial || s.hasPartialFrame {
-		s.hasPartialFrame = partial
+	partial := s.partialFrame.Len()
+	if partial > 0 && partial < unhandled && s.hasPartialFrame { // one frame is whole, and another has begun
+		s.ingress.table.Move(&s.Entry, s.Class(), s.loop.Now())
+	}
+	if partial > 0 || s.hasPartialFrame {
+		s.hasPartialFrame = partial > 0
 		s.updateClass()
 	}
 }
--- a/internal/net/connlimit/limiter.go
+++ b/internal/net/connlimit/limiter.go
@@ -14,6 +14,9 @@
 // closes the next.
 const evictionsPerSweep = 64
 
+// spareInterval is the time between checks for connections that are over a limit and were spared for what had arrived.
+const spareInterval = 25 * time.Millisecond
+
 // Limiter is the connection limit of one ingress. Its methods are for the loop's goroutine.
 type Limiter struct {
 	Table *conntable.Table
@@ -41,13 +44,15 @@
 	return ok
 }
 
-// Due evicts the connections over a limit; it is the timer's callback. A connection with unread bytes in its
-// socket is spared, and after a pause of the process nobody is evicted for a while: the requests may have arrived
+// Due evicts the connections over a limit; it is the timer's callback. A connection is spared until what had arrived at
+// its limit was handled, and after a pause of the process nobody is evicted for a while: the requests may have arrived
 // during it.
 func (l *Limiter) Due(*timers.Timer) {
 	next, slack := l.sweepInterval, timers.Coarse
 	if !l.reactor.Stalled() && l.Table.Expire(l.reactor.Now(), evictionsPerSweep, conntable.Unread, conntable.End) {
 		next, slack = 0, timers.Soft
+	} else if l.Table.Spared() > 0 {
+		next, slack = spareInterval, timers.Soft
 	}
 	if l.Table.Len() > 0 {
 		l.reactor.Arm(&l.timer, next, slack, l)
--- a/internal/net/conntable/entry.go
+++ b/internal/net/conntable/entry.go
@@ -37,6 +37,8 @@
 	Full                      // a newcomer: there is no room and nobody may be evicted
 	Crowd                     // a newcomer: its address has too many connections
 	reasons     = iota
+
+	notSpared = ForNewcomer // in place of a limit, in the record of a connection that is not spared
 )
 
 var reasonNames = [reasons]string{
@@ -50,19 +52,24 @@
 type Owner interface {
 	// Evict closes a connection that has left its table.
 	Evict(why Reason)
-	// Quiet tells whether all bytes that the peer has sent were handled.
-	Quiet() bool
+	// MarkArrived marks the place in the peer's byte stream behind all that has arrived. known is false where that
+	// cannot be told for the moment.
+	MarkArrived() (known bool)
+	// MarkHandled tells whether all bytes before the mark were handled.
+	MarkHandled() bool
 }
 
-// Entry is one connection's record, 56 bytes. It is a field of its owner and must not be copied.
+// Entry is one connection's record, 64 bytes. It is a field of its owner and must not be copied.
 type Entry struct {
-	prev, next *Entry // neighbors in the list of its class
+	prev, next *Entry // neighbors in the list of its class, or of the spared ones
 
 	table   *Table
 	owner   Owner
 	since   time.Duration // when it entered its class, on the owner's clock
 	origin  *origin       // nil where the address is not known
 	class   Class
+	why     Reason // of a spared one: the limit; notSpared
+	marked  bool   // of a spared one: what had arrived at its limit is marked
 	inTable bool
 }
 
@@ -72,9 +79,15 @@
 	conns int
 }
 
-// Unread tells whether the connection's socket holds bytes that were not read yet. Given to Expire as keep, it
-// spares a connection whose request arrived while the process paused or was overrun.
-func Unread(e *Entry) bool { return !e.owner.Quiet() }
+// Unread marks what has arrived of a connection, and tells whether some of it was not handled yet. Given to Expire as
+// keep, it spares a connection whose request arrived while the process paused or was overrun.
+func Unread(e *Entry) bool {
+	e.marked = e.owner.MarkArrived()
+	return e.unread()
+}
+
+// unread tells whether bytes are unhandled that had arrived when Unread was called last.
+func (e *Entry) unread() bool { return !e.marked || !e.owner.MarkHandled() }
 
 // End evicts a connection; given to Expire as end.
 func End(e *Entry, why Reason) { e.owner.Evict(why) }
--- a/internal/net/conntable/table.go
+++ b/internal/net/conntable/table.go
@@ -52,10 +52,13 @@
 	limits Limits
 
 	lists   [classes]Entry // sentinels of circular lists
+	spared  Entry          // sentinel of the list of those over a limit of which something is unread
 	counts  [classes]int
 	size    int
 	origins map[netip.Addr]*origin
 
+	sparedCount int
+
 	evicted  [reasons]uint64 // also newcomers that were not admitted
 	admitted uint64
 }
@@ -68,8 +71,9 @@
 func (r *Room) NewTable(limits Limits) *Table {
 	t := &Table{room: r, limits: limits, origins: map[netip.Addr]*origin{}}
 	for i := range t.lists {
-		t.lists[i].prev, t.lists[i].next = &t.lists[i], &t.lists[i]
+		t.lists[i].makeEmpty()
 	}
+	t.spared.makeEmpty()
 	r.tables = append(r.tables, t)
 	return t
 }
@@ -117,12 +121,9 @@
 // Each calls visit for each connection; visit may remove the connection that it is given.
 func (t *Table) Each(visit func(*Entry)) {
 	for i := range t.lists {
-		for e := t.lists[i].next; e != &t.lists[i]; {
-			next := e.next
-			visit(e)
-			e = next
-		}
+		t.lists[i].each(visit)
 	}
+	t.spared.each(visit)
 }
 
 // Admit enters a newcomer, as Fresh. victim, if not nil, has left its table to make room, and the caller closes
@@ -181,17 +182,18 @@
 
 // link appends a connection to the list of its class.
 func (t *Table) link(e *Entry) {
-	sentinel := &t.lists[e.class]
-	e.next, e.prev = sentinel, sentinel.prev
-	sentinel.prev.next = e
-	sentinel.prev = e
+	t.lists[e.class].append(e)
 	t.counts[e.class]++
 }
 
-// unlink takes a connection out of the list of its class.
+// unlink takes a connection out of the list of its class, or of the spared ones.
 func (t *Table) unlink(e *Entry) {
 	e.prev.next, e.next.prev = e.next, e.prev
 	t.counts[e.class]--
+	if e.why != notSpared {
+		e.why = notSpared
+		t.sparedCount--
+	}
 }
 
 // Move records what a connection does from now on, and appends it to the list of that class, also where the class
--- a/internal/net/conntable/table_test.go
+++ b/internal/net/conntable/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 	"unsafe"
@@ -16,13 +17,20 @@
 // fake is a connection that only writes down how it went.
 type fake struct {
 	Entry
-	from  netip.Addr
-	gone  int
-	noisy bool
+	from    netip.Addr
+	gone    int
+	reason  Reason
+	sent    int64 // bytes that have arrived
+	read    int64 // of them, those that were handled
+	mark    int64
+	unsure  bool  // what has arrived can't be told
+	atLimit int64 // what had arrived when it was found over a limit; of the model
+	isOver  bool  // it was found over a limit; of the model
 }
 
-func (f *fake) Evict(Reason) { f.gone++ }
-func (f *fake) Quiet() bool  { return !f.noisy }
+func (f *fake) Evict(why Reason)  { f.gone, f.reason = f.gone+1, why }
+func (f *fake) MarkArrived() bool { f.mark = f.sent; return !f.unsure }
+func (f *fake) MarkHandled() bool { return f.read >= f.mark }
 
 var limits = Limits{
 	Most: 3, Keep: 0.75, Patience: 2 * time.Second, Grace: 100 * time.Millisecond, First: 2 * time.Second,
@@ -103,8 +111,8 @@
 	}
 }
 
-// Against a plain slice: the counts, the room, who goes for a newcomer and who expires. What was heard of but not
-// read is spared.
+// Against a plain slice: the counts, the room, who goes for a newcomer and who expires. Who is over a limit is spared
+// until what had arrived by then is read, and no longer for what comes later.
 func TestAgainstModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		room := NewRoom(rapid.IntRange(1, 6).Draw(t, "room"))
@@ -178,10 +186,22 @@
 			"move": func(t *rapid.T) {
 				if len(live) > 0 {
 					f := live[rapid.IntRange(0, len(live)-1).Draw(t, "i")]
-					f.noisy = rapid.Bool().Draw(t, "noisy")
+					f.isOver = false
 					f.table.Move(&f.Entry, Class(rapid.IntRange(0, int(classes)-1).Draw(t, "to")), now)
 				}
 			},
+			"send": func(t *rapid.T) {
+				if len(live) > 0 {
+					f := live[rapid.IntRange(0, len(live)-1).Draw(t, "i")]
+					f.sent++
+				}
+			},
+			"read": func(t *rapid.T) {
+				if len(live) > 0 {
+					f := live[rapid.IntRange(0, len(live)-1).Draw(t, "i")]
+					f.read = f.sent
+				}
+			},
 			"remove": func(t *rapid.T) {
 				if len(live) > 0 {
 					f := live[rapid.IntRange(0, len(live)-1).Draw(t, "i")]
@@ -194,14 +214,23 @@
 				now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond
 				for _, tb := range tables {
 					tb.Expire(now, 100, Unread, func(e *Entry, why Reason) {
-						if f := e.owner.(*fake); f.noisy || now-e.since < lim.Patience || e.class == Busy {
+						f := e.owner.(*fake)
+						arrived := f.sent
+						if f.isOver {
+							arrived = f.atLimit
+						}
+						if f.read < arrived || now-e.since < lim.Patience || e.class == Busy {
 							t.Fatal("ended too early:", why)
 						}
-						drop(e.owner.(*fake))
+						drop(f)
 					})
 				}
 				for _, f := range live {
-					if (f.class == Fresh || f.class == Partial || f.class == Stuck) && now-f.since >= 2*time.Second {
+					if f.why != notSpared && !f.isOver {
+						f.isOver, f.atLimit = true, f.sent
+					}
+					if (f.class == Fresh || f.class == Partial || f.class == Stuck) && now-f.since >= 2*time.Second &&
+						(!f.isOver || f.read >= f.atLimit) {
 						t.Fatal("forgotten", f.class)
 					}
 				}
@@ -222,6 +251,48 @@
 	})
 }
 
+// A connection that is over its limit is given time for what had arrived by then, and none for what it sends later; one
+// that makes progress is over no limit. Where it cannot be told what has arrived, it is asked again.
+func TestSparedForWhatHadArrived(t *testing.T) {
+	tb := NewRoom(4).NewTable(limits)
+	slow, late, unsure := &fake{sent: 2, read: 1}, &fake{sent: 2, read: 1}, &fake{unsure: true}
+	for _, f := range []*fake{slow, late, unsure} {
+		tb.Admit(&f.Entry, f, netip.Addr{}, 0)
+		tb.Move(&f.Entry, Partial, 0)
+	}
+	expire := func(want ...*fake) {
+		t.Helper()
+		tb.Expire(2*time.Second, 16, Unread, End)
+		for _, f := range []*fake{slow, late, unsure} {
+			gone := 0
+			if slices.Contains(want, f) {
+				gone = 1
+			}
+			if f.gone != gone {
+				t.Fatal(f.gone, "times evicted, not", gone)
+			}
+			if gone == 1 && f.reason != Slow {
+				t.Fatal(f.reason)
+			}
+		}
+	}
+	expire()
+	if got := tb.chooseVictim(2 * time.Second); got != &slow.Entry || tb.Spared() != 3 || tb.Counts()[Partial] != 3 {
+		t.Fatal("a spared one is to go first", tb.Spared())
+	}
+	expire() // what had arrived is not read yet
+	slow.sent, slow.read = 9, 2
+	unsure.unsure, unsure.sent, unsure.read = false, 5, 4
+	late.read = 2
+	tb.Move(&late.Entry, Partial, 2*time.Second) // it was the end of a frame, and the next one has begun
+	expire(slow)
+	unsure.sent, unsure.read = 9, 5
+	expire(slow, unsure)
+	if tb.Spared() != 0 || tb.Len() != 1 {
+		t.Fatal(tb.Spared(), tb.Len())
+	}
+}
+
 // An entry's bytes are a part of what every connection costs.
 func TestSize(t *testing.T) {
 	if n := unsafe.Sizeof(Entry{}); n > 64 {
--- a/internal/net/conntable/victim.go
+++ b/internal/net/conntable/victim.go
@@ -51,9 +51,20 @@
 		}
 		found.add(e, at)
 	}
+	found.add(t.sparedVictim(), expendable)
 	return found
 }
 
+// sparedVictim is the connection that was spared first, of those whose class may be evicted; nil if there is none.
+func (t *Table) sparedVictim() *Entry {
+	for e := t.spared.next; e != &t.spared; e = e.next {
+		if e.class == Idle || e.class == Partial || e.class == Fresh {
+			return e
+		}
+	}
+	return nil
+}
+
 // chooseVictim returns the connection of this table that is evicted for a newcomer; nil if there is none.
 func (t *Table) chooseVictim(now time.Duration) *Entry {
 	found := t.candidates(now)
--- a/internal/net/platform/client.go
+++ b/internal/net/platform/client.go
@@ -41,6 +41,12 @@
 // Quiet tells whether everything received was handled.
 func (cl *client) Quiet() bool { return cl.conn.Quiet() }
 
+// MarkArrived marks what the peer has sent until now.
+func (cl *client) MarkArrived() (known bool) { return cl.conn.MarkArrived() }
+
+// MarkHandled tells whether all before the mark was handled.
+func (cl *client) MarkHandled() bool { return cl.conn.MarkHandled() }
+
 func (cl *client) isIdle() bool {
 	return len(cl.replies) == 0 && cl.buffer.Len() == 0 && cl.Quiet()
 }
--- a/internal/net/platform/link.go
+++ b/internal/net/platform/link.go
@@ -90,8 +90,11 @@
 // Evict closes a link that was removed from its table; only idle ones are.
 func (l *link) Evict(conntable.Reason) { l.conn.Close() }
 
-// Quiet tells whether nothing was received outside of a response.
-func (l *link) Quiet() bool { return l.conn.Quiet() }
+// MarkArrived marks what the peer has sent until now.
+func (l *link) MarkArrived() (known bool) { return l.conn.MarkArrived() }
+
+// MarkHandled tells whether all before the mark was handled.
+func (l *link) MarkHandled() bool { return l.conn.MarkHandled() }
 
 // send writes a request once the connection is up and the request is admitted. onResponse is called
 // once, with the response or an error.
--- a/internal/net/reactor/conn.go
+++ b/internal/net/reactor/conn.go
@@ -12,11 +12,15 @@
 	"syscall"
 
 	"brackendale/internal/net/loop"
+	"brackendale/internal/net/partial"
 	"brackendale/internal/timers"
 
 	"github.com/lesismal/nbio"
 )
 
+// arrivedPeekSize is how much unread input of a connection is looked at, in bytes: more than a usual command.
+const arrivedPeekSize = 32 << 10
+
 // connState is the state of a connection.
 type connState uint8
 
@@ -41,6 +45,10 @@
 	written      atomic.Int64 // bytes that the socket has taken
 	awaitsDrain  atomic.Bool  // drained is to be called when the socket takes bytes
 	pendingReads atomic.Int32 // reads in progress, and reads that the handler has not been given
+	reading      atomic.Bool  // a read is in progress
+	received     atomic.Int64 // bytes that were read out of the socket
+	handled      int64        // of them, those that the handler was given
+	mark         int64        // of MarkArrived
 
 	gather   *gather   // nil: nothing is gathered
 	wantsTLS bool      // a layer follows once the connection is accepted
@@ -164,7 +172,7 @@
 	if c.socket.Load() == nil || c.Dead() {
 		return false
 	}
-	_, err := c.peekSocket()
+	_, err := c.peekSocket(make([]byte, 1))
 	return errors.Is(err, syscall.EAGAIN) && c.pendingReads.Load() == 0
 }
 
@@ -174,12 +182,41 @@
 	if c.socket.Load() == nil || c.Dead() {
 		return false
 	}
-	size, _ := c.peekSocket() // first: a read is counted before it takes anything
+	size, _ := c.peekSocket(make([]byte, 1)) // first: a read is counted before it takes anything
 	return size > 0 || c.pendingReads.Load() > 0
 }
 
-// peekSocket tells whether the socket holds a byte: 1 or 0, or the error.
-func (c *Conn) peekSocket() (int, error) {
-	size, _, err := syscall.Recvfrom(c.socket.Load().Hash(), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+// MarkArrived marks the place in the peer's byte stream, under TLS that of the ciphertext, behind all that has arrived.
+// known is false where a read is in progress, or more has arrived than is looked at.
+func (c *Conn) MarkArrived() (known bool) {
+	if c.socket.Load() == nil || c.Dead() {
+		c.mark = c.handled
+		return true
+	}
+	received := c.received.Load()
+	if c.reading.Load() {
+		return false
+	}
+	peeked := partial.Get(arrivedPeekSize)
+	defer partial.Put(peeked)
+	size, err := c.peekSocket(peeked[:arrivedPeekSize])
+	if err != nil {
+		size = 0 // nothing, or the end
+	}
+	if size == arrivedPeekSize || c.reading.Load() || c.received.Load() != received {
+		return false
+	}
+	c.mark = received + int64(size)
+	return true
+}
+
+// MarkHandled tells whether the handler was given all bytes before the mark, and what a handshake makes of them.
+func (c *Conn) MarkHandled() bool {
+	return c.handled >= c.mark && (c.layer == nil || !c.layer.computing())
+}
+
+// peekSocket copies what the socket holds into buf, and leaves it there. It returns the number of bytes, or the error.
+func (c *Conn) peekSocket(buf []byte) (int, error) {
+	size, _, err := syscall.Recvfrom(c.socket.Load().Hash(), buf, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	return size, err
 }
--- a/internal/net/reactor/reactor.go
+++ b/internal/net/reactor/reactor.go
@@ -102,6 +102,7 @@
 	r.room.L.Unlock()
 	if ok {
 		c.pendingReads.Add(1)
+		c.reading.Store(true)
 	}
 	return r.engine.PollerBufferPtr(socket)
 }
@@ -109,6 +110,7 @@
 // onReadEnd runs on the engine's goroutine, once what was read is enqueued.
 func (r *Reactor) onReadEnd(socket *nbio.Conn, _ *[]byte) {
 	if c, ok := socket.Session().(*Conn); ok {
+		c.reading.Store(false)
 		c.pendingReads.Add(-1)
 	}
 }
@@ -147,6 +149,7 @@
 		}
 	}
 	own := append(partial.Get(len(received)), received...)
+	c.received.Add(int64(len(received)))
 	c.pendingReads.Add(1) // before a wait for room: the bytes have left the socket already
 	r.room.L.Lock()
 	for r.unread.Load() > maxUnread {
@@ -187,5 +190,6 @@
 	} else if !c.Dead() {
 		c.handler.Data(c, received)
 	}
+	c.handled += int64(len(received))
 	partial.Put(received)
 }
--- a/internal/net/reactor/secure.go
+++ b/internal/net/reactor/secure.go
@@ -50,6 +50,7 @@
 	received    []byte // ciphertext that was not read yet
 	err         error  // the connection has ended
 	handshaking bool
+	waiting     bool // the handshake waits for its peer
 }
 
 // errAgain is the transport's error when nothing has arrived.
@@ -113,6 +114,7 @@
 	full := len(l.received)+len(ciphertext) > maxHandshake
 	if !full {
 		l.received = append(l.received, ciphertext...)
+		l.waiting = false
 	}
 	l.mu.Unlock()
 	if full {
@@ -148,6 +150,13 @@
 	}
 }
 
+// computing tells whether the handshake has something to do that the peer has sent.
+func (l *tlsLayer) computing() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.handshaking && !l.waiting
+}
+
 // wakeHandshake ends the handshake's goroutine: its next read fails.
 func (l *tlsLayer) wakeHandshake(err error) {
 	l.mu.Lock()
@@ -239,7 +248,9 @@
 			return 0, errAgain{}
 		}
 		<-handshakeSlots // others may compute while this one waits
+		l.waiting = true
 		l.arrived.Wait()
+		l.waiting = false
 		l.mu.Unlock()
 		handshakeSlots <- struct{}{}
 		l.mu.Lock()
