A handshake's own result goes before the end that overtakes it

Seen by callers: a broker's wrong certificate was logged as a cut handshake, now and then, and a handshake that had succeeded was lost. Cause: a close or a time-out that the event loop saw before the result of the handshake's goroutine ended the connection, and the result was dropped. Change: Down waits for the result of a handshake whose bytes may have arrived; the goroutine reads them and then the end.

--- a/internal/failpoint/failpoint.go
+++ b/internal/failpoint/failpoint.go
@@ -28,6 +28,8 @@
 	// Those of the successor, on the goroutine that starts it.
 	JournalOpened   Point = "the journal is open, the clients' socket is not taken"
 	SocketInherited Point = "the clients' socket is taken, the sender does not serve"
+	// On the goroutine of a TLS handshake.
+	HandshakeComputed Point = "a handshake has its result, the loop does not know it"
 	// On the accepting goroutine of a listener.
 	NewcomerAccepted Point = "a newcomer is accepted, it is not on its way to the loop"
 	// On the goroutine of the signal.
--- a/internal/net/reactor/conn.go
+++ b/internal/net/reactor/conn.go
@@ -25,10 +25,11 @@
 type connState uint8
 
 const (
-	opening   connState = iota // Up was not called yet
-	open                       // its handler reads and writes
-	finishing                  // a graceful close: what was written leaves, what still arrives is ignored
-	ended                      // Down was called
+	opening           connState = iota // Up was not called yet
+	open                               // its handler reads and writes
+	finishing                          // a graceful close: what was written leaves, what still arrives is ignored
+	awaitingHandshake                  // it has ended, and the result of its handshake is awaited
+	ended                              // Down was called
 )
 
 // Conn is one connection. Its methods are for the loop's goroutine.
@@ -50,6 +51,9 @@
 	handled      int64        // of them, those that the handler was given
 	mark         int64        // of MarkArrived
 
+	closedHere bool  // its handler or this package has closed it
+	endError   error // why it has ended, while the result of its handshake is awaited
+
 	gather   *gather   // nil: nothing is gathered
 	wantsTLS bool      // a layer follows once the connection is accepted
 	layer    *tlsLayer // nil: plain
@@ -96,11 +100,21 @@
 	return nil
 }
 
-// end records the connection's end and calls Down, once.
+// end ends the connection, once. The bytes for the result of a handshake in progress may have arrived before the end:
+// Down waits for it.
 func (c *Conn) end(err error) {
-	if c.state == ended {
-		return
+	switch {
+	case c.state >= awaitingHandshake:
+	case c.layer != nil && !c.layer.resultKnown:
+		c.state, c.endError = awaitingHandshake, err
+		c.layer.wakeHandshake(net.ErrClosed)
+	default:
+		c.finalize(err)
 	}
+}
+
+// finalize records the connection's end and calls Down.
+func (c *Conn) finalize(err error) {
 	if c.state == finishing {
 		c.reactor.finishing--
 		c.reactor.Disarm(c.finishTimer)
@@ -114,7 +128,7 @@
 		if !c.layer.established {
 			err = c.handshakeFailed(err)
 		}
-		c.layer.wakeHandshake(net.ErrClosed)
+		c.layer.wakeHandshake(net.ErrClosed) // what is read from here on is the end
 	}
 	c.reactor.unsent.Add(c.written.Load() - c.queued)
 	c.handler.Down(c, err)
@@ -122,6 +136,7 @@
 
 // Close ends the connection at once; Down follows.
 func (c *Conn) Close() {
+	c.closedHere = true
 	if c.cancelDial != nil {
 		c.cancelDial()
 	}
--- a/internal/net/reactor/secure.go
+++ b/internal/net/reactor/secure.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"brackendale/internal/failpoint"
 	"brackendale/internal/net/partial"
 )
 
@@ -42,7 +43,8 @@
 type tlsLayer struct {
 	conn        *Conn
 	tls         *tls.Conn
-	established bool // the handshake has succeeded; for the loop's goroutine
+	resultKnown bool // the handshake has ended; for the loop's goroutine, as the next one
+	established bool // the handshake has succeeded
 
 	// Shared with the handshake's goroutine while handshaking.
 	mu          sync.Mutex
@@ -78,6 +80,7 @@
 		handshakeSlots <- struct{}{}
 		err := l.tls.HandshakeContext(context.Background())
 		<-handshakeSlots
+		failpoint.Reach(failpoint.HandshakeComputed)
 		c.reactor.Post(func() { l.handshakeDone(err) })
 	}()
 }
@@ -85,13 +88,28 @@
 // handshakeDone continues after the handshake, on the loop's goroutine.
 func (l *tlsLayer) handshakeDone(err error) {
 	c := l.conn
-	if c.Dead() {
-		return
-	}
-	if err != nil {
+	l.resultKnown = true
+	hasEnded := c.state == awaitingHandshake
+	switch {
+	case hasEnded && (err == nil && c.closedHere || isCut(err)):
+		c.finalize(c.endError)
+	case hasEnded && err != nil:
+		c.finalize(err)
+	case err != nil:
 		c.fail(err)
-		return
+	default: // an end that came meanwhile is read behind what had arrived before it
+		l.establish()
 	}
+}
+
+// isCut tells whether a handshake has failed by the end of its connection alone.
+func isCut(err error) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed)
+}
+
+// establish opens the connection after a successful handshake.
+func (l *tlsLayer) establish() {
+	c := l.conn
 	l.mu.Lock()
 	l.handshaking = false
 	l.mu.Unlock()
@@ -144,6 +162,8 @@
 		var alert *net.OpError // a peer may reject this side's certificate after its own handshake is complete
 		if errors.As(err, &alert) && alert.Op == remoteError {
 			err = c.handshakeFailed(err)
+		} else if c.endError != nil && isCut(err) {
+			err = c.endError
 		}
 		c.fail(err)
 		return
@@ -180,6 +200,7 @@
 
 // fail ends the connection from this side; Down receives the error.
 func (c *Conn) fail(err error) {
+	c.closedHere = true
 	if socket := c.socket.Load(); socket != nil {
 		_ = socket.Close()
 	}
@@ -268,6 +289,9 @@
 	t.layer.mu.Lock()
 	handshaking, err := t.layer.handshaking, t.layer.err
 	t.layer.mu.Unlock()
+	if err != nil && handshaking {
+		return len(ciphertext), nil // the result goes by what the peer had sent
+	}
 	if err != nil {
 		return 0, net.ErrClosed
 	}
