--- a/internal/net/reactor/conn.go
+++ b/internal/net/reactor/conn.go
@@ -38,6 +38,9 @@
 	handler Handler
 	state   connState
 
+	closedHere bool // its handler or this package has closed it
+	wantsTLS   bool // a layer follows once the connection is accepted
+
 	socket      atomic.Pointer[nbio.Conn] // nil until it is connected
 	cancelDial  context.CancelFunc        // nil unless it is being dialed
 	finishTimer *timers.Timer             // set during a graceful close
@@ -46,17 +49,12 @@
 	written      atomic.Int64 // bytes that the socket has taken
 	awaitsDrain  atomic.Bool  // drained is to be called when the socket takes bytes
 	pendingReads atomic.Int32 // reads in progress, and reads that the handler has not been given
+	pendingBytes atomic.Int32 // bytes that were read, and that the handler has not been given
 	reading      atomic.Bool  // a read is in progress
-	received     atomic.Int64 // bytes that were read out of the socket
-	handled      int64        // of them, those that the handler was given
-	mark         int64        // of MarkArrived
-
-	closedHere bool  // its handler or this package has closed it
-	endError   error // why it has ended, while the result of its handshake is awaited
+	beforeMark   int32        // bytes before the mark that the handler has not been given
 
-	gather   *gather   // nil: nothing is gathered
-	wantsTLS bool      // a layer follows once the connection is accepted
-	layer    *tlsLayer // nil: plain
+	gather *gather   // nil: nothing is gathered
+	layer  *tlsLayer // nil: plain
 }
 
 // established passes an open socket to the engine, unless its owner has closed the connection meanwhile. err is the
@@ -106,7 +104,7 @@
 	switch {
 	case c.state >= awaitingHandshake:
 	case c.layer != nil && !c.layer.resultKnown:
-		c.state, c.endError = awaitingHandshake, err
+		c.state, c.layer.endError = awaitingHandshake, err
 		c.layer.wakeHandshake(net.ErrClosed)
 	default:
 		c.finalize(err)
@@ -205,10 +203,10 @@
 // known is false where a read is in progress, or more has arrived than is looked at.
 func (c *Conn) MarkArrived() (known bool) {
 	if c.socket.Load() == nil || c.Dead() {
-		c.mark = c.handled
+		c.beforeMark = 0
 		return true
 	}
-	received := c.received.Load()
+	pending := c.pendingBytes.Load()
 	if c.reading.Load() {
 		return false
 	}
@@ -218,16 +216,16 @@
 	if err != nil {
 		size = 0 // nothing, or the end
 	}
-	if size == arrivedPeekSize || c.reading.Load() || c.received.Load() != received {
+	if size == arrivedPeekSize || c.reading.Load() || c.pendingBytes.Load() != pending {
 		return false
 	}
-	c.mark = received + int64(size)
+	c.beforeMark = pending + int32(size)
 	return true
 }
 
 // MarkHandled tells whether the handler was given all bytes before the mark, and what a handshake makes of them.
 func (c *Conn) MarkHandled() bool {
-	return c.handled >= c.mark && (c.layer == nil || !c.layer.computing())
+	return c.beforeMark == 0 && (c.layer == nil || !c.layer.computing())
 }
 
 // peekSocket copies what the socket holds into buf, and leaves it there. It returns the number of bytes, or the error.
--- a/internal/net/reactor/reactor.go
+++ b/internal/net/reactor/reactor.go
@@ -149,7 +149,7 @@
 		}
 	}
 	own := append(partial.Get(len(received)), received...)
-	c.received.Add(int64(len(received)))
+	c.pendingBytes.Add(int32(len(received)))
 	c.pendingReads.Add(1) // before a wait for room: the bytes have left the socket already
 	r.room.L.Lock()
 	for r.unread.Load() > maxUnread {
@@ -190,6 +190,7 @@
 	} else if !c.Dead() {
 		c.handler.Data(c, received)
 	}
-	c.handled += int64(len(received))
+	c.pendingBytes.Add(-int32(len(received)))
+	c.beforeMark = max(0, c.beforeMark-int32(len(received)))
 	partial.Put(received)
 }
--- a/internal/net/reactor/secure.go
+++ b/internal/net/reactor/secure.go
@@ -43,8 +43,9 @@
 type tlsLayer struct {
 	conn        *Conn
 	tls         *tls.Conn
-	resultKnown bool // the handshake has ended; for the loop's goroutine, as the next one
-	established bool // the handshake has succeeded
+	resultKnown bool  // the handshake has ended; for the loop's goroutine, as the next one
+	established bool  // the handshake has succeeded
+	endError    error // why the connection has ended, while the result is awaited
 
 	// Shared with the handshake's goroutine while handshaking.
 	mu          sync.Mutex
@@ -92,7 +93,7 @@
 	hasEnded := c.state == awaitingHandshake
 	switch {
 	case hasEnded && (err == nil && c.closedHere || isCut(err)):
-		c.finalize(c.endError)
+		c.finalize(l.endError)
 	case hasEnded && err != nil:
 		c.finalize(err)
 	case err != nil:
@@ -162,8 +163,8 @@
 		var alert *net.OpError // a peer may reject this side's certificate after its own handshake is complete
 		if errors.As(err, &alert) && alert.Op == remoteError {
 			err = c.handshakeFailed(err)
-		} else if c.endError != nil && isCut(err) {
-			err = c.endError
+		} else if l.endError != nil && isCut(err) {
+			err = l.endError
 		}
 		c.fail(err)
 		return
