The tests' agent answers each poll by the version that it asks from

Seen: TestDrainedAcrossARestart, 'sent to an endpoint that wants nothing new', 4 of 800 runs beside a soak. Cause: the stand-in handed a list to whichever poll waited, also that of the process before, which was dead; the new process was then told truthfully that nothing was new. No fault of the sender's. The test is unchanged, and so are the others that publish lists. The sender's side of the moment has a test: an answer cut at every 30th byte, process killed or not.

--- a/internal/net/platform/platform_test.go
+++ b/internal/net/platform/platform_test.go
@@ -31,7 +31,10 @@
 	agentUnresponsive bool        // the agent answers only with changes
 	reject            int         // finals that are answered with an error first
 	asked             chan string // the watch's versions
-	changes           chan string
+	changes           chan string // lists that the agent publishes
+	lists             []agentList // that it has published with a version, in their order
+	cutNext           chan int    // the byte at which the agent's next list ends
+	wasCut            chan bool   // it has ended
 	dir               string
 	dial              string // of the endpoint, as the route table has it
 	most              int    // clients
@@ -49,7 +52,7 @@
 	w := &world{
 		t: t, finals: make(chan string, 100), calls: make(chan *http.Request, 100),
 		asked: make(chan string, 100), changes: make(chan string, 1), dir: t.TempDir(), most: 100, seq: 1, senders: 1,
-		grace: 2 * time.Second,
+		grace: 2 * time.Second, wasCut: make(chan bool, 1),
 	}
 	w.target = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
@@ -74,23 +77,7 @@
 			return
 		}
 		w.asked <- r.URL.Query().Get("index")
-		now := make(chan time.Time)
-		if r.URL.Query().Get("wait") == "1" && !w.agentUnresponsive {
-			close(now) // an agent answers at once
-		}
-		select {
-		case list := <-w.changes:
-			_, _ = io.WriteString(rw, list)
-			return
-		default:
-		}
-		select {
-		case list := <-w.changes:
-			_, _ = io.WriteString(rw, list)
-		case <-now:
-			_, _ = io.WriteString(rw, `{"seq":`+r.URL.Query().Get("index")+`,"whole":false,"hosts":[]}`)
-		case <-r.Context().Done():
-		}
+		w.answerPoll(rw, r)
 	}))
 	w.dial = w.target.Listener.Addr().String()
 	t.Cleanup(func() { w.agent.CloseClientConnections(); w.target.CloseClientConnections() })
