A new connection is not ended by an event of the one that had its descriptor

Seen by callers: a request on a new connection met its end with no answer, now and then, most at the connection limit. Cause: the engine finds the connections of the events that it has in hand by descriptor; the loop closes connections meanwhile, and a newcomer gets the number. And the loop shut the sending side by the number of a connection that the engine had closed already. Change: a connection on a descriptor that was just closed joins the engine once that has handled what it had in hand; calls by descriptor ask first whether the engine has closed it.

--- a/internal/net/reactor/conn.go
+++ b/internal/net/reactor/conn.go
@@ -65,14 +65,24 @@
 		_ = socket.Close()
 		return
 	}
-	if err == nil && cfg != nil {
-		c.socket.Store(socket)
-		c.startTLS(cfg, server) // before the engine reads
+	if err != nil {
+		c.end(err)
+		return
 	}
-	if err == nil {
-		err = c.attach(socket)
+	c.socket.Store(socket)
+	c.reactor.barrier.whenSafe(socket.Hash(), func() { c.join(socket, cfg, server) })
+}
+
+// join passes the socket to the engine, unless its owner has closed the connection meanwhile.
+func (c *Conn) join(socket *nbio.Conn, cfg *tls.Config, server bool) {
+	if c.closedHere {
+		_ = socket.Close()
+		return
 	}
-	if err != nil {
+	if cfg != nil {
+		c.startTLS(cfg, server) // before the engine reads
+	}
+	if err := c.attach(socket); err != nil {
 		c.end(err)
 		return
 	}
@@ -84,7 +94,6 @@
 
 // attach adds the socket to the engine's set.
 func (c *Conn) attach(socket *nbio.Conn) error {
-	c.socket.Store(socket)
 	c.reactor.room.L.Lock() // the engine's goroutine takes it before it looks at c
 	socket.SetSession(c)
 	c.reactor.room.L.Unlock()
@@ -145,11 +154,17 @@
 		if c.layer != nil && !c.Dead() {
 			c.layer.closeNotify()
 		}
-		_ = socket.Close()
+		c.closeSocket(socket)
 	}
 	c.reactor.Post(func() { c.end(net.ErrClosed) })
 }
 
+// closeSocket closes the socket on the loop's goroutine, while the engine may have events of it in hand.
+func (c *Conn) closeSocket(socket *nbio.Conn) {
+	c.reactor.barrier.closedOutside(socket.Hash())
+	_ = socket.Close()
+}
+
 // Cut ends the connection at once and drops what was gathered; Down follows.
 func (c *Conn) Cut() {
 	c.dropGathered()
@@ -158,12 +173,23 @@
 
 // Reset ends the connection at once by a reset; Down follows.
 func (c *Conn) Reset() {
-	if socket := c.socket.Load(); socket != nil && !c.Dead() {
+	if socket, open := c.openSocket(); open && !c.Dead() {
 		_ = socket.SetLinger(1, 0)
 	}
 	c.Close()
 }
 
+// openSocket is the socket, if the engine has not closed it. Calls by its descriptor are to follow at once: from the
+// close on that may be another connection's, though this one's end was not handled yet.
+func (c *Conn) openSocket() (socket *nbio.Conn, open bool) {
+	socket = c.socket.Load()
+	if socket == nil {
+		return nil, false
+	}
+	closed, _ := socket.IsClosed()
+	return socket, !closed
+}
+
 // From is the peer's address; the zero address for a socket that has none.
 func (c *Conn) From() netip.Addr {
 	if socket := c.socket.Load(); socket != nil {
@@ -230,6 +256,10 @@
 
 // peekSocket copies what the socket holds into buf, and leaves it there. It returns the number of bytes, or the error.
 func (c *Conn) peekSocket(buf []byte) (int, error) {
-	size, _, err := syscall.Recvfrom(c.socket.Load().Hash(), buf, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	socket, open := c.openSocket()
+	if !open {
+		return 0, net.ErrClosed
+	}
+	size, _, err := syscall.Recvfrom(socket.Hash(), buf, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	return size, err
 }
--- a/internal/net/reactor/finish.go
+++ b/internal/net/reactor/finish.go
@@ -56,7 +56,7 @@
 			return
 		}
 	}
-	if socket := c.socket.Load(); socket != nil {
+	if socket, open := c.openSocket(); open {
 		_ = syscall.Shutdown(socket.Hash(), syscall.SHUT_WR)
 	}
 }
--- a/internal/net/reactor/reactor.go
+++ b/internal/net/reactor/reactor.go
@@ -45,7 +45,8 @@
 	// Refused, if it is set before the first connection, is called for failed handshakes, on the loop's goroutine.
 	Refused func(*HandshakeError)
 
-	engine *nbio.Engine
+	engine  *nbio.Engine
+	barrier *pollerBarrier
 
 	unread     atomic.Int64 // bytes read and not handled yet
 	room       sync.Cond    // signaled when unread falls to maxUnread; its lock also guards the sockets' sessions
@@ -84,6 +85,11 @@
 	if err := r.engine.Start(); err != nil {
 		return nil, fmt.Errorf("starting the socket engine: %w", err)
 	}
+	var err error
+	if r.barrier, err = newPollerBarrier(r); err != nil {
+		r.Stop()
+		return nil, err
+	}
 	return r, nil
 }
 
@@ -92,6 +98,7 @@
 func (r *Reactor) Stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
 	defer cancel()
+	defer r.barrier.stop()
 	_ = r.engine.Shutdown(ctx) // sockets that are still open are closed with the process
 }
 
@@ -139,6 +146,9 @@
 func (r *Reactor) onData(socket *nbio.Conn, received []byte) {
 	c, ok := socket.Session().(*Conn)
 	if !ok {
+		if barrier, isBarrier := socket.Session().(*pollerBarrier); isBarrier {
+			barrier.reached()
+		}
 		return
 	}
 	if injected := fault(CallRead, func() string { return socket.RemoteAddr().String() }); injected != nil &&
--- a/internal/net/reactor/secure.go
+++ b/internal/net/reactor/secure.go
@@ -203,7 +203,7 @@
 func (c *Conn) fail(err error) {
 	c.closedHere = true
 	if socket := c.socket.Load(); socket != nil {
-		_ = socket.Close()
+		c.closeSocket(socket)
 	}
 	c.end(err)
 }
--- a/internal/net/reactor/write.go
+++ b/internal/net/reactor/write.go
@@ -83,15 +83,24 @@
 	return c.layer.encrypt(pieces)
 }
 
-// writeRaw gives the bytes to the engine as they are. The engine's own gathered write drops the pieces behind the one
-// in which a partial write ends, and all of them where the socket was full: these are written after it, one by one,
-// through its buffered write. With unsent bytes before them it buffers all of them and reports them as written: then
-// they are written one by one from the start.
+// writeRaw gives the bytes to the engine as they are. A write that fails closes the socket.
 func (c *Conn) writeRaw(pieces ...[]byte) error {
 	socket := c.socket.Load()
 	if socket == nil || c.Dead() {
 		return net.ErrClosed
 	}
+	err := c.writeSocket(socket, pieces)
+	if err != nil {
+		c.reactor.barrier.closedOutside(socket.Hash())
+	}
+	return err
+}
+
+// writeSocket writes the pieces. The engine's own gathered write drops the pieces behind the one
+// in which a partial write ends, and all of them where the socket was full: these are written after it, one by one,
+// through its buffered write. With unsent bytes before them it buffers all of them and reports them as written: then
+// they are written one by one from the start.
+func (c *Conn) writeSocket(socket *nbio.Conn, pieces [][]byte) error {
 	total := 0
 	for _, piece := range pieces {
 		total += len(piece)
