--- a/internal/net/reactor/barrier.go
+++ b/internal/net/reactor/barrier.go
@@ -15,7 +15,7 @@
 // time and finds their connections by descriptor. A descriptor that another goroutine closes meanwhile can belong to a
 // new connection by then, which would be ended by the old one's event. So a connection whose descriptor was closed
 // outside of the engine's goroutine joins the engine once that has handled all that it had in hand: it is woken by a
-// byte on a connection to itself, whose event comes behind the others. Its methods are for the loop's goroutine, but for
+// byte on a connection to itself, whose event comes behind the others. Its methods are for the loop's goroutine, except
 // reached.
 type pollerBarrier struct {
 	reactor *Reactor
--- a/internal/testing/fleet/proc.go
+++ b/internal/testing/fleet/proc.go
@@ -23,10 +23,12 @@
 	err   error
 }
 
-// Start starts a process; what it writes to standard error goes to log. env is added to the world's environment.
-func Start(program string, args, env []string, log io.Writer) (*Proc, error) {
+// Start starts a process; what it writes to standard error goes to log. env is added to the world's environment. The
+// process has the files as its descriptors from 3 on.
+func Start(program string, args, env []string, log io.Writer, files ...*os.File) (*Proc, error) {
 	p := &Proc{cmd: exec.Command(program, args...), done: make(chan struct{})}
 	p.cmd.Env = append(os.Environ(), env...)
+	p.cmd.ExtraFiles = files
 	through := struct{ io.Writer }{log} // by a pipe: what a process says is heard while its disk is full
 	p.cmd.Stderr, p.cmd.Stdout = through, through
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // nothing outlives a test that is cut short
--- a/internal/testing/soak/answers.go
+++ b/internal/testing/soak/answers.go
@@ -82,6 +82,7 @@
 	single := len(c.items) == 1
 	if single && c.items[0].gone {
 		c.recordEnd(false)
+		c.endpoint.judge.recordToldOver(c.items[0].id)
 		return c.write("HTTP/1.1 410 G\r\nContent-Length: 0\r\n\r\n")
 	}
 	var results strings.Builder
@@ -89,6 +90,7 @@
 		result := "done"
 		if x.gone {
 			result = "void"
+			c.endpoint.judge.recordToldOver(x.id)
 		}
 		if !single {
 			fmt.Fprintf(&results, "%s %s\r\n", x.id, result)
--- a/internal/testing/soak/discovery.go
+++ b/internal/testing/soak/discovery.go
@@ -35,6 +35,8 @@
 	pending     []config.Host
 	silent      time.Time     // when the watches that were open last fell silent
 	reloaded    time.Time     // the last SIGHUP
+	upgrading   bool          // a new process takes the place of one that serves
+	upgraded    time.Time     // when it was ready
 	wake        chan struct{} // closed when something changes
 	endpoints   map[string]*endpoint
 	servers     []*http.Server
@@ -94,6 +96,12 @@
 	if at := d.silent.Add(silentWatchDelay); now.Before(at) && at.After(knownFrom) {
 		knownFrom = at
 	}
+	if at := d.upgraded.Add(upgradeDelay); d.upgrading || now.Before(at) && at.After(knownFrom) {
+		knownFrom = at
+	}
+	if d.upgrading {
+		knownFrom = now.Add(readyDue + upgradeDelay) // until it is known when the new process is ready
+	}
 	if e := d.endpoints[host.Host]; host.Health != "active" && e != nil {
 		e.mu.Lock()
 		if e.drainFrom.IsZero() || knownFrom.Before(e.drainFrom) {
@@ -158,6 +166,27 @@
 	d.reloaded = time.Now()
 }
 
+// recordUpgrade records that an upgrade begins. The returned function records its end: what the agent tells meanwhile
+// binds a while after that.
+func (d *discovery) recordUpgrade() (ready func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	began := time.Now().Add(-slack)
+	d.upgrading = true
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.upgrading, d.upgraded = false, time.Now()
+		for _, c := range d.changes {
+			if e := d.endpoints[c.host.Host]; e != nil && c.host.Health != "active" && c.at.After(began) {
+				e.mu.Lock()
+				e.drainFrom = d.upgraded.Add(upgradeDelay)
+				e.mu.Unlock()
+			}
+		}
+	}
+}
+
 func (d *discovery) known() config.List {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -45,6 +45,9 @@
 	for _, e := range w.endpoints {
 		e.close()
 	}
+	if w.launcher != nil {
+		w.launcher.close()
+	}
 	_ = w.log.Close()
 }
 
@@ -56,7 +59,12 @@
 	if w.log, err = os.Create(w.path("log")); err != nil {
 		return err
 	}
-	if w.listen, err = fleet.FreePort(); err != nil {
+	if w.options.Upgrades {
+		if w.launcher, err = newLauncher(w.rng.Intn(2) == 0); err != nil {
+			return err
+		}
+		w.listen = w.launcher.addr
+	} else if w.listen, err = fleet.FreePort(); err != nil {
 		return err
 	}
 	for dest := range int64(w.destinations()) {
@@ -93,6 +101,10 @@
 		all.Add(1)
 		go func() { defer all.Done(); c.run(ctx) }()
 	}
+	for range w.openClients() {
+		all.Add(1)
+		go func() { defer all.Done(); w.pingOpenConnection(ctx) }()
+	}
 	for ctx.Err() == nil {
 		if w.crashed() {
 			break
@@ -130,6 +142,9 @@
 
 // trouble is one, drawn.
 func (w *world) trouble() error {
+	if w.options.Upgrades && w.rng.Intn(3) == 0 {
+		return w.upgradeTrouble()
+	}
 	e := w.endpoints[w.rng.Intn(len(w.endpoints))]
 	switch n := w.rng.Intn(20); n {
 	case 0, 1, 2, 3, 4, 5:
--- a/internal/testing/soak/world.go
+++ b/internal/testing/soak/world.go
@@ -33,6 +33,10 @@
 	Dir     string // for its folder, its configuration and its log
 	Length  time.Duration
 
+	// Upgrades: a launcher holds the clients' socket, which the processes inherit, and among the troubles are upgrades in
+	// series, with the socket made a blocking one in some, and crowds of clients that never end a command.
+	Upgrades bool
+
 	// A fleet of another size: destinations with two endpoints each, and senders that share them, in place of those drawn.
 	Destinations int
 	Senders      int
@@ -62,6 +66,7 @@
 	sockets   int
 	wall      time.Duration // of the processes that start from now on
 	errno     bool          // and some of their socket calls fail
+	launcher  *launcher     // nil: each process listens by itself
 }
 
 // The deployment: one class of each effect, three destinations with one to three endpoints, calls
@@ -149,8 +154,21 @@
 	return os.Rename(w.path("next.json"), w.path("config.json"))
 }
 
-// start starts a process and waits until it answers PING, in the background.
-func (w *world) start() error {
+// launch starts a process.
+func (w *world) launch(f faults.Faults) (*fleet.Proc, error) {
+	env := append([]string{"LB_CONFIG=" + w.path("config.json"), "LB_STATE=" + w.path("state"), f.Env()}, w.options.Env...)
+	if w.launcher == nil {
+		return fleet.Start(w.options.Program, w.options.Args, env, w.log)
+	}
+	own, err := w.launcher.env()
+	if err != nil {
+		return nil, err
+	}
+	return fleet.Start(w.options.Program, w.options.Args, append(env, own...), w.log, w.launcher.file)
+}
+
+// drawFaults are those of the next process.
+func (w *world) drawFaults() faults.Faults {
 	f := faults.Faults{WallStep: w.wall, Folder: []faults.Folder{
 		{Call: statefs.CallWrite, Name: "spool", Errno: syscall.EIO, After: w.rng.Intn(300), While: w.diskFails()},
 		{Call: statefs.CallTruncate, Name: "spool", Errno: syscall.EIO, While: w.diskFails() + "-to-cut"},
@@ -181,8 +199,13 @@
 			})
 		}
 	}
-	env := append([]string{"LB_CONFIG=" + w.path("config.json"), "LB_STATE=" + w.path("state"), f.Env()}, w.options.Env...)
-	p, err := fleet.Start(w.options.Program, w.options.Args, env, w.log)
+	return f
+}
+
+// start starts a process and waits until it answers PING, in the background.
+func (w *world) start() error {
+	f := w.drawFaults()
+	p, err := w.launch(f)
 	if err != nil {
 		return err
 	}
