Names of the soak and of handlers; the text of backpressure without the older word

Cause: one-letter parameters, bare strings for health states and effects, a text that clients get with a word of the older style. Change: whole names in admin, load, metrics and soak; typed effects in the soak's judge; 'the queue of pending messages is nearly full'. The scheduler's 'is out ... trial calls' stays: the golden tests hold the lines of its decisions, and golden files are not changed.

--- a/internal/admin/handlers.go
+++ b/internal/admin/handlers.go
@@ -20,51 +20,51 @@
 	return mux
 }
 
-func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) serveReady(writer http.ResponseWriter, _ *http.Request) {
 	ok, reason := false, s.startingReason()
 	if c := s.core.Load(); c != nil {
 		ok, reason = c.ready()
 	}
 	if !ok {
-		writeText(w, http.StatusServiceUnavailable, reason)
+		writeText(writer, http.StatusServiceUnavailable, reason)
 		return
 	}
-	writeText(w, http.StatusOK, "ready")
+	writeText(writer, http.StatusOK, "ready")
 }
 
-func (s *Server) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) serveMetrics(writer http.ResponseWriter, _ *http.Request) {
 	var text bytes.Buffer
 	if err := s.writeMetrics(&text); err != nil {
-		writeText(w, http.StatusInternalServerError, err.Error())
+		writeText(writer, http.StatusInternalServerError, err.Error())
 		return
 	}
-	w.Header().Set("Content-Type", s.metricsFormat)
-	_, _ = w.Write(text.Bytes())
+	writer.Header().Set("Content-Type", s.metricsFormat)
+	_, _ = writer.Write(text.Bytes())
 }
 
 // serveExclude takes an endpoint out (out), or puts it back.
-func (s *Server) serveExclude(w http.ResponseWriter, r *http.Request, out bool) {
-	endpoint, err := readEndpoint(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+func (s *Server) serveExclude(writer http.ResponseWriter, request *http.Request, out bool) {
+	endpoint, err := readEndpoint(http.MaxBytesReader(writer, request.Body, maxBodyBytes))
 	if err != nil {
-		writeText(w, err.status, err.text)
+		writeText(writer, err.status, err.text)
 		return
 	}
 	c := s.core.Load()
 	if c == nil {
-		writeText(w, http.StatusServiceUnavailable, s.startingReason())
+		writeText(writer, http.StatusServiceUnavailable, s.startingReason())
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), excludeTimeout)
+	ctx, cancel := context.WithTimeout(request.Context(), excludeTimeout)
 	defer cancel()
 	switch err := c.exclude(ctx, endpoint, out); {
 	case errors.Is(err, ErrUnknownEndpoint):
-		writeText(w, http.StatusNotFound, err.Error())
+		writeText(writer, http.StatusNotFound, err.Error())
 	case errors.Is(err, context.DeadlineExceeded):
-		writeText(w, http.StatusServiceUnavailable, "not done yet: call again")
+		writeText(writer, http.StatusServiceUnavailable, "not done yet: call again")
 	case err != nil:
-		writeText(w, http.StatusServiceUnavailable, err.Error())
+		writeText(writer, http.StatusServiceUnavailable, err.Error())
 	default:
-		writeText(w, http.StatusOK, "done")
+		writeText(writer, http.StatusOK, "done")
 	}
 }
 
--- a/internal/load/groupplot.go
+++ b/internal/load/groupplot.go
@@ -65,7 +65,7 @@
 }
 
 // drawFaults draws every fault from its start to its end, and returns the acts by member.
-func drawFaults(p *plot.Plot, list []fleet.Event, rows map[string]int) (map[string]plotter.XYs, error) {
+func drawFaults(chart *plot.Plot, list []fleet.Event, rows map[string]int) (map[string]plotter.XYs, error) {
 	acts := map[string]plotter.XYs{}
 	open := map[string]fleet.Event{}
 	for _, e := range list {
@@ -78,7 +78,7 @@
 			acts[e.Who] = append(acts[e.Who], plotter.XY{X: x, Y: float64(rows[e.Duty])})
 		case fleet.EventOver:
 			if f, ok := open[e.Who+e.Text]; ok {
-				if err := drawFault(p, f, x, float64(len(rows))); err != nil {
+				if err := drawFault(chart, f, x, float64(len(rows))); err != nil {
 					return nil, err
 				}
 			}
@@ -88,7 +88,7 @@
 }
 
 // drawFault draws a fault as a grey field with its name on top.
-func drawFault(p *plot.Plot, fault fleet.Event, until, top float64) error {
+func drawFault(chart *plot.Plot, fault fleet.Event, until, top float64) error {
 	from := fault.At.Seconds()
 	field, err := plotter.NewPolygon(plotter.XYs{
 		{X: from, Y: -0.5},
@@ -110,6 +110,6 @@
 	for i := range text.TextStyle {
 		text.TextStyle[i].Rotation, text.TextStyle[i].Font.Size = 0.7, vg.Points(7)
 	}
-	p.Add(field, text)
+	chart.Add(field, text)
 	return nil
 }
--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -97,14 +97,14 @@
 var Format = string(expfmt.NewFormat(expfmt.TypeTextPlain))
 
 // Write writes all figures in the Prometheus text format.
-func (r *Registry) Write(w io.Writer) error {
+func (r *Registry) Write(writer io.Writer) error {
 	families, err := r.registry.Gather()
 	if err != nil {
-		return fmt.Errorf("gathering the metrics: %w", err)
+		return fmt.Errorf("gathering the metrics: %writer", err)
 	}
 	for _, family := range families {
-		if _, err := expfmt.MetricFamilyToText(w, family); err != nil {
-			return fmt.Errorf("writing the metrics: %w", err)
+		if _, err := expfmt.MetricFamilyToText(writer, family); err != nil {
+			return fmt.Errorf("writing the metrics: %writer", err)
 		}
 	}
 	return nil
--- a/internal/net/reactor/barrier.go
+++ b/internal/net/reactor/barrier.go
@@ -29,8 +29,8 @@
 }
 
 // newPollerBarrier connects the engine, which has started, to itself. The error is one that may pass.
-func newPollerBarrier(r *Reactor) (*pollerBarrier, error) {
-	b := &pollerBarrier{reactor: r, wake: -1, closed: map[int]int{}}
+func newPollerBarrier(owner *Reactor) (*pollerBarrier, error) {
+	b := &pollerBarrier{reactor: owner, wake: -1, closed: map[int]int{}}
 	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
 	if err != nil {
 		return b, transientOnly(err)
--- a/internal/testing/soak/clients.go
+++ b/internal/testing/soak/clients.go
@@ -23,6 +23,9 @@
 	sent   int
 }
 
+// pong is the reply to PING.
+const pong = "+PONG\r\n"
+
 func command(words ...string) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "*%d\r\n", len(words))
--- a/internal/testing/soak/discovery.go
+++ b/internal/testing/soak/discovery.go
@@ -13,6 +13,13 @@
 	"brackendale/internal/config"
 )
 
+// The health of an endpoint, as the list names it.
+const (
+	healthActive  = "active"
+	healthLeaving = "leaving"
+	healthLeft    = "left" // it is not listed any more
+)
+
 // change is one change of an entry of the list.
 type change struct {
 	seq  int64
@@ -83,7 +90,7 @@
 func (d *discovery) apply(host config.Host) {
 	now := time.Now()
 	d.seq++
-	if host.Health == "left" {
+	if host.Health == healthLeft {
 		delete(d.hosts, host.Host)
 	} else {
 		d.hosts[host.Host] = host
@@ -102,7 +109,7 @@
 	if d.upgrading {
 		knownFrom = now.Add(readyDue + upgradeDelay) // until it is known when the new process is ready
 	}
-	if e := d.endpoints[host.Host]; host.Health != "active" && e != nil {
+	if e := d.endpoints[host.Host]; host.Health != healthActive && e != nil {
 		e.mu.Lock()
 		if e.drainFrom.IsZero() || knownFrom.Before(e.drainFrom) {
 			e.drainFrom = knownFrom
@@ -135,7 +142,7 @@
 		h := d.changes[n-1].host
 		d.changes = d.changes[:n-1]
 		d.pending = append([]config.Host{h}, d.pending...)
-		if e := d.endpoints[h.Host]; e != nil && h.Health != "active" {
+		if e := d.endpoints[h.Host]; e != nil && h.Health != healthActive {
 			e.mu.Lock()
 			e.drainFrom = time.Time{}
 			e.mu.Unlock()
@@ -178,7 +185,7 @@
 		defer d.mu.Unlock()
 		d.upgrading, d.upgraded = false, time.Now()
 		for _, c := range d.changes {
-			if e := d.endpoints[c.host.Host]; e != nil && c.host.Health != "active" && c.at.After(began) {
+			if e := d.endpoints[c.host.Host]; e != nil && c.host.Health != healthActive && c.at.After(began) {
 				e.mu.Lock()
 				e.drainFrom = d.upgraded.Add(upgradeDelay)
 				e.mu.Unlock()
--- a/internal/testing/soak/growth.go
+++ b/internal/testing/soak/growth.go
@@ -63,16 +63,16 @@
 }
 
 // used is the processor time and the peak of the memory of a process.
-func used(p *fleet.Proc) (cpu time.Duration, peakMB float64) {
+func used(proc *fleet.Proc) (cpu time.Duration, peakMB float64) {
 	const tick = 10 * time.Millisecond // of the kernel's accounting as it shows it
-	if raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid())); err == nil {
+	if raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", proc.Pid())); err == nil {
 		if fields := bytes.Fields(raw[bytes.LastIndexByte(raw, ')')+1:]); len(fields) > 12 {
 			user, _ := strconv.Atoi(string(fields[11]))
 			system, _ := strconv.Atoi(string(fields[12]))
 			cpu = time.Duration(user+system) * tick
 		}
 	}
-	if raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Pid())); err == nil {
+	if raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", proc.Pid())); err == nil {
 		if _, after, ok := bytes.Cut(raw, []byte("VmHWM:")); ok {
 			kb, _ := strconv.Atoi(string(bytes.Fields(after)[0]))
 			peakMB = float64(kb) / 1024
--- a/internal/testing/soak/judge.go
+++ b/internal/testing/soak/judge.go
@@ -8,6 +8,9 @@
 	"slices"
 	"sync"
 	"time"
+
+	"brackendale/scheduler"
+	"brackendale/sender"
 )
 
 // The slack of the rules on sockets, and the times that the platform's pages name.
@@ -69,7 +72,7 @@
 	mu       sync.Mutex
 	began    time.Time
 	windows  map[string]time.Duration // of the classes that may be repeated by key
-	effects  map[string]string
+	effects  map[string]scheduler.Idempotency
 	messages map[string]*message
 	waits    map[int64]span // by Retry-After, by destination
 	restarts []span         // the last one's end is zero while the sender is down
@@ -82,8 +85,9 @@
 
 func newJudge() *Judge {
 	return &Judge{
-		began: time.Now(), windows: map[string]time.Duration{}, effects: map[string]string{}, messages: map[string]*message{},
-		waits: map[int64]span{}, counts: map[string]int{},
+		began: time.Now(), windows: map[string]time.Duration{}, effects: map[string]scheduler.Idempotency{},
+		messages: map[string]*message{},
+		waits:    map[int64]span{}, counts: map[string]int{},
 	}
 }
 
@@ -239,11 +243,11 @@
 	}
 	since := now.Sub(message.calls[i].at)
 	switch {
-	case j.effects[message.class] == "once":
+	case j.effects[message.class] == scheduler.NotIdempotent:
 		j.violate("duplicate: %s came again %v after a call that may have run", message.id, since)
-	case j.effects[message.class] == "by_key" && since > j.windows[message.class]+slack:
+	case j.effects[message.class] == scheduler.IdempotentByKey && since > j.windows[message.class]+slack:
 		j.violate("duplicate: %s came again %v after a call that may have run", message.id, since)
-	case j.effects[message.class] != "repeatable":
+	case j.effects[message.class] != scheduler.Idempotent:
 		j.counts["repeats"]++
 	}
 }
@@ -308,7 +312,7 @@
 	m.end, m.ended = state, time.Now()
 	j.counts[state]++
 	ran := slices.ContainsFunc(m.calls, func(a *attempt) bool { return a.mayRun || a.open })
-	if state == "returned" && ran && j.effects[m.class] == "once" {
+	if state == sender.Returned && ran && j.effects[m.class] == scheduler.NotIdempotent {
 		j.violate("duplicate: %s is returned, and may have run", id)
 	}
 }
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -31,7 +31,7 @@
 func newWorld(opt Options) *world {
 	w := &world{options: opt, judge: newJudge(), rng: rand.New(rand.NewSource(opt.Seed))}
 	for _, l := range classes {
-		w.judge.effects[l.Name], w.judge.windows[l.Name] = string(l.Idempotency),
+		w.judge.effects[l.Name], w.judge.windows[l.Name] = l.Idempotency,
 			time.Duration(l.KeyWindowUs)*time.Microsecond
 	}
 	w.discovery = newDiscovery(w.judge, rand.New(rand.NewSource(opt.Seed+1)))
--- a/internal/testing/soak/upgrade.go
+++ b/internal/testing/soak/upgrade.go
@@ -201,7 +201,7 @@
 	defer w.judge.mu.Unlock()
 	if err == nil {
 		w.judge.counts["pings answered"]++
-		return line == "+PONG\r\n"
+		return line == pong
 	}
 	isDown := w.judge.down(time.Now(), badClientDue) || w.judge.down(began, badClientDue)
 	if errors.Is(err, os.ErrDeadlineExceeded) && !isDown {
@@ -211,12 +211,12 @@
 }
 
 // crowdOf runs clients that misbehave, in the background.
-func (w *world) crowdOf(n int, client func()) {
+func (w *world) crowdOf(count int, client func()) {
 	w.judge.mu.Lock()
-	w.judge.floodUntil = time.Now().Add(time.Duration(n)*2*time.Millisecond + badClientDue)
+	w.judge.floodUntil = time.Now().Add(time.Duration(count)*2*time.Millisecond + badClientDue)
 	w.judge.mu.Unlock()
 	var all sync.WaitGroup
-	for i := range n {
+	for i := range count {
 		all.Add(1)
 		go func() {
 			defer all.Done()
--- a/internal/testing/soak/world.go
+++ b/internal/testing/soak/world.go
@@ -155,8 +155,9 @@
 }
 
 // launch starts a process.
-func (w *world) launch(f faults.Faults) (*fleet.Proc, error) {
-	env := append([]string{"LB_CONFIG=" + w.path("config.json"), "LB_STATE=" + w.path("state"), f.Env()}, w.options.Env...)
+func (w *world) launch(injected faults.Faults) (*fleet.Proc, error) {
+	env := []string{"LB_CONFIG=" + w.path("config.json"), "LB_STATE=" + w.path("state"), injected.Env()}
+	env = append(env, w.options.Env...)
 	if w.launcher == nil {
 		return fleet.Start(w.options.Program, w.options.Args, env, w.log)
 	}
@@ -257,7 +258,7 @@
 	_ = c.SetDeadline(time.Now().Add(answerWait))
 	_, _ = io.WriteString(c, command("PING"))
 	line, _ := bufio.NewReader(c).ReadString('\n')
-	return line == "+PONG\r\n"
+	return line == pong
 }
 
 // kill ends the process as a crash, and starts the next one.
@@ -324,7 +325,7 @@
 		return err
 	}
 	w.endpoints = append(w.endpoints, e)
-	w.discovery.update(w.host(e, "active"), e)
+	w.discovery.update(w.host(e, healthActive), e)
 	return nil
 }
 
@@ -341,11 +342,11 @@
 		return err
 	}
 	w.endpoints = append(w.endpoints[:i:i], w.endpoints[i+1:]...)
-	health := []string{"leaving", "left"}[w.rng.Intn(2)]
+	health := []string{healthLeaving, healthLeft}[w.rng.Intn(2)]
 	w.discovery.update(w.host(e, health), e)
 	time.AfterFunc(9*time.Second, func() {
-		if health == "leaving" {
-			w.discovery.update(w.host(e, "left"), e)
+		if health == healthLeaving {
+			w.discovery.update(w.host(e, healthLeft), e)
 		}
 		e.close()
 	})
--- a/sender/backpressure.go
+++ b/sender/backpressure.go
@@ -49,7 +49,7 @@
 		paused = 1
 	}
 	if !s.backpressure.update(
-		fillLevel{"the hold is nearly full", pending},
+		fillLevel{"the queue of pending messages is nearly full", pending},
 		fillLevel{"the journal is nearly full", s.journal.FillLevel()},
 		fillLevel{"paused by the operator", paused},
 	) {
