--- a/internal/app/stalling_consumer_test.go
+++ b/internal/app/stalling_consumer_test.go
@@ -46,8 +46,9 @@
 
 // ends is what a consumer has heard: the answers by correlation id.
 type ends struct {
-	mu      sync.Mutex
-	answers map[string]string
+	mu       sync.Mutex
+	answers  map[string]string
+	connects int
 }
 
 func (e *ends) add(d *amqp091.Delivery) {
@@ -89,6 +90,9 @@
 	if err != nil {
 		return
 	}
+	e.mu.Lock()
+	e.connects++
+	e.mu.Unlock()
 	deliveries, err := ch.Consume("answers", "", false, false, false, false, nil)
 	if err != nil {
 		return
@@ -132,8 +136,8 @@
 	return partner.Listener.Addr().String()
 }
 
-// Ends are lost, or come late, where a consumer stands still until the sender closes it for its heartbeats, with ends in
-// its socket and unacknowledged.
+// Ends are lost, or come late, where a consumer stands still until the sender closes it for its heartbeats, with ends
+// in its socket and unacknowledged.
 func TestEndsReachAConsumerThatStalls(t *testing.T) {
 	a := newAppliance(t)
 	text := strings.Replace(fmt.Sprintf(applianceFile, 0.5, 0, a.amqp, a.resp), `effect = "repeatable"`,
@@ -163,6 +167,9 @@
 	if got := heard.count(); got != accepted || accepted == 0 {
 		t.Fatalf("%d of %d accepted charges have an end", got, accepted)
 	}
+	if heard.connects < 3 {
+		t.Fatalf("the consumer was not closed for its stalls: %d connections", heard.connects)
+	}
 }
 
 // publishCharges publishes charges at a steady pace and returns how many were accepted; each is called before one.
