--- a/internal/app/stalling_consumer_test.go
+++ b/internal/app/stalling_consumer_test.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	chargesHeld      = 200 // published in a test
+	chargesHeld      = 400 // published in a test
 	consumerStall    = 3 * time.Second
 	unreliableShare  = 10 // one of so many calls is answered with 500, and one is cut
 	chargesPerSecond = 60
