--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -57,7 +57,7 @@
 // A drain that the agent has while an open watch is silent, and that it cannot tell any more by the time of the next
 // poll, is not known to the next process: the drained endpoint is sent to.
 func TestSoakOfADrainMissedByASilentWatch(t *testing.T) {
-	soak(t, Options{Upgrades: true}, []int64{6040})
+	soak(t, Options{Upgrades: true}, []int64{6040, 6048})
 }
 
 func soak(t *testing.T, opt Options, days []int64) {
