Failing tests: answers that belong to no request, at endpoints and at the agent

Cause: not mended yet. An answer is matched to a request by its place on the connection alone. Change: the soak's endpoints and agent can write answers twice, late, split, out of turn, for nobody and interim (stray.go, seeded); its judge reports for a break on which connection each call went, what the endpoint answered and what stray bytes came there.

--- a/internal/testing/soak/answers.go
+++ b/internal/testing/soak/answers.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"time"
@@ -31,6 +32,9 @@
 // respond responds to the call by the endpoint's behavior. It returns false if the connection must end.
 func (c *call) respond() bool {
 	mode, random := c.endpoint.draw()
+	if mode == busy {
+		mode = c.waitAsBusy(random)
+	}
 	if mode == refusing {
 		return c.refuse(random)
 	}
@@ -65,6 +69,27 @@
 	return c.deliver()
 }
 
+// The answers of a busy endpoint, in percent of its calls, and when they come.
+const (
+	busyRefusedPercent = 12
+	busyFailedPercent  = 3
+	minBusyDelay       = 20 * time.Millisecond
+	maxBusyDelay       = 120 * time.Millisecond
+)
+
+// waitAsBusy waits as a busy endpoint does, and returns how that endpoint responds.
+func (c *call) waitAsBusy(random int) behavior {
+	delay := minBusyDelay + time.Duration(random)*time.Microsecond%(maxBusyDelay-minBusyDelay)
+	time.Sleep(delay)
+	switch percent := random % 100; {
+	case percent < busyRefusedPercent:
+		return refusing
+	case percent < busyRefusedPercent+busyFailedPercent:
+		return failing
+	}
+	return normal
+}
+
 // refuse responds with 503, or with 429 and a Retry-After.
 func (c *call) refuse(random int) bool {
 	c.recordEnd(false)
@@ -126,10 +151,17 @@
 
 // write writes to the connection and reports whether that succeeded.
 func (c *call) write(format string, args ...any) bool {
-	_, err := fmt.Fprintf(c.conn, format, args...)
+	text := fmt.Sprintf(format, args...)
+	for _, item := range c.items {
+		c.endpoint.judge.recordAnswer(item.attempt, statusOf(text))
+	}
+	_, err := io.WriteString(c.conn, text)
 	return err == nil
 }
 
+// statusOf returns the status line of an answer up to the status code, for reports.
+func statusOf(answer string) string { return answer[:min(len(answer), len("HTTP/1.1 200"))] }
+
 // waitAbandoned waits up to timeout for the sender to close the connection, and reports whether it did.
 func (c *call) waitAbandoned(timeout time.Duration) bool {
 	_ = c.conn.SetReadDeadline(time.Now().Add(timeout))
--- a/internal/testing/soak/discovery.go
+++ b/internal/testing/soak/discovery.go
@@ -47,6 +47,7 @@
 	wake              chan struct{} // closed at each change of the list
 	endpoints         map[string]*endpoint
 	servers           []*http.Server
+	strays            *strayPlan // of the agent's connections; nil: none
 }
 
 func newDiscovery(j *Judge, rng *rand.Rand) *discovery {
@@ -63,7 +64,7 @@
 		return "", err
 	}
 	server := &http.Server{Handler: http.HandlerFunc(d.serve)}
-	go func() { _ = server.Serve(ln) }()
+	go func() { _ = server.Serve(d.strays.listen(ln)) }()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, old := range d.servers {
--- a/internal/testing/soak/endpoints.go
+++ b/internal/testing/soak/endpoints.go
@@ -25,6 +25,9 @@
 	slow
 	mixed // one of the above, drawn for each call
 	behaviorCount
+
+	// busy answers after a while, mostly with success. It is not drawn as a fault.
+	busy behavior = behaviorCount + 1
 )
 
 // endpoint is a stand-in endpoint of a destination. It is safe for concurrent use.
@@ -42,11 +45,15 @@
 	conns     map[net.Conn]bool
 }
 
-func newEndpoint(name string, dest int64, grace time.Duration, judge *Judge, rng *rand.Rand) (*endpoint, error) {
+// newEndpoint starts an endpoint. With a plan, its connections carry stray answers.
+func newEndpoint(
+	name string, dest int64, grace time.Duration, judge *Judge, rng *rand.Rand, strays *strayPlan,
+) (*endpoint, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
+	ln = strays.listen(ln)
 	e := &endpoint{name: name, dest: dest, grace: grace, judge: judge, ln: ln, rng: rng, conns: map[net.Conn]bool{}}
 	go func() {
 		for {
@@ -109,6 +116,9 @@
 }
 
 func reset(conn net.Conn) {
+	if stray, ok := conn.(*strayConn); ok {
+		conn = stray.Conn
+	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
@@ -142,7 +152,7 @@
 		if err != nil {
 			return // the connection ended before the last byte, so there was no call
 		}
-		items, ok := e.items(request, string(body), first)
+		items, ok := e.items(conn, request, string(body), first)
 		if !ok {
 			e.judge.Violate("misrouted: %s %s cannot be read", request.Method, request.URL.Path)
 			return
@@ -154,12 +164,23 @@
 	}
 }
 
+// connectionName names a connection in reports.
+func connectionName(conn net.Conn, endpoint string) string {
+	if stray, ok := conn.(*strayConn); ok {
+		return stray.name()
+	}
+	return endpoint + " from " + conn.RemoteAddr().String()
+}
+
 // items parses the messages of a call and records them with the judge.
-func (e *endpoint) items(request *http.Request, body string, first time.Time) (parsed []item, ok bool) {
+func (e *endpoint) items(
+	conn net.Conn, request *http.Request, body string, first time.Time,
+) (parsed []item, ok bool) {
 	if request.URL.Path == "/events" {
 		e.judge.awaitOpenCalls(request.Header.Get("Req-Id"))
 		id := request.Header.Get("Req-Id")
 		recorded, expired := e.judge.recordCall(e, id, request.Header.Get("Idempotency-Key"), body, first)
+		recorded.connection = connectionName(conn, e.name)
 		return []item{{id, recorded, expired}}, true
 	}
 	for body != "" {
@@ -178,6 +199,7 @@
 		}
 		e.judge.awaitOpenCalls(fields[0])
 		recorded, expired := e.judge.recordCall(e, fields[0], key, rest[:length], first)
+		recorded.connection = connectionName(conn, e.name)
 		parsed = append(parsed, item{fields[0], recorded, expired})
 		body = rest[length+2:]
 	}
--- a/internal/testing/soak/judge.go
+++ b/internal/testing/soak/judge.go
@@ -61,6 +61,17 @@
 	receivedAt time.Time // arrival of the last byte
 	mayRun     bool
 	open       bool
+
+	// For reports.
+	connection string
+	answer     string // the status line, as far as it was written
+	answeredAt time.Time
+}
+
+// stray is an answer for no request of a connection.
+type stray struct {
+	at     time.Time
+	answer string
 }
 
 // interval is a period of time, such as that in which a restart excuses delays.
@@ -78,6 +89,7 @@
 	restarts   []interval         // the end of the last one is zero while the sender is down
 	violations []string
 	counts     map[string]int
+	strays     map[string][]stray // by connection
 
 	clientsReset bool      // injected faults also break the connections of clients
 	floodUntil   time.Time // until then new connections may be closed before a command is read
@@ -87,7 +99,7 @@
 	return &Judge{
 		start: time.Now(), windows: map[string]time.Duration{}, effects: map[string]scheduler.Idempotency{},
 		messages:   map[string]*message{},
-		retryAfter: map[int64]interval{}, counts: map[string]int{},
+		retryAfter: map[int64]interval{}, counts: map[string]int{}, strays: map[string][]stray{},
 	}
 }
 
@@ -212,7 +224,7 @@
 	}
 	for _, earlier := range msg.calls {
 		if earlier.open {
-			j.violate("twice at once: %s came while a call of it is out", id)
+			j.violate("twice at once: %s came while a call of it is out; %s", id, j.history(msg))
 		}
 	}
 	j.checkRepeat(msg, now)
@@ -243,10 +255,9 @@
 	}
 	since := now.Sub(message.calls[first].receivedAt)
 	switch {
-	case j.effects[message.class] == scheduler.NotIdempotent:
-		j.violate("duplicate: %s came again %v after a call that may have run", message.id, since)
-	case j.effects[message.class] == scheduler.IdempotentByKey && since > j.windows[message.class]+slack:
-		j.violate("duplicate: %s came again %v after a call that may have run", message.id, since)
+	case j.effects[message.class] == scheduler.NotIdempotent,
+		j.effects[message.class] == scheduler.IdempotentByKey && since > j.windows[message.class]+slack:
+		j.violate("duplicate: %s came again %v after a call that may have run; %s", message.id, since, j.history(message))
 	case j.effects[message.class] != scheduler.Idempotent:
 		j.counts["repeats"]++
 	}
@@ -259,6 +270,21 @@
 	call.open, call.mayRun = false, call.mayRun || mayRun
 }
 
+// recordAnswer records what an endpoint answers to a call.
+func (j *Judge) recordAnswer(call *attempt, answer string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	call.answer, call.answeredAt = answer, time.Now()
+}
+
+// recordStray records that a peer has written an answer for no request of a connection.
+func (j *Judge) recordStray(connection, answer string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.counts["strays"]++
+	j.strays[connection] = append(j.strays[connection], stray{time.Now(), answer})
+}
+
 // recordMayRun records that a call may have run from now on.
 func (j *Judge) recordMayRun(call *attempt) {
 	j.mu.Lock()
@@ -333,7 +359,17 @@
 	seconds := func(t time.Time) float64 { return t.Sub(j.start).Seconds() }
 	text := fmt.Sprintf("accepted %.3f, due %.3f", seconds(msg.repliedAt), seconds(msg.deadline))
 	for _, call := range msg.calls {
-		text += fmt.Sprintf(", called %.3f (may have run: %v, open: %v)", seconds(call.receivedAt), call.mayRun, call.open)
+		text += fmt.Sprintf("; called %.3f on %s (may have run: %v, open: %v)", seconds(call.receivedAt),
+			call.connection, call.mayRun, call.open)
+		if call.answer != "" {
+			text += fmt.Sprintf(", answered %.3f %q", seconds(call.answeredAt), call.answer)
+		}
+		for _, stray := range j.strays[call.connection] {
+			text += fmt.Sprintf(", stray %.3f %q", seconds(stray.at), stray.answer)
+		}
+	}
+	if msg.finalAnswer != "" {
+		text += fmt.Sprintf("; ended %.3f as %s", seconds(msg.finalAnswerAt), msg.finalAnswer)
 	}
 	return text
 }
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -15,7 +15,7 @@
 func Run(opt Options) (Report, error) {
 	s := newSimulation(opt)
 	s.sockets = []int{128, 256}[s.rng.Intn(2)]
-	s.socketFaults = s.rng.Intn(2) == 0
+	s.socketFaults = s.rng.Intn(2) == 0 && !opt.OnlyStrays
 	s.judge.clientsReset = s.socketFaults
 	if err := s.open(); err != nil {
 		return Report{}, err
@@ -35,6 +35,7 @@
 			time.Duration(class.KeyWindowUs)*time.Microsecond
 	}
 	s.discovery = newDiscovery(s.judge, rand.New(rand.NewSource(opt.Seed+1)))
+	s.discovery.strays = s.strays("agent", opt.Seed+2)
 	return s
 }
 
@@ -109,7 +110,7 @@
 		if s.crashed() {
 			break
 		}
-		for i := 1 + s.rng.Intn(3); i > 0; i-- { // several faults at once
+		for i := 1 + s.rng.Intn(3); i > 0 && !s.options.OnlyStrays; i-- { // several faults at once
 			if err := s.injectFault(); err != nil {
 				return err
 			}
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -70,7 +71,7 @@
 			}
 			opt := opt
 			opt.Seed, opt.Program, opt.Env, opt.Dir = seed, os.Args[0], []string{serveKey + "=1"}, dir
-			opt.Length = 25 * time.Second
+			opt.Length = cmp.Or(opt.Length, 25*time.Second)
 			// For manual runs: arguments of strace, such as "-e inject=...".
 			if text := os.Getenv("BRACKENDALE_SOAK_STRACE"); text != "" {
 				opt.Program, opt.Args = "strace", append(strings.Fields("-D -f -qq -o "+dir+"/strace "+text), os.Args[0])
--- a/internal/testing/soak/world.go
+++ b/internal/testing/soak/world.go
@@ -37,6 +37,11 @@
 	// succession, a socket that is returned to blocking mode, and many clients that never complete a command.
 	Upgrades bool
 
+	// Strays: endpoints and the agent write answers that belong to no request, of these kinds.
+	Strays []strayKind
+	// OnlyStrays: no other fault is injected, and the endpoints are busy.
+	OnlyStrays bool
+
 	// The number of destinations, with two endpoints each, and of senders that share them, in place of the defaults.
 	Destinations int
 	Senders      int
@@ -320,16 +325,27 @@
 // addEndpoint adds a new endpoint to the list.
 func (s *simulation) addEndpoint(dest int64) error {
 	s.endpointCount++
-	added, err := newEndpoint(fmt.Sprintf("e%d", s.endpointCount), dest, drainGrace, s.judge,
-		rand.New(rand.NewSource(s.options.Seed*1000+int64(s.endpointCount))))
+	name, seed := fmt.Sprintf("e%d", s.endpointCount), s.options.Seed*1000+int64(s.endpointCount)
+	added, err := newEndpoint(name, dest, drainGrace, s.judge, rand.New(rand.NewSource(seed)), s.strays(name, seed))
 	if err != nil {
 		return err
 	}
+	if s.options.OnlyStrays {
+		added.setBehavior(busy)
+	}
 	s.endpoints = append(s.endpoints, added)
 	s.discovery.update(s.hostEntry(added, healthActive), added)
 	return nil
 }
 
+// strays returns the plan of a peer's stray answers, or nil if it writes none.
+func (s *simulation) strays(peer string, seed int64) *strayPlan {
+	if len(s.options.Strays) == 0 {
+		return nil
+	}
+	return newStrayPlan(s.judge, peer, seed, s.options.Strays)
+}
+
 func (s *simulation) hostEntry(e *endpoint, health string) config.Host {
 	return config.Host{Host: e.name, Dial: e.dial(), Site: "a", Class: "k", Block: e.dest, Health: health, Share: 1}
 }
