An answer is matched to its request by a connection of its own, not by its place

Cause: endpoint, notice and watch connections were reused, and an answer was taken for the request that was out when it came. One surplus answer shifts all that follow: a copied 200 ends the next message, the true 503 behind it "proves" that the call after it never ran. Evidence: TestStrayAnswerEndsTheNextCall by status on each side of the write: what comes before the write was seen (but the wait of a 429 was taken), what comes behind it ended the call in 8 of 10 kinds. Idle lists, settle time and idle timers of the platform's connections are gone. The scheduler knows (SingleUseConnections) that each call opens its connection. Why it works: an answer that belongs to no request now meets a connection that is closed, or one on which no other request ever was.

--- a/internal/app/incarnation.go
+++ b/internal/app/incarnation.go
@@ -89,6 +89,7 @@
 		KeepSnapshot: true,
 		FolderTrust:  opt.FolderTrust,
 	}
+	options.Settings.Limits.SingleUseConnections = true // the platform egress reuses none
 	if opt.FolderTrust == sender.FolderTrusted && inc.file != "" && !onPlatform() {
 		options.FolderTrust = sender.FolderVerified
 	}
--- a/internal/net/conntable/table.go
+++ b/internal/net/conntable/table.go
@@ -163,6 +163,11 @@
 	return victim, 0, true
 }
 
+// HasRoom reports whether a connection can be admitted without the eviction of another.
+func (t *Table) HasRoom() bool {
+	return t.size < t.limits.MaxConns && t.shared.used < t.shared.maxConns
+}
+
 // addressLimitReached reports whether an address has as many connections as the limit allows.
 func (t *Table) addressLimitReached(peerAddr netip.Addr) bool {
 	if t.limits.MaxPerAddr <= 0 || !peerAddr.IsValid() {
--- a/internal/net/platform/call.go
+++ b/internal/net/platform/call.go
@@ -32,7 +32,7 @@
 	route     sender.Route
 	attempts  []sender.Attempt
 	admission admission.Attempt
-	link      *link
+	exchange  *exchange
 
 	timer        timers.Timer   // fires at the call's timeout
 	abortOutcome sender.Outcome // the outcome to report if the call is aborted
@@ -47,11 +47,11 @@
 	if c.egress.Gate.Admit(c.admission, c.egress.core.Now()) != admission.Admitted {
 		return errNotAdmitted
 	}
-	if c.link.conn.HasPendingInput() {
+	if c.exchange.conn.HasPendingInput() {
 		return errUnread
 	}
 	for other := range c.egress.callsOfRoute(c.egress.Gate.RouteName(c.route.Endpoint)) {
-		if other != c && other.link.requestStarted && other.link.conn.HasPendingInput() {
+		if other != c && other.exchange.begun() && other.exchange.conn.HasPendingInput() {
 			return errUnread
 		}
 	}
@@ -97,7 +97,7 @@
 	head = strconv.AppendInt(head, max(1, timeoutUs/1000), 10)
 	head = append(head, "\r\nContent-Length: "...)
 	head = strconv.AppendInt(head, int64(size), 10)
-	return append(head, "\r\n\r\n"...)
+	return append(head, "\r\nConnection: close\r\n\r\n"...)
 }
 
 // abort ends the call with an outcome. It is delayed while the call's response has arrived unread.
@@ -105,23 +105,23 @@
 	if c.egress.calls[c.attempts[0].ID] != c {
 		return
 	}
-	if c.link.requestStarted && c.abortDelays > 0 && c.link.conn.HasPendingInput() {
+	if c.exchange.begun() && c.abortDelays > 0 && c.exchange.conn.HasPendingInput() {
 		c.abortDelays--
 		c.egress.reactor.Arm(&c.timer, abortDelay, 0, timers.Func(func() { c.abort(outcome) }))
 		return
 	}
 	c.abortOutcome = outcome
-	c.link.abort()
+	c.exchange.abort()
 }
 
-// finish reports the results of the call's attempts and releases its link if that can be reused. With
-// an error, response holds what was parsed before it, or is nil if there was no connection.
+// finish reports the results of the call's attempts. With an error, response holds what was parsed before it, or is
+// nil if there was no connection.
 func (c *call) finish(response *http1.Response, err error) {
 	c.egress.reactor.Disarm(&c.timer)
 	for _, attempt := range c.attempts {
 		delete(c.egress.calls, attempt.ID)
 	}
-	if c.link.connected {
+	if c.exchange.connected {
 		c.egress.pathFailures.reset(c.route.Addr)
 	}
 	var (
@@ -138,12 +138,6 @@
 	}
 	c.egress.applyRetryAfter(c.route, shared)
 	c.egress.core.ReportAttempts(c.attemptResults(shared, bundleStatuses)...)
-
-	unused := errors.Is(err, errNotAdmitted) && !c.link.requestStarted
-	if unused || err == nil && !response.Close {
-		reusable, addr := c.link, c.route.Addr
-		reusable.onReusable = func() { c.egress.release(addr, reusable) }
-	}
 }
 
 // failedResult returns the result of a call that ended with an error. A Retry-After in the head of its
@@ -159,7 +153,7 @@
 // failedOutcome returns the outcome of a call that ended with an error.
 func (c *call) failedOutcome(response *http1.Response, err error) sender.Outcome {
 	switch {
-	case !c.link.sent(): // the endpoint cannot have run an incomplete request
+	case !c.exchange.sent(): // the endpoint cannot have run an incomplete request
 		if c.endpointBlameless(err) {
 			return sender.OutcomeNotSent
 		}
@@ -201,7 +195,7 @@
 	if errors.Is(err, errNoDescriptor) || errors.Is(err, errNotAdmitted) {
 		return true
 	}
-	if c.link.connected {
+	if c.exchange.connected {
 		return failure.Classify(failure.Write, err).Origin != failure.Peer
 	}
 	switch failure.Classify(failure.Connect, err).Origin {
--- a/internal/net/platform/notices.go
+++ b/internal/net/platform/notices.go
@@ -18,10 +18,9 @@
 type notices struct {
 	core     *sender.Sender
 	reactor  *reactor.Reactor
-	addr     string // of the agent
-	link     *link
-	queue    []notice // not acknowledged, the oldest first
-	inFlight bool     // a request with the front of the queue is in flight
+	addr     string    // of the agent
+	exchange *exchange // with the front of the queue; nil: none is in flight
+	queue    []notice  // not acknowledged, the oldest first
 	stopped  bool
 }
 
@@ -58,10 +57,9 @@
 	if addr == n.addr {
 		return
 	}
-	old := n.link
-	n.addr, n.link = addr, nil
-	if old != nil {
-		old.abort() // ends the request in flight, whose batch stays queued
+	n.addr = addr
+	if n.exchange != nil {
+		n.exchange.abort() // its batch stays queued
 	}
 	n.send()
 }
@@ -69,27 +67,23 @@
 // stop stops sending notices, since another process sends them from here on.
 func (n *notices) stop() {
 	n.stopped, n.queue = true, nil
-	if n.link != nil {
-		n.link.abort()
+	if n.exchange != nil {
+		n.exchange.abort()
 	}
 }
 
 // send sends the front of the queue, unless a request is in flight.
 func (n *notices) send() {
-	if n.stopped || n.inFlight || len(n.queue) == 0 {
+	if n.stopped || n.exchange != nil || len(n.queue) == 0 {
 		return
 	}
-	if n.link == nil || n.link.conn.IsClosing() {
-		n.link = dial(n.reactor, n.addr, agentTimeout, maxAgentResponse)
-	}
 	batch := n.queue[:min(len(n.queue), maxNoticesPerRequest)]
-	requestLink := n.link
-	n.inFlight = true
+	n.exchange = dial(n.reactor, n.addr, agentTimeout, maxAgentResponse)
 	var timer timers.Timer
-	n.reactor.Arm(&timer, agentTimeout, 0, timers.Func(requestLink.abort))
-	requestLink.send(func(response *http1.Response, err error) {
+	n.reactor.Arm(&timer, agentTimeout, 0, timers.Func(n.exchange.abort))
+	n.exchange.send(func(response *http1.Response, err error) {
 		n.reactor.Disarm(&timer)
-		n.finish(requestLink, batch, err == nil && response.Status == statusNoContent)
+		n.finish(batch, err == nil && response.Status == statusNoContent)
 	}, n.request(batch)...)
 }
 
@@ -101,14 +95,14 @@
 		size += len(queued.line)
 	}
 	pieces[0] = []byte("POST /v2/finals HTTP/1.1\r\nHost: " + n.addr + "\r\nContent-Length: " +
-		strconv.Itoa(size) + "\r\n\r\n")
+		strconv.Itoa(size) + "\r\nConnection: close\r\n\r\n")
 	return pieces
 }
 
 // finish ends the request in flight. A batch that was not acknowledged is sent again after
 // minRetryInterval.
-func (n *notices) finish(requestLink *link, batch []notice, acknowledged bool) {
-	n.inFlight = false
+func (n *notices) finish(batch []notice, acknowledged bool) {
+	n.exchange = nil
 	if n.stopped {
 		return
 	}
@@ -122,9 +116,5 @@
 		n.reactor.Post(n.send)
 		return
 	}
-	requestLink.conn.Close()
-	if n.link == requestLink {
-		n.link = nil
-	}
 	n.reactor.After(minRetryInterval, n.send)
 }
--- a/internal/net/platform/registry.go
+++ b/internal/net/platform/registry.go
@@ -48,7 +48,7 @@
 // has never changed.
 const noVersion = -1
 
-// watchState is the state of the watch. The state of its connection is in the link.
+// watchState is the state of the watch. The state of its connection is in the exchange.
 type watchState uint8
 
 const (
@@ -62,8 +62,8 @@
 type Registry struct {
 	core    *sender.Sender
 	reactor *reactor.Reactor
-	addr    string // of the agent
-	link    *link
+	addr    string    // of the agent
+	poll    *exchange // in flight; nil: none
 	state   watchState
 	version int64 // of the list; with noVersion the next poll requests the whole list
 
@@ -173,8 +173,8 @@
 // Stop ends the watch.
 func (g *Registry) Stop() {
 	g.state = watchStopped
-	if g.link != nil {
-		g.link.abort()
+	if g.poll != nil {
+		g.poll.abort()
 	}
 }
 
@@ -184,36 +184,33 @@
 	if addr == g.addr || g.state == watchStopped {
 		return
 	}
-	old := g.link
-	g.addr, g.version, g.link, g.state = addr, noVersion, nil, watchIdle
+	old := g.poll
+	g.addr, g.version, g.state = addr, noVersion, watchIdle
 	g.errorBackoff.Reset()
 	g.noResponseBackoff.Reset()
-	g.poll()
+	g.startPoll()
 	if old != nil {
 		old.abort()
 	}
 }
 
-// resume polls after an interval, unless SetAgent has done so meanwhile: a link carries one request at a
-// time.
+// resume polls after an interval, unless SetAgent has done so meanwhile.
 func (g *Registry) resume() {
 	if g.state == watchIdle {
-		g.poll()
+		g.startPoll()
 	}
 }
 
-// poll sends a poll to the agent.
-func (g *Registry) poll() {
-	if g.link == nil || g.link.conn.IsClosing() {
-		g.link = dial(g.reactor, g.addr, agentTimeout, maxAgentResponse)
-	}
+// startPoll sends a poll to the agent.
+func (g *Registry) startPoll() {
 	path, timeout := g.nextPoll()
-	pollLink := g.link
+	poll := dial(g.reactor, g.addr, agentTimeout, maxAgentResponse)
+	g.poll = poll
 	var timer timers.Timer
-	g.reactor.Arm(&timer, timeout, 0, timers.Func(pollLink.abort))
-	pollLink.send(func(response *http1.Response, err error) {
+	g.reactor.Arm(&timer, timeout, 0, timers.Func(poll.abort))
+	poll.send(func(response *http1.Response, err error) {
 		g.reactor.Disarm(&timer)
-		g.finishPoll(pollLink, response, err)
+		g.finishPoll(poll, response, err)
 	}, getRequest(path, g.addr))
 }
 
@@ -234,22 +231,20 @@
 }
 
 // finishPoll applies the response to a poll and schedules the next one.
-func (g *Registry) finishPoll(pollLink *link, response *http1.Response, err error) {
-	if g.link != pollLink || g.state == watchStopped { // there is another agent, or the watch was stopped
+func (g *Registry) finishPoll(poll *exchange, response *http1.Response, err error) {
+	if g.poll != poll || g.state == watchStopped { // there is another agent, or the watch was stopped
 		return
 	}
-	g.state = watchIdle
+	g.poll, g.state = nil, watchIdle
 	if err == nil {
 		err = g.apply(response)
 	}
 	if err == nil {
 		g.errorBackoff.Reset()
 		g.noResponseBackoff.Reset()
-		g.reactor.Post(g.resume) // deferred, since the link is not free until this has returned
+		g.reactor.Post(g.resume)
 		return
 	}
-	pollLink.conn.Close()
-	g.link = nil
 	backoff := g.noResponseBackoff
 	if response.Status != 0 {
 		backoff = g.errorBackoff
@@ -288,5 +283,5 @@
 
 // getRequest returns a GET request without a body.
 func getRequest(path, host string) []byte {
-	return []byte("GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n")
+	return []byte("GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\nConnection: close\r\n\r\n")
 }
--- a/internal/net/platform/response.go
+++ b/internal/net/platform/response.go
@@ -70,7 +70,7 @@
 			return map[string]string{}
 		}
 	}
-	mayBeTruncated := c.link.trailingData || endedByClose
+	mayBeTruncated := c.exchange.trailingData || endedByClose
 	if len(statuses) != len(c.attempts) || mayBeTruncated && !bytes.HasSuffix(body, crlf) {
 		return map[string]string{}
 	}
--- a/scheduler/connections.go
+++ b/scheduler/connections.go
@@ -21,7 +21,8 @@
 
 // hasFreeStream reports whether an open connection has a free stream for another call.
 func (s *Scheduler) hasFreeStream(ep *endpoint) bool {
-	return ep.connections.open*max(1, s.settings.Limits.StreamsPerConnection) > ep.callsInFlight
+	return !s.settings.Limits.SingleUseConnections &&
+		ep.connections.open*max(1, s.settings.Limits.StreamsPerConnection) > ep.callsInFlight
 }
 
 // takeConnection assigns an open connection to a new call, or counts a connection that it opens.
@@ -40,6 +41,14 @@
 	connections.lastUsedAt = s.now
 }
 
+// releaseConnection counts the connection of an ended call as idle, unless it ends with the call.
+func (s *Scheduler) releaseConnection(ep *endpoint) {
+	if s.settings.Limits.SingleUseConnections {
+		ep.connections.open = ep.callsInFlight
+	}
+	s.closeIfRarelyUsed(ep)
+}
+
 // maxIdleAgeUs returns the idle time after which a connection to an endpoint is closed, before a
 // middlebox silently drops it.
 func (s *Scheduler) maxIdleAgeUs(ep *endpoint) int64 {
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -44,7 +44,7 @@
 	msg.destination.callsInFlight--
 	s.callsInFlight--
 	call.route.calls = remove(call.route.calls, call)
-	s.closeIfRarelyUsed(call.endpoint)
+	s.releaseConnection(call.endpoint)
 }
 
 // recordFirstRun records when and in which zone a message may have run first.
