An answer to a poll with an older version than the polled one is not applied

Callers would see: a drained or removed endpoint open again, and calls sent to it past the grace. Cause: Registry.apply took each list that it could read, whatever its version, and went back to it. Change: an answer with a version below the polled one is refused with an error of its own, and the watch goes on from the known version. After three in a row the whole list is requested, since the registry may have begun to number anew (TestRenumberedRegistryIsIgnored). Why it works: a watch is answered with what is newer than its index, so an older version is never its answer.

--- a/internal/net/platform/registry.go
+++ b/internal/net/platform/registry.go
@@ -44,6 +44,13 @@
 	maxProcessPause = 150 * time.Millisecond
 )
 
+// maxOlderLists is the number of consecutive answers with an older version than the polled one after which the whole
+// list is requested: the registry may have begun to number its versions anew.
+const maxOlderLists = 3
+
+// errOlderList reports an answer to a poll with an older version than the polled one.
+var errOlderList = errors.New("registry: the list is older than the known one")
+
 // noVersion is the value for an unknown version of the list. 0 is a valid version: that of a list that
 // has never changed.
 const noVersion = -1
@@ -67,6 +74,8 @@
 	state   watchState
 	version int64 // of the list; with noVersion the next poll requests the whole list
 
+	olderLists int // consecutive answers with an older version than the polled one
+
 	// The intervals between polls after an error response and without a response. Error responses lead
 	// to longer intervals, since other senders poll the same registry.
 	errorBackoff      *recovery.PollSchedule
@@ -264,6 +273,9 @@
 	if err := json.Unmarshal(response.Body, &list); err != nil {
 		return fmt.Errorf("registry: decoding the endpoint list: %w", err)
 	}
+	if err := g.checkVersion(list.Seq); err != nil {
+		return err
+	}
 	kind := scheduler.UpdatePatch
 	if list.Whole {
 		kind = scheduler.UpdateFull
@@ -281,6 +293,19 @@
 	return nil
 }
 
+// checkVersion refuses a version that is older than the known one: a watch is answered with what is newer, and what
+// was told before must not come back. After maxOlderLists of them the next poll requests the whole list.
+func (g *Registry) checkVersion(version *int64) error {
+	if version == nil || *version < 0 || *version >= g.version {
+		g.olderLists = 0
+		return nil
+	}
+	if g.olderLists++; g.olderLists >= maxOlderLists {
+		g.olderLists, g.version = 0, noVersion
+	}
+	return errOlderList
+}
+
 // getRequest returns a GET request without a body.
 func getRequest(path, host string) []byte {
 	return []byte("GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\nConnection: close\r\n\r\n")
--- a/internal/net/platform/stray_test.go
+++ b/internal/net/platform/stray_test.go
@@ -168,6 +168,25 @@
 	h.expectStillDraining(agent, third)
 }
 
+// An agent that keeps answering with older versions numbers them anew: its whole list is taken then.
+func TestRenumberedRegistryIsIgnored(t *testing.T) {
+	h, agent := startWatching(t)
+	h.answerPolls(agent, listResponse(9, "active"), listResponse(2, "leaving"), listResponse(2, "leaving"),
+		listResponse(2, "leaving"))
+	whole := receive(t, agent.requests)
+	if whole.path != "/registry/instances" {
+		t.Fatalf("the next poll is %q, want one for the whole list", whole.path)
+	}
+	list := strings.Replace(listResponse(2, "leaving"), "\"whole\": false", "\"whole\": true ", 1)
+	whole.respond(list)
+	if next := receive(t, agent.requests); !strings.Contains(next.path, "index=2") {
+		t.Errorf("the next poll is %q, want one from version 2", next.path)
+	}
+	if got := h.routeHealth(); got != string(scheduler.StatusDraining) {
+		t.Errorf("e1 is %q after the whole list", got)
+	}
+}
+
 // startWatching starts a sender that watches a scripted agent, from version 1 with e1 active.
 func startWatching(t *testing.T) (*egressHarness, *scriptedServer) {
 	env, agent := newTestEnv(t), newScriptedServer(t)
