A broker's reply that names no outstanding request ends or repeats no publish

Callers would see: a message published up to eight times in place of once, an unsafe one seven times, and the end "refused" for what was applied. Cause: replies of brokers that carry no tag were believed in any state. A channel.close-ok that nobody waited for ended the publishes of the channel while the broker had them; a second copy of a basic.return, which names the message and not the publish, "proved" that its next attempt had not run; channel numbers were used again, so that what was late for a closed channel met the next one. Change: each reply counts once, in the state that awaits it, and any other is ignored; channel numbers are used once on a connection, which is replaced when all were used; a channel on which a message came back closes behind the confirm; a confirm of a publish that was not sent whole ends the connection. Why it works: what a broker writes now belongs to a request by a tag or by a number that was used once, never by its place. Tests changed: the stand-in broker counts tags anew on a channel that is opened (it did not) and may have a limit of channels.

--- a/internal/net/amqpfront/brokerchannel.go
+++ b/internal/net/amqpfront/brokerchannel.go
@@ -27,10 +27,11 @@
 type channelState uint8
 
 const (
-	channelOpening  channelState = iota // channel.open was sent
-	channelOpen                         // publisher confirms are selected
-	channelRetiring                     // no further publish; waits for the confirms that are still awaited
-	channelClosing                      // channel.close was sent
+	channelOpening   channelState = iota // channel.open was sent
+	channelSelecting                     // confirm.select was sent
+	channelOpen                          // publisher confirms are selected
+	channelRetiring                      // no further publish; waits for the confirms that are still awaited
+	channelClosing                       // channel.close was sent
 )
 
 // brokerChannel is one channel to a broker.
@@ -38,6 +39,7 @@
 	id             uint16
 	state          channelState
 	paused         bool // by channel.flow
+	returned       bool // the broker has returned a message: the channel closes behind its confirm
 	confirmTracker confirmTracker
 	assembly       amqp.Assembly
 	closeTimer     timers.Timer // bounds channelRetiring, then the wait for channel.close-ok
@@ -49,7 +51,7 @@
 // accepts reports whether a publish may be sent on the channel now.
 func (c *brokerChannel) accepts(next *publishAttempt) bool {
 	switch {
-	case c.state != channelOpen || c.paused:
+	case c.state != channelOpen || c.paused || c.returned:
 		return false
 	case !c.busy():
 		return true
@@ -74,19 +76,21 @@
 	return l.channels[i]
 }
 
-// openChannel opens a channel. Channel IDs are used in rotation, so that a late frame for a closed channel
-// is not taken for one of a new channel.
-func (l *brokerLink) openChannel() {
-	for {
-		if l.lastChannel++; int(l.lastChannel) > l.maxChannels {
-			l.lastChannel = 1
-		}
-		if l.channelByID(l.lastChannel) == nil {
-			break
-		}
+// openChannel opens a channel. It returns false if the connection has used all of its channel numbers.
+func (l *brokerLink) openChannel() bool {
+	number, ok := l.channelNumbers.Next()
+	if !ok {
+		return false
 	}
-	l.channels = append(l.channels, &brokerChannel{id: l.lastChannel})
-	l.writeMethod(l.lastChannel, amqp.ChanOpen, "")
+	id := uint16(number)
+	l.channels = append(l.channels, &brokerChannel{id: id})
+	l.writeMethod(id, amqp.ChanOpen, "")
+	return true
+}
+
+// isOpening reports whether the channel does not carry publishes yet.
+func (c *brokerChannel) isOpening() bool {
+	return c.state == channelOpening || c.state == channelSelecting
 }
 
 // retire closes a channel on which a publish was given up. While the confirms of other publishes are awaited, the
@@ -97,6 +101,7 @@
 	case !ch.busy(): // all given-up publishes were confirmed in the meantime
 		l.loop.Disarm(&ch.closeTimer)
 		ch.state = channelOpen
+		l.closeIfReturned(ch)
 	case !ch.confirmTracker.anyAwaited():
 		l.closeChannel(ch)
 	case ch.state != channelRetiring:
@@ -143,9 +148,12 @@
 func (l *brokerLink) handleChannel(ch *brokerChannel, msg *amqp.Message) error {
 	switch msg.Key {
 	case amqp.ChanOpenOk:
-		l.writeMethod(ch.id, amqp.ConfirmSelect, false)
-	case amqp.ConfirmSelectOk:
 		if ch.state == channelOpening {
+			ch.state = channelSelecting
+			l.writeMethod(ch.id, amqp.ConfirmSelect, false)
+		}
+	case amqp.ConfirmSelectOk:
+		if ch.state == channelSelecting {
 			ch.state = channelOpen
 		}
 	case amqp.ChanFlow:
@@ -153,7 +161,7 @@
 		l.writeMethod(ch.id, amqp.ChanFlowOk, msg.Bool(0))
 	case amqp.Return:
 		if p := ch.confirmTracker.find(msg.Props.MessageID); p != nil {
-			p.returnCode = uint16(msg.Int(0))
+			p.returnCode, ch.returned = uint16(msg.Int(0)), true
 		}
 		return nil
 	case amqp.Ack, amqp.Nack:
@@ -163,6 +171,9 @@
 	case amqp.ChanClose:
 		l.handleChannelClose(ch, msg.Int(0))
 	case amqp.ChanCloseOk:
+		if ch.state != channelClosing {
+			return nil
+		}
 		l.removeChannel(ch)
 		ch.endAll(func(p *publishAttempt) { // those that were not given up had retireTimeout for their confirm
 			p.report(cmp.Or(p.giveUpOutcome, sender.OutcomeCanceled))
@@ -180,21 +191,44 @@
 	if !ok {
 		return &amqp.Fault{Code: amqp.PreconditionFailed, Text: "unknown delivery tag", Method: msg.Key}
 	}
+	if slices.ContainsFunc(settled, func(p *publishAttempt) bool { return !p.sent() }) {
+		l.closeUnsent(settled)
+		return nil
+	}
 	for _, p := range settled {
 		p.confirmed(msg.Key)
 	}
 	if ch.state == channelRetiring {
 		l.retire(ch)
 	}
+	l.closeIfReturned(ch)
 	return nil
 }
 
+// closeUnsent ends a connection on which a publish was confirmed before its last byte was sent: no confirm on it can be
+// trusted, and no further byte of the publish may be sent.
+func (l *brokerLink) closeUnsent(confirmed []*publishAttempt) {
+	l.closing = true
+	l.conn.CloseWithoutFlush()
+	for _, p := range confirmed {
+		p.connectionLost(sender.OutcomeReset)
+	}
+}
+
+// closeIfReturned closes a channel on which the broker has returned a message, once no confirm is awaited. A return
+// names its message and not the publish: a second copy must not meet the next attempt of that message.
+func (l *brokerLink) closeIfReturned(ch *brokerChannel) {
+	if ch.returned && ch.state == channelOpen && !ch.busy() {
+		l.closeChannel(ch)
+	}
+}
+
 // handleChannelClose replies to a broker's channel.close. One that came instead of channel.open-ok
 // rejects the attempt that has waited longest for a channel.
 func (l *brokerLink) handleChannelClose(ch *brokerChannel, code uint64) {
 	l.writeMethod(ch.id, amqp.ChanCloseOk)
 	l.removeChannel(ch)
-	if ch.state == channelOpening && len(l.waiting) > 0 {
+	if ch.isOpening() && len(l.waiting) > 0 {
 		first := l.waiting[0]
 		l.waiting = l.waiting[1:]
 		first.report(outcomeOfRefusal(code))
--- a/internal/net/amqpfront/brokerlink.go
+++ b/internal/net/amqpfront/brokerlink.go
@@ -9,6 +9,7 @@
 	"brackendale/internal/admission"
 	"brackendale/internal/net/amqp"
 	"brackendale/internal/net/conntable"
+	"brackendale/internal/net/correlation"
 	"brackendale/internal/net/failure"
 	"brackendale/internal/net/reactor"
 	"brackendale/internal/timers"
@@ -18,7 +19,21 @@
 // maxBrokerHeartbeat is the heartbeat interval that is negotiated with a broker that proposes none or a longer one.
 const maxBrokerHeartbeat = 10 * time.Second
 
+// handshakeStep is the method of the broker that the handshake awaits.
+type handshakeStep uint8
+
+const (
+	awaitStart handshakeStep = iota
+	awaitTune
+	awaitOpenOk
+	handshakeComplete
+)
+
 // brokerLink is one connection to a broker.
+//
+// What a broker writes belongs to a request of ours only if it names it: a confirm by the delivery tag, a reply to a
+// channel's method by the number of the channel. Each number is therefore used for one channel of the connection, and a
+// reply counts once, in the state that awaits it. Any other is ignored.
 type brokerLink struct {
 	conntable.Entry
 	amqpConn
@@ -28,26 +43,30 @@
 	target amqp.Target
 
 	connected bool // the transport is connected
-	ready     bool // the AMQP handshake is complete
+	handshake handshakeStep
 	blocked   bool // by connection.blocked
 	closing   bool // connection.close was sent, or the connection has ended
 
-	maxChannels int
-	lastChannel uint16 // the ID of the channel that was opened last
-	channels    []*brokerChannel
-	waiting     []*publishAttempt // attempts that wait for a channel, in order
-	assembly    amqp.Assembly     // of channel 0
+	maxChannels    int
+	channelNumbers correlation.Numbers // the numbers for further channels
+	replaced       bool                // all numbers were used: new attempts go to another connection
+	channels       []*brokerChannel
+	waiting        []*publishAttempt // attempts that wait for a channel, in order
+	assembly       amqp.Assembly     // of channel 0
 }
 
 // Due closes a connection whose handshake takes too long. After the handshake it runs the heartbeats.
 func (l *brokerLink) Due(*timers.Timer) {
-	if !l.ready {
+	if !l.ready() {
 		l.conn.Close()
 		return
 	}
 	l.checkHeartbeat(l)
 }
 
+// ready reports whether the AMQP handshake is complete.
+func (l *brokerLink) ready() bool { return l.handshake == handshakeComplete }
+
 // idle reports whether no attempt is in flight on the connection or waits for it.
 func (l *brokerLink) idle() bool {
 	return len(l.waiting) == 0 && !slices.ContainsFunc(l.channels, (*brokerChannel).busy)
@@ -70,7 +89,7 @@
 
 // Data handles the complete frames among the received bytes.
 func (l *brokerLink) Data(conn *reactor.Conn, received []byte) {
-	if !l.ready {
+	if !l.ready() {
 		beginning := append(l.partialFrame.Bytes(), received...)
 		if bytes.HasPrefix(beginning, []byte("AMQP")) { // the broker replies with the version that it supports
 			conn.Close()
@@ -128,7 +147,10 @@
 	assembly := &l.assembly
 	if ch != nil {
 		assembly = &ch.assembly
-	} else if frame.Channel != 0 { // on an unknown channel only a method without content is valid
+	} else if frame.Channel != 0 {
+		if l.channelNumbers.Used(uint64(frame.Channel)) {
+			return nil // what is late for a channel that is closed names nobody
+		}
 		assembly = &amqp.Assembly{}
 	}
 	msg, err := assembly.Add(frame)
@@ -139,8 +161,6 @@
 		return l.handleConnection(msg)
 	case ch != nil:
 		return l.handleChannel(ch, msg)
-	case msg.Key == amqp.ChanCloseOk: // both sides closed the channel at the same time
-		return nil
 	}
 	return amqp.Errorf(amqp.ChannelError, "channel %d is not open", frame.Channel)
 }
@@ -148,15 +168,8 @@
 // handleConnection handles a method on channel 0.
 func (l *brokerLink) handleConnection(msg *amqp.Message) error {
 	switch msg.Key {
-	case amqp.ConnStart:
-		return l.authenticate(msg.Str(3))
-	case amqp.ConnTune:
-		l.tune(int(msg.Int(0)), uint32(msg.Int(1)), time.Duration(msg.Int(2))*time.Second)
-	case amqp.ConnOpenOk:
-		l.ready = true
-		l.stopTimer()
-		l.startHeartbeats(l.heartbeat, l)
-		l.dispatch()
+	case amqp.ConnStart, amqp.ConnTune, amqp.ConnOpenOk:
+		return l.handleHandshake(msg)
 	case amqp.ConnBlocked:
 		l.blocked = true
 	case amqp.ConnUnblocked:
@@ -170,6 +183,24 @@
 	return nil
 }
 
+// handleHandshake handles a method of the handshake, and ignores one that is not awaited.
+func (l *brokerLink) handleHandshake(msg *amqp.Message) error {
+	switch {
+	case msg.Key == amqp.ConnStart && l.handshake == awaitStart:
+		l.handshake = awaitTune
+		return l.authenticate(msg.Str(3))
+	case msg.Key == amqp.ConnTune && l.handshake == awaitTune:
+		l.handshake = awaitOpenOk
+		l.tune(int(msg.Int(0)), uint32(msg.Int(1)), time.Duration(msg.Int(2))*time.Second)
+	case msg.Key == amqp.ConnOpenOk && l.handshake == awaitOpenOk:
+		l.handshake = handshakeComplete
+		l.stopTimer()
+		l.startHeartbeats(l.heartbeat, l)
+		l.dispatch()
+	}
+	return nil
+}
+
 // authenticate replies to connection.start. The mechanisms that the broker offers are separated by spaces.
 func (l *brokerLink) authenticate(mechanisms string) error {
 	if !slices.Contains(strings.Fields(mechanisms), "PLAIN") {
@@ -188,6 +219,7 @@
 	if maxChannels > 0 {
 		l.maxChannels = min(l.maxChannels, maxChannels)
 	}
+	l.channelNumbers = correlation.NewNumbers(uint64(l.maxChannels))
 	if maxFrame > 0 {
 		l.maxFrame = max(amqp.FrameMin, min(l.maxFrame, maxFrame))
 	}
@@ -213,7 +245,7 @@
 // dispatch publishes waiting attempts on channels that accept them, and opens as many further channels as the
 // remaining attempts need.
 func (l *brokerLink) dispatch() {
-	if !l.ready || l.blocked || l.closing {
+	if !l.ready() || l.blocked || l.closing {
 		return
 	}
 	remaining, notAdmitted := l.publishWaiting()
@@ -226,12 +258,37 @@
 		l.conn.Close()
 	}
 	for _, ch := range l.channels {
-		if ch.state == channelOpening {
+		if ch.isOpening() {
 			missing--
 		}
 	}
 	for ; missing > 0 && len(l.channels) < l.maxChannels; missing-- {
-		l.openChannel()
+		if !l.openChannel() {
+			l.replace()
+			return
+		}
+	}
+}
+
+// replace moves the waiting attempts to another connection, as this one can open no further channel. It is closed once
+// its last attempt has ended.
+func (l *brokerLink) replace() {
+	l.replaced = true
+	if l.egress.links[l.key] == l {
+		delete(l.egress.links, l.key)
+	}
+	waiting := l.waiting
+	l.waiting = nil
+	for _, p := range waiting {
+		p.enqueue()
+	}
+	l.closeIfReplaced()
+}
+
+// closeIfReplaced closes a connection that was replaced and that no attempt uses.
+func (l *brokerLink) closeIfReplaced() {
+	if l.replaced && !l.closing && l.idle() {
+		l.closeIdle()
 	}
 }
 
--- a/internal/net/amqpfront/front_test.go
+++ b/internal/net/amqpfront/front_test.go
@@ -78,6 +78,8 @@
 	applied  map[string]int   // number of times that a message was applied, by message ID
 	props    chan *amqp.Props // the properties of the applied messages
 
+	maxChannels int // channel numbers of a connection; 0: no limit
+
 	// step is called at each step of a connection; true closes the connection there.
 	step func(name string) bool
 	// publish handles a publish; nil: apply and ack.
@@ -141,7 +143,7 @@
 			if b.step("start-ok") {
 				return
 			}
-			conn.writeMethod(0, amqp.ConnTune, 0, amqp.FrameMin, 0)
+			conn.writeMethod(0, amqp.ConnTune, b.maxChannels, amqp.FrameMin, 0)
 		case amqp.ConnOpen:
 			if b.step("open") {
 				return
@@ -151,6 +153,7 @@
 			if b.step("channel") {
 				return
 			}
+			tags[frame.Channel] = 0
 			conn.writeMethod(frame.Channel, amqp.ChanOpenOk, "")
 		case amqp.ConfirmSelect:
 			if b.step("select") {
--- a/internal/net/amqpfront/publishattempt.go
+++ b/internal/net/amqpfront/publishattempt.go
@@ -28,11 +28,17 @@
 	giveUpOutcome sender.Outcome // empty until given up; then the outcome to report when the channel is closed
 }
 
-// start arms the timeout and queues the attempt on the connection to its target.
+// start arms the timeout and queues the attempt.
 func (p *publishAttempt) start() {
 	e := p.egress
 	e.reactor.Arm(&p.timer, time.Duration(p.attempt.TimeoutUs)*time.Microsecond, 0,
 		timers.Func(func() { p.giveUp(sender.OutcomeTimedOut) }))
+	p.enqueue()
+}
+
+// enqueue queues the attempt on the connection to its target.
+func (p *publishAttempt) enqueue() {
+	e := p.egress
 	p.link = e.linkTo(p.routeAddr, p.target)
 	if p.link == nil { // no descriptor is available, which must not count against the broker
 		p.report(sender.OutcomeNotSent)
@@ -59,6 +65,7 @@
 	}
 	if p.link != nil && p.link.idle() {
 		p.link.Move(conntable.Idle, e.reactor.Now())
+		p.link.closeIfReplaced()
 	}
 	e.core.ReportAttempts(sender.AttemptResult{
 		ID:       p.attempt.ID,
