A record of events: messages, attempts and connections, with a reason for each end and refusal

There was no level, and calls, closes and refusals left no line. Change: internal/eventlog keeps the last 2,048 events (accepted, refused with the reason, sent, answered, outcome, ended, connection opened and closed by side and reason, state of an endpoint) and writes them once in 10 s when an answer belongs to no request. At level calls each is a line, 500 a second at most, and what was left out is counted. Level: LB_EVENTS, "events" in either file, SIGHUP, POST /api/events, "control events LEVEL".

--- a/internal/admin/handlers.go
+++ b/internal/admin/handlers.go
@@ -17,9 +17,29 @@
 	mux.HandleFunc("GET /api/telemetry", s.serveMetrics)
 	mux.HandleFunc("POST /api/exclude", func(w http.ResponseWriter, r *http.Request) { s.serveExclude(w, r, true) })
 	mux.HandleFunc("POST /api/include", func(w http.ResponseWriter, r *http.Request) { s.serveExclude(w, r, false) })
+	mux.HandleFunc("POST /api/events", s.serveEvents)
 	return mux
 }
 
+// serveEvents changes the level of the record of events.
+func (s *Server) serveEvents(writer http.ResponseWriter, request *http.Request) {
+	level, err := readEndpoint(http.MaxBytesReader(writer, request.Body, maxBodyBytes))
+	if err != nil {
+		writeText(writer, err.status, err.text)
+		return
+	}
+	set := s.setEventLevel.Load()
+	if set == nil {
+		writeText(writer, http.StatusServiceUnavailable, s.startingReason())
+		return
+	}
+	if err := (*set)(request.Context(), level); err != nil {
+		writeText(writer, http.StatusBadRequest, err.Error())
+		return
+	}
+	writeText(writer, http.StatusOK, "done")
+}
+
 func (s *Server) serveReady(writer http.ResponseWriter, _ *http.Request) {
 	ok, reason := false, s.startingReason()
 	if c := s.core.Load(); c != nil {
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -37,7 +37,9 @@
 	writeMetrics  func(io.Writer) error
 	metricsFormat string // the media type of the metrics
 
-	core     atomic.Pointer[core]   // nil: the process is starting
+	core          atomic.Pointer[core]                                          // nil: the process is starting
+	setEventLevel atomic.Pointer[func(ctx context.Context, level string) error] // nil: the process is starting
+
 	starting atomic.Pointer[string] // the reason for not being ready until then; nil: "starting"
 	pending  pendingConns
 }
@@ -80,6 +82,11 @@
 	s.core.Store(&core{ready, exclude})
 }
 
+// SetEventLevel connects the server to the record of events. set changes its level.
+func (s *Server) SetEventLevel(set func(ctx context.Context, level string) error) {
+	s.setEventLevel.Store(&set)
+}
+
 // SetStarting sets the reason for not being ready that clients receive until SetReady.
 func (s *Server) SetStarting(reason string) { s.starting.Store(&reason) }
 
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"testing"
+
+	"brackendale/internal/eventlog"
 )
 
 // startServer starts a server, checks that it is not ready, and connects it to a core.
@@ -29,6 +31,10 @@
 		t.Fatalf("before SetReady: %d %q", status, body)
 	}
 	server.SetReady(ready, exclude)
+	server.SetEventLevel(func(_ context.Context, name string) error {
+		_, err := eventlog.ParseLevel(name)
+		return err
+	})
 	return addr
 }
 
@@ -88,6 +94,9 @@
 		{postRequest("/api/exclude", `{"target":"s-1"}`), 200, "done"},
 		{postRequest("/api/include", `{"target":"s-1","more":1}`), 200, "done"},
 		{postRequest("/api/exclude", `{"target":"never"}`), 404, "ever listed"},
+		{postRequest("/api/events", `{"target":"calls"}`), 200, "done"},
+		{postRequest("/api/events", `{"target":"loud"}`), 400, "none of off, record, calls"},
+		{get("/api/events"), 405, ""},
 		{postRequest("/api/exclude", `{"target":7}`), 400, "JSON"},
 		{postRequest("/api/exclude", `target=s-1`), 400, "JSON"},
 		{postRequest("/api/exclude", ``), 400, "JSON"},
--- a/internal/app/incarnation.go
+++ b/internal/app/incarnation.go
@@ -88,6 +88,7 @@
 		Log:          inc.log,
 		KeepSnapshot: true,
 		FolderTrust:  opt.FolderTrust,
+		Events:       newEvents(inc.cfg, inc.log),
 	}
 	options.Settings.Limits.SingleUseConnections = true // the platform egress reuses none
 	if opt.FolderTrust == sender.FolderTrusted && inc.file != "" && !onPlatform() {
@@ -104,6 +105,8 @@
 			classes = append(classes, class.Name)
 		}
 		options.Metrics = metrics.New(classes)
+		events := options.Events
+		options.Metrics.AddMetrics(func() []metrics.Metric { return eventMetrics(events) })
 	}
 	return options
 }
@@ -258,6 +261,7 @@
 func (inc *incarnation) serveReadiness(context.Context) error {
 	if inc.admin != nil {
 		inc.admin.SetReady(inc.core.Ready, inc.exclude)
+		inc.admin.SetEventLevel(inc.setEventLevel)
 	}
 	return nil
 }
--- a/internal/app/reload.go
+++ b/internal/app/reload.go
@@ -50,6 +50,7 @@
 		inc.logRejectedReload(err)
 		return
 	}
+	inc.options.Events.SetLevel(cfg.Events)
 	inc.loop.Post(func() {
 		if err := inc.transport.applyConfig(inc.core, cfg); err != nil {
 			inc.logRejectedReload(err)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -12,7 +12,8 @@
 		Name: "brackendale", Usage: "a sender that delivers messages to partner systems",
 		Commands: []*cli.Command{
 			serveCommand(), checkCommand(), consoleCommand(), importNginxCommand(), loadCommand(), keysCommand(),
-			passwdCommand(), countCommand(), controlCommand(), dutiesCommand(), membersCommand(), groupCommand(),
+			passwdCommand(), countCommand(), reportCommand(), controlCommand(),
+			dutiesCommand(), membersCommand(), groupCommand(),
 			drainCommand(), recoverCommand(),
 			versionCommand(),
 		},
--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -18,17 +18,18 @@
 	controlTelemetry = "telemetry"
 	controlExclude   = "exclude"
 	controlInclude   = "include"
+	controlEvents    = "events"
 )
 
 // controlTimeout bounds a request to the control address.
 const controlTimeout = 2 * time.Second
 
-const errControlUsage = usageError("one of: ready, telemetry, exclude ID, include ID")
+const errControlUsage = usageError("one of: ready, telemetry, exclude ID, include ID, events LEVEL")
 
 func controlCommand() *cli.Command {
 	return &cli.Command{
 		Name: "control", Usage: "call a running sender's second address; a no ends with status 1",
-		ArgsUsage: "ready | telemetry | exclude ID | include ID",
+		ArgsUsage: "ready | telemetry | exclude ID | include ID | events off|record|calls",
 		Flags: []cli.Flag{&cli.StringFlag{
 			Name: "at", Required: true,
 			Usage: "the second `ADDRESS` (control, LB_CONTROL)",
@@ -45,7 +46,7 @@
 	method, body := http.MethodGet, []byte(nil)
 	switch {
 	case len(args) == 1 && (args[0] == controlReady || args[0] == controlTelemetry):
-	case len(args) == 2 && (args[0] == controlExclude || args[0] == controlInclude):
+	case len(args) == 2 && (args[0] == controlExclude || args[0] == controlInclude || args[0] == controlEvents):
 		method = http.MethodPost
 		body, _ = json.Marshal(map[string]string{"target": args[1]}) // a string: cannot fail
 	default:
--- a/internal/config/appliance.go
+++ b/internal/config/appliance.go
@@ -18,6 +18,7 @@
 	Discovery string  `toml:"discovery"`
 	Control   string  `toml:"control"`
 	Upgrade   bool    `toml:"upgrade"`
+	Events    string  `toml:"events"`
 	Limits    Limits  `toml:"limits"`
 	AMQP      AMQP    `toml:"amqp"`
 	Clients   Clients `toml:"clients"`
@@ -108,6 +109,11 @@
 	c.Name, c.State, c.Upgrade, c.Limits = file.Name, file.State, file.Upgrade, file.Limits
 	c.Listen, c.Discovery, c.Control = file.Listen, file.Discovery, file.Control
 	c.AMQP, c.Console, c.Clients, c.Resp = file.AMQP, file.Console, file.Clients, file.Resp
+	if metadata.IsDefined("events") {
+		if err := c.setEvents(path+": events", file.Events); err != nil {
+			return err
+		}
+	}
 	if err := c.readGroup(path, file.Group, file.Duty, metadata.IsDefined("group"), standalone); err != nil {
 		return err
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"brackendale/internal/access"
+	"brackendale/internal/eventlog"
 	"brackendale/scheduler"
 )
 
@@ -25,6 +26,7 @@
 	envListen    = "LB_LISTEN"
 	envDiscovery = "LB_DISCOVERY"
 	envControl   = "LB_CONTROL"
+	envEvents    = "LB_EVENTS"    // the level of the record of events
 	envAcceptFD  = "LB_ACCEPT_FD" // the descriptor of an inherited listening socket
 )
 
@@ -95,6 +97,8 @@
 
 	Console Console
 	Group   Group
+
+	Events eventlog.Level // of the record of events
 }
 
 // Seed is a random seed, written in hexadecimal.
@@ -134,6 +138,7 @@
 // LB_DISCOVERY is used only if no file names a registry.
 func Load(getenv func(string) string, appliancePath string) (Config, error) {
 	c := Config{Name: "brackendale", Limits: Limits{Cores: 1, MemoryMB: 192, Sockets: 1024, DiskMB: 3}}
+	c.Events = eventlog.Record
 	if path := getenv(envConfig); path != "" {
 		if err := c.readPlatformFile(path); err != nil {
 			return c, err
@@ -153,6 +158,11 @@
 			*field = v
 		}
 	}
+	if v := getenv(envEvents); v != "" {
+		if err := c.setEvents(envEvents, v); err != nil {
+			return c, err
+		}
+	}
 	if v := getenv(envAcceptFD); v != "" {
 		n, err := strconv.Atoi(v)
 		if err != nil || n < minAcceptFD {
@@ -163,6 +173,16 @@
 	return c, c.check()
 }
 
+// setEvents sets the level of the record of events, which key has.
+func (c *Config) setEvents(key, name string) error {
+	level, err := eventlog.ParseLevel(name)
+	if err != nil {
+		return keyErrorf(key, "%w", err)
+	}
+	c.Events = level
+	return nil
+}
+
 // check returns an error for the first invalid value of the whole configuration.
 func (c *Config) check() error {
 	if info, err := os.Stat(c.State); c.State == "" || err != nil || !info.IsDir() {
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -18,6 +18,7 @@
 	Limits    Limits            `json:"limits"`
 	Endpoints EndpointList      `json:"known"`
 	Settings  settings.Settings `json:"settings"`
+	Events    string            `json:"events"`
 }
 
 // readPlatformFile reads the platform's file into the configuration. name and limits keep their values where the file
@@ -38,5 +39,5 @@
 	c.Name, c.Listen, c.Discovery, c.Control = file.Name, file.Listen, file.Discovery, file.Control
 	c.Seed, c.Limits, c.Endpoints = file.Seed, file.Limits, file.Endpoints
 	c.Settings = file.Settings.Scheduler()
-	return nil
+	return c.setEvents("events", file.Events)
 }
--- /dev/null
+++ b/internal/eventlog/recorder.go
@@ -0,0 +1,171 @@
+package eventlog
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"brackendale/internal/clock"
+
+	"github.com/rs/zerolog"
+)
+
+// The bounds of what is kept and written.
+const (
+	keptEvents        = 2048
+	maxLinesPerSecond = 500 // at level Calls
+	dumpInterval      = 10 * time.Second
+)
+
+// The messages of the lines.
+const (
+	eventMessage   = "event"
+	keptMessage    = "event kept before"
+	leftOutMessage = "events left out: more than the lines of a second"
+)
+
+// Recorder records events. It is safe for concurrent use; a nil Recorder records nothing.
+type Recorder struct {
+	log   zerolog.Logger
+	now   func() clock.Instant
+	level atomic.Int32
+
+	mu         sync.Mutex
+	kept       []Event // the last events; it wraps at next once it is full
+	next       int
+	second     clock.Instant // the begin of the second that lines and leftOut count
+	lines      int
+	leftOut    int
+	dumpedAt   clock.Instant
+	hasDumped  bool
+	unexpected map[string]int // by place
+	closed     map[string]int // by side and reason
+}
+
+// New returns a Recorder at level Record that writes to log. now is the steady clock.
+func New(log zerolog.Logger, now func() clock.Instant) *Recorder {
+	r := &Recorder{log: log, now: now, unexpected: map[string]int{}, closed: map[string]int{}}
+	r.SetLevel(Record)
+	return r
+}
+
+// SetLevel changes the level.
+func (r *Recorder) SetLevel(level Level) {
+	if r != nil {
+		r.level.Store(int32(level))
+	}
+}
+
+// Enabled reports whether events are recorded.
+func (r *Recorder) Enabled() bool { return r != nil && Level(r.level.Load()) != Off }
+
+// Record records an event, at the current time.
+func (r *Recorder) Record(event Event) {
+	if !r.Enabled() {
+		return
+	}
+	event.At = r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.keep(event)
+	if Level(r.level.Load()) == Calls {
+		r.write(&event)
+	}
+}
+
+// RecordUnexpected records that a peer wrote what belongs to no request, and writes the events that were kept before,
+// at most once in dumpInterval.
+func (r *Recorder) RecordUnexpected(place string, event Event) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	r.unexpected[place]++
+	r.mu.Unlock()
+	event.Kind = Unexpected
+	event.Reason = place + ": " + event.Reason
+	r.Record(event)
+	r.Dump("an answer belongs to no request: " + event.Reason)
+}
+
+// CloseReason returns the end of a connection as it is recorded.
+func CloseReason(side, reason string) string { return side + ": " + reason }
+
+// RecordClosed records the end of a connection.
+func (r *Recorder) RecordClosed(side, reason string, event Event) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	r.closed[CloseReason(side, reason)]++
+	r.mu.Unlock()
+	event.Kind, event.Reason = Closed, CloseReason(side, reason)
+	r.Record(event)
+}
+
+// Counts returns the number of unexpected answers by place, and of closed connections by side and reason.
+func (r *Recorder) Counts() (unexpected, closed map[string]int) {
+	unexpected, closed = map[string]int{}, map[string]int{}
+	if r == nil {
+		return unexpected, closed
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for place, count := range r.unexpected {
+		unexpected[place] = count
+	}
+	for reason, count := range r.closed {
+		closed[reason] = count
+	}
+	return unexpected, closed
+}
+
+// Dump writes the events that are kept, and forgets them. It does nothing if that was done less than dumpInterval ago,
+// or at level Calls, where they were written as they happened.
+func (r *Recorder) Dump(reason string) {
+	if !r.Enabled() || Level(r.level.Load()) == Calls {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	if r.hasDumped && now.Sub(r.dumpedAt) < dumpInterval {
+		return
+	}
+	r.hasDumped, r.dumpedAt = true, now
+	r.log.Warn().Str("why", reason).Int("events", len(r.kept)).Msg("the last events follow")
+	oldest := 0
+	if len(r.kept) == keptEvents {
+		oldest = r.next
+	}
+	for i := range r.kept {
+		r.log.Info().EmbedObject(&r.kept[(oldest+i)%len(r.kept)]).Msg(keptMessage)
+	}
+	r.kept, r.next = r.kept[:0], 0
+}
+
+// keep stores an event in place of the oldest. The caller must hold mu.
+func (r *Recorder) keep(event Event) {
+	if len(r.kept) < keptEvents {
+		r.kept = append(r.kept, event)
+		return
+	}
+	r.kept[r.next] = event
+	r.next = (r.next + 1) % keptEvents
+}
+
+// write writes an event unless the lines of this second are used up. The caller must hold mu.
+func (r *Recorder) write(event *Event) {
+	if event.At.Sub(r.second) >= time.Second {
+		if r.leftOut > 0 {
+			r.log.Warn().Int("left_out", r.leftOut).Msg(leftOutMessage)
+		}
+		r.second, r.lines, r.leftOut = event.At, 0, 0
+	}
+	if r.lines >= maxLinesPerSecond {
+		r.leftOut++
+		return
+	}
+	r.lines++
+	r.log.Info().EmbedObject(event).Msg(eventMessage)
+}
--- a/internal/net/amqpfront/brokerchannel.go
+++ b/internal/net/amqpfront/brokerchannel.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strconv"
 	"time"
 
+	"brackendale/internal/eventlog"
 	"brackendale/internal/net/amqp"
 	"brackendale/internal/timers"
 	"brackendale/sender"
@@ -142,6 +144,12 @@
 	l.writeContent(ch.id, amqp.Publish, props, next.attempt.Body,
 		0, next.target.Exchange, next.target.RoutingKey, mandatory, immediate)
 	next.endOffset = l.conn.StreamOffset()
+	if events := l.egress.core.Events(); events.Enabled() {
+		events.Record(eventlog.Event{
+			Kind: eventlog.Sent, Message: next.attempt.ID, Attempt: next.attempt.Number, Endpoint: next.routeAddr,
+			Reason: fmt.Sprintf("channel %d, tag %d", ch.id, ch.confirmTracker.lastTag),
+		})
+	}
 }
 
 // handleChannel handles a method on an open channel.
@@ -172,6 +180,7 @@
 		l.handleChannelClose(ch, msg.Int(0))
 	case amqp.ChanCloseOk:
 		if ch.state != channelClosing {
+			l.recordUnexpected("channel.close-ok without a close")
 			return nil
 		}
 		l.removeChannel(ch)
@@ -208,6 +217,7 @@
 // closeUnsent ends a connection on which a publish was confirmed before its last byte was sent: no confirm on it can be
 // trusted, and no further byte of the publish may be sent.
 func (l *brokerLink) closeUnsent(confirmed []*publishAttempt) {
+	l.recordUnexpected("a confirm of a publish that was not sent")
 	l.closing = true
 	l.conn.CloseWithoutFlush()
 	for _, p := range confirmed {
--- a/internal/net/amqpfront/brokerlink.go
+++ b/internal/net/amqpfront/brokerlink.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"brackendale/internal/admission"
+	"brackendale/internal/eventlog"
 	"brackendale/internal/net/amqp"
 	"brackendale/internal/net/conntable"
 	"brackendale/internal/net/correlation"
@@ -149,7 +150,8 @@
 		assembly = &ch.assembly
 	} else if frame.Channel != 0 {
 		if l.channelNumbers.Used(uint64(frame.Channel)) {
-			return nil // what is late for a channel that is closed names nobody
+			l.recordUnexpected("late for a closed channel")
+			return nil
 		}
 		assembly = &amqp.Assembly{}
 	}
@@ -197,10 +199,20 @@
 		l.stopTimer()
 		l.startHeartbeats(l.heartbeat, l)
 		l.dispatch()
+	default:
+		l.recordUnexpected("a method of the handshake that is not awaited")
 	}
 	return nil
 }
 
+// BrokerPlace is the place of unexpected replies of brokers, in the record of events.
+const BrokerPlace = "broker"
+
+// recordUnexpected records what the broker wrote and what belongs to no request.
+func (l *brokerLink) recordUnexpected(what string) {
+	l.egress.core.Events().RecordUnexpected(BrokerPlace, eventlog.Event{Endpoint: l.target.Addr, Reason: what})
+}
+
 // authenticate replies to connection.start. The mechanisms that the broker offers are separated by spaces.
 func (l *brokerLink) authenticate(mechanisms string) error {
 	if !slices.Contains(strings.Fields(mechanisms), "PLAIN") {
--- a/internal/net/platform/call.go
+++ b/internal/net/platform/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"brackendale/internal/admission"
+	"brackendale/internal/eventlog"
 	"brackendale/internal/failpoint"
 	"brackendale/internal/net/failure"
 	"brackendale/internal/net/http1"
@@ -100,6 +101,41 @@
 	return append(head, "\r\nConnection: close\r\n\r\n"...)
 }
 
+// recordSent counts and records the attempts once the call's last byte was sent.
+func (c *call) recordSent() {
+	c.egress.core.CountAttempts(len(c.attempts))
+	c.recordAttempts(eventlog.Event{Kind: eventlog.Sent, Class: c.attempts[0].Class})
+}
+
+// recordAttempts records an event for each attempt of the call.
+func (c *call) recordAttempts(event eventlog.Event) {
+	events := c.egress.core.Events()
+	if !events.Enabled() {
+		return
+	}
+	event.Endpoint, event.Connection = c.route.Addr, c.exchange.number
+	for _, attempt := range c.attempts {
+		event.Message, event.Attempt = attempt.ID, attempt.Number
+		if event.Class != "" {
+			event.Class, event.Destination = attempt.Class, c.route.Destination
+			event.Effect = string(c.egress.core.Class(attempt.Class).Idempotency)
+		}
+		events.Record(event)
+	}
+}
+
+// recordEnd records how the call ended.
+func (c *call) recordEnd(response *http1.Response, err error) {
+	if err == nil {
+		c.recordAttempts(eventlog.Event{
+			Kind: eventlog.Answered, Status: response.Status, Bytes: len(response.Body),
+			WaitMs: response.MaxNumber(backoffHeader),
+		})
+		return
+	}
+	c.recordAttempts(eventlog.Event{Kind: eventlog.Unanswered, Reason: err.Error()})
+}
+
 // abort ends the call with an outcome. It is delayed while the call's response has arrived unread.
 func (c *call) abort(outcome sender.Outcome) {
 	if c.egress.calls[c.attempts[0].ID] != c {
@@ -118,6 +154,7 @@
 // nil if there was no connection.
 func (c *call) finish(response *http1.Response, err error) {
 	c.egress.reactor.Disarm(&c.timer)
+	c.recordEnd(response, err)
 	for _, attempt := range c.attempts {
 		delete(c.egress.calls, attempt.ID)
 	}
--- a/internal/net/platform/dial.go
+++ b/internal/net/platform/dial.go
@@ -1,10 +1,16 @@
 package platform
 
 import (
+	"cmp"
+	"errors"
+	"io"
 	"slices"
+	"sync/atomic"
 	"time"
 
+	"brackendale/internal/eventlog"
 	"brackendale/internal/net/conntable"
+	"brackendale/internal/net/http1"
 	"brackendale/internal/net/reactor"
 )
 
@@ -46,26 +52,108 @@
 	conntable.Entry
 	exchange  *exchange
 	conn      *reactor.Conn
+	number    uint64
 	startedAt time.Duration                 // in the loop's time
 	onUp      func(connected time.Duration) // called with the time that the connect took; may be nil
 }
 
 // dial opens a connection for the exchange.
 func (x *exchange) dial(opened *dialedConnection, eventLoop *reactor.Reactor, addr string, timeout time.Duration) {
-	opened.exchange, opened.startedAt = x, eventLoop.Now()
+	opened.exchange, opened.startedAt, opened.number = x, eventLoop.Now(), lastConnectionNumber.Add(1)
+	x.events.Record(eventlog.Event{Kind: eventlog.Connecting, Endpoint: x.endpoint, Connection: opened.number})
 	opened.conn = eventLoop.Dial(addr, timeout, opened)
 	x.dials = append(x.dials, opened)
 	if x.conn == nil {
-		x.conn = opened.conn
+		x.conn, x.number = opened.conn, opened.number
 	}
 }
 
+// The reasons for which this side closes a connection, as they are in the record of events and in the metrics.
+const (
+	closedAnswered    = "answered"
+	closedSurplus     = "data behind the answer"
+	closedAborted     = "given up"
+	closedStalled     = "the answer was not complete in time"
+	closedNotAdmitted = "not admitted"
+	closedMalformed   = "malformed answer"
+	closedWriteFailed = "the write failed"
+	closedSpare       = "another connection was established first"
+	closedOther       = "failed"
+)
+
+// What ended a connection that this side did not close.
+const (
+	peerNotEstablished = "not established"
+	peerEnded          = "end of the stream"
+	peerBroke          = "broken"
+)
+
+// The sides that close a connection.
+const (
+	closedHere   = "sender"
+	closedByPeer = "peer"
+)
+
+// The places at which an answer may come that belongs to no request.
+const (
+	endpointPlace = "endpoint"
+	noticePlace   = "agent: notices"
+	watchPlace    = "agent: watch"
+)
+
+// Places returns the places at which an answer may come that belongs to no request.
+func Places() []string { return []string{endpointPlace, noticePlace, watchPlace} }
+
+// CloseReasons returns the sides and reasons of the ends of connections, as they are recorded.
+func CloseReasons() (reasons []string) {
+	for _, reason := range []string{
+		closedAnswered, closedSurplus, closedAborted, closedStalled, closedNotAdmitted, closedMalformed, closedWriteFailed,
+		closedSpare, closedOther,
+	} {
+		reasons = append(reasons, eventlog.CloseReason(closedHere, reason))
+	}
+	for _, reason := range []string{peerNotEstablished, peerEnded, peerBroke} {
+		reasons = append(reasons, eventlog.CloseReason(closedByPeer, reason))
+	}
+	return reasons
+}
+
+// closeReason returns the reason for which a request that fails with err closes its connection.
+func closeReason(err error) string {
+	switch {
+	case errors.Is(err, errAborted):
+		return closedAborted
+	case errors.Is(err, errStalled):
+		return closedStalled
+	case errors.Is(err, errNotAdmitted):
+		return closedNotAdmitted
+	case errors.Is(err, http1.ErrHead), errors.Is(err, http1.ErrBody):
+		return closedMalformed
+	}
+	return closedOther
+}
+
+// peerCloseReason returns what ended a connection that this side did not close.
+func peerCloseReason(connected bool, err error) string {
+	switch {
+	case !connected:
+		return peerNotEstablished
+	case errors.Is(err, io.EOF):
+		return peerEnded
+	}
+	return peerBroke
+}
+
+// lastConnectionNumber is the number of the connection that was opened last in this process.
+var lastConnectionNumber atomic.Uint64
+
 // isEnded reports whether the exchange needs no connection any more.
 func (x *exchange) isEnded() bool { return x.onResponse == nil }
 
-// close closes all connections of the exchange.
-func (x *exchange) close() {
+// close closes all connections of the exchange. The first reason is recorded.
+func (x *exchange) close(reason string) {
 	x.loop().Disarm(&x.backupTimer)
+	x.closeReason = cmp.Or(x.closeReason, reason)
 	for _, opened := range slices.Clone(x.dials) {
 		opened.conn.Close()
 	}
@@ -78,7 +166,7 @@
 		conn.Close()
 		return
 	}
-	x.conn, x.connected = conn, true
+	x.conn, x.number, x.connected = conn, d.number, true
 	x.loop().Disarm(&x.backupTimer)
 	for _, other := range slices.Clone(x.dials) {
 		if other != d {
@@ -102,17 +190,32 @@
 func (d *dialedConnection) Down(conn *reactor.Conn, err error) {
 	d.Remove()
 	x := d.exchange
+	d.recordClosed(conn == x.conn, err)
 	x.dials = slices.DeleteFunc(x.dials, func(other *dialedConnection) bool { return other == d })
 	if conn != x.conn {
 		return
 	}
 	if !x.connected && !x.isEnded() && len(x.dials) > 0 {
-		x.conn = x.dials[0].conn
+		x.conn, x.number = x.dials[0].conn, x.dials[0].number
 		return
 	}
 	x.ended(err)
 }
 
+// recordClosed records the end of the connection.
+func (d *dialedConnection) recordClosed(carriesRequest bool, err error) {
+	x := d.exchange
+	event := eventlog.Event{Endpoint: x.endpoint, Connection: d.number}
+	switch {
+	case x.connected && !carriesRequest:
+		x.events.RecordClosed(closedHere, closedSpare, event)
+	case x.closeReason != "":
+		x.events.RecordClosed(closedHere, x.closeReason, event)
+	default:
+		x.events.RecordClosed(closedByPeer, peerCloseReason(x.connected, err), event)
+	}
+}
+
 // Evict closes the connection. Its table evicts no connection with a request.
 func (d *dialedConnection) Evict(conntable.Reason) { d.conn.Close() }
 
--- a/internal/net/platform/egress.go
+++ b/internal/net/platform/egress.go
@@ -89,7 +89,7 @@
 		c.finish(nil, errNoDescriptor)
 		return
 	}
-	c.exchange.onSent = func() { e.core.CountAttempts(len(attempts)) }
+	c.exchange.onSent = c.recordSent
 	c.exchange.admit = c.admit
 	c.exchange.send(c.finish, c.request(timeoutUs)...)
 }
@@ -141,7 +141,7 @@
 // connect starts to connect to an endpoint. It returns nil if the descriptor budget is used up.
 func (e *Egress) connect(route sender.Route, timeoutUs int64) *exchange {
 	timeout := min(e.connectTimeout, time.Duration(timeoutUs)*time.Microsecond)
-	x := &exchange{maxResponse: maxEndpointResponse}
+	x := &exchange{maxResponse: maxEndpointResponse, place: endpointPlace, endpoint: route.Addr, events: e.core.Events()}
 	opened := &dialedConnection{onUp: e.connectTime.observe}
 	evicted, _, ok := e.table.Admit(&opened.Entry, opened, netip.Addr{}, e.reactor.Now())
 	if evicted != nil {
--- a/internal/net/platform/exchange.go
+++ b/internal/net/platform/exchange.go
@@ -9,6 +9,7 @@
 	"errors"
 	"time"
 
+	"brackendale/internal/eventlog"
 	"brackendale/internal/net/correlation"
 	"brackendale/internal/net/http1"
 	"brackendale/internal/net/loop"
@@ -55,6 +56,11 @@
 	backupTimer timers.Timer        // runs until a further connection is opened, if none is established by then
 	connected   bool
 	correlation correlation.Single
+	events      *eventlog.Recorder // nil: no events are recorded
+	place       string             // in the record of events
+	endpoint    string             // its name; empty: the agent
+	number      uint64             // of conn, in the record of events
+	closeReason string             // why this side closes the connections; empty: it does not
 
 	// The state of the request.
 	request   [][]byte     // the pieces of the pending request; nil once they were written
@@ -71,8 +77,10 @@
 }
 
 // dial starts to connect for an exchange with a limit of maxResponse bytes for an incomplete response.
-func dial(eventLoop *reactor.Reactor, addr string, timeout time.Duration, maxResponse int) *exchange {
-	x := &exchange{maxResponse: maxResponse}
+func dial(
+	eventLoop *reactor.Reactor, addr, place string, timeout time.Duration, maxResponse int, events *eventlog.Recorder,
+) *exchange {
+	x := &exchange{maxResponse: maxResponse, place: place, events: events}
 	x.dial(&dialedConnection{}, eventLoop, addr, timeout)
 	return x
 }
@@ -110,7 +118,7 @@
 	pieces := x.request
 	x.request = nil
 	if x.conn.Write(pieces...) != nil {
-		x.conn.Close()
+		x.close(closedWriteFailed)
 	}
 	x.checkSent()
 }
@@ -149,7 +157,7 @@
 // fail closes the connection and ends its request, if any, with err and the part of the response that has
 // arrived.
 func (x *exchange) fail(err error) {
-	x.close()
+	x.close(closeReason(err))
 	var response http1.Response
 	if x.buffer.Len() > 0 {
 		_, _ = response.Parse(x.buffer.Bytes(), true) // for its status and headers
@@ -160,12 +168,14 @@
 // data parses the response. The connection is closed if data arrives before the request was completely sent; if the
 // request was begun, the data may be a rejection with a Retry-After and is parsed for that.
 func (x *exchange) data(data []byte) {
-	switch x.correlation.Classify(x.sent()) {
+	switch verdict := x.correlation.Classify(x.sent()); verdict {
 	case correlation.Answer:
 	case correlation.Surplus:
-		x.close()
+		x.recordUnexpected(verdict, len(data))
+		x.close(closedSurplus)
 		return
 	default:
+		x.recordUnexpected(verdict, len(data))
 		x.buffer.Reset()
 		x.buffer.Store(data)
 		x.fail(http1.ErrHead)
@@ -178,6 +188,13 @@
 	x.parse(x.buffer.Append(data), false)
 }
 
+// recordUnexpected records bytes that belong to no request.
+func (x *exchange) recordUnexpected(verdict correlation.Verdict, size int) {
+	x.events.RecordUnexpected(x.place, eventlog.Event{
+		Endpoint: x.endpoint, Connection: x.number, Bytes: size, Reason: verdict.String(),
+	})
+}
+
 func (x *exchange) loop() *loop.Loop { return x.conn.Loop() }
 
 // parse ends the request if data contains its complete response, and buffers data otherwise. eof reports
@@ -196,7 +213,10 @@
 		return
 	}
 	x.trailingData = size < len(data)
-	x.close()
+	if x.trailingData {
+		x.recordUnexpected(correlation.Surplus, len(data)-size)
+	}
+	x.close(closedAnswered)
 	x.finish(&response, nil)
 	x.buffer.Reset() // only now, since response refers to it
 }
--- a/internal/net/platform/notices.go
+++ b/internal/net/platform/notices.go
@@ -78,7 +78,7 @@
 		return
 	}
 	batch := n.queue[:min(len(n.queue), maxNoticesPerRequest)]
-	n.exchange = dial(n.reactor, n.addr, agentTimeout, maxAgentResponse)
+	n.exchange = dial(n.reactor, n.addr, noticePlace, agentTimeout, maxAgentResponse, n.core.Events())
 	var timer timers.Timer
 	n.reactor.Arm(&timer, agentTimeout, 0, timers.Func(n.exchange.abort))
 	n.exchange.send(func(response *http1.Response, err error) {
--- a/internal/net/platform/registry.go
+++ b/internal/net/platform/registry.go
@@ -213,7 +213,7 @@
 // startPoll sends a poll to the agent.
 func (g *Registry) startPoll() {
 	path, timeout := g.nextPoll()
-	poll := dial(g.reactor, g.addr, agentTimeout, maxAgentResponse)
+	poll := dial(g.reactor, g.addr, watchPlace, agentTimeout, maxAgentResponse, g.core.Events())
 	g.poll = poll
 	var timer timers.Timer
 	g.reactor.Arm(&timer, timeout, 0, timers.Func(poll.abort))
--- a/sender/admission.go
+++ b/sender/admission.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"brackendale/internal/eventlog"
 	"brackendale/internal/journal"
 	"brackendale/internal/metrics"
 	"brackendale/scheduler"
@@ -43,23 +44,37 @@
 func (s *Sender) admit(request *Request, ahead []*Request, aheadBytes int) (decided bool, early reply) {
 	if entry := s.journal.Get(request.ID); entry != nil {
 		if entry.Front != request.Front { // the id belongs to a message of another front
-			return true, reply{verdict: Failed}
+			return true, reply{verdict: Failed, reason: "the id belongs to a message of another front"}
 		}
-		return true, reply{verdict: Accepted} // a repeat: its client may not have received the verdict
+		// A repeat: its client may not have received the verdict.
+		return true, reply{verdict: Accepted, reason: "known already"}
 	}
 	if s.endedIDs.has(request.ID) {
-		return true, reply{verdict: Accepted}
+		return true, reply{verdict: Accepted, reason: "ended already"}
 	}
-	if !s.hasRoom(request, ahead, aheadBytes) || s.stats.Paused || s.diskStall.err != nil {
-		return true, reply{Rejected, s.retryAfterMs()}
+	if reason := s.refusalReason(request, ahead, aheadBytes); reason != "" {
+		return true, reply{verdict: Rejected, retryAfterMs: s.retryAfterMs(), reason: reason}
 	}
 	sameID := func(other *Request) bool { return other.ID == request.ID }
 	if s.nextInput.requestIDs[request.ID] || slices.ContainsFunc(ahead, sameID) {
-		return true, reply{Rejected, s.retryAfterMs()}
+		return true, reply{verdict: Rejected, retryAfterMs: s.retryAfterMs(), reason: "the id is being decided on"}
 	}
 	return false, reply{}
 }
 
+// refusalReason returns why no request, or not this one, can be accepted now; empty: it can.
+func (s *Sender) refusalReason(request *Request, ahead []*Request, aheadBytes int) string {
+	switch {
+	case !s.hasRoom(request, ahead, aheadBytes):
+		return "no room for another message"
+	case s.stats.Paused:
+		return "paused"
+	case s.diskStall.err != nil:
+		return "the journal cannot be written"
+	}
+	return ""
+}
+
 // hasRoom reports whether the limit on messages and the journal have room for a request.
 func (s *Sender) hasRoom(request *Request, ahead []*Request, aheadBytes int) bool {
 	limit := s.options.Settings.Limits.MaxMessages
@@ -96,15 +111,34 @@
 			if queued == request {
 				s.nextInput.requests[i] = &Request{ID: request.ID}
 				s.addEvents(scheduler.Event{Kind: scheduler.RequestWithdrawn, ID: request.ID})
-				s.answer(request, reply{verdict: Failed})
+				s.answer(request, reply{verdict: Failed, reason: "withdrawn by its client"})
 			}
 		}
 	})
 }
 
+// recordVerdict records the verdict on a request.
+func (s *Sender) recordVerdict(request *Request, answer reply) {
+	if !s.events.Enabled() {
+		return
+	}
+	event := eventlog.Event{
+		Kind: eventlog.Accepted, Message: request.ID, Class: request.Class, Destination: request.Destination,
+		Effect: string(s.classes[request.Class].Idempotency), WaitMs: answer.retryAfterMs, Reason: answer.reason,
+	}
+	if answer.verdict != Accepted {
+		event.Kind = eventlog.Refused
+	}
+	s.events.Record(event)
+}
+
+// Events returns the recorder of events, which may be nil. Any goroutine may call it.
+func (s *Sender) Events() *eventlog.Recorder { return s.events }
+
 // answer counts the verdict on a request and queues it for the ingress.
 func (s *Sender) answer(request *Request, answer reply) {
 	s.countVerdict(request.Class, answer.verdict)
+	s.recordVerdict(request, answer)
 	if request.Reply != nil {
 		s.enqueueCall(func() { request.Reply(answer.verdict, answer.retryAfterMs) })
 		return
--- a/sender/calls.go
+++ b/sender/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"brackendale/internal/clock"
+	"brackendale/internal/eventlog"
 	"brackendale/internal/journal"
 	"brackendale/scheduler"
 )
@@ -102,6 +103,10 @@
 // reportResult records the result of an attempt in the journal and reports it to the scheduler.
 func (s *Sender) reportResult(result AttemptResult) {
 	delete(s.hotRestart.remoteAttempts, result.ID)
+	s.events.Record(eventlog.Event{
+		Kind: eventlog.Outcome, Message: result.ID, Attempt: result.Attempt, Endpoint: result.Endpoint,
+		WaitMs: result.RetryAfterMs, Reason: string(result.Outcome),
+	})
 	s.journal.EndAttempt(result.ID, mayHaveRun(result.Outcome))
 	if stats := s.routeStats[result.Endpoint]; stats != nil {
 		stats.InFlight--
--- a/sender/disk_stall.go
+++ b/sender/disk_stall.go
@@ -62,7 +62,9 @@
 		}
 		s.pending--
 		s.journal.Remove(request.ID)
-		decided.replies[request.ID] = reply{Rejected, s.retryAfterMs()}
+		decided.replies[request.ID] = reply{
+			verdict: Rejected, retryAfterMs: s.retryAfterMs(), reason: "the journal cannot be written",
+		}
 		undone[request.ID] = false
 	}
 	return undone
@@ -142,7 +144,7 @@
 // rejectTransactions rejects the transactions that arrived while the journal cannot be written.
 func (s *Sender) rejectTransactions() {
 	for _, transaction := range s.nextInput.transactions {
-		transaction.reply = reply{Rejected, s.retryAfterMs()}
+		transaction.reply = reply{verdict: Rejected, retryAfterMs: s.retryAfterMs(), reason: "the journal cannot be written"}
 		s.answerTransaction(transaction)
 	}
 	s.nextInput.transactions = nil
--- a/sender/final_answers.go
+++ b/sender/final_answers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"brackendale/internal/eventlog"
 	"brackendale/internal/journal"
 	"brackendale/internal/metrics"
 )
@@ -25,6 +26,7 @@
 		At:           time.Now(),
 	})
 	s.countFinalAnswer(entry.Class, answer)
+	s.events.Record(eventlog.Event{Kind: eventlog.Ended, Message: id, WaitMs: retryAfterMs, Reason: answer})
 	if in := s.ingresses[entry.Front]; in != nil && !in.MustNotify(answer) {
 		s.removeMessage(id)
 		return
@@ -38,6 +40,7 @@
 	s.pending--
 	s.finishRestored(entry.ID)
 	s.metrics.CountFinal(entry.Class, metrics.ResultFailed)
+	s.events.Record(eventlog.Event{Kind: eventlog.Ended, Message: entry.ID, Reason: "void, as its endpoint says"})
 	s.removeMessage(entry.ID)
 }
 
--- a/sender/hot_restart.go
+++ b/sender/hot_restart.go
@@ -171,7 +171,9 @@
 
 // AnswerForwarded answers a forwarded request with the successor's verdict. Any goroutine may call it.
 func (s *Sender) AnswerForwarded(request *Request, verdict Verdict, retryAfterMs int64) {
-	s.Post(func() { s.answer(request, reply{verdict, retryAfterMs}) })
+	s.Post(func() {
+		s.answer(request, reply{verdict: verdict, retryAfterMs: retryAfterMs, reason: "answered by the successor"})
+	})
 }
 
 // ValidateCheckpoint returns an error if a sender with these settings could not continue from the
--- a/sender/request.go
+++ b/sender/request.go
@@ -43,4 +43,5 @@
 type reply struct {
 	verdict      Verdict
 	retryAfterMs int64
+	reason       string // for the record of events; empty: none
 }
--- a/sender/routes.go
+++ b/sender/routes.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"brackendale/internal/eventlog"
 	"brackendale/scheduler"
 )
 
@@ -31,11 +32,15 @@
 	}
 	event := scheduler.Event{Kind: scheduler.EndpointsUpdated, Update: kind}
 	changed := map[string][]Route{} // by protocol
+	before := s.routes
 	if kind != scheduler.UpdatePatch {
 		s.removeMissingRoutes(list, changed)
 	}
 	for _, route := range list {
-		route = s.applyRoute(kind, route)
+		stateBefore := before[route.Addr].State
+		if route = s.applyRoute(kind, route); route.State != stateBefore {
+			s.recordRouteState(route)
+		}
 		event.Endpoints = append(event.Endpoints, route.Endpoint)
 		changed[route.Protocol] = append(changed[route.Protocol], route)
 	}
@@ -60,12 +65,18 @@
 		if !slices.ContainsFunc(list, func(listed Route) bool { return listed.Addr == name }) {
 			route.State = scheduler.StatusDead
 			s.draining.update(route)
+			s.recordRouteState(route)
 			changed[route.Protocol] = append(changed[route.Protocol], route)
 		}
 	}
 	s.routes = map[string]Route{}
 }
 
+// recordRouteState records that an endpoint has another state than before.
+func (s *Sender) recordRouteState(route Route) {
+	s.events.Record(eventlog.Event{Kind: eventlog.State, Endpoint: route.Addr, Reason: string(route.State)})
+}
+
 // applyRoute applies the update of one route and returns the route to pass to the scheduler and the
 // egress.
 func (s *Sender) applyRoute(kind scheduler.UpdateKind, route Route) Route {
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"brackendale/internal/clock"
+	"brackendale/internal/eventlog"
 	"brackendale/internal/journal"
 	"brackendale/internal/metrics"
 	"brackendale/internal/recovery"
@@ -36,8 +37,9 @@
 	StateDir  string
 	DiskBytes int64 // limit on the size of the files in StateDir
 	Log       zerolog.Logger
-	Metrics   *metrics.Registry // nil: no metrics are kept
-	Trace     io.Writer         // receives a line for each step with events or actions; nil: no trace
+	Metrics   *metrics.Registry  // nil: no metrics are kept
+	Events    *eventlog.Recorder // nil: no events are recorded
+	Trace     io.Writer          // receives a line for each step with events or actions; nil: no trace
 
 	// KeepSnapshot restores the learned state of the previous incarnation from the snapshot in
 	// StateDir, and writes snapshots of this one's there.
@@ -60,8 +62,9 @@
 type Sender struct {
 	options Options
 	log     zerolog.Logger
-	metrics *metrics.Registry // nil: no metrics are kept
-	tracer  *trace.Writer     // nil: no trace
+	metrics *metrics.Registry  // nil: no metrics are kept
+	tracer  *trace.Writer      // nil: no trace
+	events  *eventlog.Recorder // nil: no events are recorded
 
 	scheduler *scheduler.Scheduler
 	journal   *journal.Journal
@@ -167,6 +170,7 @@
 		options:         options,
 		log:             options.Log,
 		metrics:         options.Metrics,
+		events:          options.Events,
 		scheduler:       sched,
 		journal:         opened,
 		startedAt:       time.Now(),
--- a/sender/step.go
+++ b/sender/step.go
@@ -74,9 +74,11 @@
 	for _, action := range decided.actions {
 		switch action.Kind {
 		case scheduler.Reject:
-			decided.replies[action.ID] = reply{Rejected, action.RetryAfterUs / 1000}
+			decided.replies[action.ID] = reply{
+				verdict: Rejected, retryAfterMs: action.RetryAfterUs / 1000, reason: "rejected by the scheduler",
+			}
 		case scheduler.Fail:
-			decided.replies[action.ID] = reply{verdict: Failed}
+			decided.replies[action.ID] = reply{verdict: Failed, reason: "failed by the scheduler"}
 		}
 	}
 	s.resolveTransactions(decided)
--- a/sender/transactions.go
+++ b/sender/transactions.go
@@ -29,7 +29,7 @@
 
 func (s *Sender) submitTransaction(transaction *Transaction) {
 	if s.handedOver() { // its client submits it to the successor
-		transaction.reply = reply{Rejected, s.retryAfterMs()}
+		transaction.reply = reply{verdict: Rejected, retryAfterMs: s.retryAfterMs()}
 		s.answerTransaction(transaction)
 		return
 	}
