Polls of the watch wait 0.4 s in place of 3, so that a silent watch hides a drain for less long

Cause: a watch that has fallen silent was given up 3.5 s after its poll began; a drain that the agent had 0.9 to 1.1 s before an outage was missed. Change: a poll waits 0.4 s and is given up 0.3 s later; the margin doubles with each poll in a row that times out, up to 2.4 s, for slow agents. What remains: a drain that comes less than 0.7 s before an outage and after the watch fell silent is still missed; no wait shorter than the outage's lead can mend that.

--- a/internal/net/platform/registry.go
+++ b/internal/net/platform/registry.go
@@ -19,8 +19,11 @@
 // The platform requires that a sender applies a change of the registry within 6 s, if the registry could
 // be reached. The timeouts and intervals of the watch stay within that in total, with one failed poll.
 const (
-	pollWaitMs = 3_000                  // how long the agent may delay its response until there is a change
-	pollMargin = 500 * time.Millisecond // added to that for the poll's timeout
+	pollWaitMs = 400                    // how long the agent may delay its response until there is a change
+	pollMargin = 300 * time.Millisecond // added to that for the poll's timeout
+
+	// maxMarginDoublings bounds the margin: it doubles with each poll in a row that times out.
+	maxMarginDoublings = 3
 
 	// agentTimeout limits connects to the agent, and responses that it sends at once.
 	agentTimeout = time.Second
@@ -74,6 +77,7 @@
 	state   watchState
 	version int64 // of the list; with noVersion the next poll requests the whole list
 
+	timedOut   int // consecutive polls without a response
 	olderLists int // consecutive answers with an older version than the polled one
 
 	// The intervals between polls after an error response and without a response. Error responses lead
@@ -236,7 +240,7 @@
 		waitMs = firstPollWaitMs
 	}
 	path += "?index=" + strconv.FormatInt(g.version, 10) + "&wait=" + strconv.Itoa(waitMs)
-	return path, time.Duration(waitMs)*time.Millisecond + pollMargin
+	return path, time.Duration(waitMs)*time.Millisecond + pollMargin<<min(g.timedOut, maxMarginDoublings)
 }
 
 // finishPoll applies the response to a poll and schedules the next one.
@@ -251,9 +255,13 @@
 	if err == nil {
 		g.errorBackoff.Reset()
 		g.noResponseBackoff.Reset()
+		g.timedOut = 0
 		g.reactor.Post(g.resume)
 		return
 	}
+	if errors.Is(err, errAborted) {
+		g.timedOut++
+	}
 	backoff := g.noResponseBackoff
 	if response.Status != 0 {
 		backoff = g.errorBackoff
