A reply that comes twice is not taken for the reply to the next console command

Callers would see: the console shows the state, or says "done", of another command. Cause: the console's client read replies by their place on one connection. Evidence: TestStrayReplyTakenForTheNextCommand fails on the program before ("second" gets the reply to "first"). Change: each command has a connection of its own; the wire form is as before. Result: the test passes, with those of console, cli and load.

--- a/internal/console/terminal.go
+++ b/internal/console/terminal.go
@@ -22,35 +22,56 @@
 	cmdQuit = "quit" // ends the terminal; not sent to the sender
 )
 
-// Terminal is a client of the control socket. It is not safe for concurrent use.
+// Terminal is a client of the control socket. Each command has a connection of its own, since a reply does not name its
+// command. It is not safe for concurrent use.
 type Terminal struct {
-	conn     net.Conn
-	in       *json.Decoder
+	path     string
+	unused   net.Conn      // for the next command; nil: another one is opened
 	previous *sender.State // the last state that was shown, for the rates of the next one
 }
 
 // Dial connects to the control socket of a running sender.
 func Dial(path string) (*Terminal, error) {
+	conn, err := dial(path)
+	if err != nil {
+		return nil, err
+	}
+	return &Terminal{path: path, unused: conn}, nil
+}
+
+func dial(path string) (net.Conn, error) {
 	conn, err := net.Dial("unix", path)
 	if err != nil {
 		return nil, fmt.Errorf("console: no sender is listening on %s: %w", path, err)
 	}
-	return &Terminal{conn: conn, in: json.NewDecoder(conn)}, nil
+	return conn, nil
 }
 
-// Close closes the connection.
-func (t *Terminal) Close() error { return t.conn.Close() }
+// Close closes the connection for the next command, if one is open.
+func (t *Terminal) Close() error {
+	if t.unused == nil {
+		return nil
+	}
+	return t.unused.Close()
+}
 
 // Send sends one command and returns the reply. A refused command is an error with the sender's reason.
 func (t *Terminal) Send(command string) (reply Reply, err error) {
 	if strings.ContainsAny(command, "\r\n") {
 		return reply, errors.New("console: a command must be a single line")
 	}
-	_ = t.conn.SetDeadline(time.Now().Add(replyTimeout))
-	if _, err := fmt.Fprintln(t.conn, command); err != nil {
+	conn := t.unused
+	if t.unused = nil; conn == nil {
+		if conn, err = dial(t.path); err != nil {
+			return reply, err
+		}
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(replyTimeout))
+	if _, err := fmt.Fprintln(conn, command); err != nil {
 		return reply, fmt.Errorf("console: %w", err)
 	}
-	if err := t.in.Decode(&reply); err != nil {
+	if err := json.NewDecoder(conn).Decode(&reply); err != nil {
 		return reply, fmt.Errorf("console: %w", err)
 	}
 	if reply.Error != "" {
