Egresses no longer have to close idle connections for the scheduler

Cause: since each call opens its connection, the scheduler of the real sender has no idle connections and never asks for it. Change: CloseIdle left the interface of egresses and the step; the AMQP egress keeps it for its own use.

--- a/internal/net/amqpfront/egress.go
+++ b/internal/net/amqpfront/egress.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// CloseIdle closes the connection to a route's target if no attempt uses it.
-func (e *Egress) CloseIdle(route sender.Route) {
+// closeIdle closes the connection to a route's target if no attempt uses it.
+func (e *Egress) closeIdle(route sender.Route) {
 	target, err := amqp.ParseURL(route.Dial)
 	if err != nil {
 		return
@@ -114,7 +114,7 @@
 func (e *Egress) UpdateRoutes(changed []sender.Route) {
 	for _, route := range changed {
 		if e.Gate.UpdateEndpoint(route.Endpoint); route.State != scheduler.StatusLive {
-			e.CloseIdle(route)
+			e.closeIdle(route)
 		}
 	}
 }
--- a/internal/net/amqpfront/flow_test.go
+++ b/internal/net/amqpfront/flow_test.go
@@ -35,7 +35,6 @@
 	e.core.ReportAttempts(results...)
 }
 func (instantEgress) Cancel(string, int)          {}
-func (instantEgress) CloseIdle(sender.Route)      {}
 func (instantEgress) UpdateRoutes([]sender.Route) {}
 
 // BenchmarkFlow measures messages that pass through the front: published, confirmed, answered and acknowledged, with up
--- a/internal/net/platform/egress.go
+++ b/internal/net/platform/egress.go
@@ -193,9 +193,6 @@
 	}
 }
 
-// CloseIdle does nothing: no connection outlives its call.
-func (e *Egress) CloseIdle(sender.Route) {}
-
 // UpdateRoutes applies route changes.
 func (e *Egress) UpdateRoutes(changed []sender.Route) {
 	for _, route := range changed {
--- a/internal/net/platform/watch_test.go
+++ b/internal/net/platform/watch_test.go
@@ -108,7 +108,8 @@
 // however the polls end in the meantime.
 func TestPollIntervalsWithinNotificationLimit(t *testing.T) {
 	const updateLimit = 6 * time.Second
-	if interval := pollWaitMs*time.Millisecond + pollMargin<<maxMarginDoublings + minRetryInterval + agentTimeout; interval > updateLimit {
+	longestPoll := pollWaitMs*time.Millisecond + pollMargin<<maxMarginDoublings
+	if interval := longestPoll + minRetryInterval + agentTimeout; interval > updateLimit {
 		t.Error("with an unresponsive agent:", interval)
 	}
 	for _, senders := range []int{1, 3, 20, 300, 100_000} {
--- a/sender/egress.go
+++ b/sender/egress.go
@@ -25,8 +25,6 @@
 	Send(route Route, attempts []Attempt)
 	// Cancel cancels an attempt of a message. It may be in flight at another egress.
 	Cancel(id string, attempt int)
-	// CloseIdle closes idle connections to an endpoint.
-	CloseIdle(route Route)
 	// UpdateRoutes notifies the egress of changed routes. One with scheduler.StatusDead was removed.
 	UpdateRoutes(changed []Route)
 }
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -46,7 +46,6 @@
 	f.attempts = append(f.attempts, attempts...)
 }
 func (f *recordingFront) Cancel(string, int)        {}
-func (f *recordingFront) CloseIdle(Route)           {}
 func (f *recordingFront) UpdateRoutes(list []Route) { f.changed = list }
 
 // expect checks the replies since the last call: "ID VERDICT" or "ID FINAL-ANSWER".
--- a/sender/step.go
+++ b/sender/step.go
@@ -150,11 +150,6 @@
 		})
 	case scheduler.CancelAttempt:
 		s.cancelAttempt(action)
-	case scheduler.CloseIdleConnections:
-		route, ok := s.routes[action.Endpoint]
-		if egress := s.egresses[route.Protocol]; ok && egress != nil {
-			s.enqueueCall(func() { egress.CloseIdle(route) })
-		}
 	case scheduler.WriteLog:
 		s.log.Info().Msg(action.Text)
 	}
