Guards that mutants of the mend asked for, and the list of known failures back to four

Cause: of ten mutants five failed no test: a connection left open behind the answer, no further connections, a scheduler that believes in idle connections, methods of the handshake taken in any state, a confirm of a publish that was not sent believed. The cap of KNOWN-RED.txt, ten while the incident's tests were listed, is four again, with its test.

--- a/internal/net/amqpfront/stray_test.go
+++ b/internal/net/amqpfront/stray_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"brackendale/internal/net/amqp"
@@ -28,6 +29,13 @@
 					stray(conn, ch)
 					conn.writeMethod(ch, amqp.Ack, tag, false)
 				}
+				var opened atomic.Int32
+				broker.step = func(step string) bool {
+					if step == "open" {
+						opened.Add(1)
+					}
+					return false
+				}
 				addr, _ := start(t, t.TempDir(), broker)
 				client := dial(t, addr)
 				client.consume()
@@ -38,6 +46,9 @@
 						t.Errorf("%s: %s, applied %d times", id, got, broker.count(id))
 					}
 				}
+				if opened.Load() != 1 {
+					t.Errorf("the virtual host was opened %d times", opened.Load())
+				}
 			})
 		}
 	}
--- a/internal/testing/ci/judge_test.go
+++ b/internal/testing/ci/judge_test.go
@@ -10,14 +10,14 @@
 )
 
 // Only the tests in the list of known failures may fail. The check refuses any other failure, a listed test that
-// passes or does not exist, a malformed line, an eleventh line, and a failure without the name of a test.
+// passes or does not exist, a malformed line, a fifth line, and a failure without the name of a test.
 func TestKnownFailures(t *testing.T) {
 	const one, two = "TestOne | go test, seed 1 | a cause | 33\n", "TestTwo | go test | a cause | 34\n"
 	const sometimes = "TestKnownFailures | go test, seed 1 | intermittent: a cause | 33\n"
 	const failsOne = "--- FAIL: TestOne (0.01s)\n    x_test.go:3: no\nFAIL\nFAIL\tsome/package\t0.1s\n"
-	nineMore := ""
-	for _, letter := range []string{"A", "B", "C", "D", "E", "F", "G", "H", "I"} {
-		nineMore += strings.ReplaceAll(one, "One", letter)
+	threeMore := ""
+	for _, letter := range []string{"A", "B", "C"} {
+		threeMore += strings.ReplaceAll(one, "One", letter)
 	}
 	for _, test := range []struct {
 		name, list, output, status string
@@ -39,7 +39,7 @@
 			"an intermittent one is not there", strings.ReplaceAll(sometimes, "TestKnown", "TestUnknown"),
 			"ok  \tsome/package\t0.1s\n", "0", false,
 		},
-		{"eleven", one + two + nineMore, failsOne, "1", false},
+		{"five", one + two + threeMore, failsOne, "1", false},
 		{"a panic beside it", one, failsOne + "panic: no\n", "1", false},
 		{"a build that fails", "", "FAIL\tsome/package [build failed]\n", "1", false},
 		{"a timeout", "", "panic: test timed out after 5m0s\n", "1", false},
