Single use of connections is told to the scheduler by a call, and kept events are written beside the loop

Further, an answer for nobody wrote up to 2,048 lines on the event loop's goroutine. Change: Scheduler.UseConnectionsOnce and an option of the sender in place of the setting; the adapter's golden files are untouched. The events that were kept are copied and written by a goroutine of their own.

--- a/internal/app/incarnation.go
+++ b/internal/app/incarnation.go
@@ -89,8 +89,9 @@
 		KeepSnapshot: true,
 		FolderTrust:  opt.FolderTrust,
 		Events:       newEvents(inc.cfg, inc.log),
+
+		SingleUseConnections: true, // the platform egress reuses none
 	}
-	options.Settings.Limits.SingleUseConnections = true // the platform egress reuses none
 	if opt.FolderTrust == sender.FolderTrusted && inc.file != "" && !onPlatform() {
 		options.FolderTrust = sender.FolderVerified
 	}
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -46,6 +46,7 @@
 		t.Fatalf("written at level record: %s", log)
 	}
 	r.RecordUnexpected("endpoint", Event{Reason: "surplus"})
+	r.dumping.Wait()
 	first, last := strings.Index(log.String(), `"m4"`), strings.Index(log.String(), fmt.Sprintf(`"m%d"`, keptEvents+2))
 	if first < 0 || last < first || strings.Contains(log.String(), `"m3"`) {
 		t.Errorf("the first of the kept events is at %d, the last at %d", first, last)
@@ -59,7 +60,9 @@
 		t.Error("written again within the interval")
 	}
 	*now = now.Add(dumpInterval)
-	if r.RecordUnexpected("endpoint", Event{Reason: "surplus"}); log.Len() == size {
+	r.RecordUnexpected("endpoint", Event{Reason: "surplus"})
+	r.dumping.Wait()
+	if log.Len() == size {
 		t.Error("not written after the interval")
 	}
 	if unexpected, _ := r.Counts(); unexpected["endpoint"] != 3 {
--- a/internal/eventlog/recorder.go
+++ b/internal/eventlog/recorder.go
@@ -1,6 +1,7 @@
 package eventlog
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,8 @@
 	now   func() clock.Instant
 	level atomic.Int32
 
+	dumping sync.WaitGroup // of the goroutine that writes the events that were kept
+
 	mu         sync.Mutex
 	kept       []Event // the last events; it wraps at next once it is full
 	next       int
@@ -134,14 +137,16 @@
 	}
 	r.hasDumped, r.dumpedAt = true, now
 	r.log.Warn().Str("why", reason).Int("events", len(r.kept)).Msg("the last events follow")
-	oldest := 0
-	if len(r.kept) == keptEvents {
-		oldest = r.next
-	}
-	for i := range r.kept {
-		r.log.Info().EmbedObject(&r.kept[(oldest+i)%len(r.kept)]).Msg(keptMessage)
-	}
+	kept := slices.Concat(r.kept[r.next:], r.kept[:r.next])
 	r.kept, r.next = r.kept[:0], 0
+	r.dumping.Go(func() { r.writeKept(kept) }) // the caller's goroutine must not wait for the log
+}
+
+// writeKept writes events that were kept.
+func (r *Recorder) writeKept(kept []Event) {
+	for i := range kept {
+		r.log.Info().EmbedObject(&kept[i]).Msg(keptMessage)
+	}
 }
 
 // keep stores an event in place of the oldest. The caller must hold mu.
--- a/scheduler/connections.go
+++ b/scheduler/connections.go
@@ -19,9 +19,12 @@
 	lastUsedAt   int64
 }
 
+// UseConnectionsOnce states that each call opens a connection of its own, which ends with the call.
+func (s *Scheduler) UseConnectionsOnce() { s.singleUseConnections = true }
+
 // hasFreeStream reports whether an open connection has a free stream for another call.
 func (s *Scheduler) hasFreeStream(ep *endpoint) bool {
-	return !s.settings.Limits.SingleUseConnections &&
+	return !s.singleUseConnections &&
 		ep.connections.open*max(1, s.settings.Limits.StreamsPerConnection) > ep.callsInFlight
 }
 
@@ -43,7 +46,7 @@
 
 // releaseConnection counts the connection of an ended call as idle, unless it ends with the call.
 func (s *Scheduler) releaseConnection(ep *endpoint) {
-	if s.settings.Limits.SingleUseConnections {
+	if s.singleUseConnections {
 		ep.connections.open = ep.callsInFlight
 	}
 	s.closeIfRarelyUsed(ep)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -25,6 +25,8 @@
 	classes  map[string]*requestClass
 	tenants  map[string]*tenant
 
+	singleUseConnections bool // each call opens a connection of its own, which ends with the call
+
 	// The senders that share the destinations.
 	senders      float64
 	senderFactor float64 // senders, relative to the number that can decide by their own observations; at least 1
--- a/scheduler/settings.go
+++ b/scheduler/settings.go
@@ -45,7 +45,6 @@
 	CanSendRetryAfter    bool  // clients support Retry-After
 	HedgedRequests       bool  // not used
 	StreamsPerConnection int   // maximum number of concurrent attempts on one connection
-	SingleUseConnections bool  // each call opens a connection of its own, which ends with the call
 }
 
 // Costs are costs in units of priority weight.
--- a/scheduler/singleuse_test.go
+++ b/scheduler/singleuse_test.go
@@ -6,9 +6,9 @@
 // and no idle connection is believed in.
 func TestRefusedConnectionTakenForARefusedCall(t *testing.T) {
 	settings := settingsForSenders(1)
-	settings.Limits.SingleUseConnections = true
 	settings.LoadReport.Mode = ReportInAnswers
 	rig := newRig(t, settings, liveEndpoint("a", "plain", "z", 1))
+	rig.sched.UseConnectionsOnce()
 	rig.warmUp(1, 5)
 	ep := rig.sched.destination(1).endpoints[0]
 	if ep.connections.open != 0 {
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -45,6 +45,9 @@
 	// StateDir, and writes snapshots of this one's there.
 	KeepSnapshot bool
 
+	// SingleUseConnections states that egresses open a connection for each call.
+	SingleUseConnections bool
+
 	// FolderTrust is how far StateDir is trusted to be as the previous incarnation left it.
 	FolderTrust FolderTrust
 
@@ -138,6 +141,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if options.SingleUseConnections {
+		sched.UseConnectionsOnce()
+	}
 	if options.Checkpoint != nil {
 		if err := sched.RestoreState(options.Checkpoint.Scheduler, int64(clock.Steady())); err != nil {
 			return nil, err
