Soak: a busy endpoint does not answer a call whose connection the sender has closed

Change: the busy endpoint waits like the slow one and sees the close; the call counts as one that may have run. The judge's check is as it was, and names in its report the answer that told the wait. Why it is allowed: a sender gives up a call by closing its connection, and what is written then reaches nobody.

--- a/internal/testing/soak/answers.go
+++ b/internal/testing/soak/answers.go
@@ -33,7 +33,12 @@
 func (c *call) respond() bool {
 	mode, random := c.endpoint.draw()
 	if mode == busy {
-		mode = c.waitAsBusy(random)
+		var abandoned bool
+		if mode, abandoned = c.waitAsBusy(random); abandoned {
+			c.recordMayRun()
+			c.recordEnd(true)
+			return false
+		}
 	}
 	if mode == refusing {
 		return c.refuse(random)
@@ -77,17 +82,20 @@
 	maxBusyDelay       = 120 * time.Millisecond
 )
 
-// waitAsBusy waits as a busy endpoint does, and returns how that endpoint responds.
-func (c *call) waitAsBusy(random int) behavior {
+// waitAsBusy waits as a busy endpoint does, and returns how that endpoint responds, or whether the sender has closed the
+// connection by then.
+func (c *call) waitAsBusy(random int) (mode behavior, abandoned bool) {
 	delay := minBusyDelay + time.Duration(random)*time.Microsecond%(maxBusyDelay-minBusyDelay)
-	time.Sleep(delay)
+	if c.waitAbandoned(delay) {
+		return busy, true
+	}
 	switch percent := random % 100; {
 	case percent < busyRefusedPercent:
-		return refusing
+		return refusing, false
 	case percent < busyRefusedPercent+busyFailedPercent:
-		return failing
+		return failing, false
 	}
-	return normal
+	return normal, false
 }
 
 // refuse responds with 503, or with 429 and a Retry-After.
@@ -97,7 +105,8 @@
 		return c.write("HTTP/1.1 503 S\r\nContent-Length: 0\r\n\r\n")
 	}
 	wait := time.Duration(50+random%900) * time.Millisecond
-	c.endpoint.judge.recordRetryAfter(c.endpoint.dest, wait)
+	cause := c.items[0].id + " on " + connectionName(c.conn, c.endpoint.name)
+	c.endpoint.judge.recordRetryAfter(c.endpoint.dest, wait, cause)
 	return c.write("HTTP/1.1 429 W\r\nX-Backoff-Ms: %d\r\nContent-Length: 0\r\n\r\n", wait.Milliseconds())
 }
 
--- a/internal/testing/soak/judge.go
+++ b/internal/testing/soak/judge.go
@@ -75,7 +75,10 @@
 }
 
 // interval is a period of time, such as that in which a restart excuses delays.
-type interval struct{ from, to time.Time }
+type interval struct {
+	from, to time.Time
+	cause    string // for reports
+}
 
 // Judge records what clients, endpoints and discovery observe, and the violations of rules. It is safe for
 // concurrent use.
@@ -211,8 +214,8 @@
 		j.violate("drain: %s came to %s %v after it was told to want nothing", id, endpoint.name, first.Sub(drainingSince))
 	}
 	if wait, ok := j.retryAfter[msg.dest]; ok && now.Before(wait.to) && now.Sub(wait.from) > retryAfterGrace {
-		j.violate("wait: %s came to %d %v before a told wait was over, and %v after it was told", id, msg.dest,
-			wait.to.Sub(now), now.Sub(wait.from))
+		j.violate("wait: %s came to %d %v before a told wait was over, and %v after it was told in the answer to %s", id,
+			msg.dest, wait.to.Sub(now), now.Sub(wait.from), wait.cause)
 	}
 	switch {
 	case (msg.reply == refused || msg.reply == failed) && first.After(msg.repliedAt):
@@ -313,12 +316,12 @@
 }
 
 // recordRetryAfter records a Retry-After just before it is written.
-func (j *Judge) recordRetryAfter(dest int64, wait time.Duration) {
+func (j *Judge) recordRetryAfter(dest int64, wait time.Duration, cause string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := time.Now()
 	if current := j.retryAfter[dest]; now.Add(wait).After(current.to) {
-		j.retryAfter[dest] = interval{now, now.Add(wait)}
+		j.retryAfter[dest] = interval{now, now.Add(wait), cause}
 	}
 	j.counts["waits told"]++
 }
