--- a/internal/testing/soak/answers.go
+++ b/internal/testing/soak/answers.go
@@ -82,8 +82,8 @@
 	maxBusyDelay       = 120 * time.Millisecond
 )
 
-// waitAsBusy waits as a busy endpoint does, and returns how that endpoint responds, or whether the sender has closed the
-// connection by then.
+// waitAsBusy waits as a busy endpoint does, and returns how that endpoint responds, or whether the sender has closed
+// the connection by then.
 func (c *call) waitAsBusy(random int) (mode behavior, abandoned bool) {
 	delay := minBusyDelay + time.Duration(random)*time.Microsecond%(maxBusyDelay-minBusyDelay)
 	if c.waitAbandoned(delay) {
