Review: each case's script names the record.txt that its run writes

Cause: the stand-in put record.txt into the folder that the script gave it; the script did not name the file, and a run without the built stand-in left none.

--- a/review/standin/kit.go
+++ b/review/standin/kit.go
@@ -383,12 +383,12 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD, a file in the case's folder")
 		os.Exit(exitUnable)
 	}
-	root, err := filepath.Abs(filepath.Join(os.Args[2], "..", ".."))
+	root, err := filepath.Abs(filepath.Join(filepath.Dir(os.Args[2]), "..", ".."))
 	temp, tempErr := os.MkdirTemp("", "review")
-	record, recordErr := os.Create(filepath.Join(os.Args[2], "record.txt"))
+	record, recordErr := os.Create(os.Args[2])
 	if err := errors.Join(err, tempErr, recordErr); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitUnable)
