--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -16,6 +16,8 @@
 	"brackendale/internal/group"
 	"brackendale/internal/net/conntable"
 	"brackendale/sender"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -52,12 +54,29 @@
 	Fired  uint64                     `json:"fired"`  // since the start
 }
 
+// InUseError reports that a process accepts connections at the path of the control socket.
+type InUseError struct {
+	Path string
+	PID  int // process that listens at the socket; 0 if the kernel does not tell
+}
+
+func (e *InUseError) Error() string {
+	switch e.PID {
+	case 0:
+		return fmt.Sprintf("console: %s is in use", e.Path)
+	case os.Getpid():
+		return fmt.Sprintf("console: %s is in use by this process", e.Path)
+	}
+	return fmt.Sprintf("console: %s is in use by process %d", e.Path, e.PID)
+}
+
 // Listen serves the control socket at path until the listener is closed. Only the user of this process may connect.
-// Listen replaces the socket that a killed process has left, but not one that still accepts connections.
+// Listen replaces the socket that a killed process has left, but not one that still accepts connections: the error is
+// an *InUseError then.
 func Listen(path string, core *sender.Sender, sources Sources) (net.Listener, error) {
 	if conn, err := net.Dial("unix", path); err == nil {
-		_ = conn.Close()
-		return nil, fmt.Errorf("console: %s is in use", path)
+		defer conn.Close()
+		return nil, &InUseError{Path: path, PID: listenerPID(conn)}
 	}
 	if info, err := os.Lstat(path); err == nil && info.Mode()&os.ModeSocket == 0 {
 		return nil, fmt.Errorf("console: %s exists and is not a socket", path)
@@ -76,6 +95,24 @@
 	return ln, nil
 }
 
+// listenerPID returns the process that listens at the other end of a connection to a Unix socket, or 0.
+func listenerPID(conn net.Conn) (pid int) {
+	unixConn, ok := conn.(*net.UnixConn)
+	if !ok {
+		return 0
+	}
+	raw, err := unixConn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	_ = raw.Control(func(fd uintptr) {
+		if peer, err := unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED); err == nil {
+			pid = int(peer.Pid)
+		}
+	})
+	return pid
+}
+
 func acceptClients(ln net.Listener, core *sender.Sender, sources Sources) {
 	slots := make(chan struct{}, maxClients)
 	for {
