--- a/internal/app/incarnation.go
+++ b/internal/app/incarnation.go
@@ -37,8 +37,9 @@
 	loop           *loop.Loop
 	reactor        *reactor.Reactor
 	core           *sender.Sender
-	handover       openedCore // state and connection of the predecessor, if there is one
-	peers          *peers     // nil without a group
+	handover       openedCore        // state and connection of the predecessor, if there is one
+	sockets        *listeningSockets // open before the transport starts
+	peers          *peers            // nil without a group
 	transport      *transport
 	endIncarnation context.CancelCauseFunc // ends this incarnation
 
@@ -72,7 +73,7 @@
 		return nil, err
 	}
 	inc.cfg = cfg
-	inc.loop = loop.New()
+	inc.loop, inc.sockets = loop.New(), newListeningSockets()
 	inc.options = inc.senderOptions(opt)
 	return inc, nil
 }
@@ -123,6 +124,7 @@
 func (inc *incarnation) run(ctx context.Context) error {
 	for _, start := range []func(context.Context) error{
 		inc.startAdmin, inc.startReactor, inc.openCore, inc.createPeers, inc.startTransport, inc.serveReadiness,
+		inc.confirmServing,
 	} {
 		if err := start(ctx); err != nil {
 			return err
@@ -130,9 +132,7 @@
 	}
 	ctx, inc.endIncarnation = context.WithCancelCause(ctx)
 	inc.onClose(func() { inc.endIncarnation(nil) })
-	if err := inc.startHotRestart(ctx); err != nil {
-		return err
-	}
+	inc.startHotRestart(ctx)
 	go inc.reloadOnSignal(ctx)
 	leaveGroup := inc.peers.start()
 	inc.onClose(leaveGroup)
@@ -167,7 +167,7 @@
 
 // retry runs an operation of the start and repeats it while it fails with a transient error.
 func (inc *incarnation) retry(ctx context.Context, operation func() error) error {
-	return retryStart(ctx, inc.signals.terminate, inc.log, operation)
+	return retryStart(ctx, inc.signals.terminate, inc.log, startRetryTimeout, operation)
 }
 
 // startAdmin opens the control address, which reports from now on that the process is starting.
@@ -209,6 +209,7 @@
 		log:         inc.log,
 		terminate:   inc.signals.terminate,
 		setStarting: func(string) {},
+		prepare:     func(welcome hotrestart.Message) error { return inc.prepare(ctx, welcome) },
 		openCore: func(state *hotrestart.State) (*sender.Sender, error) {
 			inc.options.Checkpoint = nil
 			if state != nil {
@@ -229,6 +230,20 @@
 	return nil
 }
 
+// prepare opens the listening sockets while the predecessor still serves: it passes those that it has, and no other
+// program may have the rest. A predecessor of an earlier release keeps its own until it has released the journal.
+func (inc *incarnation) prepare(ctx context.Context, welcome hotrestart.Message) error {
+	if !welcome.Confirms {
+		return nil
+	}
+	if err := inc.sockets.adopt(inc.cfg, welcome.Listeners, welcome.Descriptors); err != nil {
+		return err
+	}
+	return retryStart(ctx, inc.signals.terminate, inc.log, prepareRetryTimeout, func() error {
+		return inc.sockets.open(inc.cfg)
+	})
+}
+
 // createPeers creates the member of the group, if one is configured. It joins the group once the peers are started.
 func (inc *incarnation) createPeers(context.Context) error {
 	if inc.cfg.Group.Enabled() {
@@ -239,23 +254,43 @@
 }
 
 func (inc *incarnation) startTransport(ctx context.Context) (err error) {
+	failpoint.Reach(failpoint.JournalOpened)
+	inc.transport, err = newTransport(inc.transportParams(ctx))
+	inc.handover.state = nil
+	failpoint.Reach(failpoint.SocketInherited)
+	return err
+}
+
+func (inc *incarnation) transportParams(ctx context.Context) transportParams {
 	var member *group.Group
 	if inc.peers != nil {
 		member = inc.peers.group
 	}
-	failpoint.Reach(failpoint.JournalOpened)
 	drainer := &drainer{core: inc.core, group: member, log: inc.log, shutDown: inc.startShutdown}
-	inc.transport, err = newTransport(transportParams{
-		core:     inc.core,
-		reactor:  inc.reactor,
-		cfg:      inc.cfg,
-		handover: inc.handover.state,
-		console:  console.Sources{Group: member, Drain: drainer.drain},
-		retry:    func(operation func() error) error { return inc.retry(ctx, operation) },
-	})
-	inc.handover.state = nil
-	failpoint.Reach(failpoint.SocketInherited)
-	return err
+	return transportParams{
+		core:         inc.core,
+		reactor:      inc.reactor,
+		cfg:          inc.cfg,
+		handover:     inc.handover.state,
+		console:      console.Sources{Group: member, Drain: drainer.drain},
+		retry:        func(operation func() error) error { return inc.retry(ctx, operation) },
+		sockets:      inc.sockets,
+		startPaused:  inc.handover.confirms,
+		consoleLater: inc.handover.link != nil && !inc.handover.confirms,
+	}
+}
+
+// confirmServing reports to the predecessor that the start is complete: nothing that may still fail follows. Only then
+// may this process write to the journal, send anything, or accept a client.
+func (inc *incarnation) confirmServing(context.Context) error {
+	if !inc.handover.confirms {
+		return nil
+	}
+	inc.handover.link.send(hotrestart.Message{Kind: hotrestart.KindServing})
+	inc.handover.link.waitFlushed()
+	failpoint.Reach(failpoint.ServingConfirmed)
+	inc.transport.resumeListeners()
+	return nil
 }
 
 // serveReadiness lets the control address report the readiness of the core and exclude endpoints.
@@ -284,7 +319,7 @@
 
 // startHotRestart handles the messages of the predecessor, if there is one, and lets a later process take over from
 // this one.
-func (inc *incarnation) startHotRestart(ctx context.Context) error {
+func (inc *incarnation) startHotRestart(ctx context.Context) {
 	predecessorSide := &predecessor{
 		core:           inc.core,
 		loop:           inc.loop,
@@ -297,22 +332,31 @@
 	if inc.handover.link != nil {
 		predecessorSide.setShares(halfShare, halfShare)
 		successorSide := &successor{
-			core:             inc.core,
-			link:             inc.handover.link,
-			predecessorEnded: func() { predecessorSide.setShares(fullShare, fullShare) },
-			offers:           map[uint64]*sender.Request{},
+			core: inc.core,
+			link: inc.handover.link,
+			predecessorEnded: func() {
+				predecessorSide.setShares(fullShare, fullShare)
+				inc.openConsoleOfEarlierRelease(ctx)
+			},
+			offers: map[uint64]*sender.Request{},
 		}
 		inc.core.SetPredecessor(successorSide)
 		go successorSide.handlePredecessorMessages()
 	}
-	if !inc.cfg.Upgrade {
-		return nil
+	if inc.cfg.Upgrade {
+		predecessorSide.listen(ctx)
+		inc.onClose(predecessorSide.close)
 	}
-	if err := predecessorSide.listen(ctx); err != nil {
-		return err
+}
+
+// openConsoleOfEarlierRelease opens the console once a predecessor has ended that kept its own until then.
+func (inc *incarnation) openConsoleOfEarlierRelease(ctx context.Context) {
+	if inc.handover.confirms {
+		return
+	}
+	if err := inc.transport.startConsole(inc.transportParams(ctx)); err != nil {
+		inc.log.Error().Err(err).Msg("the console cannot be opened: the sender serves without it")
 	}
-	inc.onClose(predecessorSide.close)
-	return nil
 }
 
 // startShutdown starts a graceful shutdown, as SIGTERM does.
--- a/internal/app/office_test.go
+++ b/internal/app/office_test.go
@@ -38,6 +38,9 @@
 	listener     *net.TCPListener // for clients; all processes inherit it
 	listenerFile *os.File         // duplicate of the listener's descriptor
 	clientAddr   string           // address of the listener
+	partnerAddr  string           // address of the partner
+	agentAddr    string           // address of the agent
+	ownSockets   bool             // the processes do not inherit the listener
 
 	mu           sync.Mutex
 	applied      map[string]int    // how often the partner applied a message, by its ID
@@ -93,6 +96,7 @@
 			Dial: cmp.Or(env.partnerDial, partner.Listener.Addr().String()),
 		}}})
 	}))
+	env.partnerAddr, env.agentAddr = partner.Listener.Addr().String(), agent.Listener.Addr().String()
 	t.Cleanup(func() { agent.CloseClientConnections(); partner.CloseClientConnections() })
 	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
@@ -167,18 +171,21 @@
 // startProcess starts a further process.
 func (env *testEnv) startProcess() *process {
 	env.t.Helper()
-	controlAddr, err := fleet.FreePort()
-	if err != nil {
-		env.t.Fatal(err)
-	}
-	proc := &process{
-		Cmd: exec.Command(os.Args[0]), controlAddr: controlAddr, stderr: &bytes.Buffer{},
-		exited: make(chan error, 1),
-	}
-	proc.Env = append(os.Environ(), "BRACKENDALE_TEST_SERVE="+env.configFile(), "LB_STATE="+env.stateDir(),
-		"LB_ACCEPT_FD=3", "LB_CONTROL="+proc.controlAddr)
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "BRACKENDALE_TEST_SERVE="+env.configFile())
+	return env.launch(cmd)
+}
+
+// launch starts a command that runs a sender.
+func (env *testEnv) launch(cmd *exec.Cmd) *process {
+	env.t.Helper()
+	proc := &process{Cmd: cmd, controlAddr: freeAddr(env.t), stderr: &bytes.Buffer{}, exited: make(chan error, 1)}
+	proc.Env = append(cmd.Environ(), "LB_STATE="+env.stateDir(), "LB_CONTROL="+proc.controlAddr)
 	proc.Env = append(proc.Env, env.extraEnv...)
-	proc.ExtraFiles = []*os.File{env.listenerFile}
+	if !env.ownSockets {
+		proc.Env = append(proc.Env, "LB_ACCEPT_FD=3")
+		proc.ExtraFiles = []*os.File{env.listenerFile}
+	}
 	proc.Stderr = proc.stderr
 	if err := proc.Start(); err != nil {
 		env.t.Fatal(err)
@@ -188,6 +195,16 @@
 	return proc
 }
 
+// freeAddr returns an address at which nothing listens.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	addr, err := fleet.FreePort()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return addr
+}
+
 // callControl makes an HTTP call to the control address.
 func (proc *process) callControl(method, path, body string) (int, string) {
 	r, err := http.NewRequestWithContext(context.Background(), method, "http://"+proc.controlAddr+path,
--- a/internal/app/open_core.go
+++ b/internal/app/open_core.go
@@ -37,6 +37,14 @@
 
 func (e *refusedError) Error() string { return "the predecessor refuses: " + e.reason }
 
+// prepareError reports that this process cannot start, for a reason that it found while its predecessor still serves.
+type prepareError struct{ err error }
+
+func (e *prepareError) Error() string { return e.err.Error() }
+
+// Unwrap returns the reason.
+func (e *prepareError) Unwrap() error { return e.err }
+
 // coreOpener opens the core of this process: at once if no process holds the journal, by a hot restart if a
 // predecessor does.
 type coreOpener struct {
@@ -45,10 +53,15 @@
 	terminate   <-chan os.Signal
 	setStarting func(reason string) // sets the reason, reported at the control address, why this process is not ready
 
+	// prepare opens all that the start needs and may not get, apart from the journal. The predecessor still serves.
+	prepare func(welcome hotrestart.Message) error
 	// openCore opens the core from the state of a predecessor or, with nil, from the journal. Its error wraps
 	// journal.ErrLocked if another process holds the journal.
 	openCore func(*hotrestart.State) (*sender.Sender, error)
 
+	// reclaims makes the opener request the journal from no process: this one had it, and its successor has exited.
+	reclaims bool
+
 	machine        hotrestart.Successor
 	lockCause      error // reason why this process does not hold the journal yet
 	unusableLogged bool  // it has been logged that the state folder cannot be used
@@ -59,6 +72,8 @@
 	core  *sender.Sender
 	state *hotrestart.State // nil without a hot restart
 	link  *restartLink      // nil without a hot restart
+	// confirms means that the predecessor stays until the successor reports that it serves.
+	confirms bool
 }
 
 // run opens the core. It fails after openTimeout, when ctx ends, or at a signal that ends the process
@@ -66,15 +81,21 @@
 func (o *coreOpener) run(ctx context.Context) (openedCore, error) {
 	o.lockCause = journal.ErrLocked
 	for deadline := time.Now().Add(openTimeout); time.Now().Before(deadline); {
-		state, link, err := o.requestJournal()
+		opened, err := o.requestJournal()
 		if err == nil {
-			opened, err := o.openWithState(state, link)
+			err := o.openWithState(&opened)
 			if err == nil || !failure.Transient(err) {
 				return opened, err
 			}
-			o.lockCause = err // the predecessor restarts from the journal, or this process opens it alone
+			o.lockCause = err
+			if err := o.pause(ctx); err != nil { // the predecessor takes the journal back
+				return openedCore{}, err
+			}
 			continue
 		}
+		if errors.As(err, new(*prepareError)) {
+			return openedCore{}, err
+		}
 		if !errors.Is(err, errNoPredecessor) {
 			o.log.Warn().Err(err).Msg("hot restart: taking over from the predecessor failed: trying again")
 			o.lockCause = err
@@ -100,15 +121,16 @@
 	return openedCore{}, fmt.Errorf("the journal in LB_STATE is in use: %w", o.lockCause)
 }
 
-func (o *coreOpener) openWithState(state *hotrestart.State, link *restartLink) (openedCore, error) {
-	core, err := o.openCore(state)
-	if err != nil {
-		link.close()
-		return openedCore{}, err
+// openWithState opens the core of a process that has received the state of its predecessor.
+func (o *coreOpener) openWithState(opened *openedCore) (err error) {
+	if opened.core, err = o.openCore(opened.state); err != nil {
+		o.machine.Handle(hotrestart.JournalOpenFailed)
+		opened.link.close()
+		return err
 	}
-	o.log.Info().Int("open", len(state.Core.Scheduler.Messages)).
+	o.log.Info().Int("open", len(opened.state.Core.Scheduler.Messages)).
 		Msg("hot restart: this process has taken over from the predecessor")
-	return openedCore{core: core, state: state, link: link}, nil
+	return nil
 }
 
 // pause waits until the next attempt. The error is errProcessExit if a signal ends the process, which has accepted no
@@ -133,60 +155,72 @@
 }
 
 // requestJournal requests state and journal from a predecessor and returns once the predecessor has released the
-// journal. The error is errNoPredecessor if no process listens.
-func (o *coreOpener) requestJournal() (*hotrestart.State, *restartLink, error) {
-	if !o.cfg.Upgrade {
-		return nil, nil, errNoPredecessor
+// journal. The error is errNoPredecessor if no process listens, and a *prepareError if this process cannot start.
+func (o *coreOpener) requestJournal() (openedCore, error) {
+	if !o.cfg.Upgrade || o.reclaims {
+		return openedCore{}, errNoPredecessor
 	}
 	path, release, err := restartSocketPath(o.cfg.State)
 	if err != nil {
-		return nil, nil, err
+		return openedCore{}, err
 	}
 	defer release()
 	conn, err := net.DialTimeout("unix", path, predecessorDialTimeout)
 	if err != nil {
-		return nil, nil, errNoPredecessor
+		return openedCore{}, errNoPredecessor
 	}
-	link := newRestartLink(conn)
-	state, err := o.negotiate(link)
-	if err != nil {
+	opened := openedCore{link: newRestartLink(conn)}
+	if err := o.negotiate(&opened); err != nil {
 		o.machine.Handle(hotrestart.PeerDisconnected)
-		link.close()
-		return nil, nil, err
+		opened.link.close()
+		return openedCore{}, err
 	}
-	return state, link, nil
+	return opened, nil
 }
 
 // negotiate runs the successor's side of the protocol from hello to the release of the journal.
-func (o *coreOpener) negotiate(link *restartLink) (*hotrestart.State, error) {
-	link.send(hotrestart.Message{Kind: hotrestart.KindHello, Version: hotrestart.Version})
+func (o *coreOpener) negotiate(opened *openedCore) error {
+	link := opened.link
+	link.send(hotrestart.Message{Kind: hotrestart.KindHello, Version: hotrestart.Version, Confirms: true})
 	msg, err := link.receive(helloTimeout)
+	defer closeDescriptors(msg.Descriptors)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if msg.Kind != hotrestart.KindWelcome || msg.Version != hotrestart.Version ||
 		o.machine.Handle(hotrestart.PeerConnected) != hotrestart.SendPrepared {
-		return nil, &refusedError{reason: msg.Reason}
+		return &refusedError{reason: msg.Reason}
+	}
+	opened.confirms = msg.Confirms
+	if err := o.prepare(msg); err != nil {
+		return &prepareError{err: err}
 	}
 	link.send(hotrestart.Message{Kind: hotrestart.KindPrepared})
-	if msg, err = receiveKind(link, hotrestart.KindState, helloTimeout); err != nil {
-		return nil, err
+	return o.receiveJournal(opened)
+}
+
+// receiveJournal runs the successor's side of the protocol once this process is prepared.
+func (o *coreOpener) receiveJournal(opened *openedCore) error {
+	link := opened.link
+	msg, err := receiveKind(link, hotrestart.KindState, helloTimeout)
+	if err != nil {
+		return err
 	}
-	state := msg.State
-	if err := sender.ValidateCheckpoint(o.cfg.Settings, &state.Core, clock.Steady()); err != nil {
-		return nil, err
+	opened.state = msg.State
+	if err := sender.ValidateCheckpoint(o.cfg.Settings, &opened.state.Core, clock.Steady()); err != nil {
+		return err
 	}
 	if o.machine.Handle(hotrestart.StateLoaded) != hotrestart.SendAccepted {
-		return nil, hotrestart.ErrMalformed
+		return hotrestart.ErrMalformed
 	}
 	link.send(hotrestart.Message{Kind: hotrestart.KindStateAccepted})
 	if _, err := receiveKind(link, hotrestart.KindJournalReleased, journalReleasedTimeout); err != nil {
-		return nil, err
+		return err
 	}
 	if o.machine.Handle(hotrestart.JournalReceived) != hotrestart.OpenWithState {
-		return nil, hotrestart.ErrMalformed
+		return hotrestart.ErrMalformed
 	}
-	return state, nil
+	return nil
 }
 
 // receiveKind receives a message, which must be of the given kind.
--- a/internal/app/restart_link.go
+++ b/internal/app/restart_link.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -20,9 +21,10 @@
 // so neither core waits for the other process. send, flushed and close may be called on any goroutine; receive is not
 // safe for concurrent use.
 type restartLink struct {
-	conn   net.Conn
-	reader *hotrestart.Reader
-	wake   chan struct{} // notifies the writer of new messages and of the close
+	conn        net.Conn
+	reader      *hotrestart.Reader
+	descriptors descriptorReader
+	wake        chan struct{} // notifies the writer of new messages and of the close
 
 	mu     sync.Mutex
 	queue  []hotrestart.Message
@@ -31,7 +33,8 @@
 }
 
 func newRestartLink(conn net.Conn) *restartLink {
-	l := &restartLink{conn: conn, reader: hotrestart.NewReader(conn), wake: make(chan struct{}, 1), idle: true}
+	l := &restartLink{conn: conn, descriptors: descriptorReader{conn: conn}, wake: make(chan struct{}, 1), idle: true}
+	l.reader = hotrestart.NewReader(&l.descriptors)
 	go l.write()
 	return l
 }
@@ -62,7 +65,6 @@
 
 // write runs on the writer's goroutine until the connection is closed.
 func (l *restartLink) write() {
-	encoder := json.NewEncoder(l.conn)
 	for range l.wake {
 		for {
 			batch, closed := l.dequeueAll()
@@ -74,7 +76,7 @@
 			}
 			for _, msg := range batch {
 				_ = l.conn.SetWriteDeadline(time.Now().Add(linkWriteTimeout))
-				if encoder.Encode(msg) != nil {
+				if l.writeMessage(msg) != nil {
 					l.close()
 					return
 				}
@@ -83,6 +85,16 @@
 	}
 }
 
+// writeMessage writes one message with its descriptors, which it closes.
+func (l *restartLink) writeMessage(msg hotrestart.Message) error {
+	defer closeDescriptors(msg.Descriptors)
+	raw, err := json.Marshal(msg)
+	if err != nil {
+		return fmt.Errorf("encoding a message of the kind %q: %w", msg.Kind, err)
+	}
+	return writeWithDescriptors(l.conn, append(raw, '\n'), msg.Descriptors)
+}
+
 // dequeueAll removes all messages from the queue and returns them to the writer.
 func (l *restartLink) dequeueAll() (batch []hotrestart.Message, closed bool) {
 	l.mu.Lock()
@@ -92,24 +104,27 @@
 	return batch, l.closed
 }
 
-// receive reads one message. With a timeout of 0 it waits without limit.
+// receive reads one message, with the descriptors that came with it, which the caller closes. With a timeout of 0 it
+// waits without limit. After a timeout no further message can be received.
 func (l *restartLink) receive(timeout time.Duration) (hotrestart.Message, error) {
 	var deadline time.Time
 	if timeout > 0 {
 		deadline = time.Now().Add(timeout)
 	}
 	_ = l.conn.SetReadDeadline(deadline)
-	return l.reader.Next()
+	msg, err := l.reader.Next()
+	msg.Descriptors = l.descriptors.take()
+	return msg, err
 }
 
-// flushed reports whether all messages have been written.
+// flushed reports whether all messages have been written, or cannot be written since the connection is closed.
 func (l *restartLink) flushed() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.idle && len(l.queue) == 0
+	return l.closed || l.idle && len(l.queue) == 0
 }
 
-// waitFlushed returns once all messages have been written.
+// waitFlushed returns once all messages have been written or the connection is closed.
 func (l *restartLink) waitFlushed() {
 	for !l.flushed() {
 		time.Sleep(flushCheckInterval)
--- a/internal/app/transport.go
+++ b/internal/app/transport.go
@@ -9,6 +9,7 @@
 
 	"brackendale/internal/config"
 	"brackendale/internal/console"
+	"brackendale/internal/hotrestart"
 	"brackendale/internal/net/amqpfront"
 	"brackendale/internal/net/conntable"
 	"brackendale/internal/net/loop"
@@ -35,6 +36,7 @@
 	amqpIngress     *amqpfront.Ingress         // nil without AMQP clients
 	serverTLS       atomic.Pointer[tls.Config] // of the AMQP ingress, as last loaded
 	listeners       []*reactor.Listener
+	console         consoleSocket
 
 	clientBudget   *conntable.SharedLimit      // limit shared by all client connections
 	endpointBudget *conntable.SharedLimit      // limit shared by all connections to endpoints
@@ -67,6 +69,26 @@
 	if t.amqpIngress != nil {
 		t.amqpIngress.Close()
 	}
+	t.console.release()
+}
+
+// share returns the listening sockets for a successor: their names and duplicates of their descriptors, which the
+// caller closes. It may be called on any goroutine.
+func (t *transport) share() (names []hotrestart.ListenerName, descriptors []int, err error) {
+	for _, listener := range t.listeners {
+		descriptor, shareErr := listener.Share()
+		if shareErr != nil {
+			err = errors.Join(err, shareErr)
+			continue
+		}
+		names = append(names, hotrestart.ListenerName{Network: networkTCP, Address: listener.Addr().String()})
+		descriptors = append(descriptors, descriptor)
+	}
+	name, descriptor, ok, shareErr := t.console.share()
+	if ok {
+		names, descriptors = append(names, name), append(descriptors, descriptor)
+	}
+	return names, descriptors, errors.Join(err, shareErr)
 }
 
 // pauseListeners stops accepting clients until resumeListeners is called. It may be called on any goroutine.
--- a/internal/app/transport_start.go
+++ b/internal/app/transport_start.go
@@ -5,8 +5,6 @@
 	"crypto/tls"
 	"errors"
 	"math"
-	"net"
-	"path/filepath"
 	"time"
 
 	"brackendale/internal/config"
@@ -39,10 +37,18 @@
 	handover *hotrestart.State                  // of the predecessor; nil without a hot restart
 	console  console.Sources                    // what the console shows and controls apart from the transport
 	retry    func(operation func() error) error // repeats an operation that fails with a transient error
+	sockets  *listeningSockets                  // that are open already
+	// startPaused makes the ingresses accept no client until resumeListeners is called.
+	startPaused bool
+	// consoleLater leaves the console to a later call of startConsole, since the predecessor keeps its own.
+	consoleLater bool
 }
 
 // newTransport connects ingresses, egresses and the registry watch to the core, and opens the console.
 func newTransport(params transportParams) (*transport, error) {
+	if params.sockets == nil {
+		params.sockets = newListeningSockets()
+	}
 	t := &transport{
 		clientBudget:   conntable.NewSharedLimit(params.cfg.ClientSockets()),
 		endpointBudget: conntable.NewSharedLimit(params.cfg.TargetSockets()),
@@ -50,12 +56,16 @@
 	}
 	t.startEgresses(params)
 	t.startRoutes(params)
-	for _, start := range []func(transportParams) error{t.startPlatformIngress, t.startAMQPIngress, t.startConsole} {
+	for _, start := range []func(transportParams) error{t.startPlatformIngress, t.startAMQPIngress} {
 		if err := start(params); err != nil {
 			return nil, err
 		}
 	}
-	return t, nil
+	t.stops = append(t.stops, t.console.stop)
+	if params.consoleLater {
+		return t, nil
+	}
+	return t, t.startConsole(params)
 }
 
 func (t *transport) startEgresses(params transportParams) {
@@ -108,13 +118,15 @@
 	if appliance {
 		overLimitReply = platform.OverLimitReply
 	}
+	serve := func(socket *reactor.Socket) *reactor.Listener {
+		return params.reactor.Serve(socket, overLimitReply, t.platformIngress.Accept)
+	}
 	if params.cfg.AcceptFD > 0 {
-		listener, err := params.reactor.ListenInherited(params.cfg.AcceptFD, overLimitReply, t.platformIngress.Accept)
-		if err != nil {
-			return &config.KeyError{Key: "LB_ACCEPT_FD", Err: err}
+		inherit := func() (*reactor.Socket, error) { return inheritClientSocket(params.cfg.AcceptFD) }
+		if err := t.listen(params, inherit, serve); err != nil {
+			return err
 		}
-		t.addListener(listener, params.cfg)
-	} else if err := t.listen(params, addr, overLimitReply, t.platformIngress.Accept); err != nil {
+	} else if err := t.listenAt(params, addr, serve); err != nil {
 		return err
 	}
 	t.stops = append(t.stops, t.platformIngress.CloseIdle)
@@ -131,13 +143,17 @@
 		Channels:  params.cfg.AMQP.Channels,
 	}, t.newTable(amqpfront.FrontName, params.cfg))
 	if addr := params.cfg.AMQP.Listen; addr != "" {
-		if err := t.listen(params, addr, amqpfront.OverLimitReply, t.amqpIngress.Accept); err != nil {
+		if err := t.listenAt(params, addr, func(socket *reactor.Socket) *reactor.Listener {
+			return params.reactor.Serve(socket, amqpfront.OverLimitReply, t.amqpIngress.Accept)
+		}); err != nil {
 			return err
 		}
 	}
 	t.serverTLS.Store(params.cfg.TLSConfigs.Server)
 	if addr := params.cfg.AMQP.TLS.Listen; addr != "" {
-		if err := t.listenTLS(params, addr, t.amqpIngress.Accept); err != nil {
+		if err := t.listenAt(params, addr, func(socket *reactor.Socket) *reactor.Listener {
+			return params.reactor.ServeTLS(socket, t.listenerTLS(), t.amqpIngress.Accept)
+		}); err != nil {
 			return err
 		}
 	}
@@ -145,25 +161,23 @@
 	return nil
 }
 
+// startConsole opens the console, if one is configured. It may be called on any goroutine.
 func (t *transport) startConsole(params transportParams) error {
-	path := params.cfg.Console.Socket
+	path := consolePath(params.cfg)
 	if path == "" {
 		return nil
 	}
-	if !filepath.IsAbs(path) {
-		path = filepath.Join(params.cfg.State, path)
-	}
 	loop := params.reactor.Loop
 	params.console.TransportStats = func() console.TransportStats { return t.consoleView(loop) }
-	var listener net.Listener
-	if err := params.retry(func() (err error) {
-		listener, err = console.Listen(path, params.core, params.console)
-		return err
-	}); err != nil {
-		return err
-	}
-	t.stops = append(t.stops, func() { _ = listener.Close() })
-	return nil
+	return params.retry(func() error {
+		listener, err := params.sockets.takeConsole(path)
+		if err != nil {
+			return err
+		}
+		t.console.set(listener)
+		console.Serve(listener, params.core, params.console)
+		return nil
+	})
 }
 
 // newTable creates the connection table of an ingress.
@@ -172,30 +186,40 @@
 	return t.tables[ingress]
 }
 
-// listen accepts clients at addr. Clients beyond the connection limit are sent overLimitReply.
-func (t *transport) listen(params transportParams, addr string, overLimitReply []byte,
-	accept func(*reactor.Conn) reactor.Handler,
+// listenAt accepts clients at an address.
+func (t *transport) listenAt(params transportParams, addr string,
+	serve func(*reactor.Socket) *reactor.Listener,
 ) error {
-	return params.retry(func() error {
-		listener, err := params.reactor.Listen("tcp", addr, overLimitReply, accept)
-		if err == nil {
-			t.addListener(listener, params.cfg)
-		}
-		return err
-	})
+	open := func() (*reactor.Socket, error) { return params.sockets.takeTCP(addr) }
+	return t.listen(params, open, serve)
 }
 
-// listenTLS accepts TLS clients at addr.
-func (t *transport) listenTLS(params transportParams, addr string, accept func(*reactor.Conn) reactor.Handler) error {
+// listen opens a socket and serves it.
+func (t *transport) listen(params transportParams, open func() (*reactor.Socket, error),
+	serve func(*reactor.Socket) *reactor.Listener,
+) error {
 	return params.retry(func() error {
-		listener, err := params.reactor.ListenTLS("tcp", addr, t.listenerTLS(), accept)
-		if err == nil {
-			t.addListener(listener, params.cfg)
+		socket, err := open()
+		if err != nil {
+			return err
 		}
-		return err
+		if params.startPaused {
+			socket.StartPaused()
+		}
+		t.addListener(serve(socket), params.cfg)
+		return nil
 	})
 }
 
+// inheritClientSocket returns the clients' socket that the program which started this process has passed to it.
+func inheritClientSocket(descriptor int) (*reactor.Socket, error) {
+	socket, err := reactor.InheritSocket(descriptor)
+	if err != nil {
+		return nil, &config.KeyError{Key: "LB_ACCEPT_FD", Err: err}
+	}
+	return socket, nil
+}
+
 // listenerTLS returns a configuration with which each handshake uses the certificates loaded last.
 func (t *transport) listenerTLS() *tls.Config {
 	return &tls.Config{
--- a/internal/app/versions_test.go
+++ b/internal/app/versions_test.go
@@ -67,6 +67,7 @@
 		{"kill", runKill},
 		{"kill during upgrade", runKillDuringUpgrade},
 		{"roll", runRollingUpgrade},
+		{"appliance", runApplianceUpgrade},
 	} {
 		t.Run(scenario.name, func(t *testing.T) {
 			for _, programs := range []versionOrder{{"other to current", other, current}, {"current to other", current, other}} {
@@ -173,25 +174,9 @@
 }
 
 // startProgram starts a further process, which runs a built program.
-func (env *versionEnv) startProgram(program string) *process {
+func (env *testEnv) startProgram(program string) *process {
 	env.t.Helper()
-	controlAddr, err := fleet.FreePort()
-	if err != nil {
-		env.t.Fatal(err)
-	}
-	proc := &process{
-		Cmd: exec.Command(program, "serve", "--config", env.configFile()), controlAddr: controlAddr, stderr: &bytes.Buffer{},
-		exited: make(chan error, 1),
-	}
-	proc.Env = append(os.Environ(), "LB_STATE="+env.stateDir(), "LB_ACCEPT_FD=3", "LB_CONTROL="+controlAddr)
-	proc.ExtraFiles = []*os.File{env.listenerFile}
-	proc.Stderr = proc.stderr
-	if err := proc.Start(); err != nil {
-		env.t.Fatal(err)
-	}
-	go func() { proc.exited <- proc.Wait() }()
-	env.t.Cleanup(func() { _ = proc.Process.Kill() })
-	return proc
+	return env.launch(exec.Command(program, "serve", "--config", env.configFile()))
 }
 
 // kill kills a process and waits until it has exited.
@@ -310,17 +295,21 @@
 	}
 }
 
-// relay copies messages from one side to the other until the connection is closed.
+// relay copies messages with their descriptors from one side to the other until the connection is closed.
 func (recorder *messageRecorder) relay(source, target net.Conn) {
 	defer target.Close()
-	reader := bufio.NewReader(source)
+	descriptors := &descriptorReader{conn: source}
+	reader := bufio.NewReader(descriptors)
 	for {
 		line, err := reader.ReadBytes('\n')
 		if err != nil {
 			return
 		}
 		recorder.record(line)
-		if _, err := target.Write(line); err != nil {
+		received := descriptors.take()
+		err = writeWithDescriptors(target, line, received)
+		closeDescriptors(received)
+		if err != nil {
 			return
 		}
 	}
@@ -391,6 +380,23 @@
 	return successorProc
 }
 
+// runApplianceUpgrade upgrades an appliance, whose processes open their own sockets, from one version to the other
+// under load. The console is there at the end: a predecessor of an earlier release keeps its own until it exits.
+func runApplianceUpgrade(t *testing.T, programs versionOrder) {
+	env := newConsoleEnv(t)
+	proc := env.startProgram(programs.first)
+	env.waitReady(proc)
+	stopClients := env.startClients(4)
+	time.Sleep(50 * time.Millisecond)
+	successorProc := env.startProgram(programs.second)
+	env.waitReady(successorProc)
+	env.waitExit(proc)
+	time.Sleep(50 * time.Millisecond)
+	stopClients()
+	env.waitSettled()
+	env.checkConsole()
+}
+
 // runUpgrade upgrades from one version to the other and back under load, by hot restarts: each hot restart is
 // complete, every charge has one final outcome, and none is applied twice.
 func runUpgrade(t *testing.T, programs versionOrder) {
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -70,10 +70,19 @@
 	return fmt.Sprintf("console: %s is in use by process %d", e.Path, e.PID)
 }
 
-// Listen serves the control socket at path until the listener is closed. Only the user of this process may connect.
-// Listen replaces the socket that a killed process has left, but not one that still accepts connections: the error is
-// an *InUseError then.
+// Listen opens the control socket at path and serves it until the listener is closed.
 func Listen(path string, core *sender.Sender, sources Sources) (net.Listener, error) {
+	listener, err := Bind(path)
+	if err != nil {
+		return nil, err
+	}
+	Serve(listener, core, sources)
+	return listener, nil
+}
+
+// Bind opens the control socket at path. Only the user of this process may connect. Bind replaces the socket that a
+// killed process has left, but not one that still accepts connections: the error is an *InUseError then.
+func Bind(path string) (net.Listener, error) {
 	if conn, err := net.Dial("unix", path); err == nil {
 		defer conn.Close()
 		return nil, &InUseError{Path: path, PID: listenerPID(conn)}
@@ -84,15 +93,19 @@
 	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, fmt.Errorf("console: %w", err)
 	}
-	ln, err := net.Listen("unix", path)
+	listener, err := net.Listen("unix", path)
 	if err != nil {
 		return nil, fmt.Errorf("console: %w", err)
 	}
 	if err := os.Chmod(path, 0o600); err != nil {
-		return nil, errors.Join(fmt.Errorf("console: %w", err), ln.Close())
+		return nil, errors.Join(fmt.Errorf("console: %w", err), listener.Close())
 	}
-	go acceptClients(ln, core, sources)
-	return ln, nil
+	return listener, nil
+}
+
+// Serve serves clients of the control socket until the listener is closed.
+func Serve(listener net.Listener, core *sender.Sender, sources Sources) {
+	go acceptClients(listener, core, sources)
 }
 
 // listenerPID returns the process that listens at the other end of a connection to a Unix socket, or 0.
--- a/internal/failpoint/failpoint.go
+++ b/internal/failpoint/failpoint.go
@@ -29,6 +29,8 @@
 	// The steps of a hot restart in the successor, on the goroutine that starts it.
 	JournalOpened   Point = "the journal is open, the clients' socket is not taken"
 	SocketInherited Point = "the clients' socket is taken, the sender does not serve"
+	// On the same goroutine, if the predecessor waits for the confirmation.
+	ServingConfirmed Point = "the predecessor knows that the successor serves, no client is accepted"
 	// On the goroutine of a TLS handshake.
 	HandshakeComputed Point = "a handshake has its result, the loop does not know it"
 	// On the accepting goroutine of a listener.
@@ -41,6 +43,7 @@
 func HotRestartPoints() []Point {
 	return []Point{
 		SuccessorWelcomed, ListenersPaused, CoreQuiesced, JournalReleased, TransportReleased, JournalOpened, SocketInherited,
+		ServingConfirmed,
 	}
 }
 
--- a/internal/hotrestart/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -38,8 +38,11 @@
 // reasons are literals on purpose: a changed constant must not change the expected file.
 func goldenCases() []goldenCase {
 	return []goldenCase{
-		{"hello", []Message{{Kind: "hello", Version: 2}}},
-		{"welcome", []Message{{Kind: "welcome", Version: 2}}},
+		{"hello", []Message{{Kind: "hello", Version: 2}, {Kind: "hello", Version: 2, Confirms: true}}},
+		{"welcome", []Message{{Kind: "welcome", Version: 2}, {
+			Kind: "welcome", Version: 2, Confirms: true,
+			Listeners: []ListenerName{{Network: "tcp", Address: "127.0.0.1:5672"}, {Network: "unix", Address: "/state/c.sock"}},
+		}}},
 		{"refused", []Message{
 			{Kind: "refused", Version: 2, Reason: "another upgrade is under way"},
 			{Kind: "refused", Version: 1, Reason: "quotes \" \\ <&> \u2028, tab\t, newline\n, ümläut"},
@@ -48,6 +51,7 @@
 		{"state", []Message{{Kind: "state", State: fullState()}, {Kind: "state", State: emptyState()}}},
 		{"taken", []Message{{Kind: "taken"}}},
 		{"yours", []Message{{Kind: "yours"}}},
+		{"serving", []Message{{Kind: "serving"}}},
 		{"offer", []Message{
 			{Kind: "offer", OfferID: 1, Offer: fullOffer()},
 			{Kind: "offer", OfferID: math.MaxUint64, Offer: &Offer{ID: "bare"}},
@@ -249,7 +253,7 @@
 			for name := range raw {
 				if !slices.Contains([]string{
 					"Kind", "Version", "Why", "State", "Offer", "N", "Verdict", "WaitMs", "Report",
-					"ID", "Try",
+					"ID", "Try", "Confirms", "Listeners",
 				}, name) {
 					t.Errorf("%s, line %d: unknown name %q", testCase.kind, i+1, name)
 				}
@@ -306,6 +310,9 @@
 	case reflect.Struct:
 		for i := range typ.NumField() {
 			f := typ.Field(i)
+			if f.Tag.Get("json") == "-" { // never sent
+				continue
+			}
 			known[typ.String()+"."+f.Name] = true
 			listFields(f.Type, known)
 		}
--- a/internal/hotrestart/hotrestart.go
+++ b/internal/hotrestart/hotrestart.go
@@ -11,10 +11,14 @@
 const (
 	PeerConnected     Event = iota // the predecessor received a hello, or the successor a welcome, of the same version
 	VersionMismatch                // the other side uses another version of the protocol
-	SuccessorPrepared              // predecessor: the successor needs nothing more than the state
+	SuccessorPrepared              // predecessor: the successor needs nothing more than the state and the journal
 	StateLoaded                    // successor: it has read the state and can continue from it
 	StateAccepted                  // predecessor: the successor has read the state
 	JournalReceived                // successor: the predecessor has released the journal
+	JournalOpenFailed              // successor: the journal that it received cannot be opened
+	SuccessorServing               // predecessor: the start of the successor is complete
+	JournalReacquired              // predecessor: the journal is as it was released, and this process holds it again
+	JournalLost                    // predecessor: the journal that was released was written, or stays locked
 	PeerDisconnected               // the connection to the other side is closed
 	StepTimedOut                   // no message was received within the timeout of the step
 	DrainComplete                  // predecessor: no attempt is in flight and no client is connected
@@ -32,7 +36,9 @@
 	SendPrepared             // send prepared
 	Quiesce                  // pause the core between two steps and send its state
 	SendAccepted             // report that the state is accepted
-	ReleaseJournal           // close the journal, notify the successor and forward all new requests to it
+	ReleaseJournal           // release the journal and notify the successor; the core stays paused
+	HandOver                 // end the pause: forward all new requests to the successor
+	ReacquireJournal         // the successor failed to start: take the journal back, unless it was written
 	Resume                   // let the core continue as before; the connection is closed
 	OpenWithState            // open the journal and serve with the state received
 	OpenAlone                // open the journal and serve, as after an ordinary restart
--- a/internal/hotrestart/machines_test.go
+++ b/internal/hotrestart/machines_test.go
@@ -34,10 +34,19 @@
 
 	lock         lockHolder
 	quiesced     bool // the predecessor's core is paused
+	served       bool // the successor's start is complete: it may have written the journal
 	shuttingDown bool
 	reclaimed    bool // the predecessor restarts from the journal
 }
 
+// completeStart lets the successor serve, if it holds the journal and does not serve yet.
+func (m *model) completeStart() {
+	if m.successorUp && m.successor.HoldsJournal() && !m.served {
+		m.served = true
+		m.toPredecessor = append(m.toPredecessor, SuccessorServing)
+	}
+}
+
 func (m *model) handleAtPredecessor(t *rapid.T, event Event) {
 	switch m.predecessor.Handle(event) {
 	case SendWelcome:
@@ -49,21 +58,36 @@
 		if m.lock != predecessorSide {
 			t.Fatal("the predecessor released a journal that it did not hold")
 		}
-		m.lock, m.quiesced = noHolder, false
+		m.lock = noHolder
 		m.toSuccessor = append(m.toSuccessor, JournalReceived)
+	case HandOver:
+		m.quiesced = false
+	case ReacquireJournal:
+		if m.lock != noHolder || m.served {
+			m.handleAtPredecessor(t, JournalLost)
+			return
+		}
+		m.lock = predecessorSide
+		m.handleAtPredecessor(t, JournalReacquired)
 	case Resume:
+		if m.lock != predecessorSide {
+			t.Fatal("the predecessor continues without the journal")
+		}
 		m.quiesced, m.disconnected = false, true
 	case Exit:
+		if !m.served {
+			t.Fatal("the predecessor exits before its successor serves")
+		}
 		m.predecessorUp, m.disconnected = false, true
 	case ReclaimJournal:
-		m.reclaimed = true
+		m.quiesced, m.reclaimed = false, true
 	case RefuseAndShutDown:
 		m.shuttingDown = true
 	}
 }
 
 func (m *model) handleAtSuccessor(t *rapid.T, event Event) {
-	switch m.successor.Handle(event) {
+	switch action := m.successor.Handle(event); action {
 	case SendPrepared:
 		m.toPredecessor = append(m.toPredecessor, SuccessorPrepared)
 	case SendAccepted:
@@ -73,6 +97,7 @@
 			t.Fatal("two processes hold the journal")
 		}
 		m.lock = successorSide
+		m.served = action == OpenAlone
 	case RetryLater:
 		m.disconnected = true
 	}
@@ -115,7 +140,7 @@
 			case 0:
 				m.disconnected = true
 			case 1:
-				if m.predecessorUp && (m.predecessor.State == SuccessorPreparing || m.predecessor.State == Quiesced) {
+				if m.predecessorUp && m.predecessor.State >= SuccessorPreparing && m.predecessor.State <= SuccessorStarting {
 					m.handleAtPredecessor(t, StepTimedOut)
 				}
 			case 2:
@@ -123,7 +148,7 @@
 					m.handleAtSuccessor(t, StepTimedOut)
 				}
 			case 3:
-				if m.predecessorUp && m.predecessor.State == JournalReleased && m.lock == successorSide {
+				if m.predecessorUp && m.predecessor.State >= JournalReleased && m.lock == successorSide {
 					m.handleAtPredecessor(t, DrainComplete)
 				}
 			case 4:
@@ -142,9 +167,16 @@
 				}
 			case 6: // the successor checks the lock without a connection
 				if m.successorUp && m.successor.State == ConnectingToPredecessor && m.lock == noHolder &&
-					(!m.predecessorUp || m.predecessor.State >= JournalReleased) {
+					(!m.predecessorUp || m.predecessor.State >= SuccessorStarting) {
 					m.handleAtSuccessor(t, JournalUnlocked)
 				}
+			case 8:
+				m.completeStart()
+			case 9: // the successor cannot open the journal that it received
+				if m.successorUp && m.successor.HoldsJournal() && !m.served && m.lock == successorSide {
+					m.lock = noHolder
+					m.handleAtSuccessor(t, JournalOpenFailed)
+				}
 			case 7: // a third process is refused while there are two, and changes nothing
 				before := m.predecessor.State
 				if m.predecessorUp && before != NoSuccessor && m.predecessor.Handle(PeerConnected) != Refuse ||
@@ -155,7 +187,8 @@
 		}
 		for range 40 { // all messages are delivered, and a waiting side checks the lock again
 			deliver()
-			if m.predecessorUp && (m.predecessor.State == SuccessorPreparing || m.predecessor.State == Quiesced) &&
+			m.completeStart()
+			if m.predecessorUp && m.predecessor.State >= SuccessorPreparing && m.predecessor.State <= SuccessorStarting &&
 				len(m.toPredecessor)+len(m.toSuccessor) == 0 {
 				m.handleAtPredecessor(t, StepTimedOut)
 				m.disconnected = true
--- a/internal/hotrestart/messages.go
+++ b/internal/hotrestart/messages.go
@@ -25,8 +25,11 @@
 	KindState Kind = "state"
 	// From the successor: it has read the state and can continue from it.
 	KindStateAccepted Kind = "taken"
-	// From the predecessor: it has closed the journal, which the successor may open now.
+	// From the predecessor: it has released the journal, which the successor may open now.
 	KindJournalReleased Kind = "yours"
+	// From the successor, if both sides confirm: its start is complete. Before this message it writes nothing to the
+	// journal, sends nothing to anyone and accepts no client.
+	KindServing Kind = "serving"
 	// From the predecessor: a request that one of its clients submitted.
 	KindOffer Kind = "offer"
 	// From the predecessor: the client of an offer has disconnected.
@@ -47,6 +50,13 @@
 	Reason  string `json:"Why,omitempty"`     // of refused
 	State   *State `json:"State,omitempty"`   // of state
 
+	// Of hello and welcome: this side knows Listeners and KindServing. Earlier releases with the same Version do not.
+	Confirms bool `json:"Confirms,omitempty"`
+	// Of welcome: the listening sockets of the predecessor. Their descriptors, in the same order, accompany the bytes
+	// of the message.
+	Listeners   []ListenerName `json:"Listeners,omitempty"`
+	Descriptors []int          `json:"-"` // the sender and the receiver of the message each own theirs
+
 	Offer        *Offer `json:"Offer,omitempty"`   // of offer
 	OfferID      uint64 `json:"N,omitempty"`       // of offer, withdraw and answer: the number of the offer
 	Verdict      int    `json:"Verdict,omitempty"` // of answer: a sender.Verdict
@@ -70,6 +80,12 @@
 	return true
 }
 
+// ListenerName names a listening socket.
+type ListenerName struct {
+	Network string `json:"Network"` // as in package net
+	Address string `json:"Address"` // host and port, or the path of a Unix socket
+}
+
 // State is the state of the predecessor from which the successor continues.
 type State struct {
 	Core        sender.Checkpoint `json:"Core"`
--- a/internal/hotrestart/predecessor.go
+++ b/internal/hotrestart/predecessor.go
@@ -8,7 +8,10 @@
 	NoSuccessor        PredecessorState = iota // no process has requested the journal
 	SuccessorPreparing                         // a successor is connected and starts up
 	Quiesced                                   // the core is paused
-	JournalReleased                            // the successor has the journal; this process drains
+	SuccessorStarting                          // the core is paused, and the successor has the journal
+	ReacquiringJournal                         // the core is paused, and the start of the successor failed
+	JournalReleased                            // this process forwards; the start of the successor takes long
+	Draining                                   // the successor serves, and this process drains
 	PredecessorExited                          // the process exits, or restarts from the journal
 )
 
@@ -38,23 +41,41 @@
 	{SuccessorPreparing, PeerConnected}:     {SuccessorPreparing, Refuse},
 	{SuccessorPreparing, VersionMismatch}:   {SuccessorPreparing, Refuse},
 
-	{Quiesced, StateAccepted}:    {JournalReleased, ReleaseJournal},
+	{Quiesced, StateAccepted}:    {SuccessorStarting, ReleaseJournal},
 	{Quiesced, PeerDisconnected}: {NoSuccessor, Resume},
 	{Quiesced, StepTimedOut}:     {NoSuccessor, Resume},
 	{Quiesced, PeerConnected}:    {Quiesced, Refuse},
 	{Quiesced, VersionMismatch}:  {Quiesced, Refuse},
 
+	// Until the successor serves, it has written nothing: if it fails, this process continues as if it had not been there.
+	{SuccessorStarting, SuccessorServing}: {Draining, HandOver},
+	{SuccessorStarting, PeerDisconnected}: {ReacquiringJournal, ReacquireJournal},
+	// The successor may still become ready, and the core cannot stay paused for long.
+	{SuccessorStarting, StepTimedOut}:    {JournalReleased, HandOver},
+	{SuccessorStarting, PeerConnected}:   {SuccessorStarting, Refuse},
+	{SuccessorStarting, VersionMismatch}: {SuccessorStarting, Refuse},
+
+	{ReacquiringJournal, JournalReacquired}: {NoSuccessor, Resume},
+	{ReacquiringJournal, JournalLost}:       {PredecessorExited, ReclaimJournal},
+	{ReacquiringJournal, PeerConnected}:     {ReacquiringJournal, Refuse},
+	{ReacquiringJournal, VersionMismatch}:   {ReacquiringJournal, Refuse},
+
+	{JournalReleased, SuccessorServing}: {Draining, DoNothing},
 	{JournalReleased, PeerDisconnected}: {PredecessorExited, ReclaimJournal},
-	{JournalReleased, DrainComplete}:    {PredecessorExited, Exit},
 	{JournalReleased, PeerConnected}:    {JournalReleased, Refuse},
 	{JournalReleased, VersionMismatch}:  {JournalReleased, Refuse},
 
+	{Draining, PeerDisconnected}: {PredecessorExited, ReclaimJournal},
+	{Draining, DrainComplete}:    {PredecessorExited, Exit},
+	{Draining, PeerConnected}:    {Draining, Refuse},
+	{Draining, VersionMismatch}:  {Draining, Refuse},
+
 	{PredecessorExited, PeerConnected}:   {PredecessorExited, Refuse},
 	{PredecessorExited, VersionMismatch}: {PredecessorExited, Refuse},
 }
 
 // HoldsJournal reports whether the predecessor holds the journal.
-func (p *Predecessor) HoldsJournal() bool { return p.State < JournalReleased }
+func (p *Predecessor) HoldsJournal() bool { return p.State < SuccessorStarting }
 
 // Handle applies an event and returns the action to take.
 func (p *Predecessor) Handle(event Event) Action {
--- a/internal/hotrestart/successor.go
+++ b/internal/hotrestart/successor.go
@@ -46,6 +46,9 @@
 	{AwaitingJournal, StepTimedOut}:     {ConnectingToPredecessor, RetryLater},
 	{AwaitingJournal, VersionMismatch}:  {ConnectingToPredecessor, RetryLater},
 	{AwaitingJournal, JournalLocked}:    {ConnectingToPredecessor, RetryLater},
+
+	// The predecessor takes the journal back.
+	{OwnsJournal, JournalOpenFailed}: {ConnectingToPredecessor, RetryLater},
 }
 
 // HoldsJournal reports whether the successor holds the journal.
--- a/internal/net/failure/transient.go
+++ b/internal/net/failure/transient.go
@@ -10,7 +10,7 @@
 // an address is not allowed.
 var permanent = []syscall.Errno{
 	syscall.ENOENT, syscall.ENOTDIR, syscall.EISDIR, syscall.EACCES, syscall.EPERM, syscall.ELOOP,
-	syscall.ENAMETOOLONG, syscall.EINVAL, syscall.EBADF,
+	syscall.ENAMETOOLONG, syscall.EINVAL, syscall.EBADF, syscall.ENOTSOCK,
 }
 
 // Transient reports whether an operation on this machine that failed with err may succeed later: the disk is full or
--- a/internal/net/reactor/inherit.go
+++ b/internal/net/reactor/inherit.go
@@ -1,46 +1,25 @@
 package reactor
 
-import (
-	"fmt"
-	"net"
-	"os"
-	"time"
+import "brackendale/internal/net/sharedsocket"
 
-	"golang.org/x/sys/unix"
-)
-
-const (
-	// blockingAcceptTimeout bounds an accept on an inherited socket that another process has set to blocking mode. The
-	// accept may delay a pause or a close by that long.
-	blockingAcceptTimeout = 10 * time.Millisecond
-	// firstOwnFD is the lowest descriptor for the copy of an inherited socket, above the standard streams.
-	firstOwnFD = 3
-)
-
-// ListenInherited accepts connections on a listening socket that this process inherited as a file descriptor. It uses a
-// duplicate: the socket stays open in other processes, and this one may call ListenInherited for it again. rejection
-// and accept are as for Listen.
-func (r *Reactor) ListenInherited(fd int, rejection []byte, accept func(*Conn) Handler) (*Listener, error) {
-	listener, err := inheritedListener(fd)
+// InheritSocket returns a listening socket that this process inherited as a file descriptor, or received from another
+// process. It uses a duplicate: the descriptor stays open.
+func InheritSocket(fd int) (*Socket, error) {
+	listener, err := sharedsocket.Listener(fd)
 	if err != nil {
 		return nil, err
 	}
-	return r.start(&Listener{Listener: listener, rejection: rejection, accept: accept, inherited: true}), nil
+	return &Socket{listener: listener, inherited: true}, nil
 }
 
-// inheritedListener returns a listener on a duplicate of the descriptor. O_NONBLOCK is a flag of the open file
-// description, which all processes share, so another process can clear it at any time, as os/exec does with a file from
-// net.TCPListener.File. On Linux the socket's receive timeout, which is also shared, then bounds an accept.
-func inheritedListener(fd int) (net.Listener, error) {
-	own, err := unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, firstOwnFD)
-	if err != nil {
-		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
-	}
-	file := os.NewFile(uintptr(own), "clients")
-	defer file.Close()
-	timeout := unix.NsecToTimeval(blockingAcceptTimeout.Nanoseconds())
-	if err := unix.SetsockoptTimeval(own, unix.SOL_SOCKET, unix.SO_RCVTIMEO, &timeout); err != nil {
-		return nil, fmt.Errorf("descriptor %d: bounding its accepts: %w", fd, err)
+// Share returns a duplicate of the socket's descriptor, for another process; the caller closes it. From now on the
+// socket counts as inherited.
+func (l *Listener) Share() (fd int, err error) {
+	if fd, err = sharedsocket.Descriptor(l.Listener); err != nil {
+		return -1, err
 	}
-	return net.FileListener(file)
+	l.mu.Lock()
+	l.inherited = true
+	l.mu.Unlock()
+	return fd, nil
 }
--- a/internal/net/reactor/listen.go
+++ b/internal/net/reactor/listen.go
@@ -25,16 +25,16 @@
 type Listener struct {
 	net.Listener
 	reactor   *Reactor
-	inherited bool                // other processes have the socket open, too
 	accept    func(*Conn) Handler // runs on the loop's goroutine
 	rejection []byte              // the reply to a client when descriptors have run out; nil: none
 	tls       *tls.Config         // nil: no TLS
 
 	acceptRate atomic.Int64 // new connections per second; 0: no limit
 
-	mu     sync.Mutex
-	pauses chan chan struct{} // a pause for serve, which waits until the inner channel is closed
-	paused chan struct{}      // the current pause; nil: none
+	mu        sync.Mutex
+	inherited bool               // other processes have the socket open, too
+	pauses    chan chan struct{} // a pause for serve, which waits until the inner channel is closed
+	paused    chan struct{}      // the current pause; nil: none
 
 	finished bool // accepting has ended and every connection has its handler; used on the loop's goroutine
 
@@ -43,21 +43,15 @@
 	failures int      // consecutive failed accepts
 }
 
-// Listen accepts connections; accept returns the handler of each, or nil to close it. rejection, if not nil, is the
-// reply to a client when this process or machine has no file descriptor left for its connection.
-func (r *Reactor) Listen(network, addr string, rejection []byte, accept func(*Conn) Handler) (*Listener, error) {
-	return r.listen(network, addr, rejection, nil, accept)
-}
-
-// ListenTLS accepts connections under TLS; Up is called after the handshake. The callbacks of cfg may be used to change
-// certificates.
-func (r *Reactor) ListenTLS(network, addr string, cfg *tls.Config, accept func(*Conn) Handler) (*Listener, error) {
-	return r.listen(network, addr, nil, cfg, accept)
+// Socket is a listening socket on which nothing is accepted yet: clients wait in its backlog.
+type Socket struct {
+	listener    net.Listener
+	inherited   bool // other processes have the socket open, too
+	startPaused bool
 }
 
-func (r *Reactor) listen(network, addr string, rejection []byte, cfg *tls.Config,
-	accept func(*Conn) Handler,
-) (*Listener, error) {
+// Bind opens a listening socket.
+func Bind(network, addr string) (*Socket, error) {
 	if err := faultError(CallListen, addr); err != nil {
 		return nil, fmt.Errorf("listening on %s: %w", addr, err)
 	}
@@ -66,14 +60,54 @@
 	if err != nil {
 		return nil, fmt.Errorf("listening on %s: %w", addr, err)
 	}
-	return r.start(&Listener{Listener: listener, rejection: rejection, tls: cfg, accept: accept}), nil
+	return &Socket{listener: listener}, nil
+}
+
+// StartPaused makes the listener of this socket start in a pause, which Resume ends.
+func (s *Socket) StartPaused() { s.startPaused = true }
+
+// Close closes the socket. It must not be called after Serve.
+func (s *Socket) Close() error { return s.listener.Close() }
+
+// Listen accepts connections; accept returns the handler of each, or nil to close it. rejection, if not nil, is the
+// reply to a client when this process or machine has no file descriptor left for its connection.
+func (r *Reactor) Listen(network, addr string, rejection []byte, accept func(*Conn) Handler) (*Listener, error) {
+	socket, err := Bind(network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return r.Serve(socket, rejection, accept), nil
+}
+
+// ListenTLS accepts connections under TLS; Up is called after the handshake. The callbacks of cfg may be used to change
+// certificates.
+func (r *Reactor) ListenTLS(network, addr string, cfg *tls.Config, accept func(*Conn) Handler) (*Listener, error) {
+	socket, err := Bind(network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return r.ServeTLS(socket, cfg, accept), nil
+}
+
+// Serve accepts connections on a socket, as Listen does.
+func (r *Reactor) Serve(socket *Socket, rejection []byte, accept func(*Conn) Handler) *Listener {
+	return r.start(socket, &Listener{rejection: rejection, accept: accept})
+}
+
+// ServeTLS accepts connections under TLS on a socket, as ListenTLS does.
+func (r *Reactor) ServeTLS(socket *Socket, cfg *tls.Config, accept func(*Conn) Handler) *Listener {
+	return r.start(socket, &Listener{tls: cfg, accept: accept})
 }
 
 // start completes a listener and starts its accept loop.
-func (r *Reactor) start(l *Listener) *Listener {
+func (r *Reactor) start(socket *Socket, l *Listener) *Listener {
+	l.Listener, l.inherited = socket.listener, socket.inherited
 	l.reactor = r
 	l.pauses = make(chan chan struct{}, 1)
 	l.reserveSpare()
+	if socket.startPaused {
+		l.Pause()
+	}
 	go l.serve()
 	return l
 }
@@ -117,7 +151,10 @@
 // Close stops accepting permanently. The close of an inherited socket waits for the accept in progress, which can block
 // if another process has changed the socket's mode, so it continues in the background.
 func (l *Listener) Close() error {
-	if l.inherited {
+	l.mu.Lock()
+	inherited := l.inherited
+	l.mu.Unlock()
+	if inherited {
 		go func() { _ = l.closeAndWait() }()
 		return nil
 	}
--- a/internal/statefs/statefs.go
+++ b/internal/statefs/statefs.go
@@ -110,6 +110,31 @@
 	return f.file.Truncate(size)
 }
 
+// Size returns the size of the file in bytes.
+func (f *File) Size() (int64, error) {
+	info, err := f.file.Stat()
+	if err != nil {
+		return 0, err
+	}
+	return info.Size(), nil
+}
+
+// IsAt reports whether the file at path is this one. It is not an error if no file is there.
+func (f *File) IsAt(path string) (bool, error) {
+	there, err := os.Stat(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	own, err := f.file.Stat()
+	if err != nil {
+		return false, err
+	}
+	return os.SameFile(own, there), nil
+}
+
 // Descriptor returns the file descriptor, for file locks.
 func (f *File) Descriptor() int { return int(f.file.Fd()) }
 
--- a/sender/hot_restart.go
+++ b/sender/hot_restart.go
@@ -27,9 +27,6 @@
 // Successor is the process that replaces this one in a hot restart. Its methods are called on Run's
 // goroutine and must not block.
 type Successor interface {
-	// JournalReleased reports that this process has closed the journal. It is called before the other
-	// methods.
-	JournalReleased()
 	// Submit forwards a request; Sender.AnswerForwarded receives the verdict.
 	Submit(request *Request)
 	// Withdraw cancels a request that has no verdict yet.
@@ -47,66 +44,111 @@
 
 // hotRestart is this process's state in a hot restart, as the predecessor or as the successor.
 type hotRestart struct {
-	quiesceRequest *quiesceRequest // nil: none
-	successor      Successor       // has replaced this process; nil: none
+	pauseRequest chan<- *Pause // receives the pause that was requested; nil: none was
+	successor    Successor     // has replaced this process; nil: none
 
 	predecessor    Predecessor       // has calls in flight for this process; nil: none
 	remoteAttempts map[string]Action // in flight at the predecessor, by message id
 }
 
-// quiesceRequest is one call of Quiesce.
-type quiesceRequest struct {
-	state     chan Checkpoint
-	successor chan Successor
-}
-
 // handedOver reports whether a successor has replaced this process.
 func (s *Sender) handedOver() bool { return s.hotRestart.successor != nil }
 
-// Quiesce pauses the sender after a complete step and sends its checkpoint on state. Nothing is
-// accepted, sent or written until the caller calls resume, exactly once. resume(nil) continues the
-// sender. resume with a successor closes the journal, and from then on everything that the fronts
-// report is forwarded to the successor. resume returns once that is done.
-//
-// If the journal cannot be written, state is closed and the sender continues. If Run returns first,
-// state never receives a value. In both cases resume must not be called. Any goroutine may call
-// Quiesce.
-func (s *Sender) Quiesce() (state <-chan Checkpoint, resume func(Successor)) {
-	request := &quiesceRequest{state: make(chan Checkpoint, 1), successor: make(chan Successor)}
-	s.Post(func() { s.hotRestart.quiesceRequest = request })
-	return request.state, func(successor Successor) {
-		request.successor <- successor
-		request.successor <- nil // received once the sender has processed the first value
-	}
+// Quiesce pauses the sender after a complete step and sends the pause on the channel: nothing is
+// accepted, sent or written until the pause ends. If the journal cannot be written, the channel is
+// closed and the sender continues. If Run returns first, the channel never receives a value. Any
+// goroutine may call Quiesce.
+func (s *Sender) Quiesce() <-chan *Pause {
+	request := make(chan *Pause, 1)
+	s.Post(func() { s.hotRestart.pauseRequest = request })
+	return request
 }
 
-// quiesceIfRequested pauses the sender until the caller of Quiesce resumes it, if there is one.
+// quiesceIfRequested pauses the sender until the pause ends, if one was requested.
 func (s *Sender) quiesceIfRequested() {
-	request := s.hotRestart.quiesceRequest
+	request := s.hotRestart.pauseRequest
 	if request == nil {
 		return
 	}
-	s.hotRestart.quiesceRequest = nil
+	s.hotRestart.pauseRequest = nil
 	if s.diskStall.err != nil { // state that is not recorded could not be handed over
-		close(request.state)
+		close(request)
 		return
 	}
-	request.state <- s.checkpoint()
-	if successor := <-request.successor; successor != nil {
-		s.handOver(successor)
+	pause := &Pause{Checkpoint: s.checkpoint(), sender: s, commands: make(chan pauseCommand)}
+	request <- pause
+	for ended := false; !ended; {
+		command := <-pause.commands
+		ended = command.run()
+		close(command.done)
 	}
-	<-request.successor
 }
 
-// handOver closes the journal for the successor. From here on the sender only forwards.
+// Pause is a pause of a sender in a hot restart. It ends with Resume or HandOver, one of which must be
+// called. Its methods are called on one goroutine, which is not Run's, and return once Run's
+// goroutine has done what they say.
+type Pause struct {
+	Checkpoint Checkpoint
+
+	sender   *Sender
+	commands chan pauseCommand // executed on Run's goroutine
+}
+
+// pauseCommand is one call of a method of Pause.
+type pauseCommand struct {
+	run  func() (ended bool)
+	done chan struct{}
+}
+
+func (p *Pause) execute(run func() (ended bool)) {
+	command := pauseCommand{run: run, done: make(chan struct{})}
+	p.commands <- command
+	<-command.done
+}
+
+// ReleaseJournal lets the successor open the journal, while the sender stays paused.
+func (p *Pause) ReleaseJournal() {
+	p.execute(func() bool {
+		if err := p.sender.journal.Release(); err != nil {
+			p.sender.log.Error().Err(err).Msg("releasing the journal for the successor failed")
+		}
+		return false
+	})
+}
+
+// ReacquireJournal takes the journal back from a successor that ended before it wrote anything, after
+// which Resume may be called. The error is journal.ErrLocked while another process holds the journal,
+// and journal.ErrChanged if one has written it.
+func (p *Pause) ReacquireJournal() (err error) {
+	p.execute(func() bool {
+		err = p.sender.journal.Reacquire()
+		return false
+	})
+	return err
+}
+
+// Resume ends the pause: the sender, which must hold the journal, continues as before.
+func (p *Pause) Resume() {
+	p.execute(func() bool { return true })
+}
+
+// HandOver ends the pause after ReleaseJournal: from now on everything that the fronts report is
+// forwarded to the successor.
+func (p *Pause) HandOver(successor Successor) {
+	p.execute(func() bool {
+		p.sender.handOver(successor)
+		return true
+	})
+}
+
+// handOver makes the sender forward everything. The successor has the journal.
 func (s *Sender) handOver(successor Successor) {
 	s.hotRestart.successor = successor
 	s.setNotReady(ErrHandedOver)
-	if err := s.journal.Close(); err != nil {
-		s.log.Error().Err(err).Msg("closing the journal for the successor failed")
+	if err := s.journal.CloseReleased(); err != nil {
+		s.log.Error().Err(err).Msg("closing the released journal failed")
 	}
 	s.nextInput.events, s.nextInput.requests = nil, nil
-	successor.JournalReleased()
 }
 
 func (s *Sender) checkpoint() Checkpoint {
