--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -38,8 +38,14 @@
 			signal.Stop(sig.terminate)
 		}
 	}()
+	var previous *incarnation
 	for {
-		err := runIncarnation(ctx, file, opt, sig)
+		inc, err := newIncarnation(file, opt, sig, previous)
+		if err != nil {
+			return err
+		}
+		err = inc.runAndClose(ctx)
+		previous = inc
 		opt.FolderTrust = sender.FolderTrusted // the option concerns the folder as it was at the first start
 		if ended = errors.Is(err, errProcessExit); ended {
 			return nil
--- a/internal/app/incarnation.go
+++ b/internal/app/incarnation.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,6 +33,9 @@
 	log     zerolog.Logger
 	signals signals
 	options sender.Options
+	// reclaims means that an earlier incarnation of this process had the journal: no other process serves.
+	reclaims bool
+	reloaded atomic.Pointer[config.Config] // as last applied by a reload; nil: none was
 
 	admin          *admin.Server // nil without a control address
 	loop           *loop.Loop
@@ -46,38 +50,37 @@
 	closers []func() // for the started parts, in the order of their starts
 }
 
-// runIncarnation runs one incarnation. The error is errJournalReclaimed if another incarnation has to follow in this
-// process.
-func runIncarnation(ctx context.Context, file string, opt Options, sig signals) error {
-	inc, err := newIncarnation(file, opt, sig)
-	if err != nil {
-		return err
-	}
-	defer inc.close()
-	return inc.run(ctx)
-}
-
-// newIncarnation reads the configuration. It starts nothing.
-func newIncarnation(file string, opt Options, sig signals) (*incarnation, error) {
-	cfg, err := config.Load(os.Getenv, file)
-	if err != nil {
-		return nil, err
-	}
-	setMemoryLimit(cfg, fullShare)
-	inc := &incarnation{
-		file:    file,
-		log:     zerolog.New(os.Stderr).With().Timestamp().Str("sender", cfg.Name).Logger(),
-		signals: sig,
-	}
-	if err := fitDescriptors(&cfg, inc.log); err != nil {
-		return nil, err
+// newIncarnation starts nothing. The first incarnation reads the configuration. A later one uses that of the previous
+// one as it was in effect: the file may be meant for the successor by now, which has exited.
+func newIncarnation(file string, opt Options, sig signals, previous *incarnation) (*incarnation, error) {
+	inc := &incarnation{file: file, signals: sig, reclaims: previous != nil}
+	if previous == nil {
+		cfg, err := config.Load(os.Getenv, file)
+		if err != nil {
+			return nil, err
+		}
+		inc.log = zerolog.New(os.Stderr).With().Timestamp().Str("sender", cfg.Name).Logger()
+		if err := fitDescriptors(&cfg, inc.log); err != nil {
+			return nil, err
+		}
+		inc.cfg = cfg
+	} else {
+		inc.cfg, inc.log = previous.cfg, previous.log
+		inc.reloaded.Store(previous.reloaded.Load())
 	}
-	inc.cfg = cfg
+	setMemoryLimit(inc.cfg, fullShare)
 	inc.loop, inc.sockets = loop.New(), newListeningSockets()
 	inc.options = inc.senderOptions(opt)
 	return inc, nil
 }
 
+// runAndClose runs an incarnation and stops what it has started. The error is errJournalReclaimed if another incarnation
+// has to follow in this process.
+func (inc *incarnation) runAndClose(ctx context.Context) error {
+	defer inc.close()
+	return inc.run(ctx)
+}
+
 func (inc *incarnation) senderOptions(opt Options) sender.Options {
 	options := sender.Options{
 		RunOnFronts:  inc.loop.Post,
@@ -167,7 +170,11 @@
 
 // retry runs an operation of the start and repeats it while it fails with a transient error.
 func (inc *incarnation) retry(ctx context.Context, operation func() error) error {
-	return retryStart(ctx, inc.signals.terminate, inc.log, startRetryTimeout, operation)
+	timeout := startRetryTimeout
+	if inc.reclaims {
+		timeout = noRetryTimeout
+	}
+	return retryStart(ctx, inc.signals.terminate, inc.log, timeout, operation)
 }
 
 // startAdmin opens the control address, which reports from now on that the process is starting.
@@ -206,6 +213,7 @@
 func (inc *incarnation) openCore(ctx context.Context) error {
 	opener := &coreOpener{
 		cfg:         inc.cfg,
+		reclaims:    inc.reclaims,
 		log:         inc.log,
 		terminate:   inc.signals.terminate,
 		setStarting: func(string) {},
@@ -258,7 +266,14 @@
 	inc.transport, err = newTransport(inc.transportParams(ctx))
 	inc.handover.state = nil
 	failpoint.Reach(failpoint.SocketInherited)
-	return err
+	if err != nil {
+		return err
+	}
+	if reloaded := inc.reloaded.Load(); reloaded != nil {
+		inc.options.Events.SetLevel(reloaded.Events)
+		return inc.transport.applyConfig(inc.core, *reloaded)
+	}
+	return nil
 }
 
 func (inc *incarnation) transportParams(ctx context.Context) transportParams {
@@ -336,7 +351,9 @@
 			link: inc.handover.link,
 			predecessorEnded: func() {
 				predecessorSide.setShares(fullShare, fullShare)
-				inc.openConsoleOfEarlierRelease(ctx)
+				if !inc.handover.confirms { // an earlier release keeps its console until it exits
+					inc.openConsole(ctx)
+				}
 			},
 			offers: map[uint64]*sender.Request{},
 		}
@@ -349,12 +366,13 @@
 	}
 }
 
-// openConsoleOfEarlierRelease opens the console once a predecessor has ended that kept its own until then.
-func (inc *incarnation) openConsoleOfEarlierRelease(ctx context.Context) {
-	if inc.handover.confirms {
-		return
+// openConsole opens the console of a sender that serves already, with or without it.
+func (inc *incarnation) openConsole(ctx context.Context) {
+	params := inc.transportParams(ctx)
+	params.retry = func(operation func() error) error { // signals are not for this goroutine
+		return retryStart(ctx, nil, inc.log, noRetryTimeout, operation)
 	}
-	if err := inc.transport.startConsole(inc.transportParams(ctx)); err != nil {
+	if err := inc.transport.startConsole(params); err != nil {
 		inc.log.Error().Err(err).Msg("the console cannot be opened: the sender serves without it")
 	}
 }
--- a/internal/app/reload.go
+++ b/internal/app/reload.go
@@ -56,6 +56,7 @@
 			inc.logRejectedReload(err)
 			return
 		}
+		inc.reloaded.Store(&cfg)
 		warnOfExpiry(inc.log, cfg)
 		inc.log.Info().Str("discovery", cfg.Discovery).Int("endpoints", len(cfg.Endpoints.Hosts)).Msg("reloaded")
 	})
