--- a/internal/app/incarnation.go
+++ b/internal/app/incarnation.go
@@ -136,6 +136,9 @@
 	ctx, inc.endIncarnation = context.WithCancelCause(ctx)
 	inc.onClose(func() { inc.endIncarnation(nil) })
 	inc.startHotRestart(ctx)
+	if inc.reclaims {
+		go inc.openConsole(ctx)
+	}
 	go inc.reloadOnSignal(ctx)
 	leaveGroup := inc.peers.start()
 	inc.onClose(leaveGroup)
@@ -291,7 +294,7 @@
 		retry:        func(operation func() error) error { return inc.retry(ctx, operation) },
 		sockets:      inc.sockets,
 		startPaused:  inc.handover.confirms,
-		consoleLater: inc.handover.link != nil && !inc.handover.confirms,
+		consoleLater: inc.reclaims || inc.handover.link != nil && !inc.handover.confirms,
 	}
 }
 
--- a/internal/app/reclaim_test.go
+++ b/internal/app/reclaim_test.go
@@ -114,6 +114,24 @@
 	env.accepted[id] = true
 }
 
+// A process that reclaims the journal serves although the path of its console has become a file. The failure: it ended.
+func TestReclaimWithoutConsole(t *testing.T) {
+	t.Parallel()
+	env := startReclaiming(t, faults.Faults{})
+	if err := os.Remove(env.console); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(env.console, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	env.killSuccessor()
+	env.submitAccepted("after", 4, "c=charge,t=x,d=20000,dest=7")
+	env.waitSettled()
+	if log := env.proc.stderr.String(); !strings.Contains(log, "the sender serves without it") {
+		t.Errorf("the console's failure is not logged:\n%s", log)
+	}
+}
+
 // A process that reclaims the journal opens its sockets again although some calls fail at first.
 func TestReclaimWithFailingSockets(t *testing.T) {
 	t.Parallel()
