--- a/internal/app/incarnation.go
+++ b/internal/app/incarnation.go
@@ -74,8 +74,8 @@
 	return inc, nil
 }
 
-// runAndClose runs an incarnation and stops what it has started. The error is errJournalReclaimed if another incarnation
-// has to follow in this process.
+// runAndClose runs an incarnation and stops what it has started. The error is errJournalReclaimed if another
+// incarnation has to follow in this process.
 func (inc *incarnation) runAndClose(ctx context.Context) error {
 	defer inc.close()
 	return inc.run(ctx)
--- a/internal/app/reclaim_test.go
+++ b/internal/app/reclaim_test.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// A process that reclaims the journal continues with the configuration that was in effect, reloaded routes included. The
-// failure: it read the file again, which was meant for its successor and had a key that it did not know, and ended.
+// A process that reclaims the journal continues with the configuration that was in effect, reloaded routes included.
+// The failure: it read the file again, which was meant for its successor and had a key that it did not know, and ended.
 func TestReclaimUsesTheConfigurationInEffect(t *testing.T) {
 	t.Parallel()
 	env := startReclaiming(t, faults.Faults{})
