No rate exceeds what a sender can send, and stored numbers have ranges

Cause: each success multiplies the rate by 1.03 without a bound; at +Inf the tokens become NaN, and no comparison with them admits a call. Change: rates are bounded by 1e6 calls a second, as inherited ones were; State.Repair replaces impossible numbers of a received or stored state, and the sender logs them; a message of the hot restart that cannot be encoded ends that attempt with its reason. Why it works: a bounded rate times any span is a number; the increase below the bound is as it was.

--- a/internal/app/restart_link.go
+++ b/internal/app/restart_link.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -29,7 +30,8 @@
 	mu     sync.Mutex
 	queue  []hotrestart.Message
 	closed bool
-	idle   bool // the writer has written all messages
+	idle   bool  // the writer has written all messages
+	failed error // why a message could not be written; nil: all could
 }
 
 func newRestartLink(conn net.Conn) *restartLink {
@@ -76,8 +78,8 @@
 			}
 			for _, msg := range batch {
 				_ = l.conn.SetWriteDeadline(time.Now().Add(linkWriteTimeout))
-				if l.writeMessage(msg) != nil {
-					l.close()
+				if err := l.writeMessage(msg); err != nil {
+					l.fail(err)
 					return
 				}
 			}
@@ -95,6 +97,14 @@
 	return writeWithDescriptors(l.conn, append(raw, '\n'), msg.Descriptors)
 }
 
+// fail closes the connection after a message that could not be written, for example since it cannot be encoded.
+func (l *restartLink) fail(err error) {
+	l.mu.Lock()
+	l.failed = err
+	l.mu.Unlock()
+	l.close()
+}
+
 // dequeueAll removes all messages from the queue and returns them to the writer.
 func (l *restartLink) dequeueAll() (batch []hotrestart.Message, closed bool) {
 	l.mu.Lock()
@@ -114,6 +124,11 @@
 	_ = l.conn.SetReadDeadline(deadline)
 	msg, err := l.reader.Next()
 	msg.Descriptors = l.descriptors.take()
+	if err != nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		err = errors.Join(l.failed, err)
+	}
 	return msg, err
 }
 
--- a/scheduler/pacing.go
+++ b/scheduler/pacing.go
@@ -99,7 +99,7 @@
 		arrivals, sends := s.arrivalRate(rt), rt.throughput.sendRateNow(s.now)
 		initialRate := sends + (min(arrivals, sends)-sends)*s.contention
 		bucket.limited = true
-		bucket.rate = max(lowestRate, initialRate, 2*s.backlogRate(rt)) // halved below
+		bucket.rate = min(max(lowestRate, initialRate, 2*s.backlogRate(rt)), unlimitedRate) // halved below
 	} else if call.sentAt <= bucket.decreasedAt {
 		return
 	}
@@ -108,7 +108,8 @@
 		bucket.rate = min(bucket.rate, s.maxRate(rt))
 	}
 	bucket.rateMark = bucket.rate
-	bucket.rate = max(lowestRate*(1+minRateJitter*(2*s.rng.Float64()-1)), bucket.rate/2)
+	lowestRate *= 1 + minRateJitter*(2*s.rng.Float64()-1)
+	bucket.rate = min(max(lowestRate, bucket.rate/2), unlimitedRate)
 	bucket.decreasedAt = s.now
 	s.randomizeTokens(rt)
 }
@@ -194,11 +195,11 @@
 }
 
 // maxRate returns the maximum rate of this sender: its share of the advertised limit, relaxed the fewer
-// senders there are, and after a restart also the catch-up rate.
+// senders there are, and after a restart also the catch-up rate. It is never above what a sender can send.
 func (s *Scheduler) maxRate(rt *route) float64 {
-	limit := math.Inf(1)
+	limit := unlimitedRate
 	if s.now < rt.bucket.catchUpUntil {
-		limit = rt.bucket.catchUpRate
+		limit = min(limit, rt.bucket.catchUpRate)
 	}
 	if s.contention == 0 {
 		return limit
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -54,7 +54,7 @@
 // rig drives one scheduler with the events that a test gives it. It simulates no endpoints: the test also
 // provides the outcomes of the attempts.
 type rig struct {
-	t        *testing.T
+	t        testing.TB
 	sched    *Scheduler
 	now      int64
 	requests int               // number of requests so far
@@ -64,12 +64,12 @@
 }
 
 // rigFor returns a rig for an existing scheduler, whose next step is at now.
-func rigFor(t *testing.T, sched *Scheduler, now int64) *rig {
+func rigFor(t testing.TB, sched *Scheduler, now int64) *rig {
 	return &rig{t: t, sched: sched, now: now, attempts: map[string]int{}, sentTo: map[string]string{}}
 }
 
 // newRig returns a rig with a new scheduler that has received the endpoint list.
-func newRig(t *testing.T, settings Settings, list ...Endpoint) *rig {
+func newRig(t testing.TB, settings Settings, list ...Endpoint) *rig {
 	t.Helper()
 	sched, err := New(settings, 7)
 	if err != nil {
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -145,6 +145,7 @@
 		sched.UseConnectionsOnce()
 	}
 	if options.Checkpoint != nil {
+		logRepairs(options.Log, options.Checkpoint.Scheduler.Repair())
 		if err := sched.RestoreState(options.Checkpoint.Scheduler, int64(clock.Steady())); err != nil {
 			return nil, err
 		}
@@ -167,6 +168,14 @@
 	return s, nil
 }
 
+// logRepairs logs the impossible numbers of a stored or received state that were replaced.
+func logRepairs(log zerolog.Logger, repairs []string) {
+	if len(repairs) > 0 {
+		log.Warn().Strs("numbers", repairs).
+			Msg("the state of the previous incarnation had impossible numbers: they are replaced")
+	}
+}
+
 // minFolderSnapshots is the least disk budget, in snapshots of maximum size, with which snapshots are
 // kept.
 const minFolderSnapshots = 16
--- a/sender/snapshots.go
+++ b/sender/snapshots.go
@@ -48,6 +48,7 @@
 	now := clock.Now()
 	elapsed, shift := snapshot.Elapsed(stored.TakenAt, now)
 	stored.Scheduler.ShiftTimes(shift)
+	logRepairs(s.log, stored.Scheduler.Repair())
 	if err := s.scheduler.RestoreLearnedState(stored.Scheduler, int64(now.SinceBoot)); err != nil {
 		return err
 	}
