--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -6,6 +6,7 @@
 	"errors"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 
 	"brackendale/sender"
@@ -23,12 +24,16 @@
 type signals struct {
 	reload    chan os.Signal
 	terminate chan os.Signal
+	// shuttingDown is set once the process shuts down, after which no incarnation may follow.
+	shuttingDown *atomic.Bool
 }
 
 // Serve reads the configuration and serves until ctx ends or a signal ends the process.
 func Serve(ctx context.Context, file string, opt Options) error {
 	// First of all: a signal that no channel is registered for kills the process.
-	sig := signals{reload: make(chan os.Signal, 1), terminate: make(chan os.Signal, 1)}
+	sig := signals{
+		reload: make(chan os.Signal, 1), terminate: make(chan os.Signal, 1), shuttingDown: &atomic.Bool{},
+	}
 	signal.Notify(sig.reload, syscall.SIGHUP)
 	signal.Notify(sig.terminate, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(sig.reload)
--- a/internal/app/forward.go
+++ b/internal/app/forward.go
@@ -40,3 +40,10 @@
 	delete(p.offers, id)
 	return req
 }
+
+// dropOffers removes all offers. Their clients get no reply: nobody knows what became of their requests.
+func (p *predecessor) dropOffers() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.offers)
+}
--- a/internal/app/handover.go
+++ b/internal/app/handover.go
@@ -176,9 +176,38 @@
 	for reply := <-next; reply.err == nil; reply.msg, reply.err = link.receive(0) {
 		p.handleSuccessorMessage(reply.msg)
 	}
-	if p.handle(hotrestart.PeerDisconnected) == hotrestart.ReclaimJournal {
-		p.reclaim(nil)
+	p.successorEnded()
+}
+
+// successorEnded reclaims the journal from a successor that has exited, unless this process has been told to end or
+// another process holds the journal: then it only finishes what it has in hand.
+func (p *predecessor) successorEnded() {
+	switch {
+	case p.shuttingDown.Load():
+		p.log.Warn().Msg("hot restart: the successor exited with the journal, and this process shuts down: " +
+			"the messages stay in the journal for the next process")
+	case p.journalIsLocked():
+		p.log.Warn().Msg("hot restart: the successor disconnected, and a process holds the journal: " +
+			"this process goes on draining")
+	default:
+		if p.handle(hotrestart.PeerDisconnected) == hotrestart.ReclaimJournal {
+			p.reclaim(nil)
+		}
+		return
+	}
+	p.handle(hotrestart.SuccessorServing) // whether it did or not, this process may exit
+	p.dropOffers()
+}
+
+// journalIsLocked reports whether another process holds the journal, also a little later: the kernel closes the
+// connection of a process that ends before it releases the lock.
+func (p *predecessor) journalIsLocked() bool {
+	for started := time.Now(); journal.Locked(p.cfg.State); time.Sleep(reacquireInterval) {
+		if time.Since(started) > reacquireTimeout {
+			return true
+		}
 	}
+	return false
 }
 
 func (p *predecessor) handleSuccessorMessage(msg hotrestart.Message) {
--- a/internal/app/incarnation.go
+++ b/internal/app/incarnation.go
@@ -346,13 +346,16 @@
 		log:            inc.log,
 		endIncarnation: inc.endIncarnation,
 		startShutdown:  inc.startShutdown,
+		shuttingDown:   inc.signals.shuttingDown,
 	}
 	if inc.handover.link != nil {
+		predecessorSide.machine.State = hotrestart.OwnPredecessorDraining
 		predecessorSide.setShares(halfShare, halfShare)
 		successorSide := &successor{
 			core: inc.core,
 			link: inc.handover.link,
 			predecessorEnded: func() {
+				predecessorSide.handle(hotrestart.OwnPredecessorEnded)
 				predecessorSide.setShares(fullShare, fullShare)
 				if !inc.handover.confirms { // an earlier release keeps its console until it exits
 					inc.openConsole(ctx)
--- a/internal/app/open_core.go
+++ b/internal/app/open_core.go
@@ -97,7 +97,9 @@
 			return openedCore{}, err
 		}
 		if !errors.Is(err, errNoPredecessor) {
-			o.log.Warn().Err(err).Msg("hot restart: taking over from the predecessor failed: trying again")
+			if err.Error() != o.lockCause.Error() { // not at each attempt
+				o.log.Warn().Err(err).Msg("hot restart: taking over from the predecessor failed: trying again")
+			}
 			o.lockCause = err
 		}
 		core, err := o.openCore(nil)
--- a/internal/app/predecessor.go
+++ b/internal/app/predecessor.go
@@ -7,6 +7,7 @@
 	"net"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"brackendale/internal/config"
@@ -58,6 +59,7 @@
 	log            zerolog.Logger
 	endIncarnation func(error) // ends this incarnation
 	startShutdown  func()      // starts a graceful shutdown of this process
+	shuttingDown   *atomic.Bool
 
 	listener    *net.UnixListener
 	releasePath func() // releases the path of the socket
--- a/internal/app/shutdown.go
+++ b/internal/app/shutdown.go
@@ -23,6 +23,7 @@
 	case <-ctx.Done():
 		return
 	}
+	inc.signals.shuttingDown.Store(true)
 	go leaveGroup() // other members can take over the leases while this sender finishes its messages
 	inc.shutDown()
 }
--- a/internal/hotrestart/hotrestart.go
+++ b/internal/hotrestart/hotrestart.go
@@ -9,21 +9,22 @@
 
 // The events.
 const (
-	PeerConnected     Event = iota // the predecessor received a hello, or the successor a welcome, of the same version
-	VersionMismatch                // the other side uses another version of the protocol
-	SuccessorPrepared              // predecessor: the successor needs nothing more than the state and the journal
-	StateLoaded                    // successor: it has read the state and can continue from it
-	StateAccepted                  // predecessor: the successor has read the state
-	JournalReceived                // successor: the predecessor has released the journal
-	JournalOpenFailed              // successor: the journal that it received cannot be opened
-	SuccessorServing               // predecessor: the start of the successor is complete
-	JournalReacquired              // predecessor: the journal is as it was released, and this process holds it again
-	JournalLost                    // predecessor: the journal that was released was written, or stays locked
-	PeerDisconnected               // the connection to the other side is closed
-	StepTimedOut                   // no message was received within the timeout of the step
-	DrainComplete                  // predecessor: no attempt is in flight and no client is connected
-	JournalUnlocked                // successor: no process holds the journal
-	JournalLocked                  // successor: another process holds the journal and does not release it
+	PeerConnected       Event = iota // the predecessor received a hello, or the successor a welcome, of the same version
+	VersionMismatch                  // the other side uses another version of the protocol
+	SuccessorPrepared                // predecessor: the successor needs nothing more than the state and the journal
+	StateLoaded                      // successor: it has read the state and can continue from it
+	StateAccepted                    // predecessor: the successor has read the state
+	JournalReceived                  // successor: the predecessor has released the journal
+	JournalOpenFailed                // successor: the journal that it received cannot be opened
+	SuccessorServing                 // predecessor: the start of the successor is complete
+	OwnPredecessorEnded              // predecessor: the process from which this one took over has ended
+	JournalReacquired                // predecessor: the journal is as it was released, and this process holds it again
+	JournalLost                      // predecessor: the journal that was released was written, or stays locked
+	PeerDisconnected                 // the connection to the other side is closed
+	StepTimedOut                     // no message was received within the timeout of the step
+	DrainComplete                    // predecessor: no attempt is in flight and no client is connected
+	JournalUnlocked                  // successor: no process holds the journal
+	JournalLocked                    // successor: another process holds the journal and does not release it
 )
 
 // Action is what a process has to do after an event.
--- a/internal/hotrestart/predecessor.go
+++ b/internal/hotrestart/predecessor.go
@@ -13,6 +13,9 @@
 	JournalReleased                            // this process forwards; the start of the successor takes long
 	Draining                                   // the successor serves, and this process drains
 	PredecessorExited                          // the process exits, or restarts from the journal
+	// OwnPredecessorDraining is the first state of a process that has taken over itself and whose predecessor still
+	// drains. Of three processes the oldest could not tell whether the journal is with the second or the third.
+	OwnPredecessorDraining
 )
 
 // Predecessor is the state machine of the old process. The zero value has no successor. It is not safe for
@@ -35,6 +38,10 @@
 	// The successor can open the journal once this process has shut down gracefully.
 	{NoSuccessor, VersionMismatch}: {PredecessorExited, RefuseAndShutDown},
 
+	{OwnPredecessorDraining, OwnPredecessorEnded}: {NoSuccessor, DoNothing},
+	{OwnPredecessorDraining, PeerConnected}:       {OwnPredecessorDraining, Refuse},
+	{OwnPredecessorDraining, VersionMismatch}:     {OwnPredecessorDraining, Refuse},
+
 	{SuccessorPreparing, SuccessorPrepared}: {Quiesced, Quiesce},
 	{SuccessorPreparing, PeerDisconnected}:  {NoSuccessor, Resume},
 	{SuccessorPreparing, StepTimedOut}:      {NoSuccessor, Resume},
@@ -75,7 +82,9 @@
 }
 
 // HoldsJournal reports whether the predecessor holds the journal.
-func (p *Predecessor) HoldsJournal() bool { return p.State < SuccessorStarting }
+func (p *Predecessor) HoldsJournal() bool {
+	return p.State < SuccessorStarting || p.State == OwnPredecessorDraining
+}
 
 // Handle applies an event and returns the action to take.
 func (p *Predecessor) Handle(event Event) Action {
--- a/internal/journal/lock.go
+++ b/internal/journal/lock.go
@@ -28,6 +28,15 @@
 	return file, nil
 }
 
+// Locked reports whether a process has the journal in dir open.
+func Locked(dir string) bool {
+	lock, err := acquireLock(filepath.Join(dir, lockName))
+	if err == nil {
+		_ = lock.Close()
+	}
+	return errors.Is(err, ErrLocked)
+}
+
 // ErrChanged reports that another process has written the journal since Release.
 var ErrChanged = errors.New("journal: another process has written the journal")
 
