The end of a process that shuts down is not inherited by its successor

Callers saw: a process that took over from one that had had SIGTERM returned all messages untried from 3.5 s after that signal on. Cause: shutdownAt, the time by which a process has to end, is part of the scheduler's state that is handed over. Change: RestoreState begins without it; its place in the stored form stays. Why it works: only ShutdownStarted of the own process sets it.

--- a/internal/app/succession_test.go
+++ b/internal/app/succession_test.go
@@ -134,3 +134,27 @@
 		t.Error("the process tried to take the service back")
 	}
 }
+
+// A process that takes over from one that shuts down goes on calling its partners. The failure: the time by which the
+// old process had to end was part of the state that it handed over, and the new one returned all messages after it.
+func TestSuccessorOfAStoppingProcess(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	first := env.startProcess()
+	env.waitReady(first)
+	_ = first.Process.Signal(syscall.SIGTERM)
+	time.Sleep(300 * time.Millisecond) // the shutdown has started
+	second := env.startProcess()
+	env.waitReady(second)
+	env.waitExit(first)
+	time.Sleep(shutdownDuration) // the time by which the first process had to end is over
+	env.submitAccepted("after", 3, "c=charge,t=x,d=15000,dest=7")
+	env.waitSettled()
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	for id := range env.accepted {
+		if env.applied[id] != 1 {
+			t.Errorf("%s was applied %d times and has the final answer %q", id, env.applied[id], env.finalAnswers[id])
+		}
+	}
+}
--- a/scheduler/savestate.go
+++ b/scheduler/savestate.go
@@ -130,14 +130,15 @@
 	return state
 }
 
-// RestoreState gives a scheduler that has taken no step the complete state of another one. The
-// settings may be newer: messages of a class that they do not contain are dropped. After an error the
+// RestoreState gives a scheduler that has taken no step the complete state of another one, apart from
+// what concerns the process of that one. The settings may be newer: messages of a class that they do not contain are dropped. After an error the
 // scheduler must not be used.
 func (s *Scheduler) RestoreState(state State, now int64) error {
 	if state.Format != StateFormat || !assign(s.floats(), state.Floats) || !assign(s.integers(), state.Integers) {
 		return errStateFormat
 	}
 	s.now = now
+	s.shutdownAt = 0 // of the process that saved the state: this one has not been told to end
 	maps.Copy(s.connectFailureShare, state.ConnectFailureShare)
 	maps.Copy(s.retrySpread, state.RetrySpread)
 	s.restoreTenants(state.Tenants)
