No byte of a call leaves once one of its messages has its final answer

Cause: the check before the first byte went by the message's deadline; the scheduler ends a message two steps and 1 ms earlier. Change: an attempt carries the last time for its bytes, two steps before the time from which its message may be ended. Why it works: the check uses the scheduler's own time for the end, less what may pass between check and write.

--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -67,6 +67,13 @@
 	return msg.deadline - 2*s.settings.TickUs - 1000
 }
 
+// LastSend returns the latest time at which bytes of an attempt may leave, for a message with a deadline. The
+// message may have its final answer from answerDeadline on, which another goroutine decides: the difference
+// is the time between the check of an attempt and its write.
+func (s *Scheduler) LastSend(deadline int64) int64 {
+	return s.answerDeadline(&message{deadline: deadline}) - 2*s.settings.TickUs
+}
+
 // resendDeadline returns the latest time at which a message may be sent again: one that may have run only
 // within its idempotency window.
 func (s *Scheduler) resendDeadline(msg *message) int64 {
--- a/sender/calls.go
+++ b/sender/calls.go
@@ -54,7 +54,7 @@
 		Body:      entry.Body,
 		Number:    entry.Attempts,
 		TimeoutUs: timeoutUs,
-		Deadline:  entry.Deadline,
+		Deadline:  clock.Instant(s.scheduler.LastSend(int64(entry.Deadline))),
 		StartBy:   s.startBy(entry),
 	}
 }
--- a/sender/egress.go
+++ b/sender/egress.go
@@ -13,7 +13,7 @@
 	Body      []byte
 	Number    int           // of earlier attempts of the message
 	TimeoutUs int64         // from now; the egress cancels the attempt then
-	Deadline  clock.Instant // of the request
+	Deadline  clock.Instant // no byte of it may leave later: shortly before the final answer of its message
 	StartBy   clock.Instant // it must not be written later: its idempotency window ends then; 0: no limit
 }
 
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -341,3 +341,23 @@
 		t.Fatal(ok, core.journal.Get("long"))
 	}
 }
+
+// No byte of an attempt may leave once its message has its final answer. The failure: a call that carries several
+// messages could be written until the deadline of the earliest, which has its final answer shortly before.
+func TestNoByteAfterTheFinalAnswer(t *testing.T) {
+	core, front := newTestSender(t, t.TempDir(), 1<<20)
+	front.step(t, request(core, "m", 300_000))
+	if len(front.attempts) != 1 {
+		t.Fatalf("attempts %v", front.attempts)
+	}
+	front.answers = nil
+	for started := time.Now(); len(front.answers) == 0; time.Sleep(time.Millisecond) {
+		core.runIteration()
+		if time.Since(started) > time.Second {
+			t.Fatal("no final answer")
+		}
+	}
+	if now, lastByte := core.Now(), front.attempts[0].Deadline; lastByte >= now {
+		t.Errorf("bytes may leave until %v us after the final answer %v", lastByte.Sub(now).Microseconds(), front.answers)
+	}
+}
