--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -20,6 +20,7 @@
 func TestMain(m *testing.M) {
 	if os.Getenv(serveKey) != "" {
 		faults.Inject()
+		KillAtPoint()
 		if err := app.Serve(context.Background(), "", app.Options{}); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
@@ -54,6 +55,16 @@
 // throughout, and clients that never complete a command are disconnected.
 func TestSoakOfUpgrades(t *testing.T) { soak(t, Options{Upgrades: true}, seeds(t)) }
 
+// New processes are killed in their start, between upgrades that succeed: the old process goes on as if they had not
+// been there. The failure: a start that failed ended both processes, or cut the calls and clients of the old one.
+func TestSoakOfFailedStarts(t *testing.T) {
+	days := seeds(t)
+	if os.Getenv("BRACKENDALE_SOAK") == "" {
+		days = days[:3]
+	}
+	soak(t, Options{Upgrades: true, FailedStarts: true}, days)
+}
+
 // The agent receives a drain while the open watch is unresponsive, and is unavailable by the next poll. A process
 // started then does not have the drain and sends to the draining endpoint.
 func TestSoakOfADrainMissedByASilentWatch(t *testing.T) {
--- a/internal/testing/soak/world.go
+++ b/internal/testing/soak/world.go
@@ -37,6 +37,9 @@
 	// succession, a socket that is returned to blocking mode, and many clients that never complete a command.
 	Upgrades bool
 
+	// FailedStarts: with Upgrades, half of the upgrade faults are new processes that are killed in their start.
+	FailedStarts bool
+
 	// Strays: endpoints and the agent write answers that belong to no request, of these kinds.
 	Strays []strayKind
 	// OnlyStrays: no other fault is injected, and the endpoints are busy.
@@ -160,9 +163,9 @@
 }
 
 // launch starts a process.
-func (s *simulation) launch(injected faults.Faults) (*fleet.Proc, error) {
+func (s *simulation) launch(injected faults.Faults, extraEnv ...string) (*fleet.Proc, error) {
 	env := []string{"LB_CONFIG=" + s.path("config.json"), "LB_STATE=" + s.path("state"), injected.Env()}
-	env = append(env, s.options.Env...)
+	env = append(append(env, s.options.Env...), extraEnv...)
 	if s.launcher == nil {
 		return fleet.Start(s.options.Program, s.options.Args, env, s.log)
 	}
