The soak's variable for a kill is named by its tests, and is none of the program's

Change: the name and the hook stand in soak_test.go, beside the variable that makes a process serve; an option of the run has the name.

--- a/internal/testing/soak/failed_start.go
+++ b/internal/testing/soak/failed_start.go
@@ -1,34 +1,15 @@
 package soak
 
 import (
-	"os"
-	"syscall"
 	"time"
 
 	"brackendale/internal/failpoint"
 )
 
-// KillPointEnv is the environment variable with the failpoint at which a process kills itself.
-const KillPointEnv = "BRACKENDALE_SOAK_KILL"
-
 // killPoints are the failpoints at which a new process is killed in its start, once it has the journal. At the last one
 // its predecessor knows that it serves, and has to start from the journal.
 var killPoints = []failpoint.Point{failpoint.JournalOpened, failpoint.SocketInherited, failpoint.ServingConfirmed}
 
-// KillAtPoint makes this process kill itself when it reaches the failpoint that its environment names, if any.
-func KillAtPoint() {
-	point := os.Getenv(KillPointEnv)
-	if point == "" {
-		return
-	}
-	failpoint.SetHook(func(reached failpoint.Point) {
-		if string(reached) == point {
-			_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
-			select {}
-		}
-	})
-}
-
 // failStart starts a new process beside the serving one and has it killed in its start. Only where the new process
 // serves already may clients notice: no restart is recorded otherwise, so that any missing reply is a violation.
 func (s *simulation) failStart() error {
@@ -40,7 +21,7 @@
 		s.judge.recordStop()
 	}
 	control := s.launcher.control
-	killed, err := s.launch(s.drawFaults(), KillPointEnv+"="+string(point))
+	killed, err := s.launch(s.drawFaults(), s.options.KillPointEnv+"="+string(point))
 	if err != nil {
 		return err
 	}
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -7,20 +7,26 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"brackendale/internal/app"
+	"brackendale/internal/failpoint"
 	"brackendale/internal/testing/faults"
 )
 
-const serveKey = "BRACKENDALE_SOAK_SERVE"
+const (
+	serveKey = "BRACKENDALE_SOAK_SERVE"
+	// killPointKey is the environment variable with the failpoint at which a process kills itself.
+	killPointKey = "BRACKENDALE_SOAK_KILL"
+)
 
 // TestMain runs the sender in child processes, with the platform's configuration.
 func TestMain(m *testing.M) {
 	if os.Getenv(serveKey) != "" {
 		faults.Inject()
-		KillAtPoint()
+		killAtPoint(os.Getenv(killPointKey))
 		if err := app.Serve(context.Background(), "", app.Options{}); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
@@ -30,6 +36,19 @@
 	os.Exit(m.Run())
 }
 
+// killAtPoint makes this process kill itself when it reaches a failpoint; an empty one is never reached.
+func killAtPoint(point string) {
+	if point == "" {
+		return
+	}
+	failpoint.SetHook(func(reached failpoint.Point) {
+		if string(reached) == point {
+			_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+			select {}
+		}
+	})
+}
+
 // seeds returns the seeds of BRACKENDALE_SOAK, in the form "from-to", or a few fixed ones.
 func seeds(t *testing.T) (all []int64) {
 	text := os.Getenv("BRACKENDALE_SOAK")
@@ -62,7 +81,7 @@
 	if os.Getenv("BRACKENDALE_SOAK") == "" {
 		days = days[:3]
 	}
-	soak(t, Options{Upgrades: true, FailedStarts: true}, days)
+	soak(t, Options{Upgrades: true, KillPointEnv: killPointKey}, days)
 }
 
 // The agent receives a drain while the open watch is unresponsive, and is unavailable by the next poll. A process
--- a/internal/testing/soak/upgrade.go
+++ b/internal/testing/soak/upgrade.go
@@ -87,7 +87,7 @@
 
 // injectUpgradeFault injects a random fault of the runs with upgrades.
 func (s *simulation) injectUpgradeFault() error {
-	if s.options.FailedStarts && s.rng.Intn(2) == 0 {
+	if s.options.KillPointEnv != "" && s.rng.Intn(2) == 0 {
 		return s.failStart()
 	}
 	switch s.rng.Intn(6) {
--- a/internal/testing/soak/world.go
+++ b/internal/testing/soak/world.go
@@ -37,8 +37,9 @@
 	// succession, a socket that is returned to blocking mode, and many clients that never complete a command.
 	Upgrades bool
 
-	// FailedStarts: with Upgrades, half of the upgrade faults are new processes that are killed in their start.
-	FailedStarts bool
+	// KillPointEnv is the environment variable with the failpoint at which a process has to kill itself. If it is set,
+	// half of the upgrade faults are new processes that are killed in their start.
+	KillPointEnv string
 
 	// Strays: endpoints and the agent write answers that belong to no request, of these kinds.
 	Strays []strayKind
