Record of events: notices, clients' ends and abandoned attempts, with five figures

Cause: neither logs nor figures could say when a notice was sent and acknowledged, how many wait and how old the oldest is, why a client's connection ended and with how much unanswered, and whether an attempt that was given up still had bytes in the kernel. Change: events notified, acknowledged, unacknowledged, client closed, abandoned; lb_notices_waiting, lb_notices_oldest_seconds, lb_notices_unacknowledged_total, lb_clients_closed_total, lb_attempts_abandoned_total. Counts are kept by kind in place of two maps.

--- a/internal/app/events.go
+++ b/internal/app/events.go
@@ -34,20 +34,27 @@
 
 // eventMetrics returns the metrics of the record of events: each place and each reason, also those that have not
 // occurred.
-func eventMetrics(events *eventlog.Recorder) (all []metrics.Metric) {
-	unexpected, closed := events.Counts()
-	for _, place := range slices.Concat(platform.Places(), []string{amqpfront.BrokerPlace}) {
-		all = append(all, metrics.Metric{
-			Name: "lb_unexpected_answers_total", Counter: true, Label: []string{"place", place},
-			Help:  "Answers that belong to no request, by the place at which they came.",
-			Value: float64(unexpected[place]),
-		})
-	}
-	for _, reason := range platform.CloseReasons() {
+func eventMetrics(events *eventlog.Recorder) []metrics.Metric {
+	places := slices.Concat(platform.Places(), []string{amqpfront.BrokerPlace})
+	return slices.Concat(
+		labeledCounters(events.Counts(eventlog.Unexpected), places, "lb_unexpected_answers_total", "place",
+			"Answers that belong to no request, by the place at which they came."),
+		labeledCounters(events.Counts(eventlog.Closed), platform.CloseReasons(), "lb_connections_closed_total", "reason",
+			"Connections to endpoints and to the agent that ended, by side and reason."),
+		labeledCounters(events.Counts(eventlog.ClientClosed), platform.ClientCloseReasons(), "lb_clients_closed_total",
+			"reason", "Connections of clients that ended, by side and what was unanswered."),
+		labeledCounters(events.Counts(eventlog.Abandoned), platform.AbandonReasons(), "lb_attempts_abandoned_total",
+			"reason", "Attempts that were given up after their first byte, by whether bytes of them were unsent."),
+		labeledCounters(events.Counts(eventlog.Unacknowledged), platform.UnacknowledgedReasons(),
+			"lb_notices_unacknowledged_total", "reason", "Requests with notices that ended without an acknowledgement."),
+	)
+}
+
+// labeledCounters returns a counter for each value of its label.
+func labeledCounters(counts map[string]int, values []string, name, label, help string) (all []metrics.Metric) {
+	for _, value := range values {
 		all = append(all, metrics.Metric{
-			Name: "lb_connections_closed_total", Counter: true, Label: []string{"reason", reason},
-			Help:  "Connections to endpoints and to the agent that ended, by side and reason.",
-			Value: float64(closed[reason]),
+			Name: name, Counter: true, Label: []string{label, value}, Help: help, Value: float64(counts[value]),
 		})
 	}
 	return all
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -58,6 +58,12 @@
 	Closed     Kind = "closed"     // a connection, with the side and the reason
 	Unexpected Kind = "unexpected" // bytes that belong to no request, with the place and the verdict
 	State      Kind = "state"      // an endpoint's state in the list has changed to the reason
+
+	Notified       Kind = "notified"       // the notice of a message's final answer was written to the agent
+	Acknowledged   Kind = "acknowledged"   // the agent has acknowledged the notice
+	Unacknowledged Kind = "unacknowledged" // a request with notices ended without an acknowledgement, with the reason
+	ClientClosed   Kind = "client closed"  // a client's connection, with the side and the reason
+	Abandoned      Kind = "abandoned"      // an attempt was given up; bytes of it were not sent yet
 )
 
 // Event is one event. Fields that its kind does not have are zero.
@@ -84,7 +90,8 @@
 	if e.Message != "" {
 		line.Str("message_id", e.Message)
 	}
-	if e.Kind == Sent || e.Kind == Answered || e.Kind == Unanswered || e.Kind == Outcome {
+	if e.Kind == Sent || e.Kind == Answered || e.Kind == Unanswered || e.Kind == Outcome ||
+		e.Kind == Abandoned {
 		line.Int("attempt", e.Attempt)
 	}
 	if e.Class != "" {
@@ -99,6 +106,9 @@
 	if e.Kind == Answered {
 		line.Int("status", e.Status).Int("bytes", e.Bytes)
 	}
+	if e.Kind == Abandoned {
+		line.Int("bytes", e.Bytes)
+	}
 	if e.WaitMs != 0 {
 		line.Int64("wait_ms", e.WaitMs)
 	}
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -65,7 +65,7 @@
 	if log.Len() == size {
 		t.Error("not written after the interval")
 	}
-	if unexpected, _ := r.Counts(); unexpected["endpoint"] != 3 {
+	if unexpected := r.Counts(Unexpected); unexpected["endpoint"] != 3 {
 		t.Errorf("counted %v", unexpected)
 	}
 }
--- a/internal/eventlog/recorder.go
+++ b/internal/eventlog/recorder.go
@@ -1,6 +1,7 @@
 package eventlog
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -33,21 +34,20 @@
 
 	dumping sync.WaitGroup // of the goroutine that writes the events that were kept
 
-	mu         sync.Mutex
-	kept       []Event // the last events; it wraps at next once it is full
-	next       int
-	second     clock.Instant // the begin of the second that lines and leftOut count
-	lines      int
-	leftOut    int
-	dumpedAt   clock.Instant
-	hasDumped  bool
-	unexpected map[string]int // by place
-	closed     map[string]int // by side and reason
+	mu        sync.Mutex
+	kept      []Event // the last events; it wraps at next once it is full
+	next      int
+	second    clock.Instant // the begin of the second that lines and leftOut count
+	lines     int
+	leftOut   int
+	dumpedAt  clock.Instant
+	hasDumped bool
+	counts    map[Kind]map[string]int // of the kinds that are counted, by place or reason
 }
 
 // New returns a Recorder at level Record that writes to log. now is the steady clock.
 func New(log zerolog.Logger, now func() clock.Instant) *Recorder {
-	r := &Recorder{log: log, now: now, unexpected: map[string]int{}, closed: map[string]int{}}
+	r := &Recorder{log: log, now: now, counts: map[Kind]map[string]int{}}
 	r.SetLevel(Record)
 	return r
 }
@@ -82,9 +82,7 @@
 	if r == nil {
 		return
 	}
-	r.mu.Lock()
-	r.unexpected[place]++
-	r.mu.Unlock()
+	r.count(Unexpected, place, 1)
 	event.Kind = Unexpected
 	event.Reason = place + ": " + event.Reason
 	r.Record(event)
@@ -96,31 +94,37 @@
 
 // RecordClosed records the end of a connection.
 func (r *Recorder) RecordClosed(side, reason string, event Event) {
+	event.Kind, event.Reason = Closed, CloseReason(side, reason)
+	r.RecordCounted(event, 1)
+}
+
+// RecordCounted records an event and adds amount to the count of its kind and reason, which is kept at level Off too.
+func (r *Recorder) RecordCounted(event Event, amount int) {
 	if r == nil {
 		return
 	}
-	r.mu.Lock()
-	r.closed[CloseReason(side, reason)]++
-	r.mu.Unlock()
-	event.Kind, event.Reason = Closed, CloseReason(side, reason)
+	r.count(event.Kind, event.Reason, amount)
 	r.Record(event)
 }
 
-// Counts returns the number of unexpected answers by place, and of closed connections by side and reason.
-func (r *Recorder) Counts() (unexpected, closed map[string]int) {
-	unexpected, closed = map[string]int{}, map[string]int{}
-	if r == nil {
-		return unexpected, closed
-	}
+// count adds to the count of a kind with a label.
+func (r *Recorder) count(kind Kind, label string, amount int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for place, count := range r.unexpected {
-		unexpected[place] = count
+	if r.counts[kind] == nil {
+		r.counts[kind] = map[string]int{}
 	}
-	for reason, count := range r.closed {
-		closed[reason] = count
+	r.counts[kind][label] += amount
+}
+
+// Counts returns how often events of a kind that is counted have occurred, by place or reason.
+func (r *Recorder) Counts(kind Kind) map[string]int {
+	if r == nil {
+		return nil
 	}
-	return unexpected, closed
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.counts[kind])
 }
 
 // Dump writes the events that are kept, and forgets them. It does nothing if that was done less than dumpInterval ago,
--- a/internal/net/platform/call.go
+++ b/internal/net/platform/call.go
@@ -147,9 +147,35 @@
 		return
 	}
 	c.abortOutcome = outcome
+	c.recordAbandoned()
 	c.exchange.abort()
 }
 
+// Whether all bytes of an attempt were sent when it was given up.
+const (
+	abandonedSent   = "all bytes were sent"
+	abandonedUnsent = "bytes were unsent"
+)
+
+// AbandonReasons returns the states of the bytes of attempts that are given up, as they are recorded.
+func AbandonReasons() []string { return []string{abandonedSent, abandonedUnsent} }
+
+// recordAbandoned records that the call is given up after its first byte was written. Bytes count as unsent until the
+// endpoint's machine has acknowledged them.
+func (c *call) recordAbandoned() {
+	if !c.exchange.begun() {
+		return
+	}
+	event := eventlog.Event{
+		Kind: eventlog.Abandoned, Message: c.attempts[0].ID, Attempt: c.attempts[0].Number, Endpoint: c.route.Addr,
+		Connection: c.exchange.number, Bytes: c.exchange.conn.UnsentBytes(), Reason: abandonedSent,
+	}
+	if event.Bytes > 0 {
+		event.Reason = abandonedUnsent
+	}
+	c.egress.core.Events().RecordCounted(event, len(c.attempts))
+}
+
 // finish reports the results of the call's attempts. With an error, response holds what was parsed before it, or is
 // nil if there was no connection.
 func (c *call) finish(response *http1.Response, err error) {
--- a/internal/net/platform/client.go
+++ b/internal/net/platform/client.go
@@ -118,7 +118,8 @@
 }
 
 // Down removes the client from the connection table and withdraws its requests that have no verdict.
-func (cl *client) Down(*reactor.Conn, error) {
+func (cl *client) Down(_ *reactor.Conn, err error) {
+	cl.recordClosed(err)
 	cl.closing = true
 	cl.ingress.table.Remove(&cl.Entry)
 	cl.buffer.Reset()
--- a/internal/net/platform/notices.go
+++ b/internal/net/platform/notices.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"strconv"
 
+	"brackendale/internal/clock"
+	"brackendale/internal/eventlog"
 	"brackendale/internal/net/http1"
 	"brackendale/internal/net/reactor"
 	"brackendale/internal/timers"
@@ -22,12 +24,15 @@
 	exchange *exchange // with the front of the queue; nil: none is in flight
 	queue    []notice  // not acknowledged, the oldest first
 	stopped  bool
+	stats    noticeStats
 }
 
 // notice is the notice of one message's final answer.
 type notice struct {
 	id   string // of the message
 	line []byte // the notice as it is sent
+
+	since clock.Instant // when it became due
 }
 
 func newNotices(core *sender.Sender, eventLoop *reactor.Reactor, addr string) *notices {
@@ -47,7 +52,8 @@
 	if err != nil { // impossible for strings, a number and a bool
 		panic(err)
 	}
-	n.queue = append(n.queue, notice{id, append(line, '\n')})
+	n.queue = append(n.queue, notice{id: id, line: append(line, '\n'), since: n.core.Now()})
+	n.updateStats()
 	n.reactor.Post(n.send) // deferred, so that notices of one step share a request
 }
 
@@ -67,6 +73,7 @@
 // stop stops sending notices, since another process sends them from here on.
 func (n *notices) stop() {
 	n.stopped, n.queue = true, nil
+	n.updateStats()
 	if n.exchange != nil {
 		n.exchange.abort()
 	}
@@ -81,9 +88,17 @@
 	n.exchange = dial(n.reactor, n.addr, noticePlace, agentTimeout, maxAgentResponse, n.core.Events())
 	var timer timers.Timer
 	n.reactor.Arm(&timer, agentTimeout, 0, timers.Func(n.exchange.abort))
+	number := n.exchange.number
+	for _, sent := range batch {
+		n.core.Events().Record(eventlog.Event{Kind: eventlog.Notified, Message: sent.id, Connection: number})
+	}
 	n.exchange.send(func(response *http1.Response, err error) {
 		n.reactor.Disarm(&timer)
-		n.finish(batch, err == nil && response.Status == statusNoContent)
+		acknowledged := err == nil && response.Status == statusNoContent
+		if !acknowledged {
+			n.recordUnacknowledged(len(batch), number, err)
+		}
+		n.finish(batch, acknowledged)
 	}, n.request(batch)...)
 }
 
@@ -110,9 +125,11 @@
 		ids := make([]string, len(batch))
 		for i, sent := range batch {
 			ids[i] = sent.id
+			n.core.Events().Record(eventlog.Event{Kind: eventlog.Acknowledged, Message: sent.id})
 		}
 		n.core.Acknowledge(ids...)
 		n.queue = n.queue[len(batch):]
+		n.updateStats()
 		n.reactor.Post(n.send)
 		return
 	}
--- a/internal/net/reactor/write.go
+++ b/internal/net/reactor/write.go
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"github.com/lesismal/nbio"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -67,6 +68,21 @@
 // Sent reports whether all bytes before an offset that StreamOffset returned were written to the socket.
 func (c *Conn) Sent(offset int64) bool { return c.written.Load() >= offset }
 
+// UnsentBytes returns the number of bytes that the peer's machine has not acknowledged: those that were not written to
+// the socket, and those that the socket still holds.
+func (c *Conn) UnsentBytes() int {
+	unwritten := int(max(0, c.unsent()))
+	socket, open := c.openSocket()
+	if !open {
+		return unwritten
+	}
+	held, err := unix.IoctlGetInt(socket.Hash(), unix.SIOCOUTQ)
+	if err != nil {
+		return unwritten
+	}
+	return unwritten + held
+}
+
 // Write sends the pieces in one vectored write, after the batched bytes. An error means that the peer does not read or
 // that the connection has ended.
 func (c *Conn) Write(pieces ...[]byte) error {
--- a/sender/admission.go
+++ b/sender/admission.go
@@ -135,6 +135,9 @@
 // Events returns the recorder of events, which may be nil. Any goroutine may call it.
 func (s *Sender) Events() *eventlog.Recorder { return s.events }
 
+// Metrics returns the metrics, which may be nil. Any goroutine may call it.
+func (s *Sender) Metrics() *metrics.Registry { return s.metrics }
+
 // answer counts the verdict on a request and queues it for the ingress.
 func (s *Sender) answer(request *Request, answer reply) {
 	s.countVerdict(request.Class, answer.verdict)
