Reproduction: ends are late behind a silent connection to the agent

Change: a relay of TCP connections with one table of sixteen faults for every link (internal/testing/fleet/relay.go), which knows from the kernel when bytes arrived; links of the soak through it; a package of plays on real processes. One in five connections to the agent is silent in one of five ways, nothing else is wrong. The soak's own tests draw as before.

--- /dev/null
+++ b/internal/testing/fleet/arrival.go
@@ -0,0 +1,79 @@
+package fleet
+
+import (
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// arrivalReader reads a TCP connection with the times at which this machine's kernel received the bytes, which do not
+// depend on when the reading goroutine runs.
+type arrivalReader struct{ raw syscall.RawConn }
+
+// arrivalControlSize is the room for the control message with a time, in bytes.
+const arrivalControlSize = 64
+
+func newArrivalReader(conn *net.TCPConn) (arrivalReader, error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return arrivalReader{}, err
+	}
+	var setErr error
+	err = raw.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_TIMESTAMPNS, 1)
+	})
+	return arrivalReader{raw}, errors.Join(err, setErr)
+}
+
+// read reads into data and returns when the last of the bytes arrived.
+func (r arrivalReader) read(data []byte) (size int, at time.Time, err error) {
+	control := make([]byte, arrivalControlSize)
+	var readErr error
+	err = r.raw.Read(func(fd uintptr) (done bool) {
+		var controlSize int
+		size, controlSize, _, _, readErr = unix.Recvmsg(int(fd), data, control, 0)
+		control = control[:max(0, controlSize)]
+		return !errors.Is(readErr, unix.EAGAIN)
+	})
+	switch {
+	case err != nil:
+		return 0, time.Now(), err
+	case readErr != nil:
+		return 0, time.Now(), readErr
+	case size == 0:
+		return 0, time.Now(), io.EOF
+	}
+	return size, arrivalTime(control), nil
+}
+
+// arrivalTime returns the time in a control message, or the current time if there is none.
+func arrivalTime(control []byte) time.Time {
+	messages, err := unix.ParseSocketControlMessage(control)
+	if err != nil {
+		return time.Now()
+	}
+	for _, message := range messages {
+		if message.Header.Level == unix.SOL_SOCKET && message.Header.Type == unix.SO_TIMESTAMPNS {
+			seconds := binary.NativeEndian.Uint64(message.Data)
+			nanoseconds := binary.NativeEndian.Uint64(message.Data[8:])
+			return time.Unix(int64(seconds), int64(nanoseconds))
+		}
+	}
+	return time.Now()
+}
+
+// peerEnded reports whether the kernel has received the peer's end of stream or reset, read or not.
+func (r arrivalReader) peerEnded() bool {
+	ended := true
+	_ = r.raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.SOL_TCP, unix.TCP_INFO)
+		ended = err != nil || info.State != unix.BPF_TCP_ESTABLISHED && info.State != unix.BPF_TCP_FIN_WAIT2 &&
+			info.State != unix.BPF_TCP_FIN_WAIT1
+	})
+	return ended
+}
--- /dev/null
+++ b/internal/testing/fleet/relay.go
@@ -0,0 +1,497 @@
+package fleet
+
+import (
+	"errors"
+	"io"
+	"math/rand"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Relay is a TCP relay to one target, each of whose connections may have a fault of its own. The whole relay can be cut
+// off for a while: then nothing passes, and what was sent is delivered when the cut ends.
+type Relay struct {
+	ln      *net.TCPListener
+	percent int
+	faults  []RelayFault
+
+	mu     sync.Mutex
+	target string
+	rng    *rand.Rand
+	cut    chan struct{} // closed when the cut ends; nil: there is none
+	conns  map[*RelayedConn]bool
+	byAddr map[string]*RelayedConn // by the address from which the target sees the connection
+	counts map[RelayFault]int
+	closed chan struct{}
+}
+
+// RelayOptions are the parameters of NewRelay.
+type RelayOptions struct {
+	Target  string
+	Seed    int64
+	Percent int          // of the connections that have a fault
+	Faults  []RelayFault // the faults to draw from
+	// SmallBuffers makes the relay advertise a small window to its callers.
+	SmallBuffers bool
+}
+
+// smallBuffer is the size of a small receive buffer, in bytes; the kernel doubles it.
+const smallBuffer = 4 << 10
+
+// NewRelay starts a relay on a free port of 127.0.0.1.
+func NewRelay(options RelayOptions) (*Relay, error) {
+	ln, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, err
+	}
+	if options.SmallBuffers {
+		if err := setSmallBuffer(ln); err != nil {
+			_ = ln.Close()
+			return nil, err
+		}
+	}
+	r := &Relay{
+		ln: ln, percent: options.Percent, faults: options.Faults, target: options.Target,
+		rng: rand.New(rand.NewSource(options.Seed)), conns: map[*RelayedConn]bool{}, byAddr: map[string]*RelayedConn{},
+		counts: map[RelayFault]int{}, closed: make(chan struct{}),
+	}
+	go r.accept()
+	return r, nil
+}
+
+func setSmallBuffer(ln *net.TCPListener) error {
+	raw, err := ln.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var setErr error
+	err = raw.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, smallBuffer)
+	})
+	return errors.Join(err, setErr)
+}
+
+// Addr returns the address to which callers connect.
+func (r *Relay) Addr() string { return r.ln.Addr().String() }
+
+// SetTarget changes the target of new connections.
+func (r *Relay) SetTarget(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target = target
+}
+
+// Faults returns the number of connections with each fault so far.
+func (r *Relay) Faults() map[RelayFault]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := map[RelayFault]int{}
+	for fault, count := range r.counts {
+		counts[fault] = count
+	}
+	return counts
+}
+
+// StopFaults makes new connections have no fault, and ends the current ones that have.
+func (r *Relay) StopFaults() {
+	r.Cut(false)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.percent = 0
+	for conn := range r.conns {
+		if conn.plan.fault != RelayFaultNone {
+			conn.reset()
+		}
+	}
+}
+
+// Cut cuts the relay off, or ends the cut.
+func (r *Relay) Cut(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case on && r.cut == nil:
+		r.cut = make(chan struct{})
+	case !on && r.cut != nil:
+		close(r.cut)
+		r.cut = nil
+	}
+}
+
+// awaitCutEnd waits while the relay is cut off. It returns false if the relay is closed.
+func (r *Relay) awaitCutEnd() bool {
+	r.mu.Lock()
+	cut := r.cut
+	r.mu.Unlock()
+	if cut == nil {
+		return true
+	}
+	select {
+	case <-cut:
+		return true
+	case <-r.closed:
+		return false
+	}
+}
+
+// Lookup returns the connection that the target sees from this address, or nil.
+func (r *Relay) Lookup(addr net.Addr) *RelayedConn {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.byAddr[addr.String()]
+}
+
+// Close ends the relay and resets its connections.
+func (r *Relay) Close() {
+	_ = r.ln.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	select {
+	case <-r.closed:
+	default:
+		close(r.closed)
+	}
+	for conn := range r.conns {
+		conn.reset()
+	}
+}
+
+func (r *Relay) accept() {
+	for {
+		caller, err := r.ln.AcceptTCP()
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		plan := drawRelayPlan(r.rng, r.percent, r.faults)
+		r.counts[plan.fault]++
+		conn := &RelayedConn{relay: r, plan: plan, caller: caller, ended: make(chan struct{})}
+		r.conns[conn] = true
+		r.mu.Unlock()
+		go conn.run()
+	}
+}
+
+// sleep waits for a duration, or until the relay is closed.
+func (r *Relay) sleep(duration time.Duration) {
+	select {
+	case <-time.After(duration):
+	case <-r.closed:
+	}
+}
+
+// RelayedConn is one connection through a relay.
+type RelayedConn struct {
+	relay  *Relay
+	plan   relayPlan
+	caller *net.TCPConn
+	target *net.TCPConn
+	reader arrivalReader
+
+	endOnce sync.Once
+	ended   chan struct{}
+
+	mu        sync.Mutex
+	first     time.Time // arrival of the request's first byte from the caller
+	last      time.Time // arrival of its last byte so far
+	forwarded int       // bytes of the response that were written to the caller
+	waiting   []forwardWait
+}
+
+// forwardWait is a function to be called once a number of bytes was written to the caller.
+type forwardWait struct {
+	size int
+	call func()
+}
+
+// Fault returns the connection's fault.
+func (c *RelayedConn) Fault() RelayFault { return c.plan.fault }
+
+// Arrival returns when the first and the last byte of what the caller has sent so far arrived at this machine's kernel.
+func (c *RelayedConn) Arrival() (first, last time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.first, c.last
+}
+
+// CallerEnded reports whether the caller has ended the connection, or its sending on it.
+func (c *RelayedConn) CallerEnded() bool { return c.reader.peerEnded() }
+
+// WhenForwarded calls f once size bytes of the response were written to the caller. It is not called if the
+// connection ends before.
+func (c *RelayedConn) WhenForwarded(size int, f func()) {
+	c.mu.Lock()
+	if c.forwarded < size {
+		c.waiting = append(c.waiting, forwardWait{size, f})
+		c.mu.Unlock()
+		return
+	}
+	c.mu.Unlock()
+	f()
+}
+
+// Forwarded returns the number of bytes of the response that were written to the caller.
+func (c *RelayedConn) Forwarded() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.forwarded
+}
+
+func (c *RelayedConn) reset() {
+	c.endOnce.Do(func() { close(c.ended) })
+	abort(c.caller)
+	c.mu.Lock()
+	target := c.target
+	c.mu.Unlock()
+	if target != nil {
+		abort(target)
+	}
+}
+
+func (c *RelayedConn) run() {
+	defer c.remove()
+	reader, err := newArrivalReader(c.caller)
+	if err != nil {
+		abort(c.caller)
+		return
+	}
+	c.reader = reader
+	if !c.relay.awaitCutEnd() || !c.begin() || !c.dial() {
+		c.reset()
+		return
+	}
+	done := make(chan struct{}, 2)
+	go func() { c.copyRequest(); done <- struct{}{} }()
+	go func() { c.copyResponse(); done <- struct{}{} }()
+	<-done
+	<-done
+	_ = c.caller.Close()
+	_ = c.target.Close()
+}
+
+func (c *RelayedConn) remove() {
+	c.relay.mu.Lock()
+	defer c.relay.mu.Unlock()
+	delete(c.relay.conns, c)
+}
+
+// begin plays the faults that come before the target is called. It returns false if the connection has ended.
+func (c *RelayedConn) begin() bool {
+	switch c.plan.fault {
+	case RelayRefused:
+		return false
+	case RelayUnread:
+		c.relay.sleep(c.plan.delay / 10)
+		_ = c.caller.Close()
+		return false
+	case RelayNeverRead:
+		c.hold()
+		return false
+	case RelayStopped:
+		c.relay.sleep(c.plan.delay)
+	}
+	return true
+}
+
+// hold keeps the connection open until it ends, for at most relayHold.
+func (c *RelayedConn) hold() {
+	select {
+	case <-c.ended:
+	case <-c.relay.closed:
+	case <-time.After(relayHold):
+	}
+}
+
+func (c *RelayedConn) dial() bool {
+	c.relay.mu.Lock()
+	addr := c.relay.target
+	c.relay.mu.Unlock()
+	conn, err := net.DialTimeout("tcp4", addr, time.Second)
+	if err != nil {
+		return false
+	}
+	target, _ := conn.(*net.TCPConn)
+	c.mu.Lock()
+	c.target = target
+	c.mu.Unlock()
+	c.relay.mu.Lock()
+	c.relay.byAddr[target.LocalAddr().String()] = c
+	c.relay.mu.Unlock()
+	return true
+}
+
+// relayBuffer is the size of a relay's reads, in bytes.
+const relayBuffer = 16 << 10
+
+// copyRequest forwards what the caller sends, under the fault of the connection.
+func (c *RelayedConn) copyRequest() {
+	buffer := make([]byte, relayBuffer)
+	if c.plan.fault == RelayThrottled {
+		buffer = buffer[:throttledChunk]
+	}
+	read := 0
+	for {
+		size, at, err := c.reader.read(buffer)
+		if err != nil {
+			c.endRequest(err)
+			return
+		}
+		c.arrived(at)
+		if c.plan.fault == RelayLateRequest && read == 0 {
+			c.relay.sleep(c.plan.delay)
+		}
+		if !c.relay.awaitCutEnd() || !c.forwardRequest(buffer[:size], read) {
+			return
+		}
+		if read += size; c.plan.fault == RelayThrottled {
+			c.relay.sleep(throttleInterval)
+		}
+	}
+}
+
+// endRequest passes on the end of what the caller sends.
+func (c *RelayedConn) endRequest(err error) {
+	if !c.relay.awaitCutEnd() || !errors.Is(err, io.EOF) {
+		c.reset()
+		return
+	}
+	_ = c.target.CloseWrite()
+}
+
+func (c *RelayedConn) arrived(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.first.IsZero() {
+		c.first = at
+	}
+	c.last = at
+}
+
+// forwardRequest writes bytes to the target; before is the number of those read before. It returns false if the
+// connection has ended.
+func (c *RelayedConn) forwardRequest(data []byte, before int) bool {
+	within := data[:min(len(data), max(0, c.plan.middle-before))]
+	switch c.plan.fault {
+	case RelaySwallowed:
+		return true
+	case RelaySilentInRequest:
+		_, err := c.target.Write(within)
+		return err == nil
+	case RelayResetInRequest:
+		_, _ = c.target.Write(within)
+		c.reset()
+		return false
+	case RelayResetBehind:
+		_, _ = c.target.Write(data)
+		c.relay.sleep(c.plan.delay / 10)
+		c.reset()
+		return false
+	case RelaySingleBytes:
+		return writeSingleBytes(c.target, data) == nil
+	}
+	_, err := c.target.Write(data)
+	return err == nil
+}
+
+// singleByteLimit is the number of bytes of a write that arrive one by one; the rest arrives at once.
+const singleByteLimit = 64
+
+func writeSingleBytes(to io.Writer, data []byte) error {
+	for i := range data[:min(len(data), singleByteLimit)] {
+		if _, err := to.Write(data[i : i+1]); err != nil {
+			return err
+		}
+		time.Sleep(200 * time.Microsecond)
+	}
+	_, err := to.Write(data[min(len(data), singleByteLimit):])
+	return err
+}
+
+// copyResponse forwards what the target sends, under the fault of the connection.
+func (c *RelayedConn) copyResponse() {
+	buffer := make([]byte, relayBuffer)
+	read := 0
+	for {
+		size, err := c.target.Read(buffer)
+		if size > 0 {
+			if c.plan.fault == RelayLateResponse && read == 0 {
+				c.relay.sleep(c.plan.delay)
+			}
+			if !c.relay.awaitCutEnd() || !c.forwardResponse(buffer[:size], read) {
+				return
+			}
+			read += size
+		}
+		if err != nil {
+			c.endResponse(err)
+			return
+		}
+	}
+}
+
+// endResponse passes on the end of what the target sends, unless the connection is silent.
+func (c *RelayedConn) endResponse(err error) {
+	switch c.plan.fault {
+	case RelaySwallowed, RelaySilent, RelaySilentInRequest, RelaySilentInResponse:
+		c.hold()
+	}
+	if !c.relay.awaitCutEnd() || !errors.Is(err, io.EOF) {
+		c.reset()
+		return
+	}
+	_ = c.caller.CloseWrite()
+}
+
+// forwardResponse writes bytes to the caller. It returns false if the connection has ended.
+func (c *RelayedConn) forwardResponse(data []byte, before int) bool {
+	within := data[:min(len(data), max(0, c.plan.middle-before))]
+	switch c.plan.fault {
+	case RelaySilent:
+		return true
+	case RelaySilentInResponse:
+		return c.writeCaller(within)
+	case RelayResetInResponse:
+		c.writeCaller(within)
+		c.reset()
+		return false
+	case RelayResponseHalfClosed:
+		c.writeCaller(within)
+		_ = c.caller.CloseWrite()
+		return false
+	case RelaySingleBytes:
+		if writeSingleBytes(c.caller, data) != nil {
+			return false
+		}
+		c.countForwarded(len(data))
+		return true
+	}
+	return c.writeCaller(data)
+}
+
+func (c *RelayedConn) writeCaller(data []byte) bool {
+	size, err := c.caller.Write(data)
+	c.countForwarded(size)
+	return err == nil
+}
+
+func (c *RelayedConn) countForwarded(size int) {
+	c.mu.Lock()
+	c.forwarded += size
+	var due []func()
+	kept := c.waiting[:0]
+	for _, wait := range c.waiting {
+		if c.forwarded >= wait.size {
+			due = append(due, wait.call)
+		} else {
+			kept = append(kept, wait)
+		}
+	}
+	c.waiting = kept
+	c.mu.Unlock()
+	for _, call := range due {
+		call()
+	}
+}
--- a/internal/testing/soak/answers.go
+++ b/internal/testing/soak/answers.go
@@ -40,6 +40,14 @@
 			return false
 		}
 	}
+	if mode == flaky {
+		var abandoned bool
+		if mode, abandoned = c.waitAsFlaky(random); abandoned {
+			c.recordMayRun()
+			c.recordEnd(true)
+			return false
+		}
+	}
 	if mode == refusing {
 		return c.refuse(random)
 	}
@@ -98,10 +106,30 @@
 	return normal, false
 }
 
+// The answers of a flaky endpoint, in percent of its calls.
+const (
+	flakyHangPercent    = 8
+	flakyRefusedPercent = 8
+)
+
+// waitAsFlaky waits as a flaky endpoint does before it answers, and returns how it responds, or whether the sender has
+// closed the connection by then.
+func (c *call) waitAsFlaky(random int) (mode behavior, abandoned bool) {
+	percent := random % 100
+	switch {
+	case percent < flakyHangPercent:
+		return hanging, false
+	case percent < flakyHangPercent+flakyRefusedPercent:
+		return refusing, false
+	}
+	delay := minBusyDelay + time.Duration(random)*time.Microsecond%(maxBusyDelay-minBusyDelay)
+	return normal, c.waitAbandoned(delay)
+}
+
 // refuse responds with 503, or with 429 and a Retry-After.
 func (c *call) refuse(random int) bool {
 	c.recordEnd(false)
-	if random%3 == 0 {
+	if random%3 == 0 || c.mayLoseAnswer() { // a wait counts as told only if its answer arrives
 		return c.write("HTTP/1.1 503 S\r\nContent-Length: 0\r\n\r\n")
 	}
 	wait := time.Duration(50+random%900) * time.Millisecond
@@ -131,14 +159,21 @@
 		}
 	}
 	c.recordEnd(true)
-	if !c.write("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", results.Len(), results.String()) {
+	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", results.Len(), results.String())
+	if !c.write("%s", answer) {
 		return false
 	}
-	for _, item := range c.items {
-		if !item.expired {
-			c.endpoint.judge.recordDelivery(item.id)
-		}
+	delivers := strings.Index(answer, "\r\n") + len("\r\n")
+	if !single {
+		delivers = len(answer)
 	}
+	c.whenForwarded(delivers, func() {
+		for _, item := range c.items {
+			if !item.expired {
+				c.endpoint.judge.recordDelivery(item.id)
+			}
+		}
+	})
 	return true
 }
 
--- a/internal/testing/soak/clients.go
+++ b/internal/testing/soak/clients.go
@@ -72,7 +72,7 @@
 	if c.conn != nil {
 		return true
 	}
-	conn, err := (&net.Dialer{Timeout: replyTimeout}).DialContext(ctx, "tcp", c.simulation.listen)
+	conn, err := (&net.Dialer{Timeout: replyTimeout}).DialContext(ctx, "tcp", c.simulation.clientAddr())
 	if err != nil {
 		return false
 	}
@@ -107,6 +107,7 @@
 		_, err = io.WriteString(c.conn, encoded[split:])
 	}
 	sent := err == nil
+	halfClosed := sent && c.simulation.links.halfClose(c.conn, c.rng)
 	for i, msg := range messages {
 		line := ""
 		if err == nil {
@@ -121,13 +122,13 @@
 			c.simulation.judge.recordReply(msg, refused)
 		case err == nil:
 			c.simulation.judge.recordReply(msg, failed)
-		case isNetErr && netErr.Timeout() || !sent || i > 0:
+		case isNetErr && netErr.Timeout() || !sent || i > 0 && !halfClosed || c.simulation.links.clientFaulty(c.conn):
 			c.simulation.judge.recordReply(msg, withdrawn) // the reply timed out, or the message was not sent completely
 		default:
 			c.simulation.judge.recordConnectionLost(msg, unused)
 		}
 	}
-	if err != nil {
+	if err != nil || halfClosed {
 		c.drop()
 	}
 }
--- a/internal/testing/soak/discovery.go
+++ b/internal/testing/soak/discovery.go
@@ -48,6 +48,7 @@
 	endpoints         map[string]*endpoint
 	servers           []*http.Server
 	strays            *strayPlan // of the agent's connections; nil: none
+	links             *links     // relays in front of the agents; nil: none
 }
 
 func newDiscovery(j *Judge, rng *rand.Rand) *discovery {
@@ -71,7 +72,7 @@
 		time.AfterFunc(1500*time.Millisecond, func() { _ = old.Close() })
 	}
 	d.servers = []*http.Server{server}
-	return ln.Addr().String(), nil
+	return d.links.relayAgent(ln.Addr().String())
 }
 
 // update changes an entry of the list, or queues the change while the agent is unavailable. The sender must have the
@@ -97,7 +98,7 @@
 		d.hosts[host.Host] = host
 	}
 	d.changes = append(d.changes, change{d.seq, host, now})
-	knownFrom := now
+	knownFrom := d.links.knownFrom(now)
 	if delayed := d.reloaded.Add(reloadDelay); now.Before(delayed) {
 		knownFrom = delayed
 	}
@@ -215,7 +216,7 @@
 	if request.URL.Path == "/v2/finals" {
 		var finalAnswer struct{ ID, State string }
 		for decoder := json.NewDecoder(bufio.NewReader(request.Body)); decoder.Decode(&finalAnswer) == nil; {
-			d.judge.recordFinal(finalAnswer.ID, finalAnswer.State)
+			d.judge.recordFinal(finalAnswer.ID, finalAnswer.State, time.Now())
 		}
 		writer.WriteHeader(http.StatusNoContent)
 		return
--- a/internal/testing/soak/endpoints.go
+++ b/internal/testing/soak/endpoints.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"brackendale/internal/testing/fleet"
 )
 
 // behavior is how an endpoint responds to calls.
@@ -28,6 +30,8 @@
 
 	// busy answers after a while, mostly with success. It is not drawn as a fault.
 	busy behavior = behaviorCount + 1
+	// flaky hangs or refuses some calls, and answers the others after a while. It is not drawn as a fault.
+	flaky behavior = behaviorCount + 2
 )
 
 // endpoint is a stand-in endpoint of a destination. It is safe for concurrent use.
@@ -38,6 +42,8 @@
 	judge *Judge
 	ln    net.Listener
 
+	relay *fleet.Relay // between the sender and the endpoint; nil: connections are direct
+
 	mu        sync.Mutex
 	rng       *rand.Rand
 	behavior  behavior
@@ -71,7 +77,13 @@
 	return e, nil
 }
 
-func (e *endpoint) dial() string { return e.ln.Addr().String() }
+// dial returns the address at which the sender reaches the endpoint.
+func (e *endpoint) dial() string {
+	if e.relay != nil {
+		return e.relay.Addr()
+	}
+	return e.ln.Addr().String()
+}
 
 func (e *endpoint) setBehavior(mode behavior) {
 	e.mu.Lock()
@@ -99,6 +111,9 @@
 // close stops the endpoint as a crash does: its connections are reset.
 func (e *endpoint) close() {
 	_ = e.ln.Close()
+	if e.relay != nil {
+		e.relay.Close()
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for conn := range e.conns {
@@ -179,7 +194,7 @@
 	if request.URL.Path == "/events" {
 		e.judge.awaitOpenCalls(request.Header.Get("Req-Id"))
 		id := request.Header.Get("Req-Id")
-		recorded, expired := e.judge.recordCall(e, id, request.Header.Get("Idempotency-Key"), body, first)
+		recorded, expired := e.judge.recordCall(e, id, request.Header.Get("Idempotency-Key"), body, e.arrivalOf(conn, first))
 		recorded.connection = connectionName(conn, e.name)
 		return []item{{id, recorded, expired}}, true
 	}
@@ -198,7 +213,7 @@
 			key = ""
 		}
 		e.judge.awaitOpenCalls(fields[0])
-		recorded, expired := e.judge.recordCall(e, fields[0], key, rest[:length], first)
+		recorded, expired := e.judge.recordCall(e, fields[0], key, rest[:length], e.arrivalOf(conn, first))
 		recorded.connection = connectionName(conn, e.name)
 		parsed = append(parsed, item{fields[0], recorded, expired})
 		body = rest[length+2:]
--- a/internal/testing/soak/judge.go
+++ b/internal/testing/soak/judge.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"brackendale/internal/testing/fleet"
 	"brackendale/scheduler"
 	"brackendale/sender"
 )
@@ -61,6 +62,7 @@
 	receivedAt time.Time // arrival of the last byte
 	mayRun     bool
 	open       bool
+	relayed    *fleet.RelayedConn // nil: the connection is direct
 
 	// For reports.
 	connection string
@@ -195,12 +197,18 @@
 	}
 }
 
-// recordCall checks a call whose last byte has arrived; first is the arrival of its first byte. expired: the
-// message is past its deadline, withdrawn or has a final answer, so the endpoint does not execute it.
-func (j *Judge) recordCall(endpoint *endpoint, id, key, body string, first time.Time) (added *attempt, expired bool) {
+// arrival is when the bytes of a call arrived from the sender, and the relayed connection, if it came over one.
+type arrival struct {
+	first, last time.Time
+	relayed     *fleet.RelayedConn
+}
+
+// recordCall checks a call whose last byte has arrived. expired: the message is past its deadline, withdrawn or has a
+// final answer, so the endpoint does not execute it.
+func (j *Judge) recordCall(endpoint *endpoint, id, key, body string, came arrival) (added *attempt, expired bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	now := time.Now()
+	first, now := came.first, came.last
 	j.counts["calls"]++
 	msg := j.messages[id]
 	if msg == nil || msg.key != key || msg.body != body {
@@ -226,14 +234,14 @@
 		j.violate("ended: %s was sent %v after it had ended as %s", id, first.Sub(msg.finalAnswerAt), msg.finalAnswer)
 	}
 	for _, earlier := range msg.calls {
-		if earlier.open {
+		if earlier.isOpen() {
 			j.violate("twice at once: %s came while a call of it is out; %s", id, j.history(msg))
 		}
 	}
 	j.checkRepeat(msg, now)
-	added = &attempt{receivedAt: now, open: true}
+	added = &attempt{receivedAt: now, open: true, relayed: came.relayed}
 	msg.calls = append(msg.calls, added)
-	return added, !now.Before(msg.deadline) || msg.reply == withdrawn || msg.finalAnswer != ""
+	return added, !time.Now().Before(msg.deadline) || msg.reply == withdrawn || msg.finalAnswer != ""
 }
 
 // awaitOpenCalls waits up to slack for the recorded end of earlier calls: their connections may have ended just
@@ -242,7 +250,7 @@
 	for deadline := time.Now().Add(slack); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
 		j.mu.Lock()
 		msg := j.messages[id]
-		open := msg != nil && slices.ContainsFunc(msg.calls, func(call *attempt) bool { return call.open })
+		open := msg != nil && slices.ContainsFunc(msg.calls, (*attempt).isOpen)
 		j.mu.Unlock()
 		if !open {
 			return
@@ -250,6 +258,9 @@
 	}
 }
 
+// isOpen reports whether the sender has the connection of a call open and its endpoint has not ended the call.
+func (a *attempt) isOpen() bool { return a.open && (a.relayed == nil || !a.relayed.CallerEnded()) }
+
 // checkRepeat checks that a message whose earlier call may have run may be sent again.
 func (j *Judge) checkRepeat(message *message, now time.Time) {
 	first := slices.IndexFunc(message.calls, func(earlier *attempt) bool { return earlier.mayRun })
@@ -326,8 +337,8 @@
 	j.counts["waits told"]++
 }
 
-// recordFinal records a final answer.
-func (j *Judge) recordFinal(id, state string) {
+// recordFinal records a final answer that the agent received at a time.
+func (j *Judge) recordFinal(id, state string, at time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	msg := j.messages[id]
@@ -338,7 +349,7 @@
 	if msg.finalAnswer != "" {
 		return // a repeated final answer is harmless
 	}
-	msg.finalAnswer, msg.finalAnswerAt = state, time.Now()
+	msg.finalAnswer, msg.finalAnswerAt = state, at
 	j.counts[state]++
 	mayHaveRun := slices.ContainsFunc(msg.calls, func(call *attempt) bool { return call.mayRun || call.open })
 	if state == sender.Returned && mayHaveRun && j.effects[msg.class] == scheduler.NotIdempotent {
@@ -377,6 +388,17 @@
 	return text
 }
 
+// checkBytesBehindEnd checks that no call was read whole of which bytes left the sender behind the message's end. The
+// times are those of the kernel, for calls over a relay.
+func (j *Judge) checkBytesBehindEnd(msg *message) {
+	for _, call := range msg.calls {
+		if call.relayed != nil && msg.finalAnswer != "" && call.receivedAt.After(msg.finalAnswerAt) {
+			j.violate("ended: bytes of a call with %s left %v after it had ended as %s; %s", msg.id,
+				call.receivedAt.Sub(msg.finalAnswerAt), msg.finalAnswer, j.history(msg))
+		}
+	}
+}
+
 // close checks for messages without a final answer, once all deadlines have passed.
 func (j *Judge) close() (violations []string, counts map[string]int) {
 	j.mu.Lock()
@@ -391,6 +413,7 @@
 			}
 			j.violate("lost: %s (%s, %d calls) has its end %s; %s", id, msg.class, len(msg.calls), late, j.history(msg))
 		}
+		j.checkBytesBehindEnd(msg)
 	}
 	return j.violations, j.counts
 }
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand"
@@ -15,7 +16,7 @@
 func Run(opt Options) (Report, error) {
 	s := newSimulation(opt)
 	s.sockets = []int{128, 256}[s.rng.Intn(2)]
-	s.socketFaults = s.rng.Intn(2) == 0 && !opt.OnlyStrays
+	s.socketFaults = s.rng.Intn(2) == 0 && !opt.OnlyStrays && !opt.Quiet
 	s.judge.clientsReset = s.socketFaults
 	if err := s.open(); err != nil {
 		return Report{}, err
@@ -36,6 +37,10 @@
 	}
 	s.discovery = newDiscovery(s.judge, rand.New(rand.NewSource(opt.Seed+1)))
 	s.discovery.strays = s.strays("agent", opt.Seed+2)
+	if opt.Links != nil {
+		s.links = newLinks(*opt.Links, s.judge, opt.Seed)
+		s.discovery.links = s.links
+	}
 	return s
 }
 
@@ -49,6 +54,7 @@
 	if s.launcher != nil {
 		s.launcher.close()
 	}
+	s.links.close()
 	_ = s.log.Close()
 }
 
@@ -68,6 +74,9 @@
 	} else if s.listen, err = fleet.FreePort(); err != nil {
 		return err
 	}
+	if err := s.links.relayClients(s.listen); err != nil {
+		return err
+	}
 	for dest := range int64(s.destinations()) {
 		count := 1 + s.rng.Intn(3)
 		if s.options.Destinations > 0 {
@@ -97,7 +106,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), s.options.Length)
 	defer cancel()
 	var pending sync.WaitGroup
-	for i := range clientCount {
+	for i := range s.links.clients() {
 		submitter := &client{simulation: s, number: i, rng: rand.New(rand.NewSource(s.options.Seed*100 + int64(i)))}
 		pending.Add(1)
 		go func() { defer pending.Done(); submitter.run(ctx) }()
@@ -110,7 +119,7 @@
 		if s.crashed() {
 			break
 		}
-		for i := 1 + s.rng.Intn(3); i > 0 && !s.options.OnlyStrays; i-- { // several faults at once
+		for i := 1 + s.rng.Intn(3); i > 0 && !s.options.OnlyStrays && !s.options.Quiet; i-- { // several faults at once
 			if err := s.injectFault(); err != nil {
 				return err
 			}
@@ -124,7 +133,7 @@
 	pending.Wait()
 	s.endFaults()
 	// Long enough for all deadlines, the grace period of a restart and the slack.
-	lastDeadline := time.Duration(classes[len(classes)-1].DeadlineUs) * time.Microsecond
+	lastDeadline := cmp.Or(s.links.deadline(), time.Duration(classes[len(classes)-1].DeadlineUs)*time.Microsecond)
 	time.Sleep(lastDeadline + finalAnswerSlack + 2*slack + restartGrace)
 	s.crashed()
 	return nil
@@ -136,6 +145,7 @@
 	_ = os.Remove(s.diskFaultFile())
 	_ = os.Remove(s.diskFaultFile() + "-to-cut")
 	s.discovery.setDown(false)
+	s.links.stopFaults()
 	for _, endpoint := range s.endpoints {
 		endpoint.setBehavior(normal)
 	}
--- a/internal/testing/soak/world.go
+++ b/internal/testing/soak/world.go
@@ -46,6 +46,11 @@
 	// OnlyStrays: no other fault is injected, and the endpoints are busy.
 	OnlyStrays bool
 
+	// Links are the faults of the connections between the sender and its peers; nil: they have none.
+	Links *LinkOptions
+	// Quiet: no fault is injected but those of Links.
+	Quiet bool
+
 	// The number of destinations, with two endpoints each, and of senders that share them, in place of the defaults.
 	Destinations int
 	Senders      int
@@ -76,6 +81,7 @@
 	wallStep      time.Duration // wall clock offset of processes started from now on
 	socketFaults  bool          // some socket calls of the processes fail
 	launcher      *launcher     // nil: each process opens its own listening socket
+	links         *links        // nil: all connections are direct
 }
 
 // The deployment has one class of each idempotency, three destinations with one to three endpoints each, and calls
@@ -121,11 +127,14 @@
 	if rng.Intn(4) == 0 { // a short deadline
 		deadline = time.Duration(30+rng.Intn(1500)) * time.Millisecond
 	}
+	if fixed := s.links.deadline(); fixed > 0 {
+		deadline = fixed
+	}
 	msg := &message{
 		id: fmt.Sprintf("%x-%s", s.options.Seed, id), class: class.Name,
 		dest: int64(1 + rng.Intn(s.destinations())), deadline: time.Now().Add(deadline),
 	}
-	msg.body = fmt.Sprintf("body of %s\r\n", msg.id)
+	msg.body = fmt.Sprintf("body of %s\r\n", msg.id) + s.links.filling(rng)
 	if class.Idempotency == scheduler.IdempotentByKey {
 		msg.key = "k" + msg.id
 	}
@@ -337,6 +346,12 @@
 	if s.options.OnlyStrays {
 		added.setBehavior(busy)
 	}
+	if s.options.Quiet {
+		added.setBehavior(flaky)
+	}
+	if err := s.links.relayEndpoint(added, seed); err != nil {
+		return err
+	}
 	s.endpoints = append(s.endpoints, added)
 	s.discovery.update(s.hostEntry(added, healthActive), added)
 	return nil
