A notice no longer waits behind the silence of another connection to the agent

Callers saw: messages ended later than 350 ms behind their time, by up to 2.4 s, while one connection in five to the agent said nothing. Cause: one request with notices was in flight at a time, for up to agentTimeout (1 s), and all later notices waited for it. Mend: internal/notice (pure): each notice is known as acknowledged or not on its own, is sent again on a further connection after 25 ms without an answer (doubling to 200 ms after eight unanswered requests), and at most eight requests are open; those beside the first take descriptors from the endpoints' budget. One request at a time while the agent answers, so thousands at once are no stampede (TestStampedeOnASilentAgent). Why it works: between the end and its limit lie a dozen further connections, none of which waits for another.

--- a/internal/app/transport_start.go
+++ b/internal/app/transport_start.go
@@ -113,6 +113,7 @@
 	appliance := params.cfg.Resp.Listen != ""
 	table := t.newTable(platform.Front, params.cfg)
 	t.platformIngress = platform.NewIngress(params.core, params.reactor, finalsAddr(params.cfg), table, appliance)
+	t.platformIngress.SetNoticeRoom(t.endpointBudget)
 	params.core.AddIngress(platform.Front, t.platformIngress)
 	params.core.Metrics().AddMetrics(t.platformIngress.CollectMetrics)
 	var overLimitReply []byte // to clients beyond the connection limit; those of the platform get no reply
--- a/internal/net/platform/ingress.go
+++ b/internal/net/platform/ingress.go
@@ -80,6 +80,11 @@
 	}
 }
 
+// SetNoticeRoom makes the connections for notices take their descriptors from room, except for the first one.
+func (in *Ingress) SetNoticeRoom(room *conntable.SharedLimit) {
+	in.notices.table = room.NewDialedTable()
+}
+
 // SetAgent changes the agent to which notices are sent.
 func (in *Ingress) SetAgent(discovery string) { in.notices.setAgent(discovery) }
 
--- a/internal/net/platform/notice_stats.go
+++ b/internal/net/platform/notice_stats.go
@@ -46,9 +46,9 @@
 
 // updateStats updates the figures after a change of the queue.
 func (n *notices) updateStats() {
-	n.stats.waiting.Store(int64(len(n.queue)))
-	if len(n.queue) > 0 {
-		n.stats.oldest.Store(int64(n.queue[0].since))
+	n.stats.waiting.Store(int64(n.queue.Len()))
+	if n.queue.Len() > 0 {
+		n.stats.oldest.Store(int64(n.queue.Oldest().Since))
 	}
 }
 
