Reproduction: calls that were given up are read whole behind their message's end

Callers saw (here): requests that were told as failed or returned are forwarded all the same, up to 1.6 s later, where an endpoint reads late. Change: TestCallDeliveredBehindItsEnd, one connection in five to endpoints is read late or slowly, 60 of 100 bodies have 60,000 bytes; the relays say from the kernel when the bytes left.

--- a/internal/testing/linkfaults/linkfaults_test.go
+++ b/internal/testing/linkfaults/linkfaults_test.go
@@ -65,3 +65,12 @@
 		})
 	}
 }
+
+// A call that was given up is read whole by its endpoint after its message has ended.
+func TestCallDeliveredBehindItsEnd(t *testing.T) {
+	for seed, fault := range []fleet.RelayFault{fleet.RelayStopped, fleet.RelayThrottled} {
+		t.Run(fault.String(), func(t *testing.T) {
+			play(t, int64(911+seed), soak.LinkOptions{Endpoints: []fleet.RelayFault{fault}, LargePercent: 60})
+		})
+	}
+}
