No byte of a call that was given up leaves from the socket any more

Callers saw: requests that were told as failed or returned were forwarded up to 1.6 s later, and calls came whole into waits that were told after they had begun. Cause: a call that is given up was closed with the end of the stream. The kernel goes on to deliver what its socket holds, whenever the endpoint reads, and also when the process has ended. A wait gave up only calls that were not written to the socket. Mend: connections to endpoints discard unsent bytes at their close (a reset), unless they were answered. A call that its endpoint has not taken whole 70 ms behind a Retry-After, or at the end of its idempotency window, is given up as one that may have run. An abort waits for an unread answer only if nothing is unsent. Why it works: behind a reset the kernel holds nothing, whichever way the connection ends, a kill of the process included.

--- a/internal/net/platform/call.go
+++ b/internal/net/platform/call.go
@@ -105,6 +105,19 @@
 func (c *call) recordSent() {
 	c.egress.core.CountAttempts(len(c.attempts))
 	c.recordAttempts(eventlog.Event{Kind: eventlog.Sent, Class: c.attempts[0].Class})
+	if c.admission.StartBy != 0 {
+		c.egress.reactor.After(c.admission.StartBy.Sub(c.egress.core.Now()), c.abortUntaken)
+	}
+}
+
+// abortUntaken gives up the call if it is out and its endpoint has not taken it whole: the last byte must not arrive
+// from now on. It may have run, as far as this sender knows.
+func (c *call) abortUntaken() {
+	isOut := c.egress.calls[c.attempts[0].ID] == c && c.exchange.begun()
+	if isOut && c.exchange.conn.UnsentBytes() > 0 {
+		c.recordAbandoned()
+		c.exchange.fail(errNotAdmitted)
+	}
 }
 
 // recordAttempts records an event for each attempt of the call.
@@ -141,7 +154,7 @@
 	if c.egress.calls[c.attempts[0].ID] != c {
 		return
 	}
-	if c.exchange.begun() && c.abortDelays > 0 && c.exchange.conn.HasPendingInput() {
+	if c.exchange.begun() && c.abortDelays > 0 && c.exchange.conn.HasPendingInput() && c.exchange.conn.UnsentBytes() == 0 {
 		c.abortDelays--
 		c.egress.reactor.Arm(&c.timer, abortDelay, 0, timers.Func(func() { c.abort(outcome) }))
 		return
--- a/internal/net/platform/dial.go
+++ b/internal/net/platform/dial.go
@@ -62,6 +62,9 @@
 	opened.exchange, opened.startedAt, opened.number = x, eventLoop.Now(), lastConnectionNumber.Add(1)
 	x.events.Record(eventlog.Event{Kind: eventlog.Connecting, Endpoint: x.endpoint, Connection: opened.number})
 	opened.conn = eventLoop.Dial(addr, timeout, opened)
+	if x.discards {
+		opened.conn.DiscardUnsentOnClose()
+	}
 	x.dials = append(x.dials, opened)
 	if x.conn == nil {
 		x.conn, x.number = opened.conn, opened.number
@@ -154,6 +157,9 @@
 func (x *exchange) close(reason string) {
 	x.loop().Disarm(&x.backupTimer)
 	x.closeReason = cmp.Or(x.closeReason, reason)
+	if x.connected && x.closeReason == closedAnswered {
+		x.conn.SendUnsentOnClose()
+	}
 	for _, opened := range slices.Clone(x.dials) {
 		opened.conn.Close()
 	}
--- a/internal/net/platform/egress.go
+++ b/internal/net/platform/egress.go
@@ -122,6 +122,22 @@
 			c.exchange.fail(errNotAdmitted)
 		}
 	}
+	e.reactor.After(retryAfterGrace, func() { e.abortUntaken(route.Endpoint) })
+}
+
+// retryAfterGrace is how long a call that was written before a Retry-After may still arrive: the platform lets calls
+// through that come within 100 ms.
+const retryAfterGrace = 70 * time.Millisecond
+
+// abortUntaken gives up the calls of a route that its endpoints have not taken whole, if a Retry-After holds: their
+// last byte would arrive within it.
+func (e *Egress) abortUntaken(endpoint scheduler.Endpoint) {
+	if e.core.Now() >= e.Gate.RetryAfterUntil(endpoint) {
+		return
+	}
+	for c := range e.callsOfRoute(e.Gate.RouteName(endpoint)) {
+		c.abortUntaken()
+	}
 }
 
 // Stop closes the gate and ends all calls that were not completely sent. Their outcome is reported
@@ -141,7 +157,10 @@
 // connect starts to connect to an endpoint. It returns nil if the descriptor budget is used up.
 func (e *Egress) connect(route sender.Route, timeoutUs int64) *exchange {
 	timeout := min(e.connectTimeout, time.Duration(timeoutUs)*time.Microsecond)
-	x := &exchange{maxResponse: maxEndpointResponse, place: endpointPlace, endpoint: route.Addr, events: e.core.Events()}
+	x := &exchange{
+		maxResponse: maxEndpointResponse, place: endpointPlace, endpoint: route.Addr, events: e.core.Events(),
+		discards: true, // no byte of a call that was given up may arrive later
+	}
 	opened := &dialedConnection{onUp: e.connectTime.observe}
 	evicted, _, ok := e.table.Admit(&opened.Entry, opened, netip.Addr{}, e.reactor.Now())
 	if evicted != nil {
--- a/internal/net/platform/exchange.go
+++ b/internal/net/platform/exchange.go
@@ -57,6 +57,7 @@
 	connected   bool
 	correlation correlation.Single
 	events      *eventlog.Recorder // nil: no events are recorded
+	discards    bool               // bytes that the peer has not taken are discarded when the connection ends
 	place       string             // in the record of events
 	endpoint    string             // its name; empty: the agent
 	number      uint64             // of conn, in the record of events
--- a/internal/net/reactor/conn.go
+++ b/internal/net/reactor/conn.go
@@ -41,6 +41,8 @@
 	closedHere bool // closed by its handler or by this package, not by the peer
 	wantsTLS   bool // layer is set once the connection is established
 
+	discardsUnsent bool // see DiscardUnsentOnClose
+
 	socket      atomic.Pointer[nbio.Conn] // nil until it is connected
 	cancelDial  context.CancelFunc        // nil unless it is being dialed
 	finishTimer *timers.Timer             // set during a graceful close
@@ -82,6 +84,9 @@
 	if cfg != nil {
 		c.startTLS(cfg, server) // before the engine reads from the socket
 	}
+	if c.discardsUnsent {
+		_ = socket.SetLinger(1, 0) // the socket has no other user yet
+	}
 	if err := c.attach(socket); err != nil {
 		c.end(err)
 		return
@@ -180,6 +185,19 @@
 	c.Close()
 }
 
+// DiscardUnsentOnClose makes the system discard the bytes that the peer's machine has not acknowledged when the
+// connection ends, also with this process. By default it goes on to deliver them for as long as the peer takes. The
+// peer reads a reset. It must be called before the connection is established.
+func (c *Conn) DiscardUnsentOnClose() { c.discardsUnsent = true }
+
+// SendUnsentOnClose undoes DiscardUnsentOnClose: the peer reads the end of the stream.
+func (c *Conn) SendUnsentOnClose() {
+	if socket, open := c.openSocket(); open && c.discardsUnsent {
+		_ = socket.SetLinger(0, 0)
+	}
+	c.discardsUnsent = false
+}
+
 // openSocket returns the socket and whether it is open. The caller must use its descriptor at once: after the engine
 // has closed the socket, the descriptor can belong to another connection, even before the loop has handled the close.
 func (c *Conn) openSocket() (socket *nbio.Conn, open bool) {
