Reproduction: a client that ends its sending behind its request gets no answer

Callers saw (here): some 450 of 450 clients that half-close their connection behind the request and wait get no answer; many of the messages are forwarded all the same. Change: TestHalfClosedClientWithoutAnswer, every second request is followed by a half-close, nothing else is wrong.

--- a/internal/testing/linkfaults/linkfaults_test.go
+++ b/internal/testing/linkfaults/linkfaults_test.go
@@ -74,3 +74,8 @@
 		})
 	}
 }
+
+// A client that ends its sending behind its request gets no answer.
+func TestHalfClosedClientWithoutAnswer(t *testing.T) {
+	play(t, 921, soak.LinkOptions{HalfClosePercent: 50})
+}
