Input is read whole before the end of its stream

A peer that writes more than 96 KiB and closes at once (a list of a thousand endpoints and more, commands in series) was read in part: 357,322 of 409,600 bytes on, and an answer that is cut fails. Cause: the socket engine reads three times 32 KiB for an event, and closes the socket as soon as the event reports the end of the stream as well. Evidence: TestInputDroppedAtTheEndOfTheStream failed in its first run on. Mend: the reactor reads itself (OnRead): after three reads it stops only if the kernel has not received the end. Why it works: the engine closes behind the callback, which returns with all input read if the end was there.

--- a/internal/net/reactor/reactor.go
+++ b/internal/net/reactor/reactor.go
@@ -78,9 +78,7 @@
 		ReadBufferSize:     readBufferSize,
 		MaxWriteBufferSize: maxUnsent,
 	})
-	r.engine.OnData(r.onData)
-	r.engine.OnReadBufferAlloc(r.onReadBegin)
-	r.engine.OnReadBufferFree(r.onReadEnd)
+	r.engine.OnRead(r.onRead)
 	r.engine.OnClose(r.onClose)
 	r.engine.OnWrittenSize(r.onWritten)
 	if err := r.engine.Start(); err != nil {
@@ -103,31 +101,13 @@
 	_ = r.engine.Shutdown(ctx) // sockets that are still open are closed with the process
 }
 
-// onReadBegin runs on the engine's goroutine, before a socket is read.
-func (r *Reactor) onReadBegin(socket *nbio.Conn) *[]byte {
-	r.belowLimit.L.Lock() // attach takes this lock too, so that the loop's changes to the connection are visible here
-	c, ok := socket.Session().(*Conn)
-	r.belowLimit.L.Unlock()
-	if ok {
-		c.pendingReads.Add(1)
-		c.reading.Store(true)
-	}
-	return r.engine.PollerBufferPtr(socket)
-}
-
-// onReadEnd runs on the engine's goroutine, once the bytes of a read are enqueued.
-func (r *Reactor) onReadEnd(socket *nbio.Conn, _ *[]byte) {
-	if c, ok := socket.Session().(*Conn); ok {
-		c.reading.Store(false)
-		c.pendingReads.Add(-1)
-	}
-}
-
-// onClose runs on the engine's goroutine.
+// onClose runs on a goroutine of the engine, when the descriptor may have been closed already.
 func (r *Reactor) onClose(socket *nbio.Conn, err error) {
-	if c, ok := socket.Session().(*Conn); ok {
-		r.PostRead(loop.Func(func() { c.end(err) })) // after the input that arrived before
+	c, ok := socket.Session().(*Conn)
+	if !ok {
+		return
 	}
+	r.PostRead(loop.Func(func() { c.end(err) })) // after the input that arrived before
 }
 
 // onWritten runs on the goroutine that wrote, which is the engine's or the loop's.
@@ -147,9 +127,6 @@
 func (r *Reactor) onData(socket *nbio.Conn, received []byte) {
 	c, ok := socket.Session().(*Conn)
 	if !ok {
-		if barrier, isBarrier := socket.Session().(*pollerBarrier); isBarrier {
-			barrier.onWake()
-		}
 		return
 	}
 	if injected := fault(CallRead, func() string { return socket.RemoteAddr().String() }); injected != nil &&
