A client that ends its sending behind its request gets its answer

Callers saw: connections ended with no answer after the request's last byte, the messages forwarded or told as ended all the same. Cause: the client's end of stream was taken for its leaving: the socket engine closes the socket on that event, the requests were withdrawn and their replies dropped. The client's handler answers what is pending and then closes.

--- a/internal/net/platform/client.go
+++ b/internal/net/platform/client.go
@@ -105,6 +105,7 @@
 
 // updateClass updates the connection's class in the connection table.
 func (cl *client) updateClass() {
+	cl.conn.SetAwaitsOutput(len(cl.replies) > 0)
 	class := conntable.Idle
 	switch {
 	case len(cl.replies) > 0:
@@ -117,6 +118,18 @@
 	cl.ingress.table.Move(&cl.Entry, class, cl.ingress.reactor.Now())
 }
 
+// InputEnded answers the requests that are pending, and then closes the connection: a client may end its sending behind
+// its request and wait for the reply. After a pause of this process, clients have stopped waiting long ago.
+func (cl *client) InputEnded(conn *reactor.Conn) {
+	if cl.ingress.reactor.Stalled() {
+		conn.Close()
+		return
+	}
+	cl.buffer.Reset()
+	cl.closing = true
+	cl.flush()
+}
+
 // Down removes the client from the connection table and withdraws its requests that have no verdict.
 func (cl *client) Down(_ *reactor.Conn, err error) {
 	cl.recordClosed(err)
--- a/internal/net/reactor/conn.go
+++ b/internal/net/reactor/conn.go
@@ -55,6 +55,11 @@
 	reading      atomic.Bool  // a read is in progress
 	beforeMark   int32        // bytes before the position of MarkArrived that the handler has not handled
 
+	canHalfClose bool                             // the handler is an InputEnder, and there is no TLS
+	awaitsOutput atomic.Bool                      // see SetAwaitsOutput
+	keptOutput   atomic.Pointer[halfClosedOutput] // set before the engine closes its descriptor
+	output       *halfClosedOutput                // nil unless the peer has ended its stream and the handler still writes
+
 	writeBatch *writeBatch // nil: no bytes are batched
 	layer      *tlsLayer   // nil: no TLS
 }
@@ -99,7 +104,9 @@
 
 // attach adds the socket to the engine's poller.
 func (c *Conn) attach(socket *nbio.Conn) error {
+	_, endsInput := c.handler.(InputEnder)
 	c.reactor.belowLimit.L.Lock() // the engine's goroutine takes this lock before it accesses c
+	c.canHalfClose = endsInput && c.layer == nil
 	socket.SetSession(c)
 	c.reactor.belowLimit.L.Unlock()
 	if err := faultError(CallPoll, socket.RemoteAddr().String()); err != nil {
@@ -129,9 +136,12 @@
 func (c *Conn) finalize(err error) {
 	if c.state == finishing {
 		c.reactor.finishing--
+	}
+	if c.finishTimer != nil {
 		c.reactor.Disarm(c.finishTimer)
 	}
 	c.state = ended
+	c.keptOutput.Load().close()
 	c.dropBatch()
 	if err == nil {
 		err = io.EOF
@@ -232,6 +242,9 @@
 	if c.socket.Load() == nil || c.IsClosing() {
 		return false
 	}
+	if c.output != nil {
+		return c.pendingReads.Load() == 0
+	}
 	_, err := c.peekSocket(make([]byte, 1))
 	return errors.Is(err, syscall.EAGAIN) && c.pendingReads.Load() == 0
 }
--- a/internal/net/reactor/finish.go
+++ b/internal/net/reactor/finish.go
@@ -25,6 +25,10 @@
 // An immediate close with unread input would send a reset, which can overtake the last reply. Down follows. If too many
 // graceful closes are in progress, it closes the connection as Close does.
 func (c *Conn) CloseGracefully() {
+	if c.output != nil && c.state == open && c.Flush() == nil {
+		c.closeOutput()
+		return
+	}
 	if c.reactor.finishing >= c.reactor.maxFinishing {
 		c.Close()
 		return
--- a/internal/net/reactor/reactor.go
+++ b/internal/net/reactor/reactor.go
@@ -47,6 +47,7 @@
 	OnHandshakeError func(*HandshakeError)
 
 	engine  *nbio.Engine
+	poll    int // the engine's epoll descriptor; negative: unknown
 	barrier *pollerBarrier
 
 	unhandledBytes atomic.Int64 // bytes read and not handled yet
@@ -84,6 +85,7 @@
 	if err := r.engine.Start(); err != nil {
 		return nil, fmt.Errorf("starting the socket engine: %w", err)
 	}
+	r.poll = pollDescriptor(r.engine)
 	var err error
 	if r.barrier, err = newPollerBarrier(r); err != nil {
 		r.Stop()
@@ -107,7 +109,11 @@
 	if !ok {
 		return
 	}
-	r.PostRead(loop.Func(func() { c.end(err) })) // after the input that arrived before
+	r.PostRead(loop.Func(func() { // after the input that arrived before
+		if c.keptOutput.Load() == nil { // otherwise halfClose follows, and the handler closes it
+			c.end(err)
+		}
+	}))
 }
 
 // onWritten runs on the goroutine that wrote, which is the engine's or the loop's.
--- a/internal/net/reactor/read.go
+++ b/internal/net/reactor/read.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 
 	"github.com/lesismal/nbio"
 	"golang.org/x/sys/unix"
@@ -38,9 +37,9 @@
 			_ = socket.CloseWithError(err)
 			return
 		case size == 0:
-			_ = socket.CloseWithError(io.EOF)
+			r.endInput(c, socket)
 			return
-		case size < readBufferSize: // nothing more has arrived
+		case size < readBufferSize && !c.canHalfClose: // nothing more has arrived
 			return
 		case reads >= maxReadsPerEvent && !hasEnded(socket):
 			return
--- a/internal/net/reactor/write.go
+++ b/internal/net/reactor/write.go
@@ -105,11 +105,21 @@
 
 // writeRaw passes the bytes to the engine unencrypted. A write that fails closes the socket.
 func (c *Conn) writeRaw(pieces ...[]byte) error {
+	if c.output != nil {
+		return c.writeOutput(pieces)
+	}
 	socket := c.socket.Load()
 	if socket == nil || c.IsClosing() {
 		return net.ErrClosed
 	}
+	queued := c.queued
 	err := c.writeSocket(socket, pieces)
+	if errors.Is(err, net.ErrClosed) && c.keptOutput.Load() != nil {
+		c.reactor.unsent.Add(queued - c.queued)
+		if c.queued = queued; c.adoptOutput() {
+			return c.writeOutput(pieces)
+		}
+	}
 	if err != nil {
 		c.reactor.barrier.closedOutsideEngine(socket.Hash())
 	}
