--- a/internal/testing/fleet/relay.go
+++ b/internal/testing/fleet/relay.go
@@ -23,9 +23,10 @@
 	rng    *rand.Rand
 	cut    chan struct{} // closed when the cut ends; nil: there is none
 	conns  map[*RelayedConn]bool
-	byAddr map[string]*RelayedConn // by the address from which the target sees the connection
-	counts map[RelayFault]int
-	closed chan struct{}
+	// The open connections, by the address of the caller and by the address from which the target sees them.
+	byCaller, byTargetPeer map[string]*RelayedConn
+	counts                 map[RelayFault]int
+	closed                 chan struct{}
 }
 
 // RelayOptions are the parameters of NewRelay.
@@ -55,8 +56,8 @@
 	}
 	r := &Relay{
 		ln: ln, percent: options.Percent, faults: options.Faults, target: options.Target,
-		rng: rand.New(rand.NewSource(options.Seed)), conns: map[*RelayedConn]bool{}, byAddr: map[string]*RelayedConn{},
-		counts: map[RelayFault]int{}, closed: make(chan struct{}),
+		rng: rand.New(rand.NewSource(options.Seed)), conns: map[*RelayedConn]bool{},
+		byCaller: map[string]*RelayedConn{}, byTargetPeer: map[string]*RelayedConn{}, counts: map[RelayFault]int{}, closed: make(chan struct{}),
 	}
 	go r.accept()
 	return r, nil
@@ -137,11 +138,25 @@
 	}
 }
 
-// Lookup returns the connection that the target sees from this address, or nil.
-func (r *Relay) Lookup(addr net.Addr) *RelayedConn {
+// ByTargetPeer returns the open connection that the target sees from an address, or nil.
+func (r *Relay) ByTargetPeer(addr string) *RelayedConn {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.byAddr[addr.String()]
+	return r.byTargetPeer[addr]
+}
+
+// ByCaller returns the open connection that the caller has opened from an address, or nil.
+func (r *Relay) ByCaller(addr string) *RelayedConn {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.byCaller[addr]
+}
+
+// IsCut reports whether the relay is cut off.
+func (r *Relay) IsCut() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cut != nil
 }
 
 // Close ends the relay and resets its connections.
@@ -169,7 +184,9 @@
 		plan := drawRelayPlan(r.rng, r.percent, r.faults)
 		r.counts[plan.fault]++
 		conn := &RelayedConn{relay: r, plan: plan, caller: caller, ended: make(chan struct{})}
+		conn.callerAddr = caller.RemoteAddr().String()
 		r.conns[conn] = true
+		r.byCaller[conn.callerAddr] = conn
 		r.mu.Unlock()
 		go conn.run()
 	}
@@ -191,6 +208,8 @@
 	target *net.TCPConn
 	reader arrivalReader
 
+	callerAddr, targetPeerAddr string // under which the connection can be looked up
+
 	endOnce sync.Once
 	ended   chan struct{}
 
@@ -272,10 +291,26 @@
 	_ = c.target.Close()
 }
 
+// lookupGrace is how long a connection can be looked up after its end: its target may read its last bytes only then.
+const lookupGrace = 5 * time.Second
+
 func (c *RelayedConn) remove() {
 	c.relay.mu.Lock()
-	defer c.relay.mu.Unlock()
 	delete(c.relay.conns, c)
+	c.relay.mu.Unlock()
+	time.AfterFunc(lookupGrace, func() {
+		c.relay.mu.Lock()
+		defer c.relay.mu.Unlock()
+		removeAddress(c.relay.byCaller, c.callerAddr, c)
+		removeAddress(c.relay.byTargetPeer, c.targetPeerAddr, c)
+	})
+}
+
+// removeAddress removes a connection from a map by address, unless a newer one has the address.
+func removeAddress(conns map[string]*RelayedConn, addr string, ended *RelayedConn) {
+	if conns[addr] == ended {
+		delete(conns, addr)
+	}
 }
 
 // begin plays the faults that come before the target is called. It returns false if the connection has ended.
@@ -318,7 +353,8 @@
 	c.target = target
 	c.mu.Unlock()
 	c.relay.mu.Lock()
-	c.relay.byAddr[target.LocalAddr().String()] = c
+	c.targetPeerAddr = target.LocalAddr().String()
+	c.relay.byTargetPeer[c.targetPeerAddr] = c
 	c.relay.mu.Unlock()
 	return true
 }
@@ -390,7 +426,10 @@
 		c.reset()
 		return false
 	case RelaySingleBytes:
-		return writeSingleBytes(c.target, data) == nil
+		return writeSingleBytes(data, func(part []byte) bool {
+			_, err := c.target.Write(part)
+			return err == nil
+		})
 	}
 	_, err := c.target.Write(data)
 	return err == nil
@@ -399,15 +438,18 @@
 // singleByteLimit is the number of bytes of a write that arrive one by one; the rest arrives at once.
 const singleByteLimit = 64
 
-func writeSingleBytes(to io.Writer, data []byte) error {
-	for i := range data[:min(len(data), singleByteLimit)] {
-		if _, err := to.Write(data[i : i+1]); err != nil {
-			return err
+// singleByteInterval is the interval between two of them.
+const singleByteInterval = 200 * time.Microsecond
+
+func writeSingleBytes(data []byte, write func([]byte) (ok bool)) (ok bool) {
+	single := min(len(data), singleByteLimit)
+	for i := range single {
+		if !write(data[i : i+1]) {
+			return false
 		}
-		time.Sleep(200 * time.Microsecond)
+		time.Sleep(singleByteInterval)
 	}
-	_, err := to.Write(data[min(len(data), singleByteLimit):])
-	return err
+	return single == len(data) || write(data[single:])
 }
 
 // copyResponse forwards what the target sends, under the fault of the connection.
@@ -462,11 +504,7 @@
 		_ = c.caller.CloseWrite()
 		return false
 	case RelaySingleBytes:
-		if writeSingleBytes(c.caller, data) != nil {
-			return false
-		}
-		c.countForwarded(len(data))
-		return true
+		return writeSingleBytes(data, c.writeCaller)
 	}
 	return c.writeCaller(data)
 }
--- a/internal/testing/soak/answers.go
+++ b/internal/testing/soak/answers.go
@@ -8,6 +8,8 @@
 	"net"
 	"strings"
 	"time"
+
+	"brackendale/internal/testing/fleet"
 )
 
 // hangTime is how long an endpoint waits for the sender to abandon a call that gets no response.
@@ -27,6 +29,7 @@
 	conn     net.Conn
 	reader   *bufio.Reader
 	items    []item
+	relayed  *fleet.RelayedConn // nil: the connection is direct
 }
 
 // respond responds to the call by the endpoint's behavior. It returns false if the connection must end.
--- a/internal/testing/soak/discovery.go
+++ b/internal/testing/soak/discovery.go
@@ -214,9 +214,10 @@
 
 func (d *discovery) serve(writer http.ResponseWriter, request *http.Request) {
 	if request.URL.Path == "/v2/finals" {
+		arrivedAt := d.links.noticeArrival(request.RemoteAddr)
 		var finalAnswer struct{ ID, State string }
 		for decoder := json.NewDecoder(bufio.NewReader(request.Body)); decoder.Decode(&finalAnswer) == nil; {
-			d.judge.recordFinal(finalAnswer.ID, finalAnswer.State, time.Now())
+			d.judge.recordFinal(finalAnswer.ID, finalAnswer.State, arrivedAt)
 		}
 		writer.WriteHeader(http.StatusNoContent)
 		return
--- a/internal/testing/soak/endpoints.go
+++ b/internal/testing/soak/endpoints.go
@@ -172,7 +172,7 @@
 			e.judge.Violate("misrouted: %s %s cannot be read", request.Method, request.URL.Path)
 			return
 		}
-		call := &call{endpoint: e, conn: conn, reader: reader, items: items}
+		call := &call{endpoint: e, conn: conn, reader: reader, items: items, relayed: items[0].attempt.relayed}
 		if !call.respond() {
 			return
 		}
--- a/internal/testing/soak/judge.go
+++ b/internal/testing/soak/judge.go
@@ -91,6 +91,7 @@
 	effects    map[string]scheduler.Idempotency
 	messages   map[string]*message
 	retryAfter map[int64]interval // from the latest Retry-After, by destination
+	outages    []interval         // in which the agent could not be reached; the end of a current one is zero
 	restarts   []interval         // the end of the last one is zero while the sender is down
 	violations []string
 	counts     map[string]int
@@ -357,6 +358,26 @@
 	}
 }
 
+// recordOutage records that the agent cannot be reached until the returned function is called.
+func (j *Judge) recordOutage() (ended func()) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	i := len(j.outages)
+	j.outages = append(j.outages, interval{from: time.Now()})
+	return func() {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		j.outages[i].to = time.Now()
+	}
+}
+
+// forgetRetryAfter removes the Retry-After of a destination, whose answer may not have arrived.
+func (j *Judge) forgetRetryAfter(dest int64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	delete(j.retryAfter, dest)
+}
+
 // finalDue returns the latest time for a message's final answer. None is overdue during a restart.
 func (j *Judge) finalDue(message *message) time.Time {
 	due := message.deadline.Add(finalAnswerSlack + slack)
@@ -365,6 +386,12 @@
 			due = restart.to
 		}
 	}
+	for _, outage := range j.outages { // what is owed is told once the agent can be reached
+		told := outage.to.Add(finalAnswerSlack + slack)
+		if !due.Before(outage.from) && due.Before(told) {
+			due = told
+		}
+	}
 	return due
 }
 
--- a/internal/testing/soak/links.go
+++ b/internal/testing/soak/links.go
@@ -18,6 +18,8 @@
 	Agent     []fleet.RelayFault // of the watch and of the notices
 	Clients   []fleet.RelayFault
 
+	Cuts bool // links are cut off for a while, and what was sent is delivered later
+
 	HalfClosePercent int           // of the requests behind which the client ends its sending and waits
 	LargePercent     int           // of the messages that have a body of largeBody bytes
 	Deadline         time.Duration // of all messages; 0: it is drawn
@@ -36,6 +38,7 @@
 	mu     sync.Mutex
 	relays []*fleet.Relay
 	client *fleet.Relay
+	agents []*fleet.Relay // the last one is that of the current agent
 }
 
 func newLinks(options LinkOptions, judge *Judge, seed int64) *links {
@@ -76,6 +79,9 @@
 	if err != nil {
 		return "", err
 	}
+	l.mu.Lock()
+	l.agents = append(l.agents, relay)
+	l.mu.Unlock()
 	return relay.Addr(), nil
 }
 
@@ -119,15 +125,86 @@
 	return strings.Repeat("x", largeBody)
 }
 
-// knownFrom returns when a change of the list counts as told: if links have faults, when it does whether or not it
-// arrived.
+// knownFrom returns when a change of the list counts as told. If links have faults, that is 6 s after discovery had it
+// and could be reached, whether or not it arrived.
 func (l *links) knownFrom(now time.Time) time.Time {
 	if l == nil || len(l.options.Agent) == 0 {
 		return now
 	}
+	if l.options.Cuts {
+		now = now.Add(maxCut)
+	}
 	return now.Add(unresponsiveWatchDelay)
 }
 
+// noticeArrival returns when the notices of a request arrived from the sender: by the kernel, if their connection has no
+// fault, otherwise now.
+func (l *links) noticeArrival(remoteAddr string) time.Time {
+	if l == nil {
+		return time.Now()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, relay := range l.agents {
+		if relayed := relay.ByTargetPeer(remoteAddr); relayed != nil && relayed.Fault() == fleet.RelayFaultNone {
+			_, last := relayed.Arrival()
+			return last
+		}
+	}
+	return time.Now()
+}
+
+// The duration of a cut.
+const (
+	minCut = 200 * time.Millisecond
+	maxCut = 2 * time.Second
+)
+
+// The duration of a pause of the process, and the interval between two in a series: the sender may be held up for up to
+// 0.15 s.
+const (
+	pauseDuration = 120 * time.Millisecond
+	pauseInterval = 400 * time.Millisecond
+)
+
+// injectLinkFault cuts a link off for a while, or pauses the process in a series.
+func (s *simulation) injectLinkFault() {
+	duration := minCut + time.Duration(s.rng.Int63n(int64(maxCut-minCut)))
+	switch s.rng.Intn(4) {
+	case 0:
+		chosen := s.endpoints[s.rng.Intn(len(s.endpoints))]
+		s.recordAction("%s is cut off for %v", chosen.name, duration)
+		s.judge.forgetRetryAfter(chosen.dest)
+		s.cutRelay(chosen.relay, duration, func() {})
+	case 1:
+		s.recordAction("the agent is cut off for %v", duration)
+		s.links.mu.Lock()
+		agent := s.links.agents[len(s.links.agents)-1]
+		s.links.mu.Unlock()
+		s.cutRelay(agent, duration, s.judge.recordOutage())
+	case 2:
+		s.recordAction("the clients are cut off for %v", duration)
+		s.cutRelay(s.links.client, duration, func() {})
+	default:
+		s.recordAction("the process is stopped in a series")
+		for range 1 + s.rng.Intn(3) {
+			_ = s.proc.Stop()
+			time.Sleep(pauseDuration)
+			_ = s.proc.Continue()
+			time.Sleep(pauseInterval)
+		}
+	}
+}
+
+// cutRelay cuts a relay off for a while.
+func (s *simulation) cutRelay(relay *fleet.Relay, duration time.Duration, ended func()) {
+	relay.Cut(true)
+	time.AfterFunc(duration, func() {
+		relay.Cut(false)
+		ended()
+	})
+}
+
 // halfClose ends the client's sending behind a request, for a share of them, and reports whether it did.
 func (l *links) halfClose(conn net.Conn, rng *rand.Rand) bool {
 	if l == nil || l.options.HalfClosePercent == 0 || rng.Intn(100) >= l.options.HalfClosePercent {
@@ -137,9 +214,13 @@
 	return ok && tcp.CloseWrite() == nil
 }
 
-// clientFaulty reports whether the connection of a client may have a fault, which can take its answer away.
-func (l *links) clientFaulty(net.Conn) bool {
-	return l != nil && l.options.Percent > 0 && len(l.options.Clients) > 0
+// clientFaulty reports whether the connection of a client has a fault, which can take its answer away.
+func (l *links) clientFaulty(conn net.Conn) bool {
+	if l == nil {
+		return false
+	}
+	relayed := l.client.ByCaller(conn.LocalAddr().String())
+	return l.options.Cuts || relayed == nil || relayed.Fault() != fleet.RelayFaultNone
 }
 
 func (l *links) stopFaults() {
@@ -171,30 +252,24 @@
 	if e.relay == nil {
 		return came
 	}
-	if came.relayed = e.relay.Lookup(conn.RemoteAddr()); came.relayed != nil {
+	if came.relayed = e.relay.ByTargetPeer(conn.RemoteAddr().String()); came.relayed != nil {
 		came.first, came.last = came.relayed.Arrival()
 	}
 	return came
 }
 
-// relayed returns the connection of the call at its relay, or nil.
-func (c *call) relayed() *fleet.RelayedConn {
-	if c.endpoint.relay == nil {
-		return nil
-	}
-	return c.endpoint.relay.Lookup(c.conn.RemoteAddr())
-}
-
-// mayLoseAnswer reports whether the connection of the call has a fault, so that its answer may not arrive.
+// mayLoseAnswer reports whether the answer of the call may not arrive: its connection has a fault, or the sender has
+// ended it.
 func (c *call) mayLoseAnswer() bool {
-	relayed := c.relayed()
-	return relayed != nil && relayed.Fault() != fleet.RelayFaultNone
+	relayed := c.relayed
+	return relayed != nil &&
+		(relayed.Fault() != fleet.RelayFaultNone || c.endpoint.relay.IsCut() || relayed.CallerEnded())
 }
 
 // whenForwarded calls f once size bytes of the answer were written to the sender.
 func (c *call) whenForwarded(size int, f func()) {
-	if relayed := c.relayed(); relayed != nil {
-		relayed.WhenForwarded(size, f)
+	if c.relayed != nil {
+		c.relayed.WhenForwarded(size, f)
 		return
 	}
 	f()
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -156,6 +156,10 @@
 	if s.options.Upgrades && s.rng.Intn(3) == 0 {
 		return s.injectUpgradeFault()
 	}
+	if s.links != nil && s.links.options.Cuts && s.rng.Intn(3) == 0 {
+		s.injectLinkFault()
+		return nil
+	}
 	chosen := s.endpoints[s.rng.Intn(len(s.endpoints))]
 	switch kind := s.rng.Intn(20); kind {
 	case 0, 1, 2, 3, 4, 5:
