A half-closed client is answered also right behind a pause of the process

Cause: the mend of half-closed clients withdrew requests within a second of a pause of the event loop, and a new process's loop stands still while it waits for its predecessor. Mend: a request is answered whatever was before. A client that stopped waiting meanwhile costs a message that counts for nothing. Result: TestHalfClosedClientBehindAPause: 52 violations without the mend, none with it.

--- a/internal/net/platform/client.go
+++ b/internal/net/platform/client.go
@@ -119,12 +119,8 @@
 }
 
 // InputEnded answers the requests that are pending, and then closes the connection: a client may end its sending behind
-// its request and wait for the reply. After a pause of this process, clients have stopped waiting long ago.
-func (cl *client) InputEnded(conn *reactor.Conn) {
-	if cl.ingress.reactor.Stalled() {
-		conn.Close()
-		return
-	}
+// its request and wait for the reply.
+func (cl *client) InputEnded(*reactor.Conn) {
 	cl.buffer.Reset()
 	cl.closing = true
 	cl.flush()
--- a/internal/testing/linkfaults/linkfaults_test.go
+++ b/internal/testing/linkfaults/linkfaults_test.go
@@ -79,3 +79,8 @@
 func TestHalfClosedClientWithoutAnswer(t *testing.T) {
 	play(t, 921, soak.LinkOptions{HalfClosePercent: 50})
 }
+
+// A client that ends its sending behind its request gets no answer if the process stood still before the request came.
+func TestHalfClosedClientBehindAPause(t *testing.T) {
+	play(t, 922, soak.LinkOptions{HalfClosePercent: 50, Pause: 1200 * time.Millisecond})
+}
--- a/internal/testing/soak/links.go
+++ b/internal/testing/soak/links.go
@@ -20,6 +20,8 @@
 
 	Cuts bool // links are cut off for a while, and what was sent is delivered later
 
+	Pause time.Duration // the process is stopped once for so long, a second after the start; 0: it is not
+
 	HalfClosePercent int           // of the requests behind which the client ends its sending and waits
 	LargePercent     int           // of the messages that have a body of largeBody bytes
 	Deadline         time.Duration // of all messages; 0: it is drawn
@@ -137,8 +139,8 @@
 	return now.Add(unresponsiveWatchDelay)
 }
 
-// noticeArrival returns when the notices of a request arrived from the sender: by the kernel, if their connection has no
-// fault, otherwise now.
+// noticeArrival returns when the notices of a request arrived from the sender: by the kernel, if their connection has
+// no fault, otherwise now.
 func (l *links) noticeArrival(remoteAddr string) time.Time {
 	if l == nil {
 		return time.Now()
@@ -196,6 +198,20 @@
 	}
 }
 
+// pauseOnce stops the process for the time of the options. It cannot tell ends meanwhile.
+func (s *simulation) pauseOnce() {
+	if s.links == nil || s.links.options.Pause == 0 {
+		return
+	}
+	time.Sleep(time.Second)
+	s.recordAction("the process is stopped for %v", s.links.options.Pause)
+	ended := s.judge.recordOutage()
+	_ = s.proc.Stop()
+	time.Sleep(s.links.options.Pause)
+	_ = s.proc.Continue()
+	ended()
+}
+
 // cutRelay cuts a relay off for a while.
 func (s *simulation) cutRelay(relay *fleet.Relay, duration time.Duration, ended func()) {
 	relay.Cut(true)
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -115,6 +115,7 @@
 		pending.Add(1)
 		go func() { defer pending.Done(); s.pingOpenConnection(ctx) }()
 	}
+	s.pauseOnce()
 	for ctx.Err() == nil {
 		if s.crashed() {
 			break
