Relays: bytes that came before the kernel gave times count as come at the accept

Change: the listener asks for times, so that accepted sockets have them from the start; what has none counts at the accept.

--- a/internal/testing/fleet/arrival.go
+++ b/internal/testing/fleet/arrival.go
@@ -18,19 +18,26 @@
 // arrivalControlSize is the room for the control message with a time, in bytes.
 const arrivalControlSize = 64
 
-func newArrivalReader(conn *net.TCPConn) (arrivalReader, error) {
-	raw, err := conn.SyscallConn()
+// stampArrivals makes the connections that a listener accepts have times of arrival. It is set on the listener, because
+// bytes that arrive before it is set on a connection have none.
+func stampArrivals(ln *net.TCPListener) error {
+	raw, err := ln.SyscallConn()
 	if err != nil {
-		return arrivalReader{}, err
+		return err
 	}
 	var setErr error
 	err = raw.Control(func(fd uintptr) {
 		setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_TIMESTAMPNS, 1)
 	})
-	return arrivalReader{raw}, errors.Join(err, setErr)
+	return errors.Join(err, setErr)
+}
+
+func newArrivalReader(conn *net.TCPConn) (arrivalReader, error) {
+	raw, err := conn.SyscallConn()
+	return arrivalReader{raw}, err
 }
 
-// read reads into data and returns when the last of the bytes arrived.
+// read reads into data and returns when the last of the bytes arrived; zero: the kernel has no time for them.
 func (r arrivalReader) read(data []byte) (size int, at time.Time, err error) {
 	control := make([]byte, arrivalControlSize)
 	var readErr error
@@ -51,11 +58,11 @@
 	return size, arrivalTime(control), nil
 }
 
-// arrivalTime returns the time in a control message, or the current time if there is none.
+// arrivalTime returns the time in a control message, or the zero time if there is none.
 func arrivalTime(control []byte) time.Time {
 	messages, err := unix.ParseSocketControlMessage(control)
 	if err != nil {
-		return time.Now()
+		return time.Time{}
 	}
 	for _, message := range messages {
 		if message.Header.Level == unix.SOL_SOCKET && message.Header.Type == unix.SO_TIMESTAMPNS {
@@ -64,7 +71,7 @@
 			return time.Unix(int64(seconds), int64(nanoseconds))
 		}
 	}
-	return time.Now()
+	return time.Time{}
 }
 
 // peerEnded reports whether the kernel has received the peer's end of stream or reset, read or not.
--- a/internal/testing/fleet/relay.go
+++ b/internal/testing/fleet/relay.go
@@ -48,16 +48,19 @@
 	if err != nil {
 		return nil, err
 	}
+	err = stampArrivals(ln)
 	if options.SmallBuffers {
-		if err := setSmallBuffer(ln); err != nil {
-			_ = ln.Close()
-			return nil, err
-		}
+		err = errors.Join(err, setSmallBuffer(ln))
+	}
+	if err != nil {
+		_ = ln.Close()
+		return nil, err
 	}
 	r := &Relay{
 		ln: ln, percent: options.Percent, faults: options.Faults, target: options.Target,
 		rng: rand.New(rand.NewSource(options.Seed)), conns: map[*RelayedConn]bool{},
-		byCaller: map[string]*RelayedConn{}, byTargetPeer: map[string]*RelayedConn{}, counts: map[RelayFault]int{}, closed: make(chan struct{}),
+		byCaller: map[string]*RelayedConn{}, byTargetPeer: map[string]*RelayedConn{},
+		counts: map[RelayFault]int{}, closed: make(chan struct{}),
 	}
 	go r.accept()
 	return r, nil
@@ -184,7 +187,7 @@
 		plan := drawRelayPlan(r.rng, r.percent, r.faults)
 		r.counts[plan.fault]++
 		conn := &RelayedConn{relay: r, plan: plan, caller: caller, ended: make(chan struct{})}
-		conn.callerAddr = caller.RemoteAddr().String()
+		conn.callerAddr, conn.acceptedAt = caller.RemoteAddr().String(), time.Now()
 		r.conns[conn] = true
 		r.byCaller[conn.callerAddr] = conn
 		r.mu.Unlock()
@@ -210,6 +213,8 @@
 
 	callerAddr, targetPeerAddr string // under which the connection can be looked up
 
+	acceptedAt time.Time
+
 	endOnce sync.Once
 	ended   chan struct{}
 
@@ -397,9 +402,13 @@
 	_ = c.target.CloseWrite()
 }
 
+// arrived records that bytes arrived at a time; zero: before the kernel gave times, which is about that of the accept.
 func (c *RelayedConn) arrived(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if at.IsZero() {
+		at = c.acceptedAt
+	}
 	if c.first.IsZero() {
 		c.first = at
 	}
