One guard for taking on, sending, repeating, ending and telling, with counted violations

Change: internal/lifecycle: a machine of five states for each message, which refuses a start of an unknown, ended or out message and of an unsafe one that may have run, an untrue 'returned', and is asked by both egresses at the last instant before the write, with a failpoint on each side. What must not happen is counted by kind (lb_violations_total), is an error in the log and writes the last events. Before an end is told, an attempt whose bytes its endpoint has not taken is given up (Abandon). The soaks and all tests with a stand-in sender fail on a violation.

--- a/internal/app/events.go
+++ b/internal/app/events.go
@@ -7,6 +7,7 @@
 	"brackendale/internal/clock"
 	"brackendale/internal/config"
 	"brackendale/internal/eventlog"
+	"brackendale/internal/lifecycle"
 	"brackendale/internal/metrics"
 	"brackendale/internal/net/amqpfront"
 	"brackendale/internal/net/platform"
@@ -45,11 +46,21 @@
 			"reason", "Connections of clients that ended, by side and what was unanswered."),
 		labeledCounters(events.Counts(eventlog.Abandoned), platform.AbandonReasons(), "lb_attempts_abandoned_total",
 			"reason", "Attempts that were given up after their first byte, by whether bytes of them were unsent."),
+		labeledCounters(events.Counts(eventlog.Violated), violationKinds(), "lb_violations_total", "kind",
+			"What must not happen to a message and was refused or found, by kind: programming errors."),
 		labeledCounters(events.Counts(eventlog.Unacknowledged), platform.UnacknowledgedReasons(),
 			"lb_notices_unacknowledged_total", "reason", "Requests with notices that ended without an acknowledgement."),
 	)
 }
 
+// violationKinds returns the kinds of violations of the guard.
+func violationKinds() (kinds []string) {
+	for _, kind := range lifecycle.Violations() {
+		kinds = append(kinds, string(kind))
+	}
+	return kinds
+}
+
 // labeledCounters returns a counter for each value of its label.
 func labeledCounters(counts map[string]int, values []string, name, label, help string) (all []metrics.Metric) {
 	for _, value := range values {
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -63,6 +63,7 @@
 	Acknowledged   Kind = "acknowledged"   // the agent has acknowledged the notice
 	Unacknowledged Kind = "unacknowledged" // a request with notices ended without an acknowledgement, with the reason
 	ClientClosed   Kind = "client closed"  // a client's connection, with the side and the reason
+	Violated       Kind = "violation"      // what must not happen to a message, the reason
 	Abandoned      Kind = "abandoned"      // an attempt was given up; bytes of it were not sent yet
 )
 
--- a/internal/eventlog/recorder.go
+++ b/internal/eventlog/recorder.go
@@ -107,6 +107,17 @@
 	r.Record(event)
 }
 
+// RecordViolation records what must not happen, and writes the events that were kept before, at most once in
+// dumpInterval.
+func (r *Recorder) RecordViolation(event Event) {
+	event.Kind = Violated
+	r.RecordCounted(event, 1)
+	r.Dump(ViolationMessage + event.Reason + ", message " + event.Message)
+}
+
+// ViolationMessage begins the reason with which a violation writes the events that were kept.
+const ViolationMessage = "a violation: "
+
 // count adds to the count of a kind with a label.
 func (r *Recorder) count(kind Kind, label string, amount int) {
 	r.mu.Lock()
--- a/internal/failpoint/failpoint.go
+++ b/internal/failpoint/failpoint.go
@@ -15,6 +15,8 @@
 	// On the loop.
 	BeforeAdmission Point = "an attempt is about to be judged for its write"
 	// On the loop.
+	AttemptAdmitted Point = "an attempt may be written, none of its bytes is"
+	// On the loop.
 	CloseDecided Point = "a client's connection is to be closed, its socket is not shut"
 	// On the goroutine that shuts down the process.
 	ShutdownWaitEnded Point = "the end of a planned shutdown has come, the fronts are not ended yet"
--- a/internal/net/amqpfront/brokerlink.go
+++ b/internal/net/amqpfront/brokerlink.go
@@ -8,6 +8,7 @@
 
 	"brackendale/internal/admission"
 	"brackendale/internal/eventlog"
+	"brackendale/internal/failpoint"
 	"brackendale/internal/net/amqp"
 	"brackendale/internal/net/conntable"
 	"brackendale/internal/net/correlation"
@@ -313,7 +314,8 @@
 func (l *brokerLink) publishWaiting() (remaining, notAdmitted []*publishAttempt) {
 	now := l.egress.core.Now()
 	for _, p := range l.waiting {
-		if l.egress.Gate.Admit(p.admission, now) != admission.Admitted {
+		failpoint.Reach(failpoint.BeforeAdmission)
+		if l.egress.Gate.Admit(p.admission, now) != admission.Admitted || !p.attempt.MayLeave() {
 			notAdmitted = append(notAdmitted, p)
 			continue
 		}
@@ -322,7 +324,9 @@
 			remaining = append(remaining, p)
 			continue
 		}
+		failpoint.Reach(failpoint.AttemptAdmitted)
 		l.publish(l.channels[i], p)
+		p.attempt.Left()
 	}
 	return remaining, notAdmitted
 }
--- a/internal/net/amqpfront/egress.go
+++ b/internal/net/amqpfront/egress.go
@@ -1,6 +1,7 @@
 package amqpfront
 
 import (
+	"cmp"
 	"crypto/tls"
 	"net"
 	"net/netip"
@@ -98,6 +99,19 @@
 	}
 }
 
+// Abandon gives up the publish of a message if its broker has not taken it whole.
+func (e *Egress) Abandon(id string) {
+	p := e.attempts[id]
+	switch {
+	case p == nil:
+	case p.channel == nil, !p.sent():
+		p.giveUp(sender.OutcomeNotSent)
+	case p.link.conn.UnsentBytes() > 0:
+		p.giveUpOutcome = cmp.Or(p.giveUpOutcome, sender.OutcomeCanceled)
+		p.abandon()
+	}
+}
+
 // closeIdle closes the connection to a route's target if no attempt uses it.
 func (e *Egress) closeIdle(route sender.Route) {
 	target, err := amqp.ParseURL(route.Dial)
--- a/internal/net/platform/abandoned_test.go
+++ b/internal/net/platform/abandoned_test.go
@@ -75,14 +75,20 @@
 				h.runOnLoop(func() { test.giveUp(h) })
 			}
 			h.awaitNoCalls()
-			_ = conn.SetReadDeadline(time.Now().Add(standin.Long))
-			if all, err := io.ReadAll(conn); len(all) >= largeBody {
-				t.Fatalf("%d bytes arrived, which is the whole call: %v", len(all), err)
+			if size := readAll(conn); size >= largeBody {
+				t.Fatalf("%d bytes arrived, which is the whole call", size)
 			}
 		})
 	}
 }
 
+// readAll reads until the connection ends, and returns the number of bytes.
+func readAll(conn net.Conn) (size int) {
+	_ = conn.SetReadDeadline(time.Now().Add(standin.Long))
+	all, _ := io.ReadAll(conn)
+	return len(all)
+}
+
 // awaitSent waits until the call of a message was written to its socket, which holds a part of it.
 func (h *egressHarness) awaitSent(id string) {
 	h.t.Helper()
--- a/internal/net/platform/call.go
+++ b/internal/net/platform/call.go
@@ -48,6 +48,11 @@
 	if c.egress.Gate.Admit(c.admission, c.egress.core.Now()) != admission.Admitted {
 		return errNotAdmitted
 	}
+	for i := range c.attempts {
+		if !c.exchange.begun() && !c.attempts[i].MayLeave() {
+			return errNotAdmitted
+		}
+	}
 	if c.exchange.conn.HasPendingInput() {
 		return errUnread
 	}
@@ -114,6 +119,13 @@
 // are 50 ms longer.
 const windowGrace = 45 * time.Millisecond
 
+// recordLeft tells the guard that bytes of the attempts were written.
+func (c *call) recordLeft() {
+	for i := range c.attempts {
+		c.attempts[i].Left()
+	}
+}
+
 // abortUntaken gives up the call if it is out and its endpoint has not taken it whole: the last byte must not arrive
 // from now on. It may have run, as far as this sender knows.
 func (c *call) abortUntaken() {
--- a/internal/net/platform/egress.go
+++ b/internal/net/platform/egress.go
@@ -89,6 +89,7 @@
 		c.finish(nil, errNoDescriptor)
 		return
 	}
+	c.exchange.onWritten = c.recordLeft
 	c.exchange.onSent = c.recordSent
 	c.exchange.admit = c.admit
 	c.exchange.send(c.finish, c.request(timeoutUs)...)
@@ -212,6 +213,18 @@
 	}
 }
 
+// Abandon gives up the call that carries a message if its endpoint has not taken it whole.
+func (e *Egress) Abandon(id string) {
+	c := e.calls[id]
+	switch {
+	case c == nil:
+	case !c.exchange.begun():
+		c.exchange.fail(errNotAdmitted)
+	default:
+		c.abortUntaken()
+	}
+}
+
 // UpdateRoutes applies route changes.
 func (e *Egress) UpdateRoutes(changed []sender.Route) {
 	for _, route := range changed {
--- a/internal/net/platform/exchange.go
+++ b/internal/net/platform/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"brackendale/internal/eventlog"
+	"brackendale/internal/failpoint"
 	"brackendale/internal/net/correlation"
 	"brackendale/internal/net/http1"
 	"brackendale/internal/net/loop"
@@ -67,6 +68,7 @@
 	request   [][]byte     // the pieces of the pending request; nil once they were written
 	admit     func() error // returns nil, errUnread or errNotAdmitted; if it is nil, all requests are admitted
 	sendTimer timers.Timer // runs until the request is admitted, and then until it is completely sent
+	onWritten func()       // called once bytes of the request were written; may be nil
 	onSent    func()       // called once the request's last byte was sent; may be nil
 
 	// The state of the response.
@@ -111,6 +113,7 @@
 			x.fail(err)
 			return
 		}
+		failpoint.Reach(failpoint.AttemptAdmitted)
 	}
 	if !x.correlation.Begin() {
 		x.fail(errNotAdmitted)
@@ -121,6 +124,9 @@
 	if x.conn.Write(pieces...) != nil {
 		x.close(closedWriteFailed)
 	}
+	if x.onWritten != nil {
+		x.onWritten()
+	}
 	x.checkSent()
 }
 
--- a/internal/testing/soak/discovery.go
+++ b/internal/testing/soak/discovery.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"brackendale/internal/config"
+	"brackendale/internal/testing/fleet"
 )
 
 // The health of an endpoint, as sent in the endpoint list.
@@ -64,7 +65,13 @@
 	if err != nil {
 		return "", err
 	}
-	server := &http.Server{Handler: http.HandlerFunc(d.serve)}
+	relay, err := d.links.relayAgent(ln.Addr().String())
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		d.serve(relay, writer, request)
+	})}
 	go func() { _ = server.Serve(d.strays.listen(ln)) }()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -72,7 +79,10 @@
 		time.AfterFunc(1500*time.Millisecond, func() { _ = old.Close() })
 	}
 	d.servers = []*http.Server{server}
-	return d.links.relayAgent(ln.Addr().String())
+	if relay != nil {
+		return relay.Addr(), nil
+	}
+	return ln.Addr().String(), nil
 }
 
 // update changes an entry of the list, or queues the change while the agent is unavailable. The sender must have the
@@ -212,9 +222,10 @@
 	return list
 }
 
-func (d *discovery) serve(writer http.ResponseWriter, request *http.Request) {
+// serve answers a request that came to an agent over its relay; nil: it came directly.
+func (d *discovery) serve(relay *fleet.Relay, writer http.ResponseWriter, request *http.Request) {
 	if request.URL.Path == "/v2/finals" {
-		arrivedAt := d.links.noticeArrival(request.RemoteAddr)
+		arrivedAt := noticeArrival(relay, request.RemoteAddr)
 		var finalAnswer struct{ ID, State string }
 		for decoder := json.NewDecoder(bufio.NewReader(request.Body)); decoder.Decode(&finalAnswer) == nil; {
 			d.judge.recordFinal(finalAnswer.ID, finalAnswer.State, arrivedAt)
--- a/internal/testing/soak/judge.go
+++ b/internal/testing/soak/judge.go
@@ -371,6 +371,32 @@
 	}
 }
 
+// The interval of the watchdog's steps, and the gap between two from which on the stand-ins count as held up.
+const (
+	watchdogInterval = 10 * time.Millisecond
+	watchdogGap      = 100 * time.Millisecond
+)
+
+// watch records the spans in which this process, with all stand-ins, was held up: the agent could not answer then. It
+// ends when done is closed.
+func (j *Judge) watch(done <-chan struct{}) {
+	for last := time.Now(); ; {
+		select {
+		case <-done:
+			return
+		case <-time.After(watchdogInterval):
+		}
+		now := time.Now()
+		if now.Sub(last) > watchdogGap {
+			j.mu.Lock()
+			j.outages = append(j.outages, interval{from: last, to: now})
+			j.counts["stand-ins held up"]++
+			j.mu.Unlock()
+		}
+		last = now
+	}
+}
+
 // forgetRetryAfter removes the Retry-After of a destination, whose answer may not have arrived.
 func (j *Judge) forgetRetryAfter(dest int64) {
 	j.mu.Lock()
--- a/internal/testing/soak/links.go
+++ b/internal/testing/soak/links.go
@@ -69,22 +69,22 @@
 	return err
 }
 
-// relayAgent puts a relay in front of an agent and returns the address at which the sender reaches it.
-func (l *links) relayAgent(addr string) (string, error) {
+// relayAgent puts a relay in front of an agent, or returns nil if there are none.
+func (l *links) relayAgent(addr string) (*fleet.Relay, error) {
 	if l == nil {
-		return addr, nil
+		return nil, nil
 	}
 	l.mu.Lock()
 	seed := l.seed + int64(len(l.relays))
 	l.mu.Unlock()
 	relay, err := l.start(addr, l.options.Agent, seed, false)
 	if err != nil {
-		return "", err
+		return nil, err
 	}
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.agents = append(l.agents, relay)
-	l.mu.Unlock()
-	return relay.Addr(), nil
+	return relay, nil
 }
 
 // relayClients puts a relay between the clients and the sender.
@@ -140,20 +140,17 @@
 }
 
 // noticeArrival returns when the notices of a request arrived from the sender: by the kernel, if their connection has
-// no fault, otherwise now.
-func (l *links) noticeArrival(remoteAddr string) time.Time {
-	if l == nil {
+// no fault, otherwise now. relay is that of the agent; nil: connections are direct.
+func noticeArrival(relay *fleet.Relay, remoteAddr string) time.Time {
+	if relay == nil {
 		return time.Now()
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, relay := range l.agents {
-		if relayed := relay.ByTargetPeer(remoteAddr); relayed != nil && relayed.Fault() == fleet.RelayFaultNone {
-			_, last := relayed.Arrival()
-			return last
-		}
+	relayed := relay.ByTargetPeer(remoteAddr)
+	if relayed == nil || relayed.Fault() != fleet.RelayFaultNone {
+		return time.Now()
 	}
-	return time.Now()
+	_, last := relayed.Arrival()
+	return last
 }
 
 // The duration of a cut.
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"fmt"
@@ -9,6 +10,7 @@
 	"sync"
 	"time"
 
+	"brackendale/internal/eventlog"
 	"brackendale/internal/testing/fleet"
 )
 
@@ -22,9 +24,15 @@
 		return Report{}, err
 	}
 	defer s.close()
+	if s.links != nil {
+		watched := make(chan struct{})
+		defer close(watched)
+		go s.judge.watch(watched)
+	}
 	if err := s.runScenario(); err != nil {
 		return Report{}, err
 	}
+	s.checkGuard()
 	violations, counts := s.judge.close()
 	return Report{Seed: opt.Seed, Actions: s.actions, Counts: counts, Violations: violations}, nil
 }
@@ -44,6 +52,16 @@
 	return s
 }
 
+// checkGuard records a violation that the sender's own guard has found.
+func (s *simulation) checkGuard() {
+	raw, _ := os.ReadFile(s.log.Name())
+	for line := range bytes.Lines(raw) {
+		if bytes.Contains(line, []byte(eventlog.ViolationMessage)) {
+			s.judge.Violate("guard: %s", line)
+		}
+	}
+}
+
 // close stops the sender and everything that the simulation runs.
 func (s *simulation) close() {
 	s.expected = true
--- a/internal/testing/standin/standin.go
+++ b/internal/testing/standin/standin.go
@@ -91,6 +91,9 @@
 			if err := <-done; err != nil {
 				t.Error(err)
 			}
+			if count := core.Violations(); count > 0 {
+				t.Errorf("the guard has found %d violations", count)
+			}
 			_ = ln.Close()
 			react.Stop()
 		})
--- a/sender/calls.go
+++ b/sender/calls.go
@@ -29,6 +29,10 @@
 				Msg("the scheduler started an attempt of a message that is not in the journal: the attempt is not sent")
 			continue
 		}
+		if !s.guard.Start(entry.ID, entry.Attempts) {
+			s.addEvents(unsentAttemptEvent(entry.ID, action.Endpoint))
+			continue
+		}
 		call := latest[action.Endpoint]
 		if call == nil || len(call.attempts) >= max(1, s.messagesPerCall[route.MachineType]) {
 			call = &outgoingCall{route: route}
@@ -56,6 +60,7 @@
 		TimeoutUs: timeoutUs,
 		Deadline:  clock.Instant(s.scheduler.LastSend(int64(entry.Deadline))),
 		StartBy:   s.startBy(entry),
+		guard:     s.guard,
 	}
 }
 
@@ -108,6 +113,7 @@
 		WaitMs: result.RetryAfterMs, Reason: string(result.Outcome),
 	})
 	s.journal.EndAttempt(result.ID, mayHaveRun(result.Outcome))
+	s.guard.Finish(result.ID, mayHaveRun(result.Outcome))
 	if stats := s.routeStats[result.Endpoint]; stats != nil {
 		stats.InFlight--
 		stats.LastOutcome = result.Outcome
--- a/sender/disk_stall.go
+++ b/sender/disk_stall.go
@@ -62,6 +62,7 @@
 		}
 		s.pending--
 		s.journal.Remove(request.ID)
+		s.guard.Undo(request.ID)
 		decided.replies[request.ID] = reply{
 			verdict: Rejected, retryAfterMs: s.retryAfterMs(), reason: "the journal cannot be written",
 		}
--- a/sender/egress.go
+++ b/sender/egress.go
@@ -2,6 +2,7 @@
 
 import (
 	"brackendale/internal/clock"
+	"brackendale/internal/lifecycle"
 	"brackendale/scheduler"
 )
 
@@ -15,6 +16,8 @@
 	TimeoutUs int64         // from now; the egress cancels the attempt then
 	Deadline  clock.Instant // no byte of it may leave later: shortly before the final answer of its message
 	StartBy   clock.Instant // it must not be written later: its idempotency window ends then; 0: no limit
+
+	guard *lifecycle.Guard // nil: the attempt belongs to no message of a sender
 }
 
 // Egress sends attempts to endpoints of one protocol. Its methods are called on the fronts'
--- a/sender/final_answers.go
+++ b/sender/final_answers.go
@@ -15,6 +15,9 @@
 	if entry == nil || entry.FinalAnswer != "" {
 		return
 	}
+	if !s.guard.End(id, answer == Returned) {
+		answer = DeliveryFailed
+	}
 	s.pending--
 	s.finishRestored(id)
 	s.finalAnswerRate.add(time.Since(s.startedAt))
@@ -37,6 +40,7 @@
 
 // finishUnanswered ends an accepted message without a final answer to its client.
 func (s *Sender) finishUnanswered(entry *journal.Entry) {
+	s.guard.End(entry.ID, false)
 	s.pending--
 	s.finishRestored(entry.ID)
 	s.metrics.CountFinal(entry.Class, metrics.ResultFailed)
@@ -64,8 +68,10 @@
 	if in == nil {
 		return
 	}
+	s.abandonAttempt(entry.ID)
 	s.outbox = append(s.outbox, outboxItem{
 		ingress:      in,
+		guard:        s.guard,
 		id:           entry.ID,
 		correlation:  entry.Correlation,
 		answer:       entry.FinalAnswer,
@@ -113,6 +119,7 @@
 // removeMessage removes a message from the journal.
 func (s *Sender) removeMessage(id string) {
 	if entry := s.journal.Get(id); entry != nil {
+		s.guard.Forget(id)
 		s.journal.Remove(id)
 		s.recordEndedID(entry)
 	}
--- a/sender/outbox.go
+++ b/sender/outbox.go
@@ -1,5 +1,7 @@
 package sender
 
+import "brackendale/internal/lifecycle"
+
 // outboxItem is one queued call to a front: a verdict, a final answer, or any other call. A struct for
 // the first two avoids a closure for each, of which a busy step would allocate thousands.
 type outboxItem struct {
@@ -12,6 +14,7 @@
 	verdict Verdict
 
 	// Of a final answer.
+	guard       *lifecycle.Guard
 	id          string
 	correlation string
 	answer      string
@@ -26,6 +29,7 @@
 	case item.request != nil:
 		item.ingress.Answer(item.request, item.verdict, item.retryAfterMs)
 	default:
+		item.guard.Tell(item.id)
 		item.ingress.Notify(item.id, item.correlation, item.answer, item.retryAfterMs, item.repeated)
 	}
 }
--- a/sender/restore.go
+++ b/sender/restore.go
@@ -68,6 +68,7 @@
 		return
 	}
 	s.pending++
+	defer s.takeRestored(entry)
 	if s.options.Checkpoint != nil && s.scheduler.HasMessage(entry.ID) {
 		return
 	}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -15,11 +15,13 @@
 	"io"
 	"math/rand"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"brackendale/internal/clock"
 	"brackendale/internal/eventlog"
 	"brackendale/internal/journal"
+	"brackendale/internal/lifecycle"
 	"brackendale/internal/metrics"
 	"brackendale/internal/recovery"
 	"brackendale/internal/snapshot"
@@ -71,6 +73,7 @@
 
 	scheduler *scheduler.Scheduler
 	journal   *journal.Journal
+	guard     *lifecycle.Guard // any goroutine may use it
 
 	// The steady clock is read once, at the start. Later times are that reading plus the time elapsed
 	// on Go's monotonic clock.
@@ -100,13 +103,14 @@
 	// Messages.
 	nextInput     stepInput
 	lastStep      time.Time
-	pending       int                // messages that were accepted and have no final answer
-	unsentAnswers []*journal.Entry   // messages whose final answers go to the ingresses once they are recorded
-	endedIDs      recentIDs          // of accepted messages that were removed from the journal
-	expiring      expiringIDs        // acknowledged messages whose ids are kept until they expire
-	onFlushed     []func(error)      // called once the next record of the journal is durable
-	diskStall     diskStall          // state while the journal cannot be written
-	outbox        []outboxItem       // calls to the fronts, made at the end of the step
+	pending       int              // messages that were accepted and have no final answer
+	unsentAnswers []*journal.Entry // messages whose final answers go to the ingresses once they are recorded
+	endedIDs      recentIDs        // of accepted messages that were removed from the journal
+	expiring      expiringIDs      // acknowledged messages whose ids are kept until they expire
+	onFlushed     []func(error)    // called once the next record of the journal is durable
+	diskStall     diskStall        // state while the journal cannot be written
+	outbox        []outboxItem     // calls to the fronts, made at the end of the step
+	violations    atomic.Int64
 	stats         State              // the counters that State returns
 	avoidedRoutes avoidedRoutesGauge // for the metrics
 
@@ -201,6 +205,7 @@
 		nextInput:       stepInput{requestIDs: map[string]bool{}},
 		rng:             rand.New(rand.NewSource(options.Seed)),
 	}
+	s.guard = lifecycle.New(s.recordViolation)
 	s.recovery.restored = map[string]bool{}
 	s.setNotReady(errStarting)
 	if options.Trace != nil {
--- a/sender/step.go
+++ b/sender/step.go
@@ -92,8 +92,7 @@
 	}
 	for _, request := range decided.input.requests {
 		if _, ended := decided.replies[request.ID]; !ended && request.standalone() {
-			s.pending++
-			s.journal.Accept(newEntry(request))
+			s.accept(request)
 		}
 	}
 	decided.calls = s.buildCalls(decided.actions)
--- a/sender/transactions.go
+++ b/sender/transactions.go
@@ -143,8 +143,7 @@
 		return
 	}
 	for _, request := range transaction.newRequests {
-		s.pending++
-		s.journal.Accept(newEntry(request))
+		s.accept(request)
 	}
 	for _, id := range transaction.Acknowledged {
 		s.acknowledge(id)
