A result of the predecessor that comes before the checkpoint is restored is not lost

Cause: what the predecessor reports, and its end, was handled before the successor had restored the checkpoint: the attempt then counted as out for good, was ended a second time as one that may have run when the predecessor ended, while the next attempt of its message was out, and cancels of that one went to the predecessor. Mend: reports of the predecessor and its end wait until the checkpoint is restored.

--- a/sender/calls.go
+++ b/sender/calls.go
@@ -94,7 +94,7 @@
 
 // ReportAttempts records the results of attempts that shared a call. Any goroutine may call it.
 func (s *Sender) ReportAttempts(results ...AttemptResult) {
-	s.Post(func() {
+	s.postResumed(func() {
 		if s.handedOver() {
 			s.hotRestart.successor.Report(results)
 			return
--- a/sender/hot_restart.go
+++ b/sender/hot_restart.go
@@ -47,6 +47,8 @@
 	pauseRequest chan<- *Pause // receives the pause that was requested; nil: none was
 	successor    Successor     // has replaced this process; nil: none
 
+	resumed        bool              // the checkpoint is restored; meaningless without one
+	untilResumed   []func()          // what the predecessor reported before that
 	predecessor    Predecessor       // has calls in flight for this process; nil: none
 	remoteAttempts map[string]Action // in flight at the predecessor, by message id
 }
@@ -191,13 +193,33 @@
 	}
 }
 
+// postResumed queues a task that depends on the checkpoint, if there is one, to run once that is restored.
+func (s *Sender) postResumed(task func()) {
+	s.Post(func() {
+		if s.options.Checkpoint != nil && !s.hotRestart.resumed {
+			s.hotRestart.untilResumed = append(s.hotRestart.untilResumed, task)
+			return
+		}
+		task()
+	})
+}
+
+// runResumed runs the tasks that waited for the checkpoint.
+func (s *Sender) runResumed() {
+	s.hotRestart.resumed = true
+	for _, task := range s.hotRestart.untilResumed {
+		task()
+	}
+	s.hotRestart.untilResumed = nil
+}
+
 // SetPredecessor sets the process that has calls in flight for this one. It is called before Run.
 func (s *Sender) SetPredecessor(predecessor Predecessor) { s.hotRestart.predecessor = predecessor }
 
 // PredecessorEnded records that the predecessor has ended. Attempts whose results it did not report
 // may have run: they end with OutcomeReset. Any goroutine may call it.
 func (s *Sender) PredecessorEnded() {
-	s.Post(func() {
+	s.postResumed(func() {
 		s.hotRestart.predecessor = nil
 		for id, attempt := range s.hotRestart.remoteAttempts {
 			s.reportResult(AttemptResult{
--- a/sender/restore.go
+++ b/sender/restore.go
@@ -47,6 +47,7 @@
 	for _, entry := range s.journal.Entries() {
 		s.restoreEntry(entry)
 	}
+	s.runResumed()
 	s.recovery.restoredCount = len(s.recovery.restored)
 	s.recovery.window.checkedAt = time.Now()
 	if s.pending > 0 || len(s.unsentAnswers) > 0 {
