Soak: a message's time counts from when the sender had it, where the client's link is late

Change: on a connection of a client with a fault or a cut, the time between the request and its reply is added to the due time. Direct connections are judged as before.

--- a/internal/testing/soak/clients.go
+++ b/internal/testing/soak/clients.go
@@ -93,6 +93,7 @@
 			fmt.Sprintf("c=%s,t=x,d=%d,dest=%d,k=%s", msg.class, remainingMs, msg.dest, msg.key), msg.body))
 		c.simulation.judge.submitted(msg)
 	}
+	submittedAt := time.Now()
 	unused := c.unused
 	c.unused = false
 	_ = c.conn.SetDeadline(time.Now().Add(replyTimeout))
@@ -117,6 +118,7 @@
 		isNetErr := errors.As(err, &netErr)
 		switch {
 		case err == nil && strings.HasPrefix(line, "+"):
+			msg.transit = c.simulation.links.transit(c.conn, submittedAt)
 			c.simulation.judge.recordReply(msg, accepted)
 		case err == nil && strings.HasPrefix(line, "-BUSY"):
 			c.simulation.judge.recordReply(msg, refused)
--- a/internal/testing/soak/links.go
+++ b/internal/testing/soak/links.go
@@ -236,6 +236,15 @@
 	return l.options.Cuts || relayed == nil || relayed.Fault() != fleet.RelayFaultNone
 }
 
+// transit returns how long a request may have been on its way that was submitted at a time and has its reply now. The
+// sender is told how long a message may be delivered from when its client sent it, and not when that was.
+func (l *links) transit(conn net.Conn, submittedAt time.Time) time.Duration {
+	if !l.clientFaulty(conn) {
+		return 0
+	}
+	return time.Since(submittedAt)
+}
+
 func (l *links) stopFaults() {
 	if l == nil {
 		return
