--- a/internal/net/reactor/conn.go
+++ b/internal/net/reactor/conn.go
@@ -42,6 +42,8 @@
 	wantsTLS   bool // layer is set once the connection is established
 
 	discardsUnsent bool // see DiscardUnsentOnClose
+	canHalfClose   bool // the handler is an InputEnder, and there is no TLS
+	adoptedOutput  bool // the connection continues on keptOutput: the peer has ended its stream, the handler still writes
 
 	socket      atomic.Pointer[nbio.Conn] // nil until it is connected
 	cancelDial  context.CancelFunc        // nil unless it is being dialed
@@ -49,16 +51,12 @@
 
 	queued       int64        // bytes passed to the engine for writing; under TLS, of ciphertext
 	written      atomic.Int64 // bytes that the engine has written to the socket
-	awaitsDrain  atomic.Bool  // drained is to be called when the engine has written bytes
 	pendingReads atomic.Int32 // reads in progress, plus reads whose bytes the handler has not received
 	pendingBytes atomic.Int32 // bytes that were read and that the handler has not handled
-	reading      atomic.Bool  // a read is in progress
 	beforeMark   int32        // bytes before the position of MarkArrived that the handler has not handled
+	flags        connFlags
 
-	canHalfClose bool                             // the handler is an InputEnder, and there is no TLS
-	awaitsOutput atomic.Bool                      // see SetAwaitsOutput
-	keptOutput   atomic.Pointer[halfClosedOutput] // set before the engine closes its descriptor
-	output       *halfClosedOutput                // nil unless the peer has ended its stream and the handler still writes
+	keptOutput atomic.Pointer[halfClosedOutput] // set before the engine closes its descriptor
 
 	writeBatch *writeBatch // nil: no bytes are batched
 	layer      *tlsLayer   // nil: no TLS
@@ -242,7 +240,7 @@
 	if c.socket.Load() == nil || c.IsClosing() {
 		return false
 	}
-	if c.output != nil {
+	if c.adoptedOutput {
 		return c.pendingReads.Load() == 0
 	}
 	_, err := c.peekSocket(make([]byte, 1))
@@ -267,7 +265,7 @@
 		return true
 	}
 	pending := c.pendingBytes.Load()
-	if c.reading.Load() {
+	if c.flags.has(flagReading) {
 		return false
 	}
 	peeked := partial.Get(arrivedPeekSize)
@@ -276,7 +274,7 @@
 	if err != nil {
 		size = 0 // nothing has arrived, or only the end of the stream
 	}
-	if size == arrivedPeekSize || c.reading.Load() || c.pendingBytes.Load() != pending {
+	if size == arrivedPeekSize || c.flags.has(flagReading) || c.pendingBytes.Load() != pending {
 		return false
 	}
 	c.beforeMark = pending + int32(size)
--- a/internal/net/reactor/finish.go
+++ b/internal/net/reactor/finish.go
@@ -25,7 +25,7 @@
 // An immediate close with unread input would send a reset, which can overtake the last reply. Down follows. If too many
 // graceful closes are in progress, it closes the connection as Close does.
 func (c *Conn) CloseGracefully() {
-	if c.output != nil && c.state == open && c.Flush() == nil {
+	if c.adoptedOutput && c.state == open && c.Flush() == nil {
 		c.closeOutput()
 		return
 	}
@@ -55,7 +55,7 @@
 // shutdownWrite closes the sending side once all written bytes have been sent.
 func (c *Conn) shutdownWrite() {
 	if !c.Sent(c.queued) {
-		c.awaitsDrain.Store(true) // drained calls shutdownWrite again
+		c.flags.set(flagAwaitsDrain) // drained calls shutdownWrite again
 		if !c.Sent(c.queued) {
 			return
 		}
--- a/internal/net/reactor/halfclose.go
+++ b/internal/net/reactor/halfclose.go
@@ -29,7 +29,13 @@
 }
 
 // SetAwaitsOutput states whether the handler still has something to write to the peer, should the peer's stream end.
-func (c *Conn) SetAwaitsOutput(awaits bool) { c.awaitsOutput.Store(awaits) }
+func (c *Conn) SetAwaitsOutput(awaits bool) {
+	if awaits {
+		c.flags.set(flagAwaitsOutput)
+		return
+	}
+	c.flags.clear(flagAwaitsOutput)
+}
 
 // halfClosedOutput writes to a connection whose peer has ended its stream. The engine closes its descriptor of such a
 // connection, so this one is a duplicate.
@@ -51,8 +57,8 @@
 // keepOutput duplicates the engine's descriptor if the connection is to stay open for writing, and reports whether it
 // is.
 func (c *Conn) keepOutput(socket *nbio.Conn) bool {
-	// In this order: input that has been handled meanwhile has set awaitsOutput before.
-	hasWork := c.pendingBytes.Load() > 0 || c.awaitsOutput.Load()
+	// In this order: input that has been handled meanwhile has set flagAwaitsOutput before.
+	hasWork := c.pendingBytes.Load() > 0 || c.flags.has(flagAwaitsOutput)
 	if !c.canHalfClose || !hasWork || c.reactor.poll < 0 {
 		return false
 	}
@@ -71,10 +77,10 @@
 // adoptOutput continues the connection on the duplicate, if there is one, and reports whether it did. It cannot
 // continue behind bytes that the engine had not written, since the engine has dropped them.
 func (c *Conn) adoptOutput() bool {
-	if kept := c.keptOutput.Load(); kept != nil && c.output == nil && c.queued == c.written.Load() {
-		c.output = kept
+	if c.keptOutput.Load() != nil && c.queued == c.written.Load() {
+		c.adoptedOutput = true
 	}
-	return c.output != nil
+	return c.adoptedOutput
 }
 
 // halfClose passes the end of the peer's stream to the handler.
@@ -109,8 +115,9 @@
 	if c.IsClosing() {
 		return net.ErrClosed
 	}
+	output := c.keptOutput.Load()
 	for _, piece := range pieces {
-		c.output.unsent = append(c.output.unsent, piece...)
+		output.unsent = append(output.unsent, piece...)
 		c.queued += int64(len(piece))
 		c.reactor.unsent.Add(int64(len(piece)))
 	}
@@ -119,7 +126,7 @@
 
 // sendOutput writes what is unsent, as far as the peer reads, and the rest later.
 func (c *Conn) sendOutput() error {
-	output := c.output
+	output := c.keptOutput.Load()
 	for len(output.unsent) > 0 {
 		size, err := unix.Write(output.descriptor, output.unsent)
 		switch {
@@ -143,15 +150,16 @@
 
 // resumeOutput continues sendOutput.
 func (c *Conn) resumeOutput() {
-	if c.output != nil && c.state != ended && c.sendOutput() != nil {
+	if c.adoptedOutput && c.state != ended && c.sendOutput() != nil {
 		c.Close()
 	}
 }
 
 // closeOutput closes a half-closed connection once everything is sent.
 func (c *Conn) closeOutput() {
-	c.output.closing = true
-	if len(c.output.unsent) == 0 {
+	output := c.keptOutput.Load()
+	output.closing = true
+	if len(output.unsent) == 0 {
 		c.Close()
 	}
 }
--- a/internal/net/reactor/reactor.go
+++ b/internal/net/reactor/reactor.go
@@ -124,7 +124,7 @@
 	}
 	c.written.Add(int64(size))
 	r.unsent.Add(-int64(size))
-	if c.awaitsDrain.CompareAndSwap(true, false) {
+	if c.flags.clear(flagAwaitsDrain) {
 		r.PostRead(loop.Func(c.drained))
 	}
 }
--- a/internal/net/reactor/read.go
+++ b/internal/net/reactor/read.go
@@ -50,12 +50,12 @@
 // readOnce reads once and passes the input to the loop.
 func (r *Reactor) readOnce(c *Conn, socket *nbio.Conn) (size int, err error) {
 	c.pendingReads.Add(1)
-	c.reading.Store(true)
+	c.flags.set(flagReading)
 	buffer := *r.engine.PollerBufferPtr(socket)
 	if size, err = socket.Read(buffer); size > 0 {
 		r.onData(socket, buffer[:size])
 	}
-	c.reading.Store(false)
+	c.flags.clear(flagReading)
 	c.pendingReads.Add(-1)
 	return size, err
 }
--- a/internal/net/reactor/write.go
+++ b/internal/net/reactor/write.go
@@ -36,14 +36,14 @@
 	if c.unsent() < backlogThreshold {
 		return false
 	}
-	c.awaitsDrain.Store(true)
+	c.flags.set(flagAwaitsDrain)
 	return c.unsent() >= backlogThreshold // they may have been sent in the meantime
 }
 
 // unsent returns the number of bytes that were batched or passed to the engine and not yet written to the socket.
 func (c *Conn) unsent() int64 { return c.queued - c.written.Load() + c.batchedBytes() }
 
-// drained runs on the loop's goroutine after bytes were written to the socket, if awaitsDrain was set.
+// drained runs on the loop's goroutine after bytes were written to the socket, if flagAwaitsDrain was set.
 func (c *Conn) drained() {
 	if c.state == finishing {
 		c.shutdownWrite()
@@ -115,7 +115,7 @@
 
 // writeRaw passes the bytes to the engine unencrypted. A write that fails closes the socket.
 func (c *Conn) writeRaw(pieces ...[]byte) error {
-	if c.output != nil {
+	if c.adoptedOutput {
 		return c.writeOutput(pieces)
 	}
 	socket := c.socket.Load()
