--- a/internal/testing/fleet/world.go
+++ b/internal/testing/fleet/world.go
@@ -3,13 +3,11 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -356,21 +354,3 @@
 		}
 	}
 }
-
-// nextPort is the offset of the port that FreePort tries next. The range stays below the kernel's ephemeral ports
-// (from 32768 on): one of those may be assigned to another process before the caller listens on it.
-var nextPort atomic.Int64
-
-const firstPort, portCount = 15_000, 16_000
-
-// FreePort returns a loopback address with a port that is unused and not ephemeral.
-func FreePort() (string, error) {
-	nextPort.CompareAndSwap(0, int64(os.Getpid())*101) // other processes start at other ports
-	for range portCount {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
-		if ln, err := net.Listen("tcp", addr); err == nil {
-			return addr, ln.Close()
-		}
-	}
-	return "", errors.New("fleet: no free port")
-}
