Decisions have the same bits on amd64 and arm64

Cause: math.Exp, Exp2 and Log (and by it Log2, Log10) have assembly of their own on amd64 or arm64, whose results differ in the last bit; members of a group on both could even rank each other differently (internal/assignment). The amd64 build is vetted; its tests were not run, there is no such machine. The compiler's fused multiply-add is off here by GOFLAGS (-gcflags=all=-d=fmahash=qn); with it on, golden tests on arm64 differ as before.

--- a/internal/assignment/assign.go
+++ b/internal/assignment/assign.go
@@ -8,6 +8,8 @@
 	"hash/fnv"
 	"math"
 	"slices"
+
+	"brackendale/internal/portablemath"
 )
 
 // Member is a group member that may hold duties.
@@ -205,7 +207,7 @@
 	_, _ = hash.Write([]byte{0})
 	_, _ = hash.Write([]byte(member.Name))
 	uniform := (float64(mix(hash.Sum64())>>11) + 0.5) / (1 << 53)
-	return -member.weight() / math.Log(uniform)
+	return -member.weight() / portablemath.Log(uniform)
 }
 
 // mix applies the finalizer of MurmurHash3. Without it, FNV hashes of names that differ only in the
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -4,7 +4,11 @@
 // package is pure: the caller passes in all times, in microseconds.
 package quota
 
-import "math"
+import (
+	"math"
+
+	"brackendale/internal/portablemath"
+)
 
 // Parameters of a sender's rate, as a factor of its even share, in dependence on the headroom.
 const (
@@ -52,7 +56,7 @@
 	}
 	excess := max(0, l.headroom-surplusHeadroom)
 	factor := emptyFactor + slope*l.headroom + surplusSlope*excess*excess
-	factor = 1 + (factor-1)*math.Exp(-float64(max(0, now-l.reportedAt))/decayUs)
+	factor = 1 + (factor-1)*portablemath.Exp(-float64(max(0, now-l.reportedAt))/decayUs)
 	return l.EvenShare(senders) * factor
 }
 
--- a/internal/recovery/plan.go
+++ b/internal/recovery/plan.go
@@ -8,7 +8,7 @@
 // time.Duration. Nothing in this package is safe for concurrent use.
 package recovery
 
-import "math"
+import "brackendale/internal/portablemath"
 
 const (
 	// fewSenders is up to how many senders each get enough of the shared traffic to rely on their
@@ -79,7 +79,7 @@
 	if p.contention == 0 || !(evenShare > 0) {
 		return 0
 	}
-	withCall := 1 - math.Exp(-evenShare*float64(min(downtimeUs, MaxSpreadUs))/usPerSecond)
+	withCall := 1 - portablemath.Exp(-evenShare*float64(min(downtimeUs, MaxSpreadUs))/usPerSecond)
 	return int64(p.contention * p.random() * withCall / evenShare * usPerSecond)
 }
 
@@ -103,7 +103,7 @@
 	if p.restarted {
 		return 1
 	}
-	return 1 / (1 - math.Exp(-float64(max(minMeanAgeUs, ageUs))/float64(decayUs)))
+	return 1 / (1 - portablemath.Exp(-float64(max(minMeanAgeUs, ageUs))/float64(decayUs)))
 }
 
 // RetryAfter returns the Retry-After of clients that an incarnation rejects: us, at most maxUs. In
--- a/scheduler/arrival.go
+++ b/scheduler/arrival.go
@@ -1,6 +1,6 @@
 package scheduler
 
-import "math"
+import "brackendale/internal/portablemath"
 
 // acceptRequest adds an accepted message: a new one, or one that was accepted before a restart.
 func (s *Scheduler) acceptRequest(event *Event) {
@@ -79,7 +79,7 @@
 		return
 	}
 	dest := msg.destination
-	dest.arrivalRate = dest.arrivalRate*math.Exp(float64(dest.arrivalRateAt-s.now)/arrivalRateDecayUs) +
+	dest.arrivalRate = dest.arrivalRate*portablemath.Exp(float64(dest.arrivalRateAt-s.now)/arrivalRateDecayUs) +
 		1e6/arrivalRateDecayUs
 	dest.arrivalRateAt = s.now
 	msg.acceptedAt = s.now
--- a/scheduler/breaker.go
+++ b/scheduler/breaker.go
@@ -1,6 +1,6 @@
 package scheduler
 
-import "math"
+import "brackendale/internal/portablemath"
 
 const (
 	outageAfterUs               = 3_000_000  // failures are an outage after this time without a success
@@ -154,7 +154,7 @@
 func (s *Scheduler) lastingFailureShare(rt *route) float64 {
 	health := &rt.health
 	return health.failureShare + (health.lastingFailureShare-health.failureShare)*
-		math.Exp(-float64(s.now-health.failureShareAt)/lastingShareDecayUs)
+		portablemath.Exp(-float64(s.now-health.failureShareAt)/lastingShareDecayUs)
 }
 
 // updateFailureShare records an outcome in the route's failure share: 1 for a failure, 0 otherwise.
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"math"
+
+	"brackendale/internal/portablemath"
 )
 
 // The costs of an endpoint are in units of priority weight, like Calls.ZoneFees.
@@ -87,7 +89,7 @@
 	for _, kind := range [...]int{connectFailures, rejections, classFailures + msg.class.index} {
 		streak := &ep.failures[kind]
 		if streak.count > 0 {
-			recency := math.Exp(float64(streak.lastAt-s.now) / arrivalRateDecayUs)
+			recency := portablemath.Exp(float64(streak.lastAt-s.now) / arrivalRateDecayUs)
 			cost += failureCost * float64(min(streak.count, maxCountedFailures)) * recency
 		}
 	}
--- a/scheduler/golden_test.go
+++ b/scheduler/golden_test.go
@@ -16,9 +16,9 @@
 //
 //	go test ./scheduler -run TestGolden -update-golden
 //
-// The hashes depend on floating-point results. They were recorded on amd64; on an architecture with fused
-// multiply-add they may differ. With -golden-log DIR, the text of each hash is written to a file in DIR, for
-// comparison line by line.
+// The hashes depend on floating-point results, which are the same on every architecture unless the compiler fuses
+// multiplications with additions: where it does, as on arm64, build with -gcflags=all=-d=fmahash=qn. With -golden-log
+// DIR, the text of each hash is written to a file in DIR, for comparison line by line.
 var (
 	updateGolden = flag.Bool("update-golden", false, "record the golden files anew")
 	goldenLog    = flag.String("golden-log", "", "write the text of each scenario to this directory")
--- a/scheduler/learned.go
+++ b/scheduler/learned.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"math"
 	"slices"
+
+	"brackendale/internal/portablemath"
 )
 
 // learnedRoute is a route whose state is useful to the next incarnation.
@@ -132,7 +134,7 @@
 	if number == 0 || math.IsInf(number, 0) || math.IsNaN(number) {
 		return 0
 	}
-	scale := math.Pow(10, 2-math.Floor(math.Log10(math.Abs(number))))
+	scale := math.Pow(10, 2-math.Floor(portablemath.Log10(math.Abs(number))))
 	return math.Round(number*scale) / scale
 }
 
@@ -165,8 +167,8 @@
 	if rt.health.unavailable {
 		bits ^= fingerprintUnavailable
 	}
-	bits ^= uint64(math.Log2(1+rt.latency.samples)) << 40
-	bits ^= uint64(int64(math.Round(math.Log2(1e-3+rt.destination.arrivalRate)))) << 48
+	bits ^= uint64(portablemath.Log2(1+rt.latency.samples)) << 40
+	bits ^= uint64(int64(math.Round(portablemath.Log2(1e-3+rt.destination.arrivalRate)))) << 48
 	return bits * fingerprintFactor
 }
 
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -1,6 +1,6 @@
 package scheduler
 
-import "math"
+import "brackendale/internal/portablemath"
 
 // requestClass is a class of the settings, with values derived from its idempotency.
 type requestClass struct {
@@ -56,7 +56,7 @@
 	lateUs := float64(at - msg.objectiveAt)
 	if s.settings.Calls.ValueDecay == DecayHalving {
 		halvings := lateUs / float64(max(1, msg.class.LatencyObjectiveUs))
-		return msg.priorityWeight * max(msg.class.LateValue, math.Exp2(-halvings))
+		return msg.priorityWeight * max(msg.class.LateValue, portablemath.Exp2(-halvings))
 	}
 	return msg.priorityWeight * (1 - (1-msg.class.LateValue)*lateUs/float64(max(1, msg.deadline-msg.objectiveAt)))
 }
--- a/scheduler/pacing.go
+++ b/scheduler/pacing.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 
+	"brackendale/internal/portablemath"
 	"brackendale/internal/quota"
 )
 
@@ -54,7 +55,7 @@
 }
 
 // decay returns the share of a mean rate that remains after a time.
-func decay(us int64) float64 { return math.Exp(-float64(us) / throughputDecayUs) }
+func decay(us int64) float64 { return portablemath.Exp(-float64(us) / throughputDecayUs) }
 
 func (tp *throughput) sendRateNow(now int64) float64 {
 	return tp.sendRate * decay(now-tp.sendRateAt)
@@ -174,7 +175,7 @@
 		bucket.rate = min(bucket.rate, limit)
 	}
 	if bucket.rate < limit {
-		bucket.rate = min(limit, bucket.rate*math.Exp(elapsedUs/rateGrowthUs*s.contention))
+		bucket.rate = min(limit, bucket.rate*portablemath.Exp(elapsedUs/rateGrowthUs*s.contention))
 	}
 }
 
@@ -247,7 +248,7 @@
 	bucket := &rt.bucket
 	sinceCatchUpUs := float64(s.now - bucket.catchUpUntil)
 	if bucket.inherited && sinceCatchUpUs > 0 && bucket.decreasedAt == 0 {
-		bucket.rate = min(unlimitedRate, bucket.rate*math.Exp(min(elapsedUs, sinceCatchUpUs)/inheritedRateGrowthUs))
+		bucket.rate = min(unlimitedRate, bucket.rate*portablemath.Exp(min(elapsedUs, sinceCatchUpUs)/inheritedRateGrowthUs))
 	}
 }
 
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"math"
 	"slices"
+
+	"brackendale/internal/portablemath"
 )
 
 // Shedding a message that was accepted earlier costs shedCostShare of its priority weight, until
@@ -143,7 +145,7 @@
 	if s.contention == 0 || msg.acceptedAt != s.now {
 		return false
 	}
-	level := s.shedLevel * math.Exp(float64(s.shedLevelAt-s.now)/arrivalRateDecayUs)
+	level := s.shedLevel * portablemath.Exp(float64(s.shedLevelAt-s.now)/arrivalRateDecayUs)
 	value := s.valueAt(msg, s.now+int64(s.drainTimeUs(msg.destination)/2))
 	return value < level+shedCostShare*msg.priorityWeight
 }
--- a/scheduler/restorelearned.go
+++ b/scheduler/restorelearned.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 
+	"brackendale/internal/portablemath"
 	"brackendale/internal/quota"
 	"brackendale/internal/recovery"
 )
@@ -104,7 +105,7 @@
 
 // restoreEstimates restores latencies and failure shares, with a weight that decays with their age.
 func restoreEstimates(rt, learned *route, ageUs, now int64) {
-	weight := math.Exp2(-float64(ageUs) / learnedHalfLifeUs)
+	weight := portablemath.Exp2(-float64(ageUs) / learnedHalfLifeUs)
 	rt.latency.samples = math.Floor(learned.latency.samples * weight)
 	if rt.latency.samples > 0 {
 		rt.latency.smoothedUs = learned.latency.baselineUs
--- a/scheduler/route.go
+++ b/scheduler/route.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 
+	"brackendale/internal/portablemath"
 	"brackendale/internal/quota"
 )
 
@@ -95,7 +96,7 @@
 // arrivalRate returns the rate, in messages per second, at which messages for a route arrive.
 func (s *Scheduler) arrivalRate(rt *route) float64 {
 	dest := rt.destination
-	rate := dest.arrivalRate * math.Exp(float64(dest.arrivalRateAt-s.now)/arrivalRateDecayUs)
+	rate := dest.arrivalRate * portablemath.Exp(float64(dest.arrivalRateAt-s.now)/arrivalRateDecayUs)
 	if rt != dest.route {
 		rate /= float64(max(1, len(dest.endpoints)))
 	}
@@ -104,7 +105,7 @@
 
 // arrivalRateNow returns a destination's arrival rate at a time, in messages per second.
 func (dest *destination) arrivalRateNow(now int64) float64 {
-	return dest.arrivalRate * math.Exp(float64(min(0, dest.arrivalRateAt-now))/arrivalRateDecayUs)
+	return dest.arrivalRate * portablemath.Exp(float64(min(0, dest.arrivalRateAt-now))/arrivalRateDecayUs)
 }
 
 // ArrivalRate returns the number of messages per second that arrive for all destinations, as a decaying mean.
--- a/sender/retry_after.go
+++ b/sender/retry_after.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"brackendale/internal/portablemath"
 )
 
 // minRetryAfterMs is the minimum of the mean Retry-After of requests that are rejected without a
@@ -26,7 +28,7 @@
 
 // rateAt returns the rate in events per second.
 func (r *decayingRate) rateAt(now time.Duration) float64 {
-	return r.perSecond * math.Exp(-(now-r.updatedAt).Seconds()/rateTimeConstant.Seconds())
+	return r.perSecond * portablemath.Exp(-(now-r.updatedAt).Seconds()/rateTimeConstant.Seconds())
 }
 
 // retryAfterMs returns the Retry-After of a request that is rejected without a decision of the
