Record of events: stalls of the event loop, and the timelines of chosen messages

Change: the loop reports delays of 50 ms and more, by kind, as an event and as lb_stalls_total; eventlog.Report writes the timelines of chosen messages with the stalls within them.

--- a/internal/app/events.go
+++ b/internal/app/events.go
@@ -10,6 +10,7 @@
 	"brackendale/internal/lifecycle"
 	"brackendale/internal/metrics"
 	"brackendale/internal/net/amqpfront"
+	"brackendale/internal/net/loop"
 	"brackendale/internal/net/platform"
 
 	"github.com/rs/zerolog"
@@ -50,9 +51,19 @@
 			"What must not happen to a message and was refused or found, by kind: programming errors."),
 		labeledCounters(events.Counts(eventlog.Unacknowledged), platform.UnacknowledgedReasons(),
 			"lb_notices_unacknowledged_total", "reason", "Requests with notices that ended without an acknowledgement."),
+		labeledCounters(events.Counts(eventlog.Stalled), stallKinds(), "lb_stalls_total", "kind",
+			"Delays of the event loop of 50 ms and more, by kind: a pause of the process, or one long task."),
 	)
 }
 
+// stallKinds returns the kinds of stalls of the event loop.
+func stallKinds() (kinds []string) {
+	for _, kind := range loop.Stalls() {
+		kinds = append(kinds, string(kind))
+	}
+	return kinds
+}
+
 // violationKinds returns the kinds of violations of the guard.
 func violationKinds() (kinds []string) {
 	for _, kind := range lifecycle.Violations() {
--- a/internal/app/incarnation.go
+++ b/internal/app/incarnation.go
@@ -12,6 +12,7 @@
 	"brackendale/internal/admin"
 	"brackendale/internal/config"
 	"brackendale/internal/console"
+	"brackendale/internal/eventlog"
 	"brackendale/internal/failpoint"
 	"brackendale/internal/group"
 	"brackendale/internal/hotrestart"
@@ -71,6 +72,11 @@
 	setMemoryLimit(inc.cfg, fullShare)
 	inc.loop, inc.sockets = loop.New(), newListeningSockets()
 	inc.options = inc.senderOptions(opt)
+	inc.loop.SetStallObserver(func(kind loop.Stall, duration time.Duration) {
+		inc.options.Events.RecordCounted(eventlog.Event{
+			Kind: eventlog.Stalled, DelayMs: duration.Milliseconds(), Reason: string(kind),
+		}, 1)
+	})
 	return inc, nil
 }
 
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -65,6 +65,7 @@
 	ClientClosed   Kind = "client closed"  // a client's connection, with the side and the reason
 	Violated       Kind = "violation"      // what must not happen to a message, the reason
 	Abandoned      Kind = "abandoned"      // an attempt was given up; bytes of it were not sent yet
+	Stalled        Kind = "stalled"        // the event loop was held up for DelayMs, by the reason
 )
 
 // Event is one event. Fields that its kind does not have are zero.
@@ -81,6 +82,7 @@
 	Status      int
 	Bytes       int
 	WaitMs      int64 // a Retry-After
+	DelayMs     int64 // of a stall
 	Reason      string
 }
 
@@ -113,6 +115,9 @@
 	if e.WaitMs != 0 {
 		line.Int64("wait_ms", e.WaitMs)
 	}
+	if e.DelayMs != 0 {
+		line.Int64("delay_ms", e.DelayMs)
+	}
 	if e.Reason != "" {
 		line.Str("reason", e.Reason)
 	}
--- a/internal/eventlog/report.go
+++ b/internal/eventlog/report.go
@@ -30,6 +30,7 @@
 	Status      int           `json:"status"`
 	Bytes       int           `json:"bytes"`
 	WaitMs      int64         `json:"wait_ms"`
+	DelayMs     int64         `json:"delay_ms"`
 	Reason      string        `json:"reason"`
 	LeftOut     int           `json:"left_out"`
 }
@@ -101,6 +102,31 @@
 	return err
 }
 
+// WriteMessages writes the timelines of these messages, with times of the machine's steady clock.
+func (r *Report) WriteMessages(out io.Writer, ids []string) error {
+	slices.SortStableFunc(r.lines, func(a, b line) int { return cmp.Compare(a.At, b.At) })
+	var text strings.Builder
+	for _, message := range r.histories() {
+		if !slices.Contains(ids, message.id) {
+			continue
+		}
+		message.write(&text, 0)
+		r.writeStalls(&text, message.lines[0].At, message.lines[len(message.lines)-1].At)
+	}
+	_, err := io.WriteString(out, text.String())
+	return err
+}
+
+// writeStalls writes the stalls between two instants.
+func (r *Report) writeStalls(out io.Writer, from, to clock.Instant) {
+	for _, event := range r.lines {
+		if event.Kind == Stalled && event.At >= from && event.At <= to {
+			fmt.Fprintf(out, "  %.3f %s stalled for %d ms: %s\n", event.At.Sub(0).Seconds(), event.Sender, event.DelayMs,
+				event.Reason)
+		}
+	}
+}
+
 // histories returns the messages in the order of their first event.
 func (r *Report) histories() (ordered []*history) {
 	byID := map[string]*history{}
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -45,9 +45,36 @@
 	lastIteration time.Duration // the end of the last iteration
 	stalledUntil  time.Duration // Stalled returns true before it
 
+	onStall func(Stall, time.Duration) // nil: none
+
 	fired atomic.Uint64
 }
 
+// Stall is a kind of delay of a loop, which delays all connections.
+type Stall string
+
+// The kinds of stalls.
+const (
+	LateTimer     Stall = "late timer"     // the loop was woken late: the process was paused, or had no processor
+	LongIteration Stall = "long iteration" // a task or a system call took long
+)
+
+// Stalls returns all kinds of stalls.
+func Stalls() []Stall { return []Stall{LateTimer, LongIteration} }
+
+// reportedStall is the duration from which on a stall is reported.
+const reportedStall = 50 * time.Millisecond
+
+// SetStallObserver makes the loop call observe for each stall, on its goroutine. It must be called before Run.
+func (l *Loop) SetStallObserver(observe func(Stall, time.Duration)) { l.onStall = observe }
+
+// reportStall reports a stall if it is long enough.
+func (l *Loop) reportStall(kind Stall, duration time.Duration) {
+	if l.onStall != nil && duration >= reportedStall {
+		l.onStall(kind, duration)
+	}
+}
+
 // New returns a loop, which runs tasks and timers once Run is called.
 func New() *Loop {
 	l := &Loop{
@@ -139,6 +166,9 @@
 			return
 		case <-l.wake:
 		case <-l.sleepTimer.C:
+			if l.sleepDeadline != 0 {
+				l.reportStall(LateTimer, l.Now()-l.sleepDeadline)
+			}
 			l.sleepDeadline = 0
 		}
 		for l.iterate() && ctx.Err() == nil {
@@ -149,10 +179,14 @@
 
 // iterate runs the tasks that are enqueued and the timers that are due, and reports whether there are more.
 func (l *Loop) iterate() bool {
-	if now := l.Now(); now-l.lastIteration > stallThreshold {
-		l.stalledUntil = now + stallGrace
+	start := l.Now()
+	if start-l.lastIteration > stallThreshold {
+		l.stalledUntil = start + stallGrace
 	}
-	defer func() { l.lastIteration = l.Now() }()
+	defer func() {
+		l.lastIteration = l.Now()
+		l.reportStall(LongIteration, l.lastIteration-start)
+	}()
 	l.mu.Lock()
 	reads := l.reads
 	l.reads = nil
