Soak: calls are judged by when they began and ended, ports are never another run's

Each report has the timelines of the messages with violations, from the sender's own log. TestEveryFaultOfEveryLink is new and was not run yet.

--- a/internal/testing/fleet/relay.go
+++ b/internal/testing/fleet/relay.go
@@ -35,6 +35,7 @@
 	Seed    int64
 	Percent int          // of the connections that have a fault
 	Faults  []RelayFault // the faults to draw from
+	Ports   *Ports       // it listens on one of them; nil: on an ephemeral port
 	// SmallBuffers makes the relay advertise a small window to its callers.
 	SmallBuffers bool
 }
@@ -42,9 +43,9 @@
 // smallBuffer is the size of a small receive buffer, in bytes; the kernel doubles it.
 const smallBuffer = 4 << 10
 
-// NewRelay starts a relay on a free port of 127.0.0.1.
+// NewRelay starts a relay.
 func NewRelay(options RelayOptions) (*Relay, error) {
-	ln, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	ln, err := options.Ports.Listen()
 	if err != nil {
 		return nil, err
 	}
@@ -219,6 +220,7 @@
 	ended   chan struct{}
 
 	mu        sync.Mutex
+	endedAt   time.Time // when the caller was seen to have ended the connection, or its sending on it; zero: it has not
 	first     time.Time // arrival of the request's first byte from the caller
 	last      time.Time // arrival of its last byte so far
 	forwarded int       // bytes of the response that were written to the caller
@@ -244,6 +246,27 @@
 // CallerEnded reports whether the caller has ended the connection, or its sending on it.
 func (c *RelayedConn) CallerEnded() bool { return c.reader.peerEnded() }
 
+// CallerEndedAt returns when the caller was seen to have ended the connection, or its sending on it, which is a little
+// later than it did. It returns the zero time if it has not.
+func (c *RelayedConn) CallerEndedAt() time.Time {
+	ended := c.CallerEnded()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ended && c.endedAt.IsZero() {
+		c.endedAt = time.Now()
+	}
+	return c.endedAt
+}
+
+// setCallerEnded records the end of the caller's sending, the first time that it is called.
+func (c *RelayedConn) setCallerEnded(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.endedAt.IsZero() {
+		c.endedAt = at
+	}
+}
+
 // WhenForwarded calls f once size bytes of the response were written to the caller. It is not called if the
 // connection ends before.
 func (c *RelayedConn) WhenForwarded(size int, f func()) {
@@ -266,6 +289,7 @@
 
 func (c *RelayedConn) reset() {
 	c.endOnce.Do(func() { close(c.ended) })
+	c.setCallerEnded(time.Now())
 	abort(c.caller)
 	c.mu.Lock()
 	target := c.target
@@ -283,6 +307,12 @@
 		return
 	}
 	c.reader = reader
+	stopWatch, err := sharedHangups().watch(c.caller, c.setCallerEnded)
+	if err != nil { // the connection has ended
+		c.reset()
+		return
+	}
+	defer stopWatch()
 	if !c.relay.awaitCutEnd() || !c.begin() || !c.dial() {
 		c.reset()
 		return
@@ -292,6 +322,7 @@
 	go func() { c.copyResponse(); done <- struct{}{} }()
 	<-done
 	<-done
+	c.setCallerEnded(time.Now())
 	_ = c.caller.Close()
 	_ = c.target.Close()
 }
--- a/internal/testing/linkfaults/linkfaults_test.go
+++ b/internal/testing/linkfaults/linkfaults_test.go
@@ -75,6 +75,26 @@
 	}
 }
 
+// A fault of one link ends messages late or never, sends calls behind the end, or leaves clients without an answer.
+func TestEveryFaultOfEveryLink(t *testing.T) {
+	options := map[string]func(fault []fleet.RelayFault) soak.LinkOptions{
+		"endpoints": func(fault []fleet.RelayFault) soak.LinkOptions {
+			return soak.LinkOptions{Endpoints: fault, LargePercent: 30}
+		},
+		"agent": func(fault []fleet.RelayFault) soak.LinkOptions { return soak.LinkOptions{Agent: fault} },
+		"clients": func(fault []fleet.RelayFault) soak.LinkOptions {
+			return soak.LinkOptions{Clients: fault, HalfClosePercent: 30}
+		},
+	}
+	for number, fault := range fleet.RelayFaults() {
+		for _, link := range []string{"endpoints", "agent", "clients"} {
+			t.Run(fmt.Sprint(link, "/", fault), func(t *testing.T) {
+				play(t, int64(1000+number), options[link]([]fleet.RelayFault{fault}))
+			})
+		}
+	}
+}
+
 // A client that ends its sending behind its request gets no answer.
 func TestHalfClosedClientWithoutAnswer(t *testing.T) {
 	play(t, 921, soak.LinkOptions{HalfClosePercent: 50})
--- a/internal/testing/soak/clients.go
+++ b/internal/testing/soak/clients.go
@@ -165,7 +165,8 @@
 	if strings.HasPrefix(line, "+") {
 		s.judge.violate("bad client: %.30q was taken on", input)
 	} else if isNetErr && netErr.Timeout() {
-		s.judge.violate("bad client: %.30q got neither an error nor a close", input)
+		s.judge.violate("bad client: %.30q from %v got neither an error nor a close since %.3f", input, conn.LocalAddr(),
+			s.judge.seconds(startTime))
 	}
 	s.judge.counts["bad clients"]++
 }
--- a/internal/testing/soak/discovery.go
+++ b/internal/testing/soak/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"math/rand"
 	"net"
@@ -40,6 +41,7 @@
 	changes           []change
 	changesOnly       bool // a watch never gets the full list
 	down              bool // the agent neither responds nor applies changes
+	downSince         time.Time
 	pending           []config.Host
 	unresponsiveSince time.Time     // watches that began before never get a response
 	reloaded          time.Time     // time of the last SIGHUP
@@ -48,20 +50,21 @@
 	wake              chan struct{} // closed at each change of the list
 	endpoints         map[string]*endpoint
 	servers           []*http.Server
+	ports             *fleet.Ports
 	strays            *strayPlan // of the agent's connections; nil: none
 	links             *links     // relays in front of the agents; nil: none
 }
 
-func newDiscovery(j *Judge, rng *rand.Rand) *discovery {
+func newDiscovery(j *Judge, rng *rand.Rand, ports *fleet.Ports) *discovery {
 	return &discovery{
-		judge: j, rng: rng, hosts: map[string]config.Host{}, wake: make(chan struct{}),
+		judge: j, rng: rng, ports: ports, hosts: map[string]config.Host{}, wake: make(chan struct{}),
 		endpoints: map[string]*endpoint{},
 	}
 }
 
 // startAgent starts an agent at a new address. The previous one closes its connections a little later.
 func (d *discovery) startAgent() (addr string, err error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := fleet.NewStampedListener(d.ports)
 	if err != nil {
 		return "", err
 	}
@@ -69,9 +72,14 @@
 	if err != nil {
 		return "", err
 	}
-	server := &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		d.serve(relay, writer, request)
-	})}
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			d.serve(relay, writer, request)
+		}),
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
+	}
 	go func() { _ = server.Serve(d.strays.listen(ln)) }()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -109,7 +117,7 @@
 	}
 	d.changes = append(d.changes, change{d.seq, host, now})
 	knownFrom := d.links.knownFrom(now)
-	if delayed := d.reloaded.Add(reloadDelay); now.Before(delayed) {
+	if delayed := d.reloaded.Add(reloadDelay); now.Before(delayed) && delayed.After(knownFrom) {
 		knownFrom = delayed
 	}
 	if delayed := d.unresponsiveSince.Add(unresponsiveWatchDelay); now.Before(delayed) && delayed.After(knownFrom) {
@@ -135,6 +143,12 @@
 func (d *discovery) setDown(down bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.down && !down {
+		d.extendDrains(d.downSince)
+	}
+	if !d.down && down {
+		d.downSince = time.Now()
+	}
 	d.down = down
 	if down {
 		d.revertRecentChanges()
@@ -147,6 +161,33 @@
 	}
 }
 
+// recordCut records that the agent's links are cut off, until the returned function is called.
+func (d *discovery) recordCut() (ended func()) {
+	startTime := time.Now()
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.extendDrains(startTime)
+	}
+}
+
+// extendDrains makes the changes that did not count as told when an outage of the agent began count as told as late as
+// those of the outage's end, which is now: on a link with faults their responses may not have arrived. The caller must
+// hold mu.
+func (d *discovery) extendDrains(outageStart time.Time) {
+	if d.links == nil {
+		return
+	}
+	knownFrom := time.Now().Add(unresponsiveWatchDelay)
+	for _, endpoint := range d.endpoints {
+		endpoint.mu.Lock()
+		if endpoint.drainFrom.After(outageStart) && knownFrom.After(endpoint.drainFrom) {
+			endpoint.drainFrom = knownFrom
+		}
+		endpoint.mu.Unlock()
+	}
+}
+
 // revertRecentChanges takes back the changes of the last slack and queues them: the agent may have become
 // unavailable before their responses were written, and sends them when it is available again.
 func (d *discovery) revertRecentChanges() {
@@ -200,8 +241,12 @@
 		for _, change := range d.changes {
 			if endpoint := d.endpoints[change.host.Host]; endpoint != nil && change.host.Health != healthActive &&
 				change.changedAt.After(startTime) {
+				knownFrom := d.links.knownFrom(change.changedAt)
+				if delayed := d.upgraded.Add(upgradeDelay); delayed.After(knownFrom) {
+					knownFrom = delayed
+				}
 				endpoint.mu.Lock()
-				endpoint.drainFrom = d.upgraded.Add(upgradeDelay)
+				endpoint.drainFrom = knownFrom
 				endpoint.mu.Unlock()
 			}
 		}
@@ -225,7 +270,7 @@
 // serve answers a request that came to an agent over its relay; nil: it came directly.
 func (d *discovery) serve(relay *fleet.Relay, writer http.ResponseWriter, request *http.Request) {
 	if request.URL.Path == "/v2/finals" {
-		arrivedAt := noticeArrival(relay, request.RemoteAddr)
+		arrivedAt := noticeArrival(relay, request)
 		var finalAnswer struct{ ID, State string }
 		for decoder := json.NewDecoder(bufio.NewReader(request.Body)); decoder.Decode(&finalAnswer) == nil; {
 			d.judge.recordFinal(finalAnswer.ID, finalAnswer.State, arrivedAt)
--- a/internal/testing/soak/endpoints.go
+++ b/internal/testing/soak/endpoints.go
@@ -53,13 +53,13 @@
 
 // newEndpoint starts an endpoint. With a plan, its connections carry stray answers.
 func newEndpoint(
-	name string, dest int64, grace time.Duration, judge *Judge, rng *rand.Rand, strays *strayPlan,
+	name string, dest int64, grace time.Duration, judge *Judge, rng *rand.Rand, strays *strayPlan, ports *fleet.Ports,
 ) (*endpoint, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	stamped, err := fleet.NewStampedListener(ports)
 	if err != nil {
 		return nil, err
 	}
-	ln = strays.listen(ln)
+	ln := strays.listen(stamped)
 	e := &endpoint{name: name, dest: dest, grace: grace, judge: judge, ln: ln, rng: rng, conns: map[net.Conn]bool{}}
 	go func() {
 		for {
@@ -131,13 +131,27 @@
 }
 
 func reset(conn net.Conn) {
+	if stamped := stampedConn(conn); stamped != nil {
+		_ = stamped.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// stampedConn returns the stand-in's side of a connection with the times of its bytes, or nil if it has none.
+func stampedConn(conn net.Conn) *fleet.StampedConn {
 	if stray, ok := conn.(*strayConn); ok {
 		conn = stray.Conn
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+	stamped, _ := conn.(*fleet.StampedConn)
+	return stamped
+}
+
+// lastArrival returns when the bytes that were last read from a connection had arrived, by the kernel.
+func lastArrival(conn net.Conn) time.Time {
+	if stamped := stampedConn(conn); stamped != nil {
+		return stamped.Arrival()
 	}
-	_ = conn.Close()
+	return time.Now()
 }
 
 // item is one message of a call. expired: the endpoint does not execute it, see recordCall.
@@ -158,7 +172,7 @@
 		if _, err := reader.Peek(1); err != nil {
 			return
 		}
-		first := time.Now()
+		first := lastArrival(conn)
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
--- a/internal/testing/soak/growth.go
+++ b/internal/testing/soak/growth.go
@@ -55,8 +55,10 @@
 	usage.Endpoints, usage.Senders = len(s.endpoints), max(1, opt.Senders)
 	usage.CPU, usage.PeakMB = processUsage(s.proc)
 	time.Sleep(time.Duration(classes[len(classes)-1].DeadlineUs) * time.Microsecond)
-	var counts map[string]int
-	usage.Violations, counts = s.judge.close()
+	var report Report
+	s.judge.close(&report)
+	counts := report.Counts
+	usage.Violations = report.Violations
 	usage.Connections, usage.ListKB = counts["connections"], float64(counts["list bytes"])/1024
 	usage.DeliveredShare = float64(counts["delivered"]) / float64(max(1, counts["submitted"]))
 	return usage, nil
--- a/internal/testing/soak/links.go
+++ b/internal/testing/soak/links.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -35,6 +36,7 @@
 type links struct {
 	options LinkOptions
 	judge   *Judge
+	ports   *fleet.Ports
 	seed    int64
 
 	mu     sync.Mutex
@@ -43,13 +45,13 @@
 	agents []*fleet.Relay // the last one is that of the current agent
 }
 
-func newLinks(options LinkOptions, judge *Judge, seed int64) *links {
-	return &links{options: options, judge: judge, seed: seed}
+func newLinks(options LinkOptions, judge *Judge, seed int64, ports *fleet.Ports) *links {
+	return &links{options: options, judge: judge, ports: ports, seed: seed}
 }
 
 func (l *links) start(target string, faults []fleet.RelayFault, seed int64, small bool) (*fleet.Relay, error) {
 	relay, err := fleet.NewRelay(fleet.RelayOptions{
-		Target: target, Seed: seed, Percent: l.options.Percent, Faults: faults, SmallBuffers: small,
+		Target: target, Seed: seed, Percent: l.options.Percent, Faults: faults, Ports: l.ports, SmallBuffers: small,
 	})
 	if err != nil {
 		return nil, err
@@ -139,13 +141,19 @@
 	return now.Add(unresponsiveWatchDelay)
 }
 
-// noticeArrival returns when the notices of a request arrived from the sender: by the kernel, if their connection has
-// no fault, otherwise now. relay is that of the agent; nil: connections are direct.
-func noticeArrival(relay *fleet.Relay, remoteAddr string) time.Time {
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// noticeArrival returns when the notices of a request arrived from the sender: by the kernel, unless their connection
+// has a fault, otherwise now. relay is that of the agent; nil: connections are direct.
+func noticeArrival(relay *fleet.Relay, request *http.Request) time.Time {
 	if relay == nil {
+		if conn, ok := request.Context().Value(connKey{}).(net.Conn); ok {
+			return lastArrival(conn)
+		}
 		return time.Now()
 	}
-	relayed := relay.ByTargetPeer(remoteAddr)
+	relayed := relay.ByTargetPeer(request.RemoteAddr)
 	if relayed == nil || relayed.Fault() != fleet.RelayFaultNone {
 		return time.Now()
 	}
@@ -180,7 +188,11 @@
 		s.links.mu.Lock()
 		agent := s.links.agents[len(s.links.agents)-1]
 		s.links.mu.Unlock()
-		s.cutRelay(agent, duration, s.judge.recordOutage())
+		outageEnded, cutEnded := s.judge.recordOutage(), s.discovery.recordCut()
+		s.cutRelay(agent, duration, func() {
+			outageEnded()
+			cutEnded()
+		})
 	case 2:
 		s.recordAction("the clients are cut off for %v", duration)
 		s.cutRelay(s.links.client, duration, func() {})
@@ -267,10 +279,10 @@
 	}
 }
 
-// arrivalOf returns when the bytes of the call on a connection arrived from the sender. first is when the endpoint has
-// seen its first byte.
+// arrivalOf returns when the bytes of the call on a connection arrived from the sender. first is when its first byte
+// has arrived at the endpoint.
 func (e *endpoint) arrivalOf(conn net.Conn, first time.Time) arrival {
-	came := arrival{first: first, last: time.Now()}
+	came := arrival{first: first, last: lastArrival(conn)}
 	if e.relay == nil {
 		return came
 	}
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
+	"brackendale/internal/clock"
 	"brackendale/internal/eventlog"
 	"brackendale/internal/testing/fleet"
 )
@@ -33,20 +36,22 @@
 		return Report{}, err
 	}
 	s.checkGuard()
-	violations, counts := s.judge.close()
-	return Report{Seed: opt.Seed, Actions: s.actions, Counts: counts, Violations: violations}, nil
+	report := Report{Seed: opt.Seed, Actions: s.actions}
+	s.judge.close(&report)
+	s.addTimelines(&report)
+	return report, nil
 }
 
 func newSimulation(opt Options) *simulation {
-	s := &simulation{options: opt, judge: newJudge(), rng: rand.New(rand.NewSource(opt.Seed))}
+	s := &simulation{options: opt, judge: newJudge(), rng: rand.New(rand.NewSource(opt.Seed)), ports: &fleet.Ports{}}
 	for _, class := range classes {
 		s.judge.effects[class.Name], s.judge.windows[class.Name] = class.Idempotency,
 			time.Duration(class.KeyWindowUs)*time.Microsecond
 	}
-	s.discovery = newDiscovery(s.judge, rand.New(rand.NewSource(opt.Seed+1)))
+	s.discovery = newDiscovery(s.judge, rand.New(rand.NewSource(opt.Seed+1)), s.ports)
 	s.discovery.strays = s.strays("agent", opt.Seed+2)
 	if opt.Links != nil {
-		s.links = newLinks(*opt.Links, s.judge, opt.Seed)
+		s.links = newLinks(*opt.Links, s.judge, opt.Seed, s.ports)
 		s.discovery.links = s.links
 	}
 	return s
@@ -62,6 +67,30 @@
 	}
 }
 
+// maxTimelines is the number of messages whose timelines a report has.
+const maxTimelines = 5
+
+// addTimelines adds what the sender's log tells of the messages with violations.
+func (s *simulation) addTimelines(report *Report) {
+	involved := report.involved[:min(maxTimelines, len(report.involved))]
+	if len(involved) == 0 {
+		return
+	}
+	log, err := os.Open(s.log.Name())
+	if err != nil {
+		report.Timelines = err.Error()
+		return
+	}
+	defer log.Close()
+	var events eventlog.Report
+	var text strings.Builder
+	fmt.Fprintf(&text, "the run began at %.3f\n", clock.Steady().Sub(0).Seconds()-time.Since(s.judge.start).Seconds())
+	if err := errors.Join(events.Read(log), events.WriteMessages(&text, involved)); err != nil {
+		fmt.Fprintln(&text, err)
+	}
+	report.Timelines = text.String()
+}
+
 // close stops the sender and everything that the simulation runs.
 func (s *simulation) close() {
 	s.expected = true
@@ -73,6 +102,7 @@
 		s.launcher.close()
 	}
 	s.links.close()
+	s.ports.Release()
 	_ = s.log.Close()
 }
 
@@ -85,11 +115,11 @@
 		return err
 	}
 	if s.options.Upgrades {
-		if s.launcher, err = newLauncher(s.rng.Intn(2) == 0); err != nil {
+		if s.launcher, err = newLauncher(s.rng.Intn(2) == 0, s.ports); err != nil {
 			return err
 		}
 		s.listen = s.launcher.addr
-	} else if s.listen, err = fleet.FreePort(); err != nil {
+	} else if s.listen, err = s.ports.Reserve(); err != nil {
 		return err
 	}
 	if err := s.links.relayClients(s.listen); err != nil {
--- a/internal/testing/soak/upgrade.go
+++ b/internal/testing/soak/upgrade.go
@@ -25,6 +25,7 @@
 	socket  *net.TCPListener
 	file    *os.File
 	control string // control address of the latest process
+	ports   *fleet.Ports
 }
 
 // inheritedFD is the descriptor of the inherited socket in a process.
@@ -32,12 +33,12 @@
 
 // newLauncher opens the socket. clearNonblock: each start of a process returns the socket to blocking mode, as os/exec
 // does with a file from net.TCPListener.File.
-func newLauncher(clearNonblock bool) (*launcher, error) {
-	socket, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+func newLauncher(clearNonblock bool, ports *fleet.Ports) (*launcher, error) {
+	socket, err := ports.Listen()
 	if err != nil {
 		return nil, err
 	}
-	created := &launcher{addr: socket.Addr().String(), socket: socket}
+	created := &launcher{addr: socket.Addr().String(), socket: socket, ports: ports}
 	if created.file, err = socket.File(); err != nil || clearNonblock {
 		return created, err
 	}
@@ -57,7 +58,7 @@
 
 // env returns the environment that makes a process use the socket, with a new control address.
 func (l *launcher) env() (env []string, err error) {
-	if l.control, err = fleet.FreePort(); err != nil {
+	if l.control, err = l.ports.Reserve(); err != nil {
 		return nil, err
 	}
 	return []string{fmt.Sprint("LB_ACCEPT_FD=", inheritedFD), "LB_CONTROL=" + l.control}, nil
@@ -269,6 +270,7 @@
 	s.judge.mu.Lock()
 	defer s.judge.mu.Unlock()
 	if !s.judge.down(time.Now(), badClientTimeout) && !s.judge.down(startTime, badClientTimeout) {
-		s.judge.violate("bad client: one that never ends its command is still open after %v", time.Since(startTime))
+		s.judge.violate("bad client: one that never ends its command, begun at %.3f, is still open after %v",
+			s.judge.seconds(startTime), time.Since(startTime))
 	}
 }
