A sender no longer stands still when nobody reads its log

What callers saw: no reply, no end, no call once the pipe of standard error is full and its reader silent: rule lost for everything that was taken on. Cause: log lines were written to standard error by whoever logged, the event loop and the core among them; a full pipe blocks the write. Class of this incident: a wait that relies on what a peer does (it reads), without a bound. Why it works: lines go through a bounded queue to a goroutine of their own; what finds no place is dropped, counted (lb_log_lines_dropped_total) and told in the log once it is read again. zerolog's own diode was not taken: it writes to standard error itself on a collision, and its waiter can miss the wake-up for the last line. The end of the process waits 100 ms for the reader.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -8,10 +8,15 @@
 	"os/signal"
 	"sync/atomic"
 	"syscall"
+	"time"
 
+	"brackendale/internal/logsink"
 	"brackendale/sender"
 )
 
+// logFlushTimeout bounds the time that the end of the process waits for the reader of its log.
+const logFlushTimeout = 100 * time.Millisecond
+
 // Options are the options of Serve.
 type Options struct {
 	Trace bool // write a line for each step of the scheduler to standard error
@@ -43,9 +48,11 @@
 			signal.Stop(sig.terminate)
 		}
 	}()
+	logOutput := logsink.New(os.Stderr)
+	defer logOutput.Close(logFlushTimeout)
 	var previous *incarnation
 	for {
-		inc, err := newIncarnation(file, opt, sig, previous)
+		inc, err := newIncarnation(file, opt, sig, logOutput, previous)
 		if err != nil {
 			return err
 		}
--- a/internal/app/events.go
+++ b/internal/app/events.go
@@ -34,9 +34,9 @@
 	return nil
 }
 
-// eventMetrics returns the metrics of the record of events: each place and each reason, also those that have not
+// eventMetrics returns the metrics of the record of events and of the log: each place and each reason, also those that have not
 // occurred.
-func eventMetrics(events *eventlog.Recorder) []metrics.Metric {
+func eventMetrics(events *eventlog.Recorder, droppedLines uint64) []metrics.Metric {
 	places := slices.Concat(platform.Places(), []string{amqpfront.BrokerPlace})
 	return slices.Concat(
 		labeledCounters(events.Counts(eventlog.Unexpected), places, "lb_unexpected_answers_total", "place",
@@ -53,6 +53,10 @@
 			"lb_notices_unacknowledged_total", "reason", "Requests with notices that ended without an acknowledgement."),
 		labeledCounters(events.Counts(eventlog.Stalled), stallKinds(), "lb_stalls_total", "kind",
 			"Delays of the event loop of 50 ms and more, by kind: a pause of the process, or one long task."),
+		[]metrics.Metric{{
+			Name: "lb_log_lines_dropped_total", Counter: true, Value: float64(droppedLines),
+			Help: "Lines of the log that were dropped, since nobody read it in time.",
+		}},
 	)
 }
 
--- a/internal/app/incarnation.go
+++ b/internal/app/incarnation.go
@@ -16,6 +16,7 @@
 	"brackendale/internal/failpoint"
 	"brackendale/internal/group"
 	"brackendale/internal/hotrestart"
+	"brackendale/internal/logsink"
 	"brackendale/internal/metrics"
 	"brackendale/internal/net/loop"
 	"brackendale/internal/net/reactor"
@@ -33,6 +34,9 @@
 	cfg     config.Config
 	log     zerolog.Logger
 	signals signals
+
+	logOutput *logsink.Sink
+
 	options sender.Options
 	// reclaims means that an earlier incarnation of this process had the journal: no other process serves.
 	reclaims bool
@@ -53,14 +57,16 @@
 
 // newIncarnation starts nothing. The first incarnation reads the configuration. A later one uses that of the previous
 // one as it was in effect: the file may be meant for the successor by now, which has exited.
-func newIncarnation(file string, opt Options, sig signals, previous *incarnation) (*incarnation, error) {
-	inc := &incarnation{file: file, signals: sig, reclaims: previous != nil}
+func newIncarnation(
+	file string, opt Options, sig signals, logOutput *logsink.Sink, previous *incarnation,
+) (*incarnation, error) {
+	inc := &incarnation{file: file, signals: sig, logOutput: logOutput, reclaims: previous != nil}
 	if previous == nil {
 		cfg, err := config.Load(os.Getenv, file)
 		if err != nil {
 			return nil, err
 		}
-		inc.log = zerolog.New(os.Stderr).With().Timestamp().Str("sender", cfg.Name).Logger()
+		inc.log = zerolog.New(logOutput).With().Timestamp().Str("sender", cfg.Name).Logger()
 		if err := fitDescriptors(&cfg, inc.log); err != nil {
 			return nil, err
 		}
@@ -117,7 +123,7 @@
 		}
 		options.Metrics = metrics.New(classes)
 		events := options.Events
-		options.Metrics.AddMetrics(func() []metrics.Metric { return eventMetrics(events) })
+		options.Metrics.AddMetrics(func() []metrics.Metric { return eventMetrics(events, inc.logOutput.Dropped()) })
 	}
 	return options
 }
--- a/internal/testing/linkfaults/linkfaults_test.go
+++ b/internal/testing/linkfaults/linkfaults_test.go
@@ -100,6 +100,11 @@
 	play(t, 921, soak.LinkOptions{HalfClosePercent: 50})
 }
 
+// The sender stands still once nobody reads its log: nothing is answered, ended or sent any more.
+func TestLogThatNobodyReads(t *testing.T) {
+	play(t, 931, soak.LinkOptions{SilentLog: true})
+}
+
 // A client that ends its sending behind its request gets no answer if the process stood still before the request came.
 func TestHalfClosedClientBehindAPause(t *testing.T) {
 	play(t, 922, soak.LinkOptions{HalfClosePercent: 50, Pause: 1200 * time.Millisecond})
--- a/internal/testing/soak/links.go
+++ b/internal/testing/soak/links.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"io"
 	"math/rand"
 	"net"
 	"net/http"
@@ -23,12 +24,36 @@
 
 	Pause time.Duration // the process is stopped once for so long, a second after the start; 0: it is not
 
+	SilentLog bool // nobody reads what the sender logs
+
 	HalfClosePercent int           // of the requests behind which the client ends its sending and waits
 	LargePercent     int           // of the messages that have a body of largeBody bytes
 	Deadline         time.Duration // of all messages; 0: it is drawn
 	ClientCount      int           // 0: clientCount
 }
 
+// silentLog is where a sender logs to if nobody reads its log.
+type silentLog struct {
+	once   sync.Once
+	closed chan struct{}
+}
+
+// Write returns only when the log is closed.
+func (l *silentLog) Write(data []byte) (int, error) {
+	<-l.closed
+	return len(data), nil
+}
+
+func (l *silentLog) close() { l.once.Do(func() { close(l.closed) }) }
+
+// logWriter returns where the next process logs to.
+func (s *simulation) logWriter() io.Writer {
+	if s.links == nil || !s.links.options.SilentLog {
+		return s.log
+	}
+	return s.links.silentLog
+}
+
 // largeBody is the size of a large body, in bytes: within the protocol's limit.
 const largeBody = 60_000
 
@@ -39,6 +64,8 @@
 	ports   *fleet.Ports
 	seed    int64
 
+	silentLog *silentLog
+
 	mu     sync.Mutex
 	relays []*fleet.Relay
 	client *fleet.Relay
@@ -46,7 +73,9 @@
 }
 
 func newLinks(options LinkOptions, judge *Judge, seed int64, ports *fleet.Ports) *links {
-	return &links{options: options, judge: judge, ports: ports, seed: seed}
+	return &links{
+		options: options, judge: judge, ports: ports, seed: seed, silentLog: &silentLog{closed: make(chan struct{})},
+	}
 }
 
 func (l *links) start(target string, faults []fleet.RelayFault, seed int64, small bool) (*fleet.Relay, error) {
@@ -272,6 +301,7 @@
 	if l == nil {
 		return
 	}
+	l.silentLog.close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, relay := range l.relays {
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -94,6 +94,9 @@
 // close stops the sender and everything that the simulation runs.
 func (s *simulation) close() {
 	s.expected = true
+	if s.links != nil {
+		s.links.silentLog.close() // the end of a process is waited for with the end of its log
+	}
 	s.proc.Kill()
 	for _, endpoint := range s.endpoints {
 		endpoint.close()
--- a/internal/testing/soak/world.go
+++ b/internal/testing/soak/world.go
@@ -186,13 +186,13 @@
 		env = append(env, "LB_EVENTS="+eventlog.Calls.String())
 	}
 	if s.launcher == nil {
-		return fleet.Start(s.options.Program, s.options.Args, env, s.log)
+		return fleet.Start(s.options.Program, s.options.Args, env, s.logWriter())
 	}
 	own, err := s.launcher.env()
 	if err != nil {
 		return nil, err
 	}
-	return fleet.Start(s.options.Program, s.options.Args, append(env, own...), s.log, s.launcher.file)
+	return fleet.Start(s.options.Program, s.options.Args, append(env, own...), s.logWriter(), s.launcher.file)
 }
 
 // drawFaults draws the system call faults of the next process.
