--- a/internal/app/events.go
+++ b/internal/app/events.go
@@ -34,8 +34,8 @@
 	return nil
 }
 
-// eventMetrics returns the metrics of the record of events and of the log: each place and each reason, also those that have not
-// occurred.
+// eventMetrics returns the metrics of the record of events and of the log: each place and each reason, also those that
+// have not occurred.
 func eventMetrics(events *eventlog.Recorder, droppedLines uint64) []metrics.Metric {
 	places := slices.Concat(platform.Places(), []string{amqpfront.BrokerPlace})
 	return slices.Concat(
--- a/internal/portablemath/portablemath.go
+++ b/internal/portablemath/portablemath.go
@@ -1,7 +1,7 @@
 // Package portablemath has elementary functions whose results have the same bits on every architecture. Those of the
 // standard library differ in the last bits where an architecture has its own implementation, as of these functions, but
-// not of math.Expm1 and math.Log1p. Decisions that are compared with recorded ones, or that members of a group must agree
-// on, use this package.
+// not of math.Expm1 and math.Log1p. Decisions that are compared with recorded ones, or that members of a group must
+// agree on, use this package.
 package portablemath
 
 import "math"
