Soak: a wait is told when the relay has written its answer to the sender

The sender gives up at 70 ms what is not taken then. Change: over a relay, a wait counts as told from the relay's write; its end stays as its endpoint counts it. A wait whose answer never reaches the sender is not told. Direct connections as before.

--- a/internal/testing/soak/answers.go
+++ b/internal/testing/soak/answers.go
@@ -137,8 +137,16 @@
 	}
 	wait := time.Duration(50+random%900) * time.Millisecond
 	cause := c.items[0].id + " on " + connectionName(c.conn, c.endpoint.name)
-	c.endpoint.judge.recordRetryAfter(c.endpoint.dest, wait, cause)
-	return c.write("HTTP/1.1 429 W\r\nX-Backoff-Ms: %d\r\nContent-Length: 0\r\n\r\n", wait.Milliseconds())
+	answer := fmt.Sprintf("HTTP/1.1 429 W\r\nX-Backoff-Ms: %d\r\nContent-Length: 0\r\n\r\n", wait.Milliseconds())
+	until := time.Now().Add(wait)
+	record := func() { c.endpoint.judge.recordRetryAfter(c.endpoint.dest, until, cause) }
+	if c.relayed == nil {
+		record()
+		return c.write("%s", answer)
+	}
+	written := c.write("%s", answer)
+	c.relayed.WhenForwarded(len(answer), record)
+	return written
 }
 
 // deliver responds that each message is done, or void if it is expired. The response to a call of one message
