Soak: the end of a call is dated by when it cannot have been earlier

Trace: by the sender's record each call was given up 0.25 to 0.5 s before the next one left (2043.037 and 2043.289; 2043.115 and 2043.617; 2039.139 and 2039.399 s). Change: the watch on connections dates an end by its last look at which there was none, at most some 20 ms before it unless the program is held up; so calls count as overlapping only if they certainly did.

--- a/internal/testing/fleet/hangup.go
+++ b/internal/testing/fleet/hangup.go
@@ -16,21 +16,27 @@
 	epoll  int
 	err    error
 	nextID atomic.Int32
-	calls  sync.Map // int32 -> func(at time.Time)
+	calls  sync.Map                  // int32 -> func(notBefore time.Time)
+	looked atomic.Pointer[time.Time] // when events were last asked for: all that had come before are handled or in hand
 }
 
+// hangupInterval is the longest time between two looks for events, if this program is not held up.
+const hangupInterval = 10 * time.Millisecond
+
 // sharedHangups returns the program's hangups.
 var sharedHangups = sync.OnceValue(func() *hangups {
 	h := &hangups{}
+	now := time.Now()
+	h.looked.Store(&now)
 	if h.epoll, h.err = unix.EpollCreate1(unix.EPOLL_CLOEXEC); h.err == nil {
 		go h.run()
 	}
 	return h
 })
 
-// watch calls ended once, when the peer of a connection has ended it or its sending. The caller calls stop when it
-// closes the connection.
-func (h *hangups) watch(conn *net.TCPConn, ended func(at time.Time)) (stop func(), err error) {
+// watch calls ended once, when the peer of a connection has ended it or its sending, with a time before which it had
+// not: however late this program is, the end was not earlier. The caller calls stop when it closes the connection.
+func (h *hangups) watch(conn *net.TCPConn, ended func(notBefore time.Time)) (stop func(), err error) {
 	if h.err != nil {
 		return nil, h.err
 	}
@@ -48,20 +54,26 @@
 	return func() { h.calls.Delete(id) }, errors.Join(err, addErr)
 }
 
+// lastLook returns a time before which no unhandled event has come.
+func (h *hangups) lastLook() time.Time { return *h.looked.Load() }
+
 // run handles events until the program ends.
 func (h *hangups) run() {
 	const maxEvents = 128
 	events := make([]unix.EpollEvent, maxEvents)
 	for {
-		count, err := unix.EpollWait(h.epoll, events, -1)
+		asked := time.Now()
+		count, err := unix.EpollWait(h.epoll, events, int(hangupInterval.Milliseconds()))
 		if err != nil && !errors.Is(err, unix.EINTR) {
 			return
 		}
-		now := time.Now()
 		for i := range max(0, count) {
 			if ended, ok := h.calls.LoadAndDelete(events[i].Fd); ok {
-				ended.(func(time.Time))(now)
+				ended.(func(time.Time))(h.lastLook())
 			}
 		}
+		if count < maxEvents { // otherwise there may be others that came before
+			h.looked.Store(&asked)
+		}
 	}
 }
--- a/internal/testing/fleet/relay.go
+++ b/internal/testing/fleet/relay.go
@@ -220,7 +220,7 @@
 	ended   chan struct{}
 
 	mu        sync.Mutex
-	endedAt   time.Time // when the caller was seen to have ended the connection, or its sending on it; zero: it has not
+	endedAt   time.Time // the caller has ended the connection, or its sending on it, not before that; zero: it has not
 	first     time.Time // arrival of the request's first byte from the caller
 	last      time.Time // arrival of its last byte so far
 	forwarded int       // bytes of the response that were written to the caller
@@ -246,24 +246,24 @@
 // CallerEnded reports whether the caller has ended the connection, or its sending on it.
 func (c *RelayedConn) CallerEnded() bool { return c.reader.peerEnded() }
 
-// CallerEndedAt returns when the caller was seen to have ended the connection, or its sending on it, which is a little
-// later than it did. It returns the zero time if it has not.
+// CallerEndedAt returns a time before which the caller had not ended the connection, or its sending on it: at most
+// hangupInterval before it did, unless this program was held up. It returns the zero time if it has not.
 func (c *RelayedConn) CallerEndedAt() time.Time {
 	ended := c.CallerEnded()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if ended && c.endedAt.IsZero() {
-		c.endedAt = time.Now()
+		c.endedAt = sharedHangups().lastLook()
 	}
 	return c.endedAt
 }
 
 // setCallerEnded records the end of the caller's sending, the first time that it is called.
-func (c *RelayedConn) setCallerEnded(at time.Time) {
+func (c *RelayedConn) setCallerEnded(notBefore time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.endedAt.IsZero() {
-		c.endedAt = at
+		c.endedAt = notBefore
 	}
 }
 
@@ -289,7 +289,7 @@
 
 func (c *RelayedConn) reset() {
 	c.endOnce.Do(func() { close(c.ended) })
-	c.setCallerEnded(time.Now())
+	c.setCallerEnded(sharedHangups().lastLook())
 	abort(c.caller)
 	c.mu.Lock()
 	target := c.target
@@ -322,7 +322,7 @@
 	go func() { c.copyResponse(); done <- struct{}{} }()
 	<-done
 	<-done
-	c.setCallerEnded(time.Now())
+	c.setCallerEnded(sharedHangups().lastLook())
 	_ = c.caller.Close()
 	_ = c.target.Close()
 }
