--- a/internal/app/kill_bytes_test.go
+++ b/internal/app/kill_bytes_test.go
@@ -43,7 +43,8 @@
 	defer client.Close()
 	body := strings.Repeat("x", bodySize)
 	params := "c=charge,t=x,d=20000,dest=7"
-	fmt.Fprintf(client, "*5\r\n$6\r\nSUBMIT\r\n$1\r\n0\r\n$1\r\nm\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n", len(params), params, bodySize, body)
+	fmt.Fprintf(client, "*5\r\n$6\r\nSUBMIT\r\n$1\r\n0\r\n$1\r\nm\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n", len(params),
+		params, bodySize, body)
 	_ = client.SetReadDeadline(time.Now().Add(standin.Long))
 	if _, err := io.ReadFull(client, make([]byte, len("+OK\r\n"))); err != nil {
 		t.Fatal(err)
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -60,6 +60,7 @@
 	PID  int // process that listens at the socket; 0 if the kernel does not tell
 }
 
+// Error names the path and, if it is known, the process.
 func (e *InUseError) Error() string {
 	switch e.PID {
 	case 0:
--- a/internal/lifecycle/guard.go
+++ b/internal/lifecycle/guard.go
@@ -1,5 +1,5 @@
-// Package lifecycle is the guard that each message passes when it is taken on, sent, repeated, ended and told. It holds
-// one machine of states for each message, refuses what the state does not allow, and counts violations: what the other
+// Package lifecycle is the guard that each message passes when it is accepted, sent, retried, ended and notified. It
+// holds a state machine for each message, refuses what the state does not allow, and counts violations: what the other
 // parts should never have asked for.
 package lifecycle
 
@@ -8,13 +8,13 @@
 // State is the state of a message.
 type State uint8
 
-// The states. Who leaves a state is in the comments: the core decides, the fronts' loop sends and tells.
+// The states. The core decides, and the fronts' loop sends and notifies.
 const (
-	Unknown State = iota // not taken on, or forgotten behind its end
-	Waiting              // taken on, no attempt is out: the core may start one, or end it
-	Out                  // an attempt is out: the fronts may send it, the core may end the message
-	Ended                // it has its final answer: nothing of it may leave any more
-	Told                 // its client may know the final answer
+	Unknown  State = iota // not accepted, or forgotten after its end
+	Waiting               // accepted, no attempt is in flight: the core may start one, or end it
+	InFlight              // an attempt is in flight: the fronts may send it, the core may end the message
+	Ended                 // it has its final answer: nothing of it may leave any more
+	Notified              // its client may know the final answer
 )
 
 // String returns the name of a state.
@@ -25,23 +25,23 @@
 
 // The violations.
 const (
-	TakenTwice      Violation = "taken on twice"
-	StartedUnknown  Violation = "an attempt of an unknown message"
-	StartedBeside   Violation = "an attempt beside one that is out"
-	StartedBehind   Violation = "an attempt behind the end"
-	RepeatedUnsafe  Violation = "a repeat of an unsafe message that may have run"
-	EndedTwice      Violation = "ended twice"
-	ReturnedUnsafe  Violation = "an unsafe message returned that may have run"
-	ToldUnended     Violation = "told without an end"
-	LeftBehindTold  Violation = "bytes left behind the told end"
-	LeftUnannounced Violation = "bytes of an attempt that was not started"
+	AcceptedTwice     Violation = "taken on twice"
+	StartedUnknown    Violation = "an attempt of an unknown message"
+	StartedBeside     Violation = "an attempt beside one that is out"
+	StartedAfterEnd   Violation = "an attempt behind the end"
+	RepeatedUnsafe    Violation = "a repeat of an unsafe message that may have run"
+	EndedTwice        Violation = "ended twice"
+	ReturnedUnsafe    Violation = "an unsafe message returned that may have run"
+	NotifiedUnended   Violation = "told without an end"
+	LeftAfterNotified Violation = "bytes left behind the told end"
+	LeftUnannounced   Violation = "bytes of an attempt that was not started"
 )
 
 // Violations returns all kinds of violations.
 func Violations() []Violation {
 	return []Violation{
-		TakenTwice, StartedUnknown, StartedBeside, StartedBehind, RepeatedUnsafe, EndedTwice, ReturnedUnsafe, ToldUnended,
-		LeftBehindTold, LeftUnannounced,
+		AcceptedTwice, StartedUnknown, StartedBeside, StartedAfterEnd, RepeatedUnsafe, EndedTwice, ReturnedUnsafe,
+		NotifiedUnended, LeftAfterNotified, LeftUnannounced,
 	}
 }
 
@@ -50,7 +50,7 @@
 	state      State
 	unsafe     bool // it must not be repeated once it may have run
 	mayHaveRun bool
-	attempt    int // the number of the attempt that is out
+	attempt    int // the number of the attempt in flight
 	isOut      bool
 	forgotten  bool // it is removed once its attempt has ended
 }
@@ -71,8 +71,8 @@
 // violate reports a violation.
 func (g *Guard) violate(kind Violation, id string, attempt int) { g.report(kind, id, attempt) }
 
-// Take takes a message on. mayHaveRun: an earlier process has sent it.
-func (g *Guard) Take(id string, unsafe, mayHaveRun bool) {
+// Accept records that a message is accepted. mayHaveRun: an earlier process has sent it.
+func (g *Guard) Accept(id string, unsafe, mayHaveRun bool) {
 	g.mu.Lock()
 	known := g.messages[id] != nil
 	if !known {
@@ -80,15 +80,15 @@
 	}
 	g.mu.Unlock()
 	if known {
-		g.violate(TakenTwice, id, 0)
+		g.violate(AcceptedTwice, id, 0)
 	}
 }
 
-// TakeOut takes on a message of which another process has an attempt out.
-func (g *Guard) TakeOut(id string, unsafe bool, attempt int) {
+// AcceptInFlight records a message of which another process has an attempt in flight.
+func (g *Guard) AcceptInFlight(id string, unsafe bool, attempt int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.messages[id] = &message{state: Out, unsafe: unsafe, attempt: attempt, isOut: true}
+	g.messages[id] = &message{state: InFlight, unsafe: unsafe, attempt: attempt, isOut: true}
 }
 
 // Start starts an attempt, or returns false if the state does not allow it.
@@ -97,7 +97,7 @@
 	held := g.messages[id]
 	kind := held.startViolation()
 	if kind == "" {
-		held.state, held.attempt, held.isOut = Out, attempt, true
+		held.state, held.attempt, held.isOut = InFlight, attempt, true
 	}
 	g.mu.Unlock()
 	if kind != "" {
@@ -112,7 +112,7 @@
 	case m == nil:
 		return StartedUnknown
 	case m.state >= Ended:
-		return StartedBehind
+		return StartedAfterEnd
 	case m.isOut:
 		return StartedBeside
 	case m.unsafe && m.mayHaveRun:
@@ -121,7 +121,7 @@
 	return ""
 }
 
-// Finish records the end of the attempt that is out.
+// Finish records the end of the attempt in flight.
 func (g *Guard) Finish(id string, mayHaveRun bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -131,7 +131,7 @@
 	}
 	held.isOut = false
 	held.mayHaveRun = held.mayHaveRun || mayHaveRun
-	if held.state == Out {
+	if held.state == InFlight {
 		held.state = Waiting
 	}
 	if held.forgotten {
@@ -167,7 +167,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	held := g.messages[id]
-	return held != nil && held.state == Out && held.isOut && held.attempt == attempt
+	return held != nil && held.state == InFlight && held.isOut && held.attempt == attempt
 }
 
 // Left records that bytes of an attempt were written.
@@ -177,8 +177,8 @@
 	var kind Violation
 	switch {
 	case held == nil: // forgotten behind its end
-	case held.state == Told:
-		kind = LeftBehindTold
+	case held.state == Notified:
+		kind = LeftAfterNotified
 	case held.isOut && held.attempt != attempt:
 		kind = LeftUnannounced
 	}
@@ -188,21 +188,21 @@
 	}
 }
 
-// Tell records that the final answer is about to be told.
-func (g *Guard) Tell(id string) {
+// Notify records that the client is about to be notified of the final answer.
+func (g *Guard) Notify(id string) {
 	g.mu.Lock()
 	held := g.messages[id]
 	early := held != nil && held.state < Ended
 	if held != nil && !early {
-		held.state = Told
+		held.state = Notified
 	}
 	g.mu.Unlock()
 	if early {
-		g.violate(ToldUnended, id, 0)
+		g.violate(NotifiedUnended, id, 0)
 	}
 }
 
-// IsOut returns the number of the attempt that is out, and whether there is one.
+// IsOut returns the number of the attempt in flight, and whether there is one.
 func (g *Guard) IsOut(id string) (attempt int, out bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -212,13 +212,13 @@
 	return 0, false
 }
 
-// Forget forgets a message that has ended, once no attempt of it is out.
+// Forget forgets a message that has ended, once no attempt of it is in flight.
 func (g *Guard) Forget(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	held := g.messages[id]
 	if held != nil && held.isOut {
-		held.state, held.forgotten = Told, true
+		held.state, held.forgotten = Notified, true
 		return
 	}
 	delete(g.messages, id)
--- a/internal/lifecycle/guard_test.go
+++ b/internal/lifecycle/guard_test.go
@@ -12,7 +12,7 @@
 }
 
 func take(unsafe, mayHaveRun bool) func(*Guard) bool {
-	return func(g *Guard) bool { g.Take("m", unsafe, mayHaveRun); return true }
+	return func(g *Guard) bool { g.Accept("m", unsafe, mayHaveRun); return true }
 }
 
 func start(attempt int) func(*Guard) bool {
@@ -27,7 +27,7 @@
 	return func(g *Guard) bool { return g.End("m", returned) }
 }
 
-func tell(g *Guard) bool { g.Tell("m"); return true }
+func tell(g *Guard) bool { g.Notify("m"); return true }
 
 func left(attempt int) func(*Guard) bool {
 	return func(g *Guard) bool { g.Left("m", attempt); return true }
@@ -53,10 +53,10 @@
 		"ended while an attempt is out": {
 			{take(unsafe, notRun), ""}, {start(0), ""}, {left(0), ""}, {end(failed), ""}, {tell, ""}, {finish(ran), ""},
 		},
-		"taken on twice":  {{take(safe, notRun), ""}, {take(safe, notRun), TakenTwice}},
+		"taken on twice":  {{take(safe, notRun), ""}, {take(safe, notRun), AcceptedTwice}},
 		"unknown":         {{start(0), StartedUnknown}},
 		"beside":          {{take(safe, notRun), ""}, {start(0), ""}, {start(1), StartedBeside}},
-		"behind the end":  {{take(safe, notRun), ""}, {end(returned), ""}, {start(0), StartedBehind}},
+		"behind the end":  {{take(safe, notRun), ""}, {end(returned), ""}, {start(0), StartedAfterEnd}},
 		"unsafe repeated": {{take(unsafe, notRun), ""}, {start(0), ""}, {finish(ran), ""}, {start(1), RepeatedUnsafe}},
 		"unsafe retried":  {{take(unsafe, notRun), ""}, {start(0), ""}, {finish(notRun), ""}, {start(1), ""}},
 		"unsafe restored": {{take(unsafe, ran), ""}, {start(1), RepeatedUnsafe}, {end(failed), ""}},
@@ -64,12 +64,12 @@
 		"returned, ran":   {{take(unsafe, ran), ""}, {end(returned), ReturnedUnsafe}},
 		"returned, out":   {{take(unsafe, notRun), ""}, {start(0), ""}, {end(returned), ReturnedUnsafe}},
 		"returned, safe":  {{take(safe, ran), ""}, {end(returned), ""}},
-		"told, not ended": {{take(safe, notRun), ""}, {tell, ToldUnended}},
+		"told, not ended": {{take(safe, notRun), ""}, {tell, NotifiedUnended}},
 		"left behind told": {
-			{take(safe, notRun), ""}, {start(0), ""}, {end(failed), ""}, {tell, ""}, {left(0), LeftBehindTold},
+			{take(safe, notRun), ""}, {start(0), ""}, {end(failed), ""}, {tell, ""}, {left(0), LeftAfterNotified},
 		},
 		"left, forgotten": {
-			{take(safe, notRun), ""}, {start(0), ""}, {end(failed), ""}, {forget, ""}, {left(0), LeftBehindTold},
+			{take(safe, notRun), ""}, {start(0), ""}, {end(failed), ""}, {forget, ""}, {left(0), LeftAfterNotified},
 		},
 		"left, other": {{take(safe, notRun), ""}, {start(1), ""}, {left(0), LeftUnannounced}},
 	} {
@@ -96,7 +96,7 @@
 		before := g.State("m")
 		switch rng.Intn(8) {
 		case 0:
-			g.Take("m", rng.Intn(2) == 0, false)
+			g.Accept("m", rng.Intn(2) == 0, false)
 		case 1, 2:
 			number := rng.Intn(4)
 			if g.Start("m", number) {
@@ -109,7 +109,7 @@
 		case 4:
 			g.End("m", rng.Intn(2) == 0)
 		case 5:
-			g.Tell("m")
+			g.Notify("m")
 		case 6:
 			g.Forget("m")
 		case 7:
@@ -117,7 +117,7 @@
 		}
 		for number := range 4 {
 			_, out := g.IsOut("m")
-			want := g.State("m") == Out && out && number == attempt
+			want := g.State("m") == InFlight && out && number == attempt
 			if got := g.MayLeave("m", number); got != want {
 				t.Fatalf("attempt %d may leave: %v in state %v, the attempt out is %d", number, got, g.State("m"), attempt)
 			}
--- a/internal/net/platform/guard_test.go
+++ b/internal/net/platform/guard_test.go
@@ -19,12 +19,12 @@
 			h := newEgressHarness(t)
 			var violations []lifecycle.Violation
 			guard := lifecycle.New(func(kind lifecycle.Violation, _ string, _ int) { violations = append(violations, kind) })
-			guard.Take("m1", true, false)
+			guard.Accept("m1", true, false)
 			guard.Start("m1", 0)
 			defer failpoint.SetHook(func(reached failpoint.Point) {
-				if reached == point && guard.State("m1") == lifecycle.Out {
+				if reached == point && guard.State("m1") == lifecycle.InFlight {
 					guard.End("m1", false)
-					h.eventLoop.Post(func() { guard.Tell("m1") })
+					h.eventLoop.Post(func() { guard.Notify("m1") })
 				}
 			})()
 			attempt := h.newAttempt("m1")[0]
--- a/internal/testing/linkfaults/soak_test.go
+++ b/internal/testing/linkfaults/soak_test.go
@@ -5,7 +5,6 @@
 	"math/rand"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -24,28 +23,14 @@
 // soakLength is the time in which faults are injected.
 const soakLength = 15 * time.Second
 
-// soakSeeds returns the seeds of BRACKENDALE_SOAK, in the form "from-to", or a fixed one.
-func soakSeeds(t *testing.T) (seeds []int64) {
-	text := os.Getenv("BRACKENDALE_SOAK")
-	if text == "" {
-		return []int64{1}
-	}
-	from, to, _ := strings.Cut(text, "-")
-	first, err := strconv.ParseInt(from, 10, 64)
-	last, lastErr := strconv.ParseInt(to, 10, 64)
-	if err != nil || lastErr != nil {
-		t.Fatalf("BRACKENDALE_SOAK=%q is not from-to", text)
-	}
-	for ; first <= last; first++ {
-		seeds = append(seeds, first)
-	}
-	return seeds
-}
-
 // Faults of every connection, several at once, beside faults of endpoints, folders and clocks, signals in series, kills
 // and upgrades, break no rule.
 func TestSoakOfLinkFaults(t *testing.T) {
-	for _, seed := range soakSeeds(t) {
+	seeds, err := soak.ParseSeeds(os.Getenv("BRACKENDALE_SOAK"), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			rng := rand.New(rand.NewSource(seed))
 			processes := minProcesses
--- a/internal/testing/soak/judge.go
+++ b/internal/testing/soak/judge.go
@@ -58,21 +58,6 @@
 	unanswered           bool // its connection ended after its last byte without a reply, and not by a kill
 }
 
-// attempt is one call with a message, as its endpoint observed it.
-type attempt struct {
-	firstAt    time.Time // arrival of the first byte
-	receivedAt time.Time // arrival of the last byte
-	mayRun     bool
-	open       bool
-	endedAt    time.Time          // when its endpoint has ended it; zero: it has not
-	relayed    *fleet.RelayedConn // nil: the connection is direct
-
-	// For reports.
-	connection string
-	answer     string // the status line, as far as it was written
-	answeredAt time.Time
-}
-
 // stray is an answer for no request of a connection.
 type stray struct {
 	at     time.Time
@@ -273,33 +258,6 @@
 	}
 }
 
-// isOpen reports whether the sender has the connection of a call open and its endpoint has not ended the call.
-func (a *attempt) isOpen() bool { return a.open && (a.relayed == nil || !a.relayed.CallerEnded()) }
-
-// end returns when the call was seen to have ended, by its endpoint or by the sender. It returns the zero time if it
-// has not.
-func (a *attempt) end() time.Time {
-	end := a.endedAt
-	if a.relayed == nil {
-		return end
-	}
-	if callerEnd := a.relayed.CallerEndedAt(); !callerEnd.IsZero() && (end.IsZero() || callerEnd.Before(end)) {
-		return callerEnd
-	}
-	return end
-}
-
-// overlap reports whether two calls were out at once, for longer than slack. Either may have begun first: a relay can
-// be late with a call that the sender has given up before it began the other one.
-func overlap(one, other *attempt) bool {
-	first, second := one, other
-	if second.firstAt.Before(first.firstAt) {
-		first, second = second, first
-	}
-	end := first.end()
-	return end.IsZero() || end.Sub(second.firstAt) > slack
-}
-
 // checkRepeat checks that a message whose earlier call may have run may be sent again.
 func (j *Judge) checkRepeat(message *message, now time.Time) {
 	first := slices.IndexFunc(message.calls, func(earlier *attempt) bool { return earlier.mayRun })
@@ -463,41 +421,6 @@
 	return due
 }
 
-// seconds returns the time since the begin of the run, for reports; -1 stands for the zero time.
-func (j *Judge) seconds(at time.Time) float64 {
-	if at.IsZero() {
-		return -1
-	}
-	return at.Sub(j.start).Seconds()
-}
-
-// linkState describes for a report the connection of a call.
-func (j *Judge) linkState(call *attempt) string {
-	if call.relayed == nil {
-		return "direct"
-	}
-	return fmt.Sprintf("link fault: %v, given up %.3f", call.relayed.Fault(), j.seconds(call.relayed.CallerEndedAt()))
-}
-
-// history describes for a report when a message was accepted, due and sent to endpoints.
-func (j *Judge) history(msg *message) string {
-	text := fmt.Sprintf("accepted %.3f, due %.3f", j.seconds(msg.repliedAt), j.seconds(msg.deadline))
-	for _, call := range msg.calls {
-		text += fmt.Sprintf("; called %.3f to %.3f on %s (%s, may have run: %v, ended: %.3f)", j.seconds(call.firstAt),
-			j.seconds(call.receivedAt), call.connection, j.linkState(call), call.mayRun, j.seconds(call.endedAt))
-		if call.answer != "" {
-			text += fmt.Sprintf(", answered %.3f %q", j.seconds(call.answeredAt), call.answer)
-		}
-		for _, stray := range j.strays[call.connection] {
-			text += fmt.Sprintf(", stray %.3f %q", j.seconds(stray.at), stray.answer)
-		}
-	}
-	if msg.finalAnswer != "" {
-		text += fmt.Sprintf("; ended %.3f as %s", j.seconds(msg.finalAnswerAt), msg.finalAnswer)
-	}
-	return text
-}
-
 // checkBytesBehindEnd checks that no call was read whole of which bytes left the sender behind the message's end. The
 // times are those of the kernel, for calls over a relay.
 func (j *Judge) checkBytesBehindEnd(msg *message) {
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -50,19 +50,10 @@
 }
 
 // seeds returns the seeds of BRACKENDALE_SOAK, in the form "from-to", or a few fixed ones.
-func seeds(t *testing.T) (all []int64) {
-	text := os.Getenv("BRACKENDALE_SOAK")
-	if text == "" {
-		return []int64{1, 2, 3, 4, 5, 6}
-	}
-	from, to, _ := strings.Cut(text, "-")
-	first, err := strconv.ParseInt(from, 10, 64)
-	last, lastErr := strconv.ParseInt(to, 10, 64)
-	if err != nil || lastErr != nil {
-		t.Fatalf("BRACKENDALE_SOAK=%q is not from-to", text)
-	}
-	for ; first <= last; first++ {
-		all = append(all, first)
+func seeds(t *testing.T) []int64 {
+	all, err := ParseSeeds(os.Getenv("BRACKENDALE_SOAK"), 1, 2, 3, 4, 5, 6)
+	if err != nil {
+		t.Fatal(err)
 	}
 	return all
 }
--- a/sender/lifecycle.go
+++ b/sender/lifecycle.go
@@ -36,16 +36,16 @@
 func (s *Sender) accept(request *Request) {
 	s.pending++
 	s.journal.Accept(newEntry(request))
-	s.guard.Take(request.ID, s.isUnsafe(request.Class), false)
+	s.guard.Accept(request.ID, s.isUnsafe(request.Class), false)
 }
 
 // takeRestored records a message that an earlier process has taken on, or that the predecessor has an attempt of out.
 func (s *Sender) takeRestored(entry *journal.Entry) {
 	if attempt, ok := s.hotRestart.remoteAttempts[entry.ID]; ok {
-		s.guard.TakeOut(entry.ID, s.isUnsafe(entry.Class), attempt.Attempt)
+		s.guard.AcceptInFlight(entry.ID, s.isUnsafe(entry.Class), attempt.Attempt)
 		return
 	}
-	s.guard.Take(entry.ID, s.isUnsafe(entry.Class), entry.FirstRun != 0)
+	s.guard.Accept(entry.ID, s.isUnsafe(entry.Class), entry.FirstRun != 0)
 }
 
 // abandonAttempt makes sure that no byte of a message leaves once its final answer is told.
--- a/sender/outbox.go
+++ b/sender/outbox.go
@@ -29,7 +29,7 @@
 	case item.request != nil:
 		item.ingress.Answer(item.request, item.verdict, item.retryAfterMs)
 	default:
-		item.guard.Tell(item.id)
+		item.guard.Notify(item.id)
 		item.ingress.Notify(item.id, item.correlation, item.answer, item.retryAfterMs, item.repeated)
 	}
 }
