A Retry-After holds for the calls of both processes of a hot restart

Cause: calls of which bytes are still unsent are given up 70 ms behind a Retry-After only by the process that receives it; calls that are out at the old process, and waits that it receives while the new one sends, are not known to the other until the scheduler's next result, and never at the last instant before the bytes leave. Class of this incident: a hand-over that relies on what the other side does next. Change: either process sends each Retry-After over the restart link (kind wait; earlier releases ignore it), and the other one closes its gate and gives up what is not taken. Why it works: both gates and both sets of calls know the wait as soon as one process does. The gate takes routes in place of endpoints; its tests are changed in that alone. The wire's golden file for the kind is new, the others are as they were.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -88,14 +88,13 @@
 	return strconv.FormatInt(endpoint.Destination, 10)
 }
 
-// SetRetryAfter records a Retry-After of an endpoint that ends at until. Of several, the latest end applies.
-func (g *Gate) SetRetryAfter(endpoint scheduler.Endpoint, now, until clock.Instant) {
-	for route, end := range g.retryAfter {
+// SetRetryAfter records a Retry-After of a route that ends at until. Of several, the latest end applies.
+func (g *Gate) SetRetryAfter(route string, now, until clock.Instant) {
+	for other, end := range g.retryAfter {
 		if end <= now {
-			delete(g.retryAfter, route)
+			delete(g.retryAfter, other)
 		}
 	}
-	route := g.RouteName(endpoint)
 	g.retryAfter[route] = max(g.retryAfter[route], until)
 }
 
@@ -122,8 +121,5 @@
 	return Admitted
 }
 
-// RetryAfterUntil returns the end of the last Retry-After of an endpoint's route, which may be past; 0: none is
-// recorded.
-func (g *Gate) RetryAfterUntil(endpoint scheduler.Endpoint) clock.Instant {
-	return g.retryAfter[g.RouteName(endpoint)]
-}
+// RetryAfterUntil returns the end of the last Retry-After of a route, which may be past; 0: none is recorded.
+func (g *Gate) RetryAfterUntil(route string) clock.Instant { return g.retryAfter[route] }
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -39,49 +39,55 @@
 	}{
 		"nothing": {func(*Gate) {}, Attempt{sharedA, 0, 1000}, 0, Admitted},
 		"its own wait": {
-			func(g *Gate) { g.SetRetryAfter(sharedA, 0, 500) },
+			func(g *Gate) { g.SetRetryAfter(g.RouteName(sharedA), 0, 500) },
 			Attempt{sharedA, 0, 1000},
 			499, RetryAfterPending,
 		},
 		"its own wait is over": {
-			func(g *Gate) { g.SetRetryAfter(sharedA, 0, 500) },
+			func(g *Gate) { g.SetRetryAfter(g.RouteName(sharedA), 0, 500) },
 			Attempt{sharedA, 0, 1000},
 			500, Admitted,
 		},
 		"another endpoint's wait": {
-			func(g *Gate) { g.SetRetryAfter(sharedB, 0, 500) },
+			func(g *Gate) { g.SetRetryAfter(g.RouteName(sharedB), 0, 500) },
 			Attempt{sharedA, 0, 1000},
 			499, RetryAfterPending,
 		},
-		"a route apart's wait": {func(g *Gate) { g.SetRetryAfter(ownC, 0, 500) }, Attempt{ownD, 0, 1000}, 499, Admitted},
+		"a route apart's wait": {func(g *Gate) { g.SetRetryAfter(g.RouteName(ownC), 0, 500) }, Attempt{ownD, 0, 1000}, 499, Admitted},
 		"a route apart's own wait": {
-			func(g *Gate) { g.SetRetryAfter(ownC, 0, 500) },
+			func(g *Gate) { g.SetRetryAfter(g.RouteName(ownC), 0, 500) },
 			Attempt{ownC, 0, 1000},
 			499, RetryAfterPending,
 		},
 		"another destination's wait": {
-			func(g *Gate) { g.SetRetryAfter(ownC, 0, 500) },
+			func(g *Gate) { g.SetRetryAfter(g.RouteName(ownC), 0, 500) },
 			Attempt{sharedA, 0, 1000},
 			0, Admitted,
 		},
 		"a shorter wait after it": {
-			func(g *Gate) { g.SetRetryAfter(sharedA, 0, 500); g.SetRetryAfter(sharedB, 100, 200) },
+			func(g *Gate) {
+				g.SetRetryAfter(g.RouteName(sharedA), 0, 500)
+				g.SetRetryAfter(g.RouteName(sharedB), 100, 200)
+			},
 			Attempt{sharedA, 0, 1000},
 			499, RetryAfterPending,
 		},
 		"a longer wait after it": {
-			func(g *Gate) { g.SetRetryAfter(sharedA, 0, 200); g.SetRetryAfter(sharedB, 100, 500) },
+			func(g *Gate) {
+				g.SetRetryAfter(g.RouteName(sharedA), 0, 200)
+				g.SetRetryAfter(g.RouteName(sharedB), 100, 500)
+			},
 			Attempt{sharedA, 0, 1000},
 			499, RetryAfterPending,
 		},
 		"a wait that is over between": {
-			func(g *Gate) { g.SetRetryAfter(sharedA, 0, 200); g.SetRetryAfter(ownC, 300, 900) },
+			func(g *Gate) { g.SetRetryAfter(g.RouteName(sharedA), 0, 200); g.SetRetryAfter(g.RouteName(ownC), 300, 900) },
 			Attempt{sharedA, 0, 1000},
 			301, Admitted,
 		},
 		"replaced under a wait": {
 			func(g *Gate) {
-				g.SetRetryAfter(sharedA, 0, 500)
+				g.SetRetryAfter(g.RouteName(sharedA), 0, 500)
 				g.UpdateEndpoint(changed(sharedA, func(e *scheduler.Endpoint) { e.State = "dead" }))
 			},
 			Attempt{sharedB, 0, 1000},
--- a/internal/app/handover.go
+++ b/internal/app/handover.go
@@ -165,6 +165,7 @@
 func (p *predecessor) drain() {
 	_ = p.listener.Close()
 	p.loop.Post(func() {
+		p.transport.shareRetryAfter(p.link)
 		p.transport.release()
 		failpoint.Reach(failpoint.TransportReleased)
 		p.exitWhenDrained()
@@ -220,6 +221,8 @@
 		}
 	case hotrestart.KindCancel:
 		p.loop.Post(func() { p.transport.cancelAttempt(msg.ID, msg.Attempt) })
+	case hotrestart.KindRetryAfter:
+		p.loop.Post(func() { p.transport.platformEgress.StartRetryAfter(msg.Route, msg.RetryAfterMs) })
 	}
 }
 
--- a/internal/app/incarnation.go
+++ b/internal/app/incarnation.go
@@ -364,8 +364,10 @@
 		predecessorSide.machine.State = hotrestart.OwnPredecessorDraining
 		predecessorSide.setShares(halfShare, halfShare)
 		successorSide := &successor{
-			core: inc.core,
-			link: inc.handover.link,
+			core:      inc.core,
+			loop:      inc.loop,
+			transport: inc.transport,
+			link:      inc.handover.link,
 			predecessorEnded: func() {
 				predecessorSide.handle(hotrestart.OwnPredecessorEnded)
 				predecessorSide.setShares(fullShare, fullShare)
@@ -375,6 +377,7 @@
 			},
 			offers: map[uint64]*sender.Request{},
 		}
+		inc.loop.Post(func() { inc.transport.shareRetryAfter(inc.handover.link) })
 		inc.core.SetPredecessor(successorSide)
 		go successorSide.handlePredecessorMessages()
 	}
--- a/internal/app/successor.go
+++ b/internal/app/successor.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"brackendale/internal/hotrestart"
+	"brackendale/internal/net/loop"
 	"brackendale/sender"
 )
 
@@ -11,6 +12,8 @@
 // is the sender.Predecessor of the core.
 type successor struct {
 	core             *sender.Sender
+	loop             *loop.Loop
+	transport        *transport
 	link             *restartLink
 	predecessorEnded func() // called once, after the predecessor has disconnected
 
@@ -42,6 +45,8 @@
 			}
 		case hotrestart.KindReport:
 			s.core.ReportAttempts(msg.Results...)
+		case hotrestart.KindRetryAfter:
+			s.loop.Post(func() { s.transport.platformEgress.StartRetryAfter(msg.Route, msg.RetryAfterMs) })
 		}
 	}
 	s.link.close()
--- a/internal/app/transport.go
+++ b/internal/app/transport.go
@@ -119,6 +119,13 @@
 	t.amqpEgress.Cancel(id, attempt)
 }
 
+// shareRetryAfter sends each Retry-After that arrives here to the other process of a hot restart.
+func (t *transport) shareRetryAfter(link *restartLink) {
+	t.platformEgress.ShareRetryAfter = func(route string, retryAfterMs int64) {
+		link.send(hotrestart.Message{Kind: hotrestart.KindRetryAfter, Route: route, RetryAfterMs: retryAfterMs})
+	}
+}
+
 // closeIdleClients closes idle RESP2 connections and returns the number of remaining ones.
 func (t *transport) closeIdleClients() (remaining int) {
 	if t.platformIngress == nil {
--- a/internal/hotrestart/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -68,6 +68,7 @@
 		}},
 		{"report", []Message{{Kind: "report", Results: fullReport()}, {Kind: "report", Results: []sender.AttemptResult{}}}},
 		{"recall", []Message{{Kind: "recall", ID: "m-1", Attempt: 3}}},
+		{"wait", []Message{{Kind: "wait", Route: "7", RetryAfterMs: 1500}}},
 	}
 }
 
@@ -253,7 +254,7 @@
 			for name := range raw {
 				if !slices.Contains([]string{
 					"Kind", "Version", "Why", "State", "Offer", "N", "Verdict", "WaitMs", "Report",
-					"ID", "Try", "Confirms", "Listeners",
+					"ID", "Try", "Confirms", "Listeners", "Route",
 				}, name) {
 					t.Errorf("%s, line %d: unknown name %q", testCase.kind, i+1, name)
 				}
--- a/internal/hotrestart/messages.go
+++ b/internal/hotrestart/messages.go
@@ -40,6 +40,9 @@
 	KindReport Kind = "report"
 	// From the successor: a request to cancel an attempt that is in flight at the predecessor.
 	KindCancel Kind = "recall"
+	// From either side: a Retry-After that it has received, which applies to the attempts of both. Earlier releases
+	// ignore it.
+	KindRetryAfter Kind = "wait"
 )
 
 // Message is one message of the protocol. Its kind determines which of the other fields are set.
@@ -60,7 +63,8 @@
 	Offer        *Offer `json:"Offer,omitempty"`   // of offer
 	OfferID      uint64 `json:"N,omitempty"`       // of offer, withdraw and answer: the number of the offer
 	Verdict      int    `json:"Verdict,omitempty"` // of answer: a sender.Verdict
-	RetryAfterMs int64  `json:"WaitMs,omitempty"`  // of answer
+	RetryAfterMs int64  `json:"WaitMs,omitempty"`  // of answer and wait
+	Route        string `json:"Route,omitempty"`   // of wait: the name of the route
 
 	Results []sender.AttemptResult `json:"Report"`        // of report
 	ID      string                 `json:"ID,omitempty"`  // of recall: the ID of the message
--- a/internal/net/amqpfront/front_test.go
+++ b/internal/net/amqpfront/front_test.go
@@ -595,9 +595,11 @@
 			r.State = "dead"
 			egress.Gate.UpdateEndpoint(r.Endpoint)
 		},
-		"told to wait": func(egress *Egress, r sender.Route) { egress.Gate.SetRetryAfter(r.Endpoint, 0, 1<<62) },
-		"time up":      func(egress *Egress, _ sender.Route) { egress.attempts["m"].admission.Deadline = 1 },
-		"shutdown":     func(egress *Egress, _ sender.Route) { egress.Stop() },
+		"told to wait": func(egress *Egress, r sender.Route) {
+			egress.Gate.SetRetryAfter(egress.Gate.RouteName(r.Endpoint), 0, 1<<62)
+		},
+		"time up":  func(egress *Egress, _ sender.Route) { egress.attempts["m"].admission.Deadline = 1 },
+		"shutdown": func(egress *Egress, _ sender.Route) { egress.Stop() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			broker, ended := newBroker(t), make(chan bool)
--- a/internal/net/platform/abandoned_test.go
+++ b/internal/net/platform/abandoned_test.go
@@ -53,6 +53,9 @@
 		"Retry-After": {giveUp: func(h *egressHarness) {
 			h.egress.applyRetryAfter(h.route, sender.AttemptResult{RetryAfterMs: 60_000})
 		}},
+		"Retry-After of another process": {giveUp: func(h *egressHarness) {
+			h.egress.StartRetryAfter(h.egress.Gate.RouteName(h.route.Endpoint), 60_000)
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newEgressHarness(t)
--- a/internal/net/platform/egress.go
+++ b/internal/net/platform/egress.go
@@ -38,6 +38,10 @@
 	// Gate admits each attempt just before it is written. Other egresses of the same core may share
 	// it.
 	Gate *admission.Gate
+
+	// ShareRetryAfter, if set, is called with each Retry-After of a route that arrives here, in milliseconds: another
+	// process with attempts in flight to the route must observe it too.
+	ShareRetryAfter func(route string, retryAfterMs int64)
 }
 
 // NewEgress returns an Egress whose connections take their descriptors from room.
@@ -114,16 +118,25 @@
 	if result.RetryAfterMs <= 0 || endpointFull {
 		return
 	}
+	name := e.Gate.RouteName(route.Endpoint)
+	if e.ShareRetryAfter != nil {
+		e.ShareRetryAfter(name, result.RetryAfterMs)
+	}
+	e.StartRetryAfter(name, result.RetryAfterMs)
+}
+
+// StartRetryAfter observes a Retry-After of a route, in milliseconds from now, which arrived here or at another process.
+func (e *Egress) StartRetryAfter(route string, retryAfterMs int64) {
 	now := e.core.Now()
 	// One microsecond more, since now is rounded down to a microsecond.
-	until := now.Add(time.Duration(result.RetryAfterMs)*time.Millisecond) + 1
-	e.Gate.SetRetryAfter(route.Endpoint, now, until)
-	for c := range e.callsOfRoute(e.Gate.RouteName(route.Endpoint)) {
+	until := now.Add(time.Duration(retryAfterMs)*time.Millisecond) + 1
+	e.Gate.SetRetryAfter(route, now, until)
+	for c := range e.callsOfRoute(route) {
 		if c.exchange.begun() && !c.exchange.sent() {
 			c.exchange.fail(errNotAdmitted)
 		}
 	}
-	e.reactor.After(retryAfterGrace, func() { e.abortUntaken(route.Endpoint) })
+	e.reactor.After(retryAfterGrace, func() { e.abortUntaken(route) })
 }
 
 // retryAfterGrace is how long a call that was written before a Retry-After may still arrive: the platform lets calls
@@ -132,11 +145,11 @@
 
 // abortUntaken gives up the calls of a route that its endpoints have not taken whole, if a Retry-After holds: their
 // last byte would arrive within it.
-func (e *Egress) abortUntaken(endpoint scheduler.Endpoint) {
-	if e.core.Now() >= e.Gate.RetryAfterUntil(endpoint) {
+func (e *Egress) abortUntaken(route string) {
+	if e.core.Now() >= e.Gate.RetryAfterUntil(route) {
 		return
 	}
-	for c := range e.callsOfRoute(e.Gate.RouteName(endpoint)) {
+	for c := range e.callsOfRoute(route) {
 		c.abortUntaken()
 	}
 }
--- a/internal/net/platform/egress_test.go
+++ b/internal/net/platform/egress_test.go
@@ -227,8 +227,10 @@
 		"moved to another destination": func(h *egressHarness) {
 			updateRoute(h, func(r *sender.Route) { r.Destination++ })
 		},
-		"shutdown":                 func(h *egressHarness) { h.egress.Stop() },
-		"Retry-After":              func(h *egressHarness) { h.egress.Gate.SetRetryAfter(h.route.Endpoint, 0, 1<<62) },
+		"shutdown": func(h *egressHarness) { h.egress.Stop() },
+		"Retry-After": func(h *egressHarness) {
+			h.egress.Gate.SetRetryAfter(h.egress.Gate.RouteName(h.route.Endpoint), 0, 1<<62)
+		},
 		"idempotency window ended": func(h *egressHarness) { h.egress.calls["late"].admission.StartBy = 1 },
 		"deadline passed":          func(h *egressHarness) { h.egress.calls["late"].admission.Deadline = 1 },
 	} {
--- a/internal/net/platform/response_test.go
+++ b/internal/net/platform/response_test.go
@@ -254,7 +254,7 @@
 		})
 		receive(t, h.endpoint.requests).respond("HTTP/1.1 429 R\r\n" + header + "\r\nContent-Length: 0\r\n\r\n")
 		h.waitUntil("it has ended", func() bool { return h.egress.calls["a"] == nil })
-		h.runOnLoop(func() { until = h.egress.Gate.RetryAfterUntil(h.route.Endpoint) })
+		h.runOnLoop(func() { until = h.egress.Gate.RetryAfterUntil(h.egress.Gate.RouteName(h.route.Endpoint)) })
 		switch {
 		case wantMs == 0 && until != 0:
 			t.Errorf("%q: a Retry-After of %d us", header, until-before)
