Soak: an end counts from the first notice that came, not from the first that was handled

Trace (record of events): the message ended at 2580.377, 7 ms before its time; notices left at 0.457, 0.490 and then each 26 ms; the judge took the arrival of the ninth (0.759), the one that the agent's server, held up, handled first, and ignored the earlier ones as repetitions. Change: the earliest arrival by the kernel counts, whenever it is handled, which also makes the check of bytes behind the end stricter.

--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -53,7 +53,11 @@
 			Attempt{sharedA, 0, 1000},
 			499, RetryAfterPending,
 		},
-		"a route apart's wait": {func(g *Gate) { g.SetRetryAfter(g.RouteName(ownC), 0, 500) }, Attempt{ownD, 0, 1000}, 499, Admitted},
+		"a route apart's wait": {
+			func(g *Gate) { g.SetRetryAfter(g.RouteName(ownC), 0, 500) },
+			Attempt{ownD, 0, 1000},
+			499, Admitted,
+		},
 		"a route apart's own wait": {
 			func(g *Gate) { g.SetRetryAfter(g.RouteName(ownC), 0, 500) },
 			Attempt{ownC, 0, 1000},
@@ -81,7 +85,10 @@
 			499, RetryAfterPending,
 		},
 		"a wait that is over between": {
-			func(g *Gate) { g.SetRetryAfter(g.RouteName(sharedA), 0, 200); g.SetRetryAfter(g.RouteName(ownC), 300, 900) },
+			func(g *Gate) {
+				g.SetRetryAfter(g.RouteName(sharedA), 0, 200)
+				g.SetRetryAfter(g.RouteName(ownC), 300, 900)
+			},
 			Attempt{sharedA, 0, 1000},
 			301, Admitted,
 		},
--- a/internal/net/platform/egress.go
+++ b/internal/net/platform/egress.go
@@ -125,7 +125,7 @@
 	e.StartRetryAfter(name, result.RetryAfterMs)
 }
 
-// StartRetryAfter observes a Retry-After of a route, in milliseconds from now, which arrived here or at another process.
+// StartRetryAfter observes a Retry-After of a route, in milliseconds from now. It arrived here or at another process.
 func (e *Egress) StartRetryAfter(route string, retryAfterMs int64) {
 	now := e.core.Now()
 	// One microsecond more, since now is rounded down to a microsecond.
--- a/internal/testing/soak/judge.go
+++ b/internal/testing/soak/judge.go
@@ -347,8 +347,11 @@
 		j.violate("misrouted: a notice of %q, which nobody handed in", id)
 		return
 	}
-	if msg.finalAnswer != "" {
-		return // a repeated final answer is harmless
+	if msg.finalAnswer != "" { // a repeated final answer is harmless; the agent may handle the first one last
+		if at.Before(msg.finalAnswerAt) {
+			msg.finalAnswerAt = at
+		}
+		return
 	}
 	msg.finalAnswer, msg.finalAnswerAt = state, at
 	j.counts[state]++
