Test of half-closed peers: its handler has something to write until it has written

Trace: the test's handler called SetAwaitsOutput(false) before its Write; the engine's goroutine, which reads the end of the stream in between, then closes the socket, as it was told that nothing is to be written. The product's client calls it behind the write (client.flush), so no client is affected. What the test asks for is as before.

--- a/internal/net/reactor/halfclose_test.go
+++ b/internal/net/reactor/halfclose_test.go
@@ -23,8 +23,8 @@
 	c.SetAwaitsOutput(true)
 	reply := func() {
 		r.pending--
-		c.SetAwaitsOutput(r.pending > 0)
 		_ = c.Write([]byte("reply"))
+		c.SetAwaitsOutput(r.pending > 0)
 		r.closeIfDone(c)
 	}
 	if r.delay == 0 {
