--- a/internal/net/reactor/halfclose.go
+++ b/internal/net/reactor/halfclose.go
@@ -28,8 +28,8 @@
 	InputEnded(conn *Conn)
 }
 
-// SetAwaitsOutput states whether the handler still has something to write to the peer, should the peer's stream end. What
-// it has written counts as written only after Write has returned.
+// SetAwaitsOutput states whether the handler still has something to write to the peer, should the peer's stream end. It
+// has until Write has returned.
 func (c *Conn) SetAwaitsOutput(awaits bool) {
 	if awaits {
 		c.flags.set(flagAwaitsOutput)
