--- a/internal/net/platform/notices.go
+++ b/internal/net/platform/notices.go
@@ -133,9 +133,7 @@
 	n.exchanges[request] = opened
 	var timeout timers.Timer
 	n.reactor.Arm(&timeout, agentTimeout, 0, timers.Func(opened.abort))
-	for _, sent := range request.Notices {
-		n.core.Events().Record(eventlog.Event{Kind: eventlog.Notified, Message: sent.ID, Connection: opened.number})
-	}
+	opened.onSent = func() { n.recordSent(request, opened.number) }
 	opened.send(func(response *http1.Response, err error) {
 		n.reactor.Disarm(&timeout)
 		acknowledged := err == nil && response.Status == statusNoContent
@@ -146,6 +144,13 @@
 	}, n.encode(request)...)
 }
 
+// recordSent records that the last byte of a request was written.
+func (n *notices) recordSent(request *notice.Request, connection uint64) {
+	for _, sent := range request.Notices {
+		n.core.Events().Record(eventlog.Event{Kind: eventlog.Notified, Message: sent.ID, Connection: connection})
+	}
+}
+
 // encode returns the HTTP request with the notices, in pieces.
 func (n *notices) encode(request *notice.Request) [][]byte {
 	pieces, size := [][]byte{nil}, 0
