--- a/internal/testing/fleet/arrival.go
+++ b/internal/testing/fleet/arrival.go
@@ -41,10 +41,12 @@
 func (r arrivalReader) read(data []byte) (size int, at time.Time, err error) {
 	control := make([]byte, arrivalControlSize)
 	var readErr error
+	var dataBy time.Time
 	err = r.raw.Read(func(fd uintptr) (done bool) {
 		var controlSize int
 		size, controlSize, _, _, readErr = unix.Recvmsg(int(fd), data, control, 0)
 		control = control[:max(0, controlSize)]
+		dataBy = lastData(int(fd))
 		return !errors.Is(readErr, unix.EAGAIN)
 	})
 	switch {
@@ -55,7 +57,24 @@
 	case size == 0:
 		return 0, time.Now(), io.EOF
 	}
-	return size, arrivalTime(control), nil
+	if at = arrivalTime(control); dataBy.Before(at) {
+		at = dataBy
+	}
+	return size, at, nil
+}
+
+// lastDataResolution is the resolution of the kernel's time of the last data, and more.
+const lastDataResolution = 10 * time.Millisecond
+
+// lastData returns a time by which all data of a socket had arrived. The time of arrival that the kernel gives with
+// data is that of the end of the stream, if that came before the data was read: the kernel merges the two.
+func lastData(fd int) time.Time {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.SOL_TCP, unix.TCP_INFO)
+	now := time.Now()
+	if err != nil {
+		return now
+	}
+	return now.Add(lastDataResolution - time.Duration(info.Last_data_recv)*time.Millisecond)
 }
 
 // arrivalTime returns the time in a control message, or the zero time if there is none.
--- a/internal/testing/fleet/stamped_test.go
+++ b/internal/testing/fleet/stamped_test.go
@@ -50,6 +50,41 @@
 	}
 }
 
+// A notice that is read behind the end of its connection counts as come at that end.
+func TestArrivalIsNotThatOfTheEndOfTheStream(t *testing.T) {
+	listener, err := NewStampedListener(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	sender, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sender.Close()
+	if _, err := io.WriteString(sender, "notice"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(10 * lastDataResolution)
+	ended := time.Now()
+	_ = sender.Close()
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	stamped, _ := conn.(*StampedConn)
+	for !stamped.reader.peerEnded() { // the end has arrived, unread
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := io.ReadFull(conn, make([]byte, len("notice"))); err != nil {
+		t.Fatal(err)
+	}
+	if late := stamped.Arrival().Sub(ended); late > 0 {
+		t.Errorf("the bytes count as come %v behind the end of the stream, and came before it", late)
+	}
+}
+
 // pendingBytes returns the number of bytes that have arrived and were not read.
 func pendingBytes(t *testing.T, conn *net.TCPConn) (count int) {
 	t.Helper()
