Record of events: the phases of each destination's recovery, with rate and estimate

Change: the scheduler returns the transitions of each step; each is a line of the log (level record and calls), counted in lb_recovery_phases_total, and the report shows them for each destination with the senders side by side. No decision changes.

--- a/internal/app/events.go
+++ b/internal/app/events.go
@@ -12,6 +12,7 @@
 	"brackendale/internal/net/amqpfront"
 	"brackendale/internal/net/loop"
 	"brackendale/internal/net/platform"
+	"brackendale/internal/slowstart"
 
 	"github.com/rs/zerolog"
 )
@@ -51,6 +52,8 @@
 			"What must not happen to a message and was refused or found, by kind: programming errors."),
 		labeledCounters(events.Counts(eventlog.Unacknowledged), platform.UnacknowledgedReasons(),
 			"lb_notices_unacknowledged_total", "reason", "Requests with notices that ended without an acknowledgement."),
+		labeledCounters(events.Counts(eventlog.Recovery), phases(), "lb_recovery_phases_total", "phase",
+			"Begins of the phases of destinations' recoveries, as this sender knows them."),
 		labeledCounters(events.Counts(eventlog.Stalled), stallKinds(), "lb_stalls_total", "kind",
 			"Delays of the event loop of 50 ms and more, by kind: a pause of the process, or one long task."),
 		[]metrics.Metric{{
@@ -60,6 +63,14 @@
 	)
 }
 
+// phases returns the names of the phases of a recovery.
+func phases() (names []string) {
+	for _, phase := range slowstart.Phases() {
+		names = append(names, phase.String())
+	}
+	return names
+}
+
 // stallKinds returns the kinds of stalls of the event loop.
 func stallKinds() (kinds []string) {
 	for _, kind := range loop.Stalls() {
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -8,9 +8,11 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 
 	"brackendale/internal/clock"
+	"brackendale/internal/slowstart"
 
 	"github.com/rs/zerolog"
 )
@@ -66,6 +68,7 @@
 	Violated       Kind = "violation"      // what must not happen to a message, the reason
 	Abandoned      Kind = "abandoned"      // an attempt was given up; bytes of it were not sent yet
 	Stalled        Kind = "stalled"        // the event loop was held up for DelayMs, by the reason
+	Recovery       Kind = "recovery"       // the phase of a destination's recovery has changed, for the reason
 )
 
 // Event is one event. Fields that its kind does not have are zero.
@@ -84,6 +87,7 @@
 	WaitMs      int64 // a Retry-After
 	DelayMs     int64 // of a stall
 	Reason      string
+	Recovery    *slowstart.Transition // of Recovery
 }
 
 // MarshalZerologObject adds the fields that are set. The instant is in microseconds of the machine's steady clock,
@@ -118,7 +122,24 @@
 	if e.DelayMs != 0 {
 		line.Int64("delay_ms", e.DelayMs)
 	}
+	if e.Recovery != nil {
+		addRecovery(line, e.Recovery)
+	}
 	if e.Reason != "" {
 		line.Str("reason", e.Reason)
 	}
 }
+
+// addRecovery adds the fields of a transition.
+func addRecovery(line *zerolog.Event, transition *slowstart.Transition) {
+	line.Int64("destination", transition.Destination)
+	line.Stringer("from", transition.From).Stringer("phase", transition.To)
+	line.Float64("calls_per_s", roundRate(transition.CallsPerSecond))
+	line.Float64("capacity_per_s", roundRate(transition.CapacityPerSecond))
+	line.Int("calls", transition.Calls)
+}
+
+// rateDigits is the power of ten to which rates are rounded in the log.
+const rateDigits = 1e4
+
+func roundRate(perSecond float64) float64 { return math.Round(perSecond*rateDigits) / rateDigits }
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"brackendale/internal/clock"
+	"brackendale/internal/slowstart"
 
 	"github.com/rs/zerolog"
 )
@@ -145,3 +146,36 @@
 		})
 	}
 }
+
+// The phases of a destination's recovery are in the log at level Record, and the report shows all senders' together.
+func TestRecoveryThatNoLogTells(t *testing.T) {
+	var report Report
+	for i, sender := range []string{"n1", "n2"} {
+		log, now := &bytes.Buffer{}, clock.Instant(0)
+		r := New(zerolog.New(log).With().Str("sender", sender).Logger(), func() clock.Instant { return now })
+		now = now.Add(time.Duration(2-i) * time.Second)
+		r.RecordTransition(slowstart.Transition{
+			Destination: 4, From: slowstart.Suspected, To: slowstart.Recovering, Reason: "GOOD", CallsPerSecond: 0.5,
+			CapacityPerSecond: 1.25, Calls: 3,
+		})
+		r.SetLevel(Off)
+		r.RecordTransition(slowstart.Transition{Destination: 4, To: slowstart.Unavailable})
+		if counts := r.Counts(Recovery); counts["recovering"] != 1 || counts["unavailable"] != 1 {
+			t.Errorf("%s: counted %v", sender, counts)
+		}
+		if err := report.Read(log); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var text strings.Builder
+	if err := report.Write(&text, false); err != nil {
+		t.Fatal(err)
+	}
+	want := `recovery of destination 4
+  0.000 n2 suspected -> recovering: GOOD, 3 calls before; 0.500 calls/s of 1.250/s
+  1.000 n1 suspected -> recovering: GOOD, 3 calls before; 0.500 calls/s of 1.250/s
+`
+	if !strings.Contains(text.String(), want) {
+		t.Errorf("the report has:\n%s", text.String())
+	}
+}
--- a/internal/eventlog/recorder.go
+++ b/internal/eventlog/recorder.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"brackendale/internal/clock"
+	"brackendale/internal/slowstart"
 
 	"github.com/rs/zerolog"
 )
@@ -89,6 +90,23 @@
 	r.Dump("an answer belongs to no request: " + event.Reason)
 }
 
+// RecordTransition records a change of the phase of a route's recovery, and writes it to the log at each level but Off.
+func (r *Recorder) RecordTransition(transition slowstart.Transition) {
+	if r == nil {
+		return
+	}
+	r.count(Recovery, transition.To.String(), 1)
+	if !r.Enabled() {
+		return
+	}
+	event := Event{
+		At: r.now(), Kind: Recovery, Endpoint: transition.Endpoint, Reason: transition.Reason, Recovery: &transition,
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.write(&event)
+}
+
 // CloseReason returns the end of a connection as it is recorded.
 func CloseReason(side, reason string) string { return side + ": " + reason }
 
--- a/internal/eventlog/report.go
+++ b/internal/eventlog/report.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 
@@ -33,6 +34,12 @@
 	DelayMs     int64         `json:"delay_ms"`
 	Reason      string        `json:"reason"`
 	LeftOut     int           `json:"left_out"`
+
+	From              string  `json:"from"`
+	Phase             string  `json:"phase"`
+	CallsPerSecond    float64 `json:"calls_per_s"`
+	CapacityPerSecond float64 `json:"capacity_per_s"`
+	Calls             int     `json:"calls"`
 }
 
 // Report collects the events of several logs and writes the timeline of each message.
@@ -93,6 +100,7 @@
 				other.Endpoint, other.onConnection(), other.Reason)
 		}
 	}
+	r.writeRecoveries(&text, start)
 	for _, message := range r.histories() {
 		if all || message.twice || message.accepted && !message.ended {
 			message.write(&text, start)
@@ -102,6 +110,31 @@
 	return err
 }
 
+// writeRecoveries writes the phases of each destination's recovery, the senders side by side.
+func (r *Report) writeRecoveries(out io.Writer, start clock.Instant) {
+	byDestination := map[int64][]line{}
+	for _, event := range r.lines {
+		if event.Kind == Recovery {
+			byDestination[event.Destination] = append(byDestination[event.Destination], event)
+		}
+	}
+	for _, destination := range slices.Sorted(maps.Keys(byDestination)) {
+		fmt.Fprintf(out, "recovery of destination %d\n", destination)
+		for _, event := range byDestination[destination] {
+			fmt.Fprintf(out, "  %.3f %s %s%s -> %s: %s, %d calls before; %.3f calls/s of %.3f/s\n",
+				event.At.Sub(start).Seconds(), event.Sender, event.ofEndpoint(), event.From, event.Phase, event.Reason,
+				event.Calls, event.CallsPerSecond, event.CapacityPerSecond)
+		}
+	}
+}
+
+func (l *line) ofEndpoint() string {
+	if l.Endpoint == "" {
+		return ""
+	}
+	return l.Endpoint + " "
+}
+
 // WriteMessages writes the timelines of these messages, with times of the machine's steady clock.
 func (r *Report) WriteMessages(out io.Writer, ids []string) error {
 	slices.SortStableFunc(r.lines, func(a, b line) int { return cmp.Compare(a.At, b.At) })
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -256,6 +256,8 @@
 	ep.currentCall = started
 	rt.calls = append(rt.calls, started)
 	rt.takeQuota(s.now)
+	s.reportPhase(rt, reasonElapsed)
+	rt.phaseLog.calls++
 	s.takeConnection(ep, started)
 	s.callsInFlight++
 	dest.callsInFlight++
--- a/scheduler/endpointlist.go
+++ b/scheduler/endpointlist.go
@@ -94,6 +94,7 @@
 	}
 	if ep.ownLimit {
 		ep.route = newRoute("route "+listed.Addr, dest)
+		ep.route.endpointAddr = listed.Addr
 		ep.zoneFee = elementOrZero(calls.ZoneFees, slices.Index(s.settings.Zones, listed.Zone))
 	}
 	s.adoptLearnedEndpoint(ep, listed)
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -18,6 +18,7 @@
 	if !call.recorded {
 		call.recorded = true
 		s.recordOutcome(call, event)
+		s.reportPhase(call.route, string(event.Outcome))
 	}
 	s.recordFirstRun(msg, call, event.Outcome)
 	s.recordKeyOutcome(msg, event.Outcome)
--- a/scheduler/route.go
+++ b/scheduler/route.go
@@ -32,10 +32,11 @@
 
 // route holds the limit, rate and health state of a destination, or of one of its endpoints.
 type route struct {
-	name        string
-	destination *destination
-	calls       []*call // calls in flight, oldest first
-	maxInFlight int
+	name         string
+	destination  *destination
+	endpointAddr string  // of the only endpoint; empty: the destination's endpoints share the route
+	calls        []*call // calls in flight, oldest first
+	maxInFlight  int
 
 	bucket          tokenBucket
 	throughput      throughput
@@ -43,6 +44,7 @@
 	health          healthState
 	probe           probeState
 	slowStart       slowStartState
+	phaseLog        phaseLog
 	advertisedLimit quota.Limit
 	capacityHint    float64     // calls per second, this sender's share; 0: none
 	quota           *quotaLimit // nil: no other sender has assigned one
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -14,6 +14,7 @@
 	"math/rand"
 
 	"brackendale/internal/recovery"
+	"brackendale/internal/slowstart"
 )
 
 // Scheduler makes the decisions of one sender. It is a state machine driven by Step: it reads no
@@ -37,6 +38,8 @@
 	step    int64
 	actions []Action
 
+	transitions []slowstart.Transition // of the current step
+
 	// Messages.
 	messages          map[string]*message
 	acceptedCount     int        // messages without a final answer
@@ -142,6 +145,7 @@
 // the current time in microseconds and must not decrease.
 func (s *Scheduler) Step(now int64, events []Event) []Action {
 	s.now, s.actions, s.startedAt = now, nil, cmp.Or(s.startedAt, now)
+	s.transitions = nil
 	s.step++
 	for i := range events {
 		s.handleEvent(&events[i])
--- a/scheduler/slowstart.go
+++ b/scheduler/slowstart.go
@@ -31,6 +31,7 @@
 	rt.maxInFlight = 1
 	rt.slowStart.until = s.now + s.settings.Rules.SlowStartUs
 	rt.slowStart.nextCallAt = s.now
+	s.reportPhase(rt, reasonListed)
 }
 
 // beginRecovery starts the slow start of a route that responds again.
--- a/sender/step.go
+++ b/sender/step.go
@@ -65,6 +65,9 @@
 	s.lastStep = time.Now()
 	now := int64(s.Now())
 	decided.actions = s.scheduler.Step(now, decided.input.events)
+	for _, transition := range s.scheduler.Transitions() {
+		s.events.RecordTransition(transition)
+	}
 	if s.tracer != nil {
 		destination := func(addr string) int64 { return s.routes[addr].Destination }
 		s.tracer.Step(now, decided.input.events, decided.actions, destination)
