Slow start from the first evidence of an outage, by a low estimate of the capacity

Cause: the rule is over the sum of all senders and counts one as informed from its first failed or refused call; each sender held it only behind an outage that it was sure of. Beside it, a restart forgot a suspicion, a fall left the estimate as it was, and all that was pending left at once at the end of the slow start. Evidence: the record of 49 processes: around the return 10 senders went from suspected straight to healthy, 8 began a slow start. Change: internal/slowstart owns what a sender may send to a route that may be recovering; every call passes it at its start, what it did not let through is counted as a violation. The estimate is what the route has taken from this sender lately, as of the first evidence. Stored and handed over as an optional key; states without it are read as before. Golden behaviour is recorded anew: decisions after failures change.

--- a/internal/hotrestart/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -148,6 +148,9 @@
 		Floats: []float64{float64(from) + 0.5, float64(from) + 1.5}, Integers: []int64{from + 2, from + 3},
 		Counts: []int{int(from) + 4}, Flags: []bool{true, false}, AdvertisedLimit: [3]float64{1, 2.5, 3},
 		FirstCallAt: from + 5,
+		SlowStart: &scheduler.SlowStartState{
+			Suspected: true, Capacity: 1.25, SustainedRate: float64(from) + 0.75, SustainedAt: from + 6,
+		},
 	}
 }
 
--- a/internal/lifecycle/guard.go
+++ b/internal/lifecycle/guard.go
@@ -35,13 +35,14 @@
 	NotifiedUnended   Violation = "told without an end"
 	LeftAfterNotified Violation = "bytes left behind the told end"
 	LeftUnannounced   Violation = "bytes of an attempt that was not started"
+	BeyondSlowStart   Violation = "a call beyond the slow start of its destination" // it is sent nevertheless
 )
 
 // Violations returns all kinds of violations.
 func Violations() []Violation {
 	return []Violation{
 		AcceptedTwice, StartedUnknown, StartedBeside, StartedAfterEnd, RepeatedUnsafe, EndedTwice, ReturnedUnsafe,
-		NotifiedUnended, LeftAfterNotified, LeftUnannounced,
+		NotifiedUnended, LeftAfterNotified, LeftUnannounced, BeyondSlowStart,
 	}
 }
 
--- a/internal/recovery/plan.go
+++ b/internal/recovery/plan.go
@@ -96,6 +96,9 @@
 // the same time.
 func (p *Plan) SetRestarted() { p.restarted = true }
 
+// Restarted reports whether there was an earlier incarnation.
+func (p *Plan) Restarted() bool { return p.restarted }
+
 // MeanBiasCorrection returns the bias correction of an exponentially weighted mean that started at
 // zero: the factor by which a mean with time constant decayUs is too low after ageUs. It is 1 where
 // the mean was restored from an earlier incarnation.
--- /dev/null
+++ b/internal/slowstart/gate_test.go
@@ -0,0 +1,156 @@
+package slowstart
+
+import (
+	"math"
+	"math/rand"
+	"testing"
+)
+
+const second = int64(1e6)
+
+// manySenders are the rules of 49 senders that share a route.
+var manySenders = Rules{InitialShare: 0.2, Multiple: 2, WindowUs: 2 * second, DurationUs: 12 * second, Senders: 49}
+
+// One failure of a sender with little traffic is evidence; one among many successes is none until the successes end.
+func TestEvidence(t *testing.T) {
+	for name, tc := range map[string]struct {
+		successesPerSecond int64
+		failures           int
+		waitUs             int64
+		want               bool
+	}{
+		"little traffic, one failure":                 {0, 1, 0, true},
+		"much traffic, one failure":                   {20, 1, 0, false},
+		"much traffic, one failure and nothing since": {20, 1, 1_100_000, true},
+		"much traffic, many failures":                 {20, 30, 0, true},
+	} {
+		gate, now := Gate{}, 100*second
+		succeededAt := now - 3*second
+		for i := range tc.successesPerSecond * 10 {
+			succeededAt = now - 10*second + i*second/tc.successesPerSecond
+			gate.ObserveSuccess(succeededAt)
+		}
+		for range tc.failures {
+			gate.ObserveFailure(now)
+		}
+		if got := gate.HasEvidence(now+tc.waitUs, succeededAt); got != tc.want {
+			t.Errorf("%s: evidence %v, want %v", name, got, tc.want)
+		}
+		gate.ObserveSuccess(now + tc.waitUs)
+		if gate.HasEvidence(now+tc.waitUs, now+tc.waitUs) {
+			t.Errorf("%s: a success leaves evidence", name)
+		}
+	}
+}
+
+// A route that always fails a share of its calls has no outage; one whose failures rise by as much has.
+func TestLastingFailuresAreNoEvidence(t *testing.T) {
+	gate, rng := Gate{}, rand.New(rand.NewSource(1))
+	evidence, succeededAt := 0, second
+	observe := func(from, to int64, failedShare float64) {
+		for now := from; now < to; now += second / 40 {
+			if rng.Float64() < failedShare {
+				gate.ObserveFailure(now)
+			} else {
+				gate.ObserveSuccess(now)
+				succeededAt = now
+			}
+			if gate.HasEvidence(now, succeededAt) {
+				evidence++
+			}
+		}
+	}
+	observe(second, 60*second, 0.4)
+	if evidence > 0 {
+		t.Errorf("%d times evidence at a lasting share of 0.4", evidence)
+	}
+	observe(60*second, 64*second, 0.9)
+	if evidence == 0 {
+		t.Error("no evidence at a share of 0.9")
+	}
+}
+
+// Refusals between successes are due to a limit; some without a success are an outage.
+func TestRefusalsAsEvidence(t *testing.T) {
+	gate, now := Gate{}, 100*second
+	for range 10 {
+		now += 3 * second
+		gate.ObserveRefusal(now, now-1, 2)
+		if gate.HasEvidence(now, now-2*second) {
+			t.Fatal("one refusal after a success is evidence")
+		}
+		gate.ObserveSuccess(now + second)
+	}
+	now += 3 * second
+	gate.ObserveRefusal(now, now-1, 2)
+	gate.ObserveRefusal(now+1, now-2, 2) // sent before the first one came
+	if gate.HasEvidence(now+1, now-2*second) {
+		t.Error("two refusals of calls that were out together are evidence")
+	}
+	gate.ObserveRefusal(now+second, now+2, 2)
+	if !gate.HasEvidence(now+second, now-2*second) {
+		t.Error("two refusals without a success between them are no evidence")
+	}
+}
+
+// The calls of many senders, each with a backlog, stay within what the route takes in any window of the slow start,
+// whenever the route returns, also if it fell again.
+func TestSumOfPacedCalls(t *testing.T) {
+	for _, senders := range []float64{5, 49, 900} {
+		rules := manySenders
+		rules.Senders = senders
+		capacity := 40.0 // calls per second of all senders
+		rng := rand.New(rand.NewSource(7))
+		var calls []int64
+		for range int(senders) {
+			gate := Gate{}
+			gate.Suspect(0, rules, capacity/senders, rng.Float64())
+			gate.Suspect(second, rules, 0, rng.Float64())
+			returned := false
+			for now := int64(0); now < 20*second; now += second / 200 {
+				if gate.AvailableAt(now) > now {
+					continue
+				}
+				gate.Take(now, rules, true)
+				if calls = append(calls, now); now >= 5*second && !returned { // the route returns after 5 s
+					returned = true
+					gate.Recover(now, rules, 0)
+				}
+			}
+		}
+		checkWindows(t, senders, rules, capacity, calls)
+	}
+}
+
+func checkWindows(t *testing.T, senders float64, rules Rules, capacity float64, calls []int64) {
+	t.Helper()
+	for start := 5 * second; start+rules.WindowUs < 17*second; start += second / 10 {
+		count := 0
+		for _, at := range calls {
+			if at >= start && at < start+rules.WindowUs {
+				count++
+			}
+		}
+		elapsed := float64(start+rules.WindowUs/2-5*second) / float64(rules.DurationUs)
+		share := rules.InitialShare + (1-rules.InitialShare)*elapsed
+		budget := rules.Multiple * capacity * share * float64(rules.WindowUs) / 1e6
+		if limit := budget + 2*math.Sqrt(budget) + 2; float64(count) > limit {
+			t.Errorf("%v senders: %d calls from %.1f s, %.1f are allowed", senders, count, float64(start)/1e6, limit)
+		}
+	}
+}
+
+// A fall within the slow start lowers the estimate, and a further failure does not forget it.
+func TestFallLowersTheEstimate(t *testing.T) {
+	gate := Gate{}
+	gate.Suspect(0, manySenders, 2, 0.5)
+	gate.Recover(second, manySenders, 0)
+	gate.Fall(2 * second)
+	gate.Suspect(2*second, manySenders, 0.5, 0.5)
+	if gate.Capacity != 2*fallFactor {
+		t.Errorf("estimate %v after a fall, want %v", gate.Capacity, 2*fallFactor)
+	}
+	if gate.Until != 0 || !gate.Paced(100*second) {
+		t.Error("the slow start goes on after a fall, or the pacing ends without a success")
+	}
+}
--- a/internal/slowstart/transition.go
+++ b/internal/slowstart/transition.go
@@ -28,7 +28,8 @@
 	// route's capacity by its estimate.
 	CallsPerSecond    float64
 	CapacityPerSecond float64
-	Calls             int // calls that the previous phase let through
+	Calls             int  // calls that the previous phase let through
+	Violation         bool // the phase is as it was: a call was sent that the gate did not let through
 }
 
 // Phases returns all phases.
--- a/internal/testing/slowstartsoak/soak_test.go
+++ b/internal/testing/slowstartsoak/soak_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"brackendale/internal/app"
+	"brackendale/internal/testing/soak"
 )
 
 const serveKey = "BRACKENDALE_SLOWSTART_SERVE"
@@ -45,6 +46,21 @@
 	}
 }
 
+// Destinations that many senders share fall again, soon after their return, under the calls of senders that knew of
+// the outage.
+func TestSoakOfSharedRecoveries(t *testing.T) {
+	seeds, err := soak.ParseSeeds(os.Getenv("BRACKENDALE_SOAK"), 1, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, Draw(seed))
+		})
+	}
+}
+
 // Incident 489239: senders that had one or two failed calls in an outage overload the destination that has come back.
 func TestSendersWithOneFailureOverloadARecoveredDestination(t *testing.T) {
 	play(t, Scenario{
--- a/scheduler/breaker.go
+++ b/scheduler/breaker.go
@@ -72,12 +72,11 @@
 	mostlyFailing := rt.health.failureShare > failureShareUnavailable
 	repeated := rt.health.consecutiveFailures-rt.health.consecutiveRejections >= 2
 	noSuccess := s.now-rt.lastSuccessAt > outageAfterUs/3
-	switch {
-	case rt.health.unavailable, noSuccess && (repeated || mostlyFailing), rt.latency.samples == 0 && mostlyFailing:
+	rt.gate.ObserveFailure(s.now)
+	s.suspectOutage(rt)
+	// Where some calls succeed, single probe attempts would waste the remaining capacity.
+	if rt.health.unavailable || noSuccess && (repeated || mostlyFailing) || rt.latency.samples == 0 && mostlyFailing {
 		s.markUnavailable(rt)
-	case rt.health.failureShare-s.lastingFailureShare(rt) > failureShareUnavailable:
-		// Some calls succeed: with single probe attempts the remaining capacity would be wasted.
-		rt.slowStart.until = s.now + s.settings.Rules.SlowStartUs
 	}
 }
 
@@ -107,7 +106,8 @@
 		rt.health.unavailable = true
 		rt.maxInFlight = 1
 		rt.probe.intervalUs = probeIntervalMinUs
-		rt.slowStart.until = 0
+		rt.gate.Fall(s.now)
+		rt.gate.Suspect(s.now, s.slowStartRules(), s.capacityEstimate(rt), s.rng.Float64())
 		s.logRoute("%s is out: %d failures without a success for %d ms, trial calls only", rt, s.now)
 	}
 	// The probe attempts of all senders together stay below the load that the route accepts in slow start.
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -193,8 +193,8 @@
 			return false, at
 		}
 	}
-	if s.now < rt.slowStart.until && s.now < rt.slowStart.nextCallAt {
-		return false, rt.slowStart.nextCallAt
+	if at := s.slowStartAvailableAt(rt); s.now < at {
+		return false, at
 	}
 	if ok, at := s.admittedByBucket(rt); !ok {
 		return false, at
@@ -256,6 +256,9 @@
 	ep.currentCall = started
 	rt.calls = append(rt.calls, started)
 	rt.takeQuota(s.now)
+	if s.now < s.slowStartAvailableAt(rt) {
+		s.reportViolation(rt)
+	}
 	s.reportPhase(rt, reasonElapsed)
 	rt.phaseLog.calls++
 	s.takeConnection(ep, started)
@@ -266,7 +269,6 @@
 	rt.throughput.recordSend(s.now)
 	rt.lastSendAt = s.now
 	rt.lastSuccessAt = cmp.Or(rt.lastSuccessAt, s.now)
-	rt.slowStart.nextCallAt = max(rt.slowStart.nextCallAt, s.now)
 	return started
 }
 
--- a/scheduler/learned.go
+++ b/scheduler/learned.go
@@ -62,7 +62,7 @@
 
 // learnedPriority returns the priority with which a route is included in the learned state.
 func (s *Scheduler) learnedPriority(rt *route) int64 {
-	if rt.health.unavailable || rt.retryAfterUntil > s.now || rt.slowStart.until > s.now {
+	if rt.health.unavailable || rt.retryAfterUntil > s.now || rt.gate.Paced(s.now) {
 		return never
 	}
 	return rt.lastSendAt
@@ -105,7 +105,12 @@
 	rt.capacityHint = 0
 	rt.overtakenUntil = 0
 	rt.probe.intervalUs = 0
-	rt.slowStart.nextCallAt = 0
+	rt.gate.NextCallAt = 0
+	if source.gate.Paced(s.now) {
+		rt.gate.Capacity = roundToThreeDigits(source.gate.Capacity)
+	} else {
+		rt.gate.Capacity = 0
+	}
 
 	rt.bucket.limited = source.bucket.limited && (!source.bucket.inherited || source.bucket.decreasedAt > 0)
 	rt.bucket.rate = roundToThreeDigits(source.bucket.rate)
@@ -117,6 +122,7 @@
 	rt.throughput = throughput{
 		successRate:     roundToThreeDigits(source.throughput.successRate),
 		peakSuccessRate: roundToThreeDigits(source.throughput.peakSuccessRate),
+		sustainedRate:   roundToThreeDigits(s.sustainedRate(source)),
 	}
 	rt.latency.smoothedUs = 0
 	rt.latency.baselineUs = roundToThreeDigits(source.latency.baselineUs)
@@ -157,13 +163,17 @@
 const (
 	fingerprintID          = 0x9e3779b97f4a7c15
 	fingerprintUnavailable = 0x5bd1e995
+	fingerprintSuspected   = 0x27d4eb2f
 	fingerprintFactor      = 0xff51afd7ed558ccd
 )
 
 func (rt *route) fingerprint(id int64) uint64 {
 	limit := rt.advertisedLimit.State()
 	bits := uint64(id)*fingerprintID ^ math.Float64bits(limit[1])
-	bits ^= uint64(rt.slowStart.until)<<1 ^ uint64(rt.retryAfterUntil)<<2
+	if rt.gate.Suspected {
+		bits ^= fingerprintSuspected
+	}
+	bits ^= uint64(rt.gate.Until)<<1 ^ uint64(rt.retryAfterUntil)<<2
 	if rt.health.unavailable {
 		bits ^= fingerprintUnavailable
 	}
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -71,6 +71,7 @@
 	connectionRejected := s.isConnectionRejection(call, event)
 	s.recordConnect(call, event.Outcome, connectionRejected)
 	if connectionRejected && !call.route.health.unavailable {
+		s.observeRefusal(call.route, call)
 		s.limitConnections(call.endpoint)
 		return
 	}
@@ -103,6 +104,7 @@
 
 func (s *Scheduler) onRejection(call *call, event *Event) {
 	rt, ep := call.route, call.endpoint
+	s.observeRefusal(rt, call)
 	ep.failures[connectFailures].count = 0
 	ep.failures[rejections] = failureStreak{count: 1, since: s.now, lastAt: s.now}
 	// If headroom is left in the limit, the endpoint rejected because its own queue is full.
@@ -164,7 +166,9 @@
 	rt.latency.observe(float64(s.now - call.sentAt))
 	// During a Retry-After a success does not end the outage: the response was sent before the Retry-After.
 	staysUnavailable := rt.health.unavailable && s.now < rt.retryAfterUntil
-	if (s.isFailing(rt) || unresponsive) && !staysUnavailable {
+	s.suspectOutage(rt)
+	rt.gate.ObserveSuccess(s.now)
+	if (s.isFailing(rt) || rt.gate.Suspected || unresponsive) && !staysUnavailable {
 		s.beginRecovery(rt)
 	}
 	s.endRetryDelays(rt.destination)
--- a/scheduler/pacing.go
+++ b/scheduler/pacing.go
@@ -52,6 +52,8 @@
 	successRate     float64
 	successRateAt   int64
 	peakSuccessRate float64
+	sustainedRate   float64 // of successes, with the time constant of the arrival rates
+	sustainedAt     int64
 }
 
 // decay returns the share of a mean rate that remains after a time.
@@ -65,12 +67,19 @@
 	return tp.successRate * decay(now-tp.successRateAt)
 }
 
+// sustainedRateNow returns the rate of successes over a longer time.
+func (tp *throughput) sustainedRateNow(now int64) float64 {
+	return tp.sustainedRate * portablemath.Exp(-float64(now-tp.sustainedAt)/arrivalRateDecayUs)
+}
+
 func (tp *throughput) recordSend(now int64) {
 	tp.sendRate = tp.sendRateNow(now) + 1e6/throughputDecayUs
 	tp.sendRateAt = now
 }
 
 func (tp *throughput) recordSuccess(now int64) {
+	tp.sustainedRate = tp.sustainedRateNow(now) + 1e6/arrivalRateDecayUs
+	tp.sustainedAt = now
 	tp.successRate = tp.successRateNow(now) + 1e6/throughputDecayUs
 	tp.successRateAt = now
 	tp.peakSuccessRate = max(tp.peakSuccessRate*0.995, tp.successRate)
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -77,12 +77,12 @@
 		health := Health{
 			Destination:  id,
 			Unavailable:  rt.health.unavailable,
-			Recovering:   !rt.health.unavailable && now < rt.slowStart.until,
+			Recovering:   !rt.health.unavailable && now < rt.gate.Until,
 			HasPending:   len(dest.pending) > 0,
 			RetryAfterUs: max(0, rt.retryAfterUntil-now),
 		}
 		if health.Recovering {
-			health.RecoveringUs = max(0, s.settings.Rules.SlowStartUs-(rt.slowStart.until-now))
+			health.RecoveringUs = max(0, s.settings.Rules.SlowStartUs-(rt.gate.Until-now))
 		}
 		if health.Unavailable || health.Recovering || health.RetryAfterUs > 0 {
 			list = append(list, health)
--- a/scheduler/repairstate.go
+++ b/scheduler/repairstate.go
@@ -51,6 +51,7 @@
 	refilledAtRange  = floatRange{name: "refilledAt", low: -maxStoredUs, high: maxStoredUs}
 	shareRange       = floatRange{name: "share", high: maxStoredCount}
 	limitRange       = floatRange{name: "advertised limit", high: maxStoredUs}
+	capacityRange    = floatRange{name: "slow start's rate", high: unlimitedRate}
 )
 
 // Repair replaces the numbers of a state that are outside their ranges, and returns a description of each.
@@ -116,6 +117,11 @@
 			break
 		}
 	}
+	if saved := state.SlowStart; saved != nil {
+		rates := []float64{saved.Capacity, saved.SustainedRate}
+		repairFloats(rates, []floatRange{capacityRange, capacityRange}, where, report)
+		saved.Capacity, saved.SustainedRate = rates[0], rates[1]
+	}
 	limited := len(state.Flags) > bucketLimitedIndex && state.Flags[bucketLimitedIndex]
 	if limited && len(state.Floats) > bucketRateIndex && state.Floats[bucketRateIndex] == 0 {
 		report(where, "bucket.rate of a limited route", 0)
--- a/scheduler/restorelearned.go
+++ b/scheduler/restorelearned.go
@@ -112,6 +112,7 @@
 		rt.latency.deviationUs = learned.latency.deviationUs
 		rt.latency.baselineUs = learned.latency.baselineUs
 		rt.throughput.peakSuccessRate = learned.throughput.peakSuccessRate * weight
+		rt.throughput.sustainedRate, rt.throughput.sustainedAt = learned.throughput.sustainedRate, now
 	}
 	rt.health.failureShare = learned.health.lastingFailureShare * weight
 	rt.health.lastingFailureShare = rt.health.failureShare
@@ -164,8 +165,11 @@
 
 // restoreOutage restores an outage or a slow start that had not ended.
 func (s *Scheduler) restoreOutage(rt, learned *route, ageUs int64) {
-	switch {
-	case learned.health.unavailable && ageUs < learnedUnavailableUs:
+	learned.gate.Suspected = (learned.gate.Suspected || learned.health.unavailable) && ageUs < learnedUnavailableUs
+	if learned.gate.Paced(s.now) {
+		s.restoreSlowStart(rt, learned)
+	}
+	if learned.health.unavailable && ageUs < learnedUnavailableUs {
 		rt.health.failingSince = s.now
 		rt.health.lastFailureAt = s.now
 		rt.health.consecutiveFailures = 1
@@ -173,8 +177,5 @@
 		if learned.probe.nextAt > s.now && learned.probe.nextAt <= s.now+2*probeSpreadMaxUs {
 			rt.probe.nextAt = learned.probe.nextAt // for the same reason as firstCallAt
 		}
-	case learned.slowStart.until > s.now:
-		rt.slowStart.until = min(learned.slowStart.until, s.now+s.settings.Rules.SlowStartUs)
-		rt.slowStart.nextCallAt = s.now + int64(s.rng.Float64()*1e6/s.slowStartRate(rt))
 	}
 }
--- a/scheduler/route.go
+++ b/scheduler/route.go
@@ -6,6 +6,7 @@
 
 	"brackendale/internal/portablemath"
 	"brackendale/internal/quota"
+	"brackendale/internal/slowstart"
 )
 
 const (
@@ -43,7 +44,7 @@
 	latency         latencyEstimate
 	health          healthState
 	probe           probeState
-	slowStart       slowStartState
+	gate            slowstart.Gate
 	phaseLog        phaseLog
 	advertisedLimit quota.Limit
 	capacityHint    float64     // calls per second, this sender's share; 0: none
--- a/scheduler/savestate.go
+++ b/scheduler/savestate.go
@@ -98,9 +98,24 @@
 		Flags:           values(rt.flags()),
 		AdvertisedLimit: rt.advertisedLimit.State(),
 		FirstCallAt:     rt.firstCallAt,
+		SlowStart:       rt.slowStartState(),
 	}
 }
 
+// slowStartState returns nil if there is nothing to store.
+func (rt *route) slowStartState() *SlowStartState {
+	state := SlowStartState{
+		Suspected:     rt.gate.Suspected,
+		Capacity:      rt.gate.Capacity,
+		SustainedRate: rt.throughput.sustainedRate,
+		SustainedAt:   rt.throughput.sustainedAt,
+	}
+	if state == (SlowStartState{}) {
+		return nil
+	}
+	return &state
+}
+
 func (msg *message) state() MessageState {
 	return MessageState{
 		ID:             msg.id,
@@ -211,6 +226,10 @@
 // restore sets the state of a route. It reports false if the state is of another version.
 func (rt *route) restore(state RouteState) bool {
 	rt.advertisedLimit, rt.firstCallAt = quota.FromState(state.AdvertisedLimit), state.FirstCallAt
+	if saved := state.SlowStart; saved != nil {
+		rt.gate.Suspected, rt.gate.Capacity = saved.Suspected, saved.Capacity
+		rt.throughput.sustainedRate, rt.throughput.sustainedAt = saved.SustainedRate, saved.SustainedAt
+	}
 	return assign(rt.floats(), state.Floats) && assign(rt.integers(), state.Integers) &&
 		assign(rt.counts(), state.Counts) && assign(rt.flags(), state.Flags)
 }
--- a/scheduler/slowstart.go
+++ b/scheduler/slowstart.go
@@ -1,18 +1,17 @@
 package scheduler
 
-import "math"
+import "brackendale/internal/slowstart"
 
-const (
-	slowStartMarginMax = 1.3  // factor on a slow-start budget of few calls
-	slowStartMarginMin = 1.15 // factor on a slow-start budget of many calls
-	slowStartBatchCost = 0.25 // cost of each further message of a call, relative to the first
-	peakMinSamples     = 30   // number of responses after which the peak success rate estimates the capacity
-)
-
-// slowStartState paces the calls to a recovering route.
-type slowStartState struct {
-	until      int64
-	nextCallAt int64
+// slowStartRules returns the rules of the slow start in the form of the gate.
+func (s *Scheduler) slowStartRules() slowstart.Rules {
+	rules := &s.settings.Rules
+	return slowstart.Rules{
+		InitialShare: rules.SlowStartInitialShare,
+		Multiple:     rules.OverloadMultiple,
+		WindowUs:     rules.OverloadWindowUs,
+		DurationUs:   rules.SlowStartUs,
+		Senders:      s.senders,
+	}
 }
 
 // startListedSlowStart starts the slow start of a route if the endpoint list marks its only live endpoint as
@@ -29,62 +28,139 @@
 	}
 	rt := ep.route
 	rt.maxInFlight = 1
-	rt.slowStart.until = s.now + s.settings.Rules.SlowStartUs
-	rt.slowStart.nextCallAt = s.now
+	rt.gate.Recover(s.now, s.slowStartRules(), s.capacityEstimate(rt))
+	rt.gate.NextCallAt = s.now
 	s.reportPhase(rt, reasonListed)
 }
 
+// suspectOutage begins the pacing of a route's calls if there is evidence of an outage.
+func (s *Scheduler) suspectOutage(rt *route) {
+	if !rt.gate.Suspected && rt.gate.HasEvidence(s.now, rt.lastSuccessAt) {
+		rt.gate.Suspect(s.now, s.slowStartRules(), s.capacityEstimate(rt), s.rng.Float64())
+		s.retrySuspectedSoon(rt)
+	}
+}
+
+// retrySuspectedSoon lets one of few senders try a suspected route soon, whatever the estimate of its capacity: so few
+// calls harm no route, and the estimate may be missing.
+func (s *Scheduler) retrySuspectedSoon(rt *route) {
+	if s.contention == 0 {
+		rt.gate.NextCallAt = min(rt.gate.NextCallAt, s.now+probeIntervalMinUs)
+	}
+}
+
+// The numbers of refusals without a success between them that are an outage. One of many senders sends too few calls to
+// see more of them in an outage, one of few senders has more of them at a limit.
+const (
+	refusalsOfOutageAmongFew  = 3
+	refusalsOfOutageAmongMany = 2
+	manySendersContention     = 0.5
+)
+
+// observeRefusal counts a refused call of a route.
+func (s *Scheduler) observeRefusal(rt *route, call *call) {
+	refusals := refusalsOfOutageAmongFew
+	if s.contention > manySendersContention {
+		refusals = refusalsOfOutageAmongMany
+	}
+	rt.gate.ObserveRefusal(s.now, call.sentAt, refusals)
+	s.suspectOutage(rt)
+}
+
 // beginRecovery starts the slow start of a route that responds again.
 func (s *Scheduler) beginRecovery(rt *route) {
-	rt.slowStart.until = s.now + s.settings.Rules.SlowStartUs
-	rt.slowStart.nextCallAt = s.now + int64(1e6/s.slowStartRate(rt))
+	rt.gate.Recover(s.now, s.slowStartRules(), s.capacityEstimate(rt))
 	rt.maxInFlight = 1
 	s.logRoute("%s answers again after %d failures and %d ms, its load returns in steps", rt, s.now)
 }
 
-// chargeSlowStart delays the next call to a route in slow start by the cost of one message.
-func (s *Scheduler) chargeSlowStart(rt *route, call *call) {
-	if s.now < rt.slowStart.until {
-		cost := 1 - (1-slowStartBatchCost)*float64(min(call.size, 1))
-		rt.slowStart.nextCallAt += int64(cost * 1e6 / s.slowStartRate(rt))
-	}
-}
-
 // slowStartRate returns this sender's share, in calls per second, of the load that a route accepts in
 // slow start, by a low estimate of its capacity.
 func (s *Scheduler) slowStartRate(rt *route) float64 {
-	rules := &s.settings.Rules
-	elapsedShare := 0.0 // share of the slow start that has passed
-	if rt.slowStart.until > 0 && rules.SlowStartUs > 0 {
-		elapsedShare = 1 - max(0, float64(rt.slowStart.until-s.now)/float64(rules.SlowStartUs))
-	}
-	share := rules.SlowStartInitialShare + (1-rules.SlowStartInitialShare)*elapsedShare
-	rate := s.capacityEstimate(rt) * share * max(1, rules.OverloadMultiple)
-	rate *= s.slowStartMargin(rate)
-	return max(rate, 1e6/(float64(max(rules.OverloadWindowUs, 500_000))*float64(s.settings.Senders)))
+	return rt.gate.Rate(s.now, s.slowStartRules(), s.capacityEstimate(rt))
 }
 
-// capacityEstimate returns a low estimate of this sender's share of a route's capacity, in calls per
-// second. With many senders the sum of their arrival rates is the best estimate of the capacity.
+// capacityEstimate returns a low estimate of this sender's share of a route's capacity, in calls per second: what the
+// destination tells, or what the route has taken from this sender lately. The demand is no estimate: a backlog or a
+// load above the capacity would raise it.
 func (s *Scheduler) capacityEstimate(rt *route) float64 {
-	if s.hasSharedLimit(rt) {
-		return rt.advertisedLimit.EvenShare(s.senders)
+	switch {
+	case s.hasSharedLimit(rt):
+		return min(unlimitedRate, rt.advertisedLimit.EvenShare(s.senders))
+	case rt.capacityHint > 0:
+		return min(unlimitedRate, rt.capacityHint)
+	}
+	switch {
+	case s.isLearningCapacity(rt):
+		return max(s.sustainedRate(rt), s.arrivalRate(rt)*s.meanCorrection()/unknownCapacityDivisor)
+	case rt.latency.samples == 0: // it has taken nothing yet
+		return s.arrivalRate(rt) * s.meanCorrection() / unknownCapacityDivisor
+	case s.isYoung():
+		return s.sustainedRate(rt) / unknownCapacityDivisor
 	}
-	capacity := max(s.arrivalRate(rt)*s.contention, rt.capacityHint, rt.throughput.peakSuccessRate/s.senderFactor)
-	if rt.latency.samples < peakMinSamples {
-		startupFactor := s.recovery.MeanBiasCorrection(s.now-s.startedAt, arrivalRateDecayUs)
-		capacity = max(capacity, s.arrivalRate(rt)*startupFactor/slowStartMarginMax)
+	return s.sustainedRate(rt)
+}
+
+const (
+	unknownCapacityDivisor = 1.3 // of the demand, or of a young mean, where it is the only estimate of a capacity
+	learningMaxSamples     = 30  // responses up to which one of few senders does not know what a route takes
+)
+
+// isLearningCapacity reports whether this sender is one of few and does not know yet what a route takes: what it has
+// been told to send is an estimate until then.
+func (s *Scheduler) isLearningCapacity(rt *route) bool {
+	return s.contention == 0 && rt.latency.samples < learningMaxSamples
+}
+
+// isYoung reports whether this incarnation is the first one and has not run for long enough to have an estimate by what
+// routes have taken.
+func (s *Scheduler) isYoung() bool {
+	return !s.recovery.Restarted() && s.now-s.startedAt < arrivalRateDecayUs
+}
+
+// updateCapacity updates the estimate of a paced route where the one at the first evidence of an outage was a poor one.
+func (s *Scheduler) updateCapacity(rt *route) {
+	switch {
+	case !rt.gate.Paced(s.now):
+	case s.isLearningCapacity(rt):
+		rt.gate.Capacity = s.capacityEstimate(rt)
+	case s.isYoung():
+		rt.gate.Capacity = max(rt.gate.Capacity, s.capacityEstimate(rt))
 	}
-	return capacity
 }
 
-// slowStartMargin returns the factor by which all senders together may exceed the low estimate of a
-// budget. rate is this sender's share of the budget. The factor decreases with the number of calls in
-// the budget, since their random variation matters less.
-func (s *Scheduler) slowStartMargin(rate float64) float64 {
-	totalCalls := rate * s.senders * float64(s.settings.Rules.OverloadWindowUs) / 1e6
-	if totalCalls <= 0 {
-		return slowStartMarginMax
+// sustainedRate returns the rate of successes of a route over some time, in calls per second.
+func (s *Scheduler) sustainedRate(rt *route) float64 {
+	return rt.throughput.sustainedRateNow(s.now) * s.meanCorrection()
+}
+
+// meanCorrection returns the bias correction of means with the time constant arrivalRateDecayUs.
+func (s *Scheduler) meanCorrection() float64 {
+	return s.recovery.MeanBiasCorrection(s.now-s.startedAt, arrivalRateDecayUs)
+}
+
+// slowStartAvailableAt returns the time from which the slow start lets a call to a route through, which may have
+// passed. Probe attempts have a time of their own, by the same rate.
+func (s *Scheduler) slowStartAvailableAt(rt *route) int64 {
+	s.suspectOutage(rt)
+	if rt.health.unavailable {
+		return s.now
+	}
+	return rt.gate.AvailableAt(s.now)
+}
+
+// chargeSlowStart charges a message of a call to a route's slow-start budget.
+func (s *Scheduler) chargeSlowStart(rt *route, call *call) {
+	s.updateCapacity(rt)
+	rt.gate.Take(s.now, s.slowStartRules(), call.size == 0)
+}
+
+// restoreSlowStart restores the evidence of an outage, or a slow start, that the previous incarnation had.
+func (s *Scheduler) restoreSlowStart(rt, learned *route) {
+	rt.gate.State = learned.gate.State
+	rt.gate.Until = min(learned.gate.Until, s.now+s.slowStartRules().PacedUs())
+	if rt.gate.Capacity == 0 {
+		rt.gate.Capacity = s.capacityEstimate(rt)
 	}
-	return min(slowStartMarginMax, slowStartMarginMin+1/math.Sqrt(totalCalls))
+	rt.gate.Resume(s.now, s.slowStartRules(), s.rng.Float64())
 }
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -35,6 +35,16 @@
 	Flags           []bool     `json:"Flags"`
 	AdvertisedLimit [3]float64 `json:"Told"`
 	FirstCallAt     int64      `json:"First,omitempty"` // no call is sent earlier
+	// SlowStart is nil in a state of earlier versions, and for a route that has none of it.
+	SlowStart *SlowStartState `json:"Slow,omitempty"`
+}
+
+// SlowStartState is what a route's state has of its recovery beside the times of its slow start.
+type SlowStartState struct {
+	Suspected     bool    `json:"Suspected,omitempty"`
+	Capacity      float64 `json:"Capacity,omitempty"`  // calls per second
+	SustainedRate float64 `json:"Sustained,omitempty"` // calls per second, as of SustainedAt
+	SustainedAt   int64   `json:"At,omitempty"`
 }
 
 // EndpointState is the state of an endpoint. OwnRoute is nil if it shares the destination's route.
@@ -115,8 +125,8 @@
 		&rt.health.failureShareAt,
 		&rt.probe.nextAt,
 		&rt.probe.intervalUs,
-		&rt.slowStart.until,
-		&rt.slowStart.nextCallAt,
+		&rt.gate.Until,
+		&rt.gate.NextCallAt,
 		&rt.overtakenUntil,
 	}
 }
--- a/scheduler/transitions.go
+++ b/scheduler/transitions.go
@@ -23,9 +23,9 @@
 	switch {
 	case rt.health.unavailable:
 		return slowstart.Unavailable
-	case s.now < rt.slowStart.until:
+	case s.now < rt.gate.Until:
 		return slowstart.Recovering
-	case rt.health.consecutiveFailures > 0:
+	case rt.gate.Suspected:
 		return slowstart.Suspected
 	}
 	return slowstart.Healthy
@@ -37,6 +37,18 @@
 	if phase == rt.phaseLog.reported {
 		return
 	}
+	s.transitions = append(s.transitions, s.transition(rt, phase, reason))
+	rt.phaseLog = phaseLog{reported: phase}
+}
+
+// reportViolation reports a call that the gate of its route does not let through.
+func (s *Scheduler) reportViolation(rt *route) {
+	violation := s.transition(rt, s.phase(rt), "")
+	violation.Violation = true
+	s.transitions = append(s.transitions, violation)
+}
+
+func (s *Scheduler) transition(rt *route, phase slowstart.Phase, reason string) slowstart.Transition {
 	transition := slowstart.Transition{
 		Destination:       rt.destination.id,
 		Endpoint:          rt.endpointAddr,
@@ -49,6 +61,5 @@
 	if phase != slowstart.Healthy {
 		transition.CallsPerSecond = s.slowStartRate(rt)
 	}
-	s.transitions = append(s.transitions, transition)
-	rt.phaseLog = phaseLog{reported: phase}
+	return transition
 }
--- a/sender/step.go
+++ b/sender/step.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"brackendale/internal/eventlog"
 	"brackendale/internal/failpoint"
 	"brackendale/internal/journal"
+	"brackendale/internal/lifecycle"
+	"brackendale/internal/slowstart"
 	"brackendale/scheduler"
 )
 
@@ -66,7 +69,7 @@
 	now := int64(s.Now())
 	decided.actions = s.scheduler.Step(now, decided.input.events)
 	for _, transition := range s.scheduler.Transitions() {
-		s.events.RecordTransition(transition)
+		s.recordTransition(transition)
 	}
 	if s.tracer != nil {
 		destination := func(addr string) int64 { return s.routes[addr].Destination }
@@ -88,6 +91,17 @@
 	return decided
 }
 
+// recordTransition records a change of the phase of a route's recovery, or a call that its slow start forbids.
+func (s *Sender) recordTransition(transition slowstart.Transition) {
+	if !transition.Violation {
+		s.events.RecordTransition(transition)
+		return
+	}
+	s.events.RecordViolation(eventlog.Event{
+		Endpoint: transition.Endpoint, Reason: string(lifecycle.BeyondSlowStart), Recovery: &transition,
+	})
+}
+
 // record adds the decisions of the step to the journal record that flush writes.
 func (s *Sender) record(decided *decision) {
 	for _, transaction := range decided.input.transactions {
