Unfinished commands of all clients together are bounded by the memory limit

Cause: each connection may hold a command of 72 KB, in a buffer of 160 KB, and nothing bounded the sum. Change: the ingress counts the memory of unfinished commands; beyond a tenth of memory_mb those that have been unfinished for longest get an error, clients with requests that wait for their reply last. A buffer class of 72 KB holds the largest command. memory_mb under 24 is refused: idle, a process has 16 MB.

--- a/internal/app/limits.go
+++ b/internal/app/limits.go
@@ -18,6 +18,8 @@
 	runtimeMemoryShare = 0.7
 	// unsentMemoryShare is for output buffered for peers that read slowly or not at all.
 	unsentMemoryShare = 0.1
+	// partialMemoryShare is for commands of which a part has arrived.
+	partialMemoryShare = 0.1
 )
 
 // fitDescriptors checks the configured number of connections against the process's limit on open files. If it exceeds
--- a/internal/app/memory_test.go
+++ b/internal/app/memory_test.go
@@ -49,7 +49,7 @@
 	return float64(kb) / 1024
 }
 
-// writeSlowly writes nine tenths of a command at once and then a byte each 0.2 s, until ctx ends or the connection does.
+// writeSlowly writes nine tenths of a command at once and then a byte each 0.2 s, until ctx or the connection ends.
 func writeSlowly(ctx context.Context, addr string, command []byte) {
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
@@ -74,7 +74,8 @@
 	body := strings.Repeat("x", unfinishedBody)
 	manyFields := "c=charge,d=9000,dest=7" + strings.Repeat(",a=", unfinishedBody/3)
 	for name, arguments := range map[string][]string{
-		"large body": {"SUBMIT", "0", "m", "c=charge,d=9000,dest=7", body}, "many fields": {"SUBMIT", "0", "m", manyFields, "b"},
+		"large body":  {"SUBMIT", "0", "m", "c=charge,d=9000,dest=7", body},
+		"many fields": {"SUBMIT", "0", "m", manyFields, "b"},
 	} {
 		for _, memoryMB := range []int{32, 48} {
 			t.Run(fmt.Sprintf("%s, %d MB", name, memoryMB), func(t *testing.T) {
--- a/internal/app/transport_start.go
+++ b/internal/app/transport_start.go
@@ -113,6 +113,7 @@
 	appliance := params.cfg.Resp.Listen != ""
 	table := t.newTable(platform.Front, params.cfg)
 	t.platformIngress = platform.NewIngress(params.core, params.reactor, finalsAddr(params.cfg), table, appliance)
+	t.platformIngress.LimitPartialMemory(int(params.cfg.Limits.MemoryMB * partialMemoryShare * (1 << 20)))
 	t.platformIngress.SetNoticeRoom(t.endpointBudget)
 	params.core.AddIngress(platform.Front, t.platformIngress)
 	params.core.Metrics().AddMetrics(t.platformIngress.CollectMetrics)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -41,6 +41,9 @@
 	DiskMB   float64 `json:"disk_mb" toml:"disk_mb"`
 }
 
+// minMemoryMB is the least memory with which hundreds of clients with unfinished commands can be held.
+const minMemoryMB = 24
+
 // EndpointList is the registry's endpoint list, or an update of it.
 type EndpointList struct {
 	Seq   int64  `json:"seq"`   // the version of the list
@@ -227,8 +230,8 @@
 	switch {
 	case !(limits.Cores > 0):
 		return keyErrorf("limits.cores", "%v is not above 0", limits.Cores)
-	case !(limits.MemoryMB >= 16):
-		return keyErrorf("limits.memory_mb", "%v is under 16", limits.MemoryMB)
+	case !(limits.MemoryMB >= minMemoryMB):
+		return keyErrorf("limits.memory_mb", "%v is under %d", limits.MemoryMB, minMemoryMB)
 	case limits.Sockets < 32:
 		return keyErrorf("limits.sockets", "%d is under 32", limits.Sockets)
 	case !(limits.DiskMB >= 0.05):
--- a/internal/net/partial/buffer.go
+++ b/internal/net/partial/buffer.go
@@ -5,7 +5,7 @@
 import "sync"
 
 // sizes are the capacities of pooled buffers, in bytes. A larger buffer is left to the garbage collector.
-var sizes = [...]int{512, 4 << 10, 32 << 10, 160 << 10}
+var sizes = [...]int{512, 4 << 10, 32 << 10, 72 << 10, 160 << 10}
 
 var pools [len(sizes)]sync.Pool
 
@@ -39,6 +39,9 @@
 // Len returns the number of stored bytes.
 func (b *Buffer) Len() int { return len(b.data) }
 
+// Capacity returns the memory that the buffer holds, in bytes.
+func (b *Buffer) Capacity() int { return cap(b.data) }
+
 // Append returns the stored bytes followed by those of read. The result is valid until the next call of Append, Store
 // or Reset. read is not changed; if nothing is stored, the result is read itself.
 func (b *Buffer) Append(read []byte) []byte {
--- a/internal/net/platform/client.go
+++ b/internal/net/platform/client.go
@@ -74,7 +74,7 @@
 	}
 	in := cl.ingress
 	startsCommand := cl.buffer.Len() == 0
-	data = cl.buffer.Append(data)
+	data = cl.appendToBuffer(data)
 	for len(data) > 0 && !cl.closing {
 		elements, size, err := resp.Parse(data, in.elements)
 		if err == nil && len(cl.replies) >= maxPendingReplies {
@@ -92,12 +92,13 @@
 		data = data[size:]
 		startsCommand = true
 	}
-	cl.buffer.Store(data)
 	if cl.closing {
-		cl.buffer.Reset()
+		data = nil
 	}
+	cl.storeInBuffer(data)
 	in.core.Submit(in.batch...)
 	in.batch = nil
+	defer in.freePartialMemory()
 	if !cl.flush() && startsCommand && cl.buffer.Len() > 0 {
 		cl.updateClass()
 	}
@@ -121,7 +122,7 @@
 // InputEnded answers the requests that are pending, and then closes the connection: a client may end its sending behind
 // its request and wait for the reply.
 func (cl *client) InputEnded(*reactor.Conn) {
-	cl.buffer.Reset()
+	cl.storeInBuffer(nil)
 	cl.closing = true
 	cl.flush()
 }
@@ -131,7 +132,7 @@
 	cl.recordClosed(err)
 	cl.closing = true
 	cl.ingress.table.Remove(&cl.Entry)
-	cl.buffer.Reset()
+	cl.storeInBuffer(nil)
 	for _, pending := range cl.replies {
 		if pending.text == nil {
 			cl.ingress.core.Withdraw(pending.request)
@@ -164,7 +165,7 @@
 	}
 	in.batch = nil
 	cl.reply(text)
-	cl.buffer.Reset()
+	cl.storeInBuffer(nil)
 	cl.closing = true
 	in.table.Remove(&cl.Entry)
 	cl.flush()
--- a/internal/net/platform/ingress.go
+++ b/internal/net/platform/ingress.go
@@ -57,6 +57,7 @@
 	notices        *notices
 	table          *conntable.Table
 	limiter        *connlimit.Limiter
+	partialMemory  partialMemory
 	sendRetryAfter bool // rejected connections get OverLimitReply, and notices may have the field again
 
 	// The state of the read that is being handled, which belongs to one client.
