Load tool: a step's histograms do not change any more once they are counted

Cause: Step.record took the histograms by reference; a client that recorded late changed them between the count and the encoding, so that merged counts did not match. Change: copies, under the lock. Result: TestLateRecordInAFinishedStep fails without the change (2 in the histogram, 1 counted).

--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -153,3 +153,15 @@
 		t.Fatalf("%v %+v", err, both.Steps)
 	}
 }
+
+// A client that records late changed a step's histograms after its count was taken: the merged counts did not match.
+func TestLateRecordInAFinishedStep(t *testing.T) {
+	seen, step := newTally(), &Step{}
+	seen.update(func() { seen.record(seen.accepted, time.Now()) })
+	now := time.Now()
+	step.record(sample{at: now.Add(-time.Second)}, sample{at: now}, seen)
+	seen.update(func() { seen.record(seen.accepted, time.Now()) })
+	if count := step.accepted.TotalCount(); count != 1 || step.Accepted.Count != 1 {
+		t.Errorf("%d recorded in the step's histogram, %d counted, want 1 and 1", count, step.Accepted.Count)
+	}
+}
--- a/internal/load/measure.go
+++ b/internal/load/measure.go
@@ -7,6 +7,8 @@
 	"maps"
 	"os"
 	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 // defaultStallTimeout applies where Plan.Limit is 0.
@@ -117,7 +119,9 @@
 	failures := maps.Clone(after.errors)
 	seen.update(func() {
 		s.Rejected, s.Failed = seen.rejected, seen.failed
-		s.accepted, s.answered = seen.accepted, seen.answered
+		// Copies, since a client that is late may still record what belongs to these results.
+		s.accepted = hdrhistogram.Import(seen.accepted.Export())
+		s.answered = hdrhistogram.Import(seen.answered.Export())
 		for text, count := range seen.errors {
 			failures[text] += count
 		}
