Tests of the slow start: a test for each mend that fails without it

Cause: with three mends of the slow start taken out alone, only golden hashes failed. Change: a test each for the budgets of all senders together, for the end of the pacing, and a clump that is partly sent.

--- a/internal/slowstart/gate_test.go
+++ b/internal/slowstart/gate_test.go
@@ -97,9 +97,9 @@
 // whenever the route returns, also if it fell again.
 func TestSumOfPacedCalls(t *testing.T) {
 	for _, senders := range []float64{5, 49, 900} {
+		capacity := 40.0 // calls per second of all senders
 		rules := manySenders
 		rules.Senders = senders
-		capacity := 40.0 // calls per second of all senders
 		rng := rand.New(rand.NewSource(7))
 		var calls []int64
 		for range int(senders) {
@@ -140,6 +140,35 @@
 	}
 }
 
+// The budgets of all senders together are what the route takes, and half of what it takes by chance.
+func TestBudgetsTogether(t *testing.T) {
+	for _, senders := range []float64{5, 49, 900} {
+		rules := manySenders
+		rules.Senders = senders
+		gate := Gate{}
+		gate.Suspect(0, rules, 1, 0.5)
+		budget := rules.InitialShare * rules.Multiple * senders * float64(rules.WindowUs) / 1e6
+		calls := gate.Rate(0, rules, 0) * senders * float64(rules.WindowUs) / 1e6
+		if calls > budget+math.Sqrt(budget)+minCalls {
+			t.Errorf("%v senders may send %.1f calls in a window, the budget is %.1f", senders, calls, budget)
+		}
+	}
+}
+
+// What has become pending in the slow start does not leave at once when the route has its whole capacity.
+func TestPacingEndsBehindTheSlowStart(t *testing.T) {
+	gate := Gate{}
+	gate.Recover(0, manySenders, 2)
+	whole := manySenders.DurationUs
+	if !gate.Paced(whole+second) || gate.Paced(2*whole) {
+		t.Errorf("paced a second behind the slow start: %v, long behind it: %v", gate.Paced(whole+second),
+			gate.Paced(2*whole))
+	}
+	if rate, later := gate.Rate(whole, manySenders, 0), gate.Rate(whole+second, manySenders, 0); rate != later {
+		t.Errorf("%.2f calls per second at the end of the slow start, %.2f a second later", rate, later)
+	}
+}
+
 // A fall within the slow start lowers the estimate, and a further failure does not forget it.
 func TestFallLowersTheEstimate(t *testing.T) {
 	gate := Gate{}
--- a/scheduler/suspicion_test.go
+++ b/scheduler/suspicion_test.go
@@ -66,6 +66,9 @@
 	for range 40 {
 		rig.step(rig.request("safe", 1))
 	}
+	if _, ok := rig.runUntil(9_000*ms, func(action Action) bool { return action.Kind == StartAttempt }); !ok {
+		t.Fatal("no call in 9 s")
+	}
 	if after := rig.sched.slowStartRate(rt); after > before {
 		t.Errorf("%.3f calls per second before the messages came, %.3f since", before, after)
 	}
