Slow start behind a silent outage whose calls are given up at its first success

Cause: the calls of a silent outage end only when the first success behind it makes the sender give them up, or later by their timeout; the success itself met no evidence and began no slow start, and all that was pending left. One lost call of a lone sender is no outage (TestRateAfterManySuccesses). Change: a call that was sent in a time without successes, and fails or is given up behind it, begins the slow start as of the success that ended that time; among few senders it takes two.

--- a/internal/slowstart/evidence.go
+++ b/internal/slowstart/evidence.go
@@ -24,6 +24,9 @@
 	observed     int // outcomes, up to minHistory
 	recent       outcomeCounts
 	lastingShare float64 // of failures
+	gapFrom      int64   // the last time of more than suspicionGapUs without a success, up to gapTo
+	gapTo        int64
+	gapCalls     int // calls of that time that have failed or were given up behind it
 }
 
 // outcomeCounts are exponentially decaying numbers of outcomes.
@@ -62,9 +65,12 @@
 	}
 }
 
-// ObserveSuccess counts a success.
-func (g *Gate) ObserveSuccess(now int64) {
+// ObserveSuccess counts a success. previousAt is the time of the one before, or of the first call; 0: there was none.
+func (g *Gate) ObserveSuccess(now, previousAt int64) {
 	e := &g.evidence
+	if previousAt > 0 && now-previousAt > suspicionGapUs {
+		e.gapFrom, e.gapTo, e.gapCalls = previousAt, now, 0
+	}
 	e.observe(now, 0, 1)
 	e.failed, e.refusals = false, 0
 }
@@ -89,6 +95,25 @@
 	}
 }
 
+// MissedReturn reports whether a call that fails or is given up now, and was sent at sentAt, shows that the last gap
+// between successes was an outage: the success that ended it began no slow start. It takes that number of calls.
+func (g *Gate) MissedReturn(now, sentAt int64, rules Rules, calls int) bool {
+	e := &g.evidence
+	if g.Paced(now) || sentAt <= e.gapFrom || sentAt >= e.gapTo || now >= e.gapTo+rules.PacedUs() {
+		return false
+	}
+	e.gapCalls++
+	return e.gapCalls >= calls
+}
+
+// RecoverLate begins the slow start of a route whose return was missed, as of that return. phase is a random number in
+// [0, 1).
+func (g *Gate) RecoverLate(now int64, rules Rules, capacity, phase float64) {
+	g.Capacity, g.Suspected = capacity, false
+	g.Until = g.evidence.gapTo + rules.PacedUs()
+	g.NextCallAt = g.after(now, rules, phase)
+}
+
 // HasEvidence reports whether the outcomes until now are evidence of an outage. succeededAt is the time of the last
 // success, or of the first call if there was none.
 func (g *Gate) HasEvidence(now, succeededAt int64) bool {
--- a/internal/slowstart/gate_test.go
+++ b/internal/slowstart/gate_test.go
@@ -28,7 +28,7 @@
 		succeededAt := now - 3*second
 		for i := range tc.successesPerSecond * 10 {
 			succeededAt = now - 10*second + i*second/tc.successesPerSecond
-			gate.ObserveSuccess(succeededAt)
+			gate.ObserveSuccess(succeededAt, succeededAt)
 		}
 		for range tc.failures {
 			gate.ObserveFailure(now)
@@ -36,7 +36,7 @@
 		if got := gate.HasEvidence(now+tc.waitUs, succeededAt); got != tc.want {
 			t.Errorf("%s: evidence %v, want %v", name, got, tc.want)
 		}
-		gate.ObserveSuccess(now + tc.waitUs)
+		gate.ObserveSuccess(now+tc.waitUs, succeededAt)
 		if gate.HasEvidence(now+tc.waitUs, now+tc.waitUs) {
 			t.Errorf("%s: a success leaves evidence", name)
 		}
@@ -52,7 +52,7 @@
 			if rng.Float64() < failedShare {
 				gate.ObserveFailure(now)
 			} else {
-				gate.ObserveSuccess(now)
+				gate.ObserveSuccess(now, succeededAt)
 				succeededAt = now
 			}
 			if gate.HasEvidence(now, succeededAt) {
@@ -79,7 +79,7 @@
 		if gate.HasEvidence(now, now-2*second) {
 			t.Fatal("one refusal after a success is evidence")
 		}
-		gate.ObserveSuccess(now + second)
+		gate.ObserveSuccess(now+second, now)
 	}
 	now += 3 * second
 	gate.ObserveRefusal(now, now-1, 2)
@@ -183,3 +183,21 @@
 		t.Error("the slow start goes on after a fall, or the pacing ends without a success")
 	}
 }
+
+// A call that times out behind the first success of its route's return begins the slow start as of that success.
+func TestReturnMissedBehindATimeout(t *testing.T) {
+	gate := Gate{}
+	gate.ObserveSuccess(10*second, 9*second)
+	gate.ObserveSuccess(13*second, 10*second) // the route was silent for some time before
+	gate.ObserveFailure(14 * second)
+	if gate.MissedReturn(14*second, 13*second+1, manySenders, 1) {
+		t.Error("a call that was sent behind the return shows an outage")
+	}
+	if !gate.MissedReturn(14*second, 11*second, manySenders, 1) {
+		t.Fatal("a call of the outage shows none")
+	}
+	gate.RecoverLate(14*second, manySenders, 2, 0.5)
+	if want := 13*second + manySenders.PacedUs(); gate.Until != want || gate.NextCallAt <= 14*second {
+		t.Errorf("slow start until %d, next call at %d; want %d and later than now", gate.Until, gate.NextCallAt, want)
+	}
+}
--- a/scheduler/breaker.go
+++ b/scheduler/breaker.go
@@ -73,6 +73,7 @@
 	repeated := rt.health.consecutiveFailures-rt.health.consecutiveRejections >= 2
 	noSuccess := s.now-rt.lastSuccessAt > outageAfterUs/3
 	rt.gate.ObserveFailure(s.now)
+	s.recoverIfMissed(rt, call)
 	s.suspectOutage(rt)
 	// Where some calls succeed, single probe attempts would waste the remaining capacity.
 	if rt.health.unavailable || noSuccess && (repeated || mostlyFailing) || rt.latency.samples == 0 && mostlyFailing {
--- a/scheduler/concurrency.go
+++ b/scheduler/concurrency.go
@@ -144,6 +144,9 @@
 	rt.overtakenUntil = max(rt.overtakenUntil, completed.sentAt-1)
 	for _, other := range rt.calls {
 		if other.sentAt < completed.sentAt && s.isOverdue(rt, other.sentAt) && s.now-other.sentAt > other.cancelAfterUs() {
+			if !other.canceled {
+				s.recoverIfMissed(rt, other)
+			}
 			s.cancelCall(other, false)
 		}
 	}
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -167,7 +167,7 @@
 	// During a Retry-After a success does not end the outage: the response was sent before the Retry-After.
 	staysUnavailable := rt.health.unavailable && s.now < rt.retryAfterUntil
 	s.suspectOutage(rt)
-	rt.gate.ObserveSuccess(s.now)
+	rt.gate.ObserveSuccess(s.now, rt.lastSuccessAt)
 	if (s.isFailing(rt) || rt.gate.Suspected || unresponsive) && !staysUnavailable {
 		s.beginRecovery(rt)
 	}
--- a/scheduler/slowstart.go
+++ b/scheduler/slowstart.go
@@ -55,6 +55,10 @@
 	refusalsOfOutageAmongFew  = 3
 	refusalsOfOutageAmongMany = 2
 	manySendersContention     = 0.5
+
+	// The numbers of calls that are lost in a time without successes from which on it was an outage.
+	lostCallsOfOutageAmongFew  = 2
+	lostCallsOfOutageAmongMany = 1
 )
 
 // observeRefusal counts a refused call of a route.
@@ -74,6 +78,18 @@
 	s.logRoute("%s answers again after %d failures and %d ms, its load returns in steps", rt, s.now)
 }
 
+// recoverIfMissed begins the slow start of a route that had an outage and has responded since, as a call shows that has
+// failed or was given up.
+func (s *Scheduler) recoverIfMissed(rt *route, call *call) {
+	calls := lostCallsOfOutageAmongFew
+	if s.contention > manySendersContention {
+		calls = lostCallsOfOutageAmongMany
+	}
+	if rules := s.slowStartRules(); rt.gate.MissedReturn(s.now, call.sentAt, rules, calls) {
+		rt.gate.RecoverLate(s.now, rules, s.capacityEstimate(rt), s.rng.Float64())
+	}
+}
+
 // slowStartRate returns this sender's share, in calls per second, of the load that a route accepts in
 // slow start, by a low estimate of its capacity.
 func (s *Scheduler) slowStartRate(rt *route) float64 {
