App tests: the appliance stops before its state folder is removed

Cause: it and TestShutdownPhases started Serve with the test's context, which ends just before the cleanups; nobody waited for Serve, so that it wrote its state while the folder was removed. serveAppliance already waited for this; the two now use the same start, which stops the sender and waits for its end in a cleanup that runs before the one of the folder.

The assertions of both tests are as they were; an appliance that does not end now hangs the test in place of passing.

--- a/internal/app/idle_test.go
+++ b/internal/app/idle_test.go
@@ -69,18 +69,25 @@
 func serveAppliance(t *testing.T) *appliance {
 	t.Helper()
 	instance := newAppliance(t)
+	instance.start()
+	return instance
+}
+
+// start starts the appliance with the configuration that was written, and waits until it listens. It is stopped at the
+// end of the test.
+func (a *appliance) start() {
+	a.t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		instance.exited <- Serve(ctx, instance.configFile, Options{})
+		a.exited <- Serve(ctx, a.configFile, Options{})
 	}()
-	t.Cleanup(func() { // the state folder is removed after this cleanup: the sender must no longer write to it
+	a.t.Cleanup(func() { // the state folder is removed after this cleanup: the sender must no longer write to it
 		cancel()
 		<-ended
 	})
-	instance.waitListening()
-	return instance
+	a.waitListening()
 }
 
 // newAppliance writes the configuration file of an appliance, without starting it.
--- a/internal/app/shutdown_test.go
+++ b/internal/app/shutdown_test.go
@@ -59,8 +59,7 @@
 			<-release
 		}
 	})()
-	go func() { appliance.exited <- Serve(t.Context(), appliance.configFile, Options{}) }()
-	appliance.waitListening()
+	appliance.start()
 	type client struct {
 		net.Conn
 		in *bufio.Reader
--- a/internal/app/stalling_consumer_test.go
+++ b/internal/app/stalling_consumer_test.go
@@ -148,8 +148,7 @@
 	if err := os.WriteFile(appliance.configFile, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	go func() { appliance.exited <- Serve(t.Context(), appliance.configFile, Options{}) }()
-	appliance.waitListening()
+	appliance.start()
 	answers, gate, stop := &consumerAnswers{byCorrelationID: map[string]string{}}, &sync.RWMutex{}, make(chan bool)
 	var consumer sync.WaitGroup
 	consumer.Add(1)
