Hot restart: the endpoint that has a moved address now is the one that keeps it

Found by the golden state's round trip (an endpoint was missing from the state behind a hot restart). Callers saw: an address moves from one destination to another while a call to it is in flight, and an upgrade falls into that time. The new process gave the address to whichever destination came last in the saved state: the endpoint that has the address now got no calls until the next change of the list, and the outcome of the earlier call counted for the destination that had not got it. Cause: the saved state names endpoints, and the endpoints of calls, by address alone. Change: endpoints and calls whose address another endpoint has now say so in the state (optional key "Superseded"; states of earlier versions are read as before), and do not take the address at the restore. Measured: TestHotRestartWithAMovedAddress failed before (no call to "a", 1 failure at the wrong destination, 0 at the right one) and passes; the golden files are unchanged by this.

--- a/scheduler/endpointlist.go
+++ b/scheduler/endpointlist.go
@@ -63,11 +63,12 @@
 func (s *Scheduler) updateEndpoint(listed Endpoint) {
 	ep := s.endpoints[listed.Addr]
 	if ep != nil && ep.Destination != listed.Destination { // the address has another destination now
-		ep.live = false
+		ep.live, ep.superseded = false, true
 		ep = nil
 	}
 	if ep == nil {
 		ep = s.newEndpoint(listed)
+		s.endpoints[listed.Addr] = ep
 	}
 	// If the list had no live endpoint, all senders have saved tokens and receive this entry at the same time.
 	live := listed.State == StatusLive
@@ -80,7 +81,7 @@
 	}
 }
 
-// newEndpoint adds an endpoint. It has its own route if endpoints of its machine type have their own limits.
+// newEndpoint adds an endpoint to its destination. It has its own route if endpoints of its machine type have their own limits.
 func (s *Scheduler) newEndpoint(listed Endpoint) *endpoint {
 	dest := s.destination(listed.Destination)
 	calls := &s.settings.Calls
@@ -99,7 +100,6 @@
 	}
 	s.adoptLearnedEndpoint(ep, listed)
 	dest.endpoints = append(dest.endpoints, ep)
-	s.endpoints[listed.Addr] = ep
 	return ep
 }
 
--- a/scheduler/route.go
+++ b/scheduler/route.go
@@ -61,10 +61,12 @@
 // endpoint is one address of a destination.
 type endpoint struct {
 	Endpoint
-	route    *route
-	live     bool // it may get attempts
-	listed   bool // the current endpoint list contains it
-	ownLimit bool // it has its own route
+	route  *route
+	live   bool // it may get attempts
+	listed bool // the current endpoint list contains it
+	// superseded means that another endpoint has its address now; it remains until its calls have ended.
+	superseded bool
+	ownLimit   bool // it has its own route
 
 	zoneFee          float64
 	randomPreference float64 // drawn once; makes each of many senders prefer other endpoints
--- a/scheduler/savestate.go
+++ b/scheduler/savestate.go
@@ -79,6 +79,8 @@
 		Integers: values(ep.integers()),
 		Counts:   values(ep.counts()),
 		Flags:    values(ep.flags()),
+
+		Superseded: ep.superseded,
 	}
 	for _, streak := range ep.failures {
 		state.Failures = append(state.Failures, [3]int64{int64(streak.count), streak.since, streak.lastAt})
@@ -136,6 +138,8 @@
 		Integers: values(c.integers()),
 		Flags:    values(c.flags()),
 		Size:     c.size,
+
+		Superseded: c.endpoint.superseded,
 	}
 	for _, msg := range c.messages {
 		if msg.call == c {
@@ -203,8 +207,7 @@
 
 // restoreEndpoint reports false if the state is of another version.
 func (s *Scheduler) restoreEndpoint(state *EndpointState) bool {
-	s.updateEndpoint(state.Endpoint)
-	ep := s.endpoints[state.Addr]
+	ep := s.restoredEndpoint(state)
 	if !assign(ep.floats(), state.Floats) || !assign(ep.integers(), state.Integers) ||
 		!assign(ep.counts(), state.Counts) || !assign(ep.flags(), state.Flags) {
 		return false
@@ -223,6 +226,17 @@
 	return true
 }
 
+// restoredEndpoint adds an endpoint of a saved state.
+func (s *Scheduler) restoredEndpoint(state *EndpointState) *endpoint {
+	if !state.Superseded {
+		s.updateEndpoint(state.Endpoint)
+		return s.endpoints[state.Addr]
+	}
+	ep := s.newEndpoint(state.Endpoint)
+	ep.Endpoint, ep.superseded = state.Endpoint, true
+	return ep
+}
+
 // restore sets the state of a route. It reports false if the state is of another version.
 func (rt *route) restore(state RouteState) bool {
 	rt.advertisedLimit, rt.firstCallAt = quota.FromState(state.AdvertisedLimit), state.FirstCallAt
@@ -263,7 +277,7 @@
 
 // restoreCall restores a call in flight, after its messages.
 func (s *Scheduler) restoreCall(state *CallState) error {
-	ep := s.endpoints[state.Endpoint]
+	ep := s.endpointOfCall(state)
 	restored := &call{endpoint: ep, size: state.Size, step: -1}
 	if ep == nil || !assign(restored.integers(), state.Integers) || !assign(restored.flags(), state.Flags) {
 		return fmt.Errorf("saved state: invalid state of a call to endpoint %q", state.Endpoint)
@@ -287,6 +301,29 @@
 	return nil
 }
 
+// endpointOfCall returns the endpoint of a saved call, or nil if there is none.
+func (s *Scheduler) endpointOfCall(state *CallState) *endpoint {
+	if !state.Superseded {
+		return s.endpoints[state.Endpoint]
+	}
+	for _, id := range state.Messages {
+		if msg := s.messages[id]; msg != nil {
+			return msg.destination.supersededEndpoint(state.Endpoint)
+		}
+	}
+	return nil
+}
+
+// supersededEndpoint returns the last endpoint of a destination that had an address, or nil.
+func (dest *destination) supersededEndpoint(addr string) (last *endpoint) {
+	for _, ep := range dest.endpoints {
+		if ep.superseded && ep.Addr == addr {
+			last = ep
+		}
+	}
+	return last
+}
+
 // restoreQueues makes the messages without an attempt in flight pending and sets all deadlines.
 func (s *Scheduler) restoreQueues(states []MessageState) {
 	for i := range states {
--- a/scheduler/savestate_test.go
+++ b/scheduler/savestate_test.go
@@ -214,3 +214,39 @@
 		}
 	}
 }
+
+// A hot restart while the address of an endpoint had moved to another destination: the endpoint that has the address now
+// got no more calls, and the outcome of a call to the earlier one counted for it.
+func TestHotRestartWithAMovedAddress(t *testing.T) {
+	rig := newRig(t, stateSettings(5), liveEndpoint("a", "one", "z", 2), liveEndpoint("b", "one", "z", 1))
+	earlier := rig.request("safe", 2)
+	if rig.step(earlier); rig.sentTo[earlier.ID] != "a" {
+		t.Fatal("the message for destination 2 is not sent")
+	}
+	rig.advance(10*ms, Event{Kind: EndpointsUpdated, Update: UpdateFull, Endpoints: []Endpoint{
+		liveEndpoint("a", "one", "z", 1), liveEndpoint("b", "one", "z", 2),
+	}})
+	state := rig.sched.State()
+	restarted, err := New(stateSettings(5), 9)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := restarted.RestoreState(goldenState(t, goldenJSON(t, state)), rig.now); err != nil {
+		t.Fatal(err)
+	}
+	if again := restarted.State(); !reflect.DeepEqual(again, state) {
+		t.Errorf("state after the restart\n%+v\nbefore\n%+v", again, state)
+	}
+	rig.sched = restarted
+	event := rig.request("safe", 1)
+	if rig.step(event); rig.sentTo[event.ID] != "a" {
+		t.Errorf("a message for destination 1 is sent to %q, want the endpoint that moved there", rig.sentTo[event.ID])
+	}
+	rig.advance(50*ms, rig.outcome(earlier.ID, OutcomeFailed))
+	if failures := restarted.destination(1).route.health.consecutiveFailures; failures > 0 {
+		t.Errorf("%d failures at destination 1, which got no failed call", failures)
+	}
+	if failures := restarted.destination(2).route.health.consecutiveFailures; failures != 1 {
+		t.Errorf("%d failures at destination 2, want 1", failures)
+	}
+}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -56,6 +56,8 @@
 	Flags    []bool      `json:"Flags"`
 	Failures [][3]int64  `json:"Blames"` // count, since and lastAt of each streak in endpoint.failures
 	OwnRoute *RouteState `json:"Own,omitempty"`
+	// Superseded means that another endpoint has its address now.
+	Superseded bool `json:"Superseded,omitempty"`
 }
 
 // MessageState is the state of a message that is pending or in flight.
@@ -78,6 +80,8 @@
 	Flags    []bool   `json:"Flags"`
 	Messages []string `json:"Msgs"` // ids of the messages that have no outcome yet
 	Size     int      `json:"Size"`
+	// Superseded means that another endpoint has the address of the call's endpoint now.
+	Superseded bool `json:"Superseded,omitempty"`
 }
 
 // The methods below return the variables of each type in the order of the lists in its stored form.
