--- a/internal/hotrestart/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -130,6 +130,7 @@
 			Endpoints: []scheduler.EndpointState{{
 				Endpoint: fullEndpoint(), Floats: []float64{6.5}, Integers: []int64{7, 8, 9, 10},
 				Counts: []int{11}, Flags: []bool{true}, Failures: [][3]int64{{12, 13, 14}, {15, 16, 17}}, OwnRoute: &own,
+				Superseded: true,
 			}, {}},
 		}},
 		Messages: []scheduler.MessageState{{
@@ -138,7 +139,7 @@
 		}, {}},
 		Calls: []scheduler.CallState{{
 			Endpoint: "e1", Integers: []int64{23, 24}, Flags: []bool{true, false, true, false},
-			Messages: []string{"m-1", "m-2"}, Size: 3,
+			Messages: []string{"m-1", "m-2"}, Size: 3, Superseded: true,
 		}, {}},
 	}
 }
--- a/internal/snapshot/golden_test.go
+++ b/internal/snapshot/golden_test.go
@@ -61,7 +61,7 @@
 			CapacityHint: 0.5, SlowStart: true,
 		},
 		Floats: []float64{1.5}, Integers: []int64{11}, Counts: []int{3}, Flags: []bool{true},
-		Failures: [][3]int64{{1, 2, 3}, {4, 5, 6}}, OwnRoute: &route,
+		Failures: [][3]int64{{1, 2, 3}, {4, 5, 6}}, OwnRoute: &route, Superseded: true,
 	}
 	state := scheduler.State{
 		Format: 1, Floats: []float64{0.1}, Integers: []int64{5, 6}, ConnectFailureShare: map[string]float64{"b": 2, "a": 1},
@@ -76,7 +76,7 @@
 		}},
 		Calls: []scheduler.CallState{{
 			Endpoint: "a:1", Integers: []int64{9}, Flags: []bool{true},
-			Messages: []string{"m"}, Size: 2,
+			Messages: []string{"m"}, Size: 2, Superseded: true,
 		}},
 	}
 	return Snapshot{
