One refused call of one of many senders is evidence of an outage

Change: among many senders one refusal is enough (it was two), among few two are (it was three), as with lost calls. A refusal whose response tells a used-up limit needs one more. An outage still needs a second without a success, or a risen failure share. TestSingleRefusalAsEvidence is new. The golden state's simulation runs on until a call is in flight: at its old end there was none now, and TestGoldenErrors spoils one.

--- a/internal/slowstart/evidence.go
+++ b/internal/slowstart/evidence.go
@@ -82,7 +82,7 @@
 }
 
 // ObserveRefusal counts a refusal of a call that was sent at sentAt; calls sent before the last refusal that was
-// counted prove nothing more. A refusal between successes is due to a limit: only that number of refusals since the
+// counted prove nothing more. A refusal between successes may be due to a limit: only that number of refusals since the
 // last success and further ones are failures.
 func (g *Gate) ObserveRefusal(now, sentAt int64, refusalsOfOutage int) {
 	e := &g.evidence
--- a/internal/slowstart/gate_test.go
+++ b/internal/slowstart/gate_test.go
@@ -93,6 +93,33 @@
 	}
 }
 
+// Where one refusal is an outage, it is evidence when there was no success for a second. Refusals among successes are
+// due to a limit, and refusals of calls that were out together are one.
+func TestSingleRefusalAsEvidence(t *testing.T) {
+	gate, now := Gate{}, 100*second
+	succeed := func() {
+		now += second / 4
+		gate.ObserveSuccess(now, now-second/4)
+	}
+	for range 10 {
+		for range 4 {
+			succeed()
+		}
+		gate.ObserveRefusal(now+second/8, now, 1)
+		for sentBefore := range int64(10) {
+			gate.ObserveRefusal(now+second/8+sentBefore, now+sentBefore, 1)
+		}
+		if gate.HasEvidence(now+second/4, now) {
+			t.Fatal("refusals of calls that were out together, among successes, are evidence")
+		}
+	}
+	succeed()
+	gate.ObserveRefusal(now+2*second, now+second, 1)
+	if !gate.HasEvidence(now+2*second, now) {
+		t.Error("a refusal with no success for two seconds is no evidence")
+	}
+}
+
 // The calls of many senders, each with a backlog, stay within what the route takes in any window of the slow start,
 // whenever the route returns, also if it fell again.
 func TestSumOfPacedCalls(t *testing.T) {
--- a/internal/testing/slowstartsoak/destination.go
+++ b/internal/testing/slowstartsoak/destination.go
@@ -67,20 +67,20 @@
 	tokensAt   time.Time
 	callCount  int
 	delivered  int
-	informed   map[string]bool // the senders that had a failed or refused call in the last outage
-	calls      []recordedCall  // since the last return
+	failures   map[string]int // by sender: its failed and refused calls in the last outage
+	calls      []recordedCall // since the last return
 	returns    []*recovery
 }
 
 // recordedCall is a call that reached a destination after a return.
 type recordedCall struct {
 	at       time.Time
-	informed bool
+	failures int // of its sender in the outage
 }
 
 func newDestination(id int64, capacity float64, endpoints int, ports *fleet.Ports) (*destination, error) {
 	d := &destination{
-		id: id, capacity: capacity, tokens: capacity * burst.Seconds(), tokensAt: time.Now(), informed: map[string]bool{},
+		id: id, capacity: capacity, tokens: capacity * burst.Seconds(), tokensAt: time.Now(), failures: map[string]int{},
 	}
 	for range endpoints {
 		listener, err := ports.Listen()
@@ -104,7 +104,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.kind = kind
-	d.out, d.calls, d.informed, d.callCount = true, nil, map[string]bool{}, 0
+	d.out, d.calls, d.failures, d.callCount = true, nil, map[string]int{}, 0
 	d.outages++
 }
 
@@ -116,7 +116,7 @@
 		return
 	}
 	d.out, d.returnedAt, d.tokens = false, time.Now(), 0
-	d.returns = append(d.returns, &recovery{at: d.returnedAt, informed: len(d.informed)})
+	d.returns = append(d.returns, &recovery{at: d.returnedAt, informed: len(d.failures)})
 }
 
 // presentCapacity returns the calls per second that the destination takes at a time.
@@ -206,7 +206,7 @@
 func (d *destination) inform(sender string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.informed[sender] = true
+	d.failures[sender]++
 }
 
 // arrive records a call and decides on its answer.
@@ -219,7 +219,7 @@
 	}
 	now := time.Now()
 	if !d.returnedAt.IsZero() && now.Sub(d.returnedAt) < slowStartTime {
-		d.calls = append(d.calls, recordedCall{now, d.informed[sender]})
+		d.calls = append(d.calls, recordedCall{now, d.failures[sender]})
 		if d.overloaded(now) && d.falls {
 			d.fall()
 			return d.outageAnswer(), true
@@ -259,7 +259,7 @@
 
 // fall begins another outage, under too many calls. The caller must hold mu.
 func (d *destination) fall() {
-	d.out, d.calls, d.informed, d.callCount = true, nil, map[string]bool{}, 0
+	d.out, d.calls, d.failures, d.callCount = true, nil, map[string]int{}, 0
 	d.outages++
 	time.AfterFunc(fallTime, d.endOutage)
 }
--- a/scheduler/endpointlist.go
+++ b/scheduler/endpointlist.go
@@ -81,7 +81,8 @@
 	}
 }
 
-// newEndpoint adds an endpoint to its destination. It has its own route if endpoints of its machine type have their own limits.
+// newEndpoint adds an endpoint to its destination. It has its own route if endpoints of its machine type have their own
+// limits.
 func (s *Scheduler) newEndpoint(listed Endpoint) *endpoint {
 	dest := s.destination(listed.Destination)
 	calls := &s.settings.Calls
--- a/scheduler/golden_state_test.go
+++ b/scheduler/golden_state_test.go
@@ -21,6 +21,9 @@
 	}
 	sim := newGoldenSimulation(t, scenario, goldenWriter(t, scenario.name))
 	sim.run(1500)
+	for len(sim.sched.State().Calls) == 0 {
+		sim.run(1)
+	}
 	return sim
 }
 
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -71,7 +71,7 @@
 	connectionRejected := s.isConnectionRejection(call, event)
 	s.recordConnect(call, event.Outcome, connectionRejected)
 	if connectionRejected && !call.route.health.unavailable {
-		s.observeRefusal(call.route, call)
+		s.observeRefusal(call.route, call, event)
 		s.limitConnections(call.endpoint)
 		return
 	}
@@ -104,7 +104,7 @@
 
 func (s *Scheduler) onRejection(call *call, event *Event) {
 	rt, ep := call.route, call.endpoint
-	s.observeRefusal(rt, call)
+	s.observeRefusal(rt, call, event)
 	ep.failures[connectFailures].count = 0
 	ep.failures[rejections] = failureStreak{count: 1, since: s.now, lastAt: s.now}
 	// If headroom is left in the limit, the endpoint rejected because its own queue is full.
@@ -205,6 +205,11 @@
 	reportLimit    = "x1" // calls per second
 )
 
+// isLimitUsedUp reports whether an outcome tells a limit of which little is left.
+func (s *Scheduler) isLimitUsedUp(event *Event) bool {
+	return s.reportedValue(event, reportLimit) > 0 && s.reportedValue(event, reportHeadroom) < limitHeadroomShare
+}
+
 // reportedValue returns a value of an outcome's load report, or 0 if it is missing or not a positive
 // finite number.
 func (s *Scheduler) reportedValue(event *Event, name string) float64 {
--- a/scheduler/savestate_test.go
+++ b/scheduler/savestate_test.go
@@ -215,8 +215,8 @@
 	}
 }
 
-// A hot restart while the address of an endpoint had moved to another destination: the endpoint that has the address now
-// got no more calls, and the outcome of a call to the earlier one counted for it.
+// A hot restart after an address had moved to another destination: the endpoint that has the address now got no more
+// calls, and the outcome of a call to the earlier one counted for it.
 func TestHotRestartWithAMovedAddress(t *testing.T) {
 	rig := newRig(t, stateSettings(5), liveEndpoint("a", "one", "z", 2), liveEndpoint("b", "one", "z", 1))
 	earlier := rig.request("safe", 2)
--- a/scheduler/slowstart.go
+++ b/scheduler/slowstart.go
@@ -49,23 +49,28 @@
 	}
 }
 
-// The numbers of refusals without a success between them that are an outage. One of many senders sends too few calls to
-// see more of them in an outage, one of few senders has more of them at a limit.
+// The numbers of refused or lost calls without a success between them that are an outage. One of many senders may see
+// no more than one of them in an outage, one of few senders has more of them at a limit.
 const (
-	refusalsOfOutageAmongFew  = 3
-	refusalsOfOutageAmongMany = 2
-	manySendersContention     = 0.5
-
-	// The numbers of calls that are lost in a time without successes from which on it was an outage.
-	lostCallsOfOutageAmongFew  = 2
-	lostCallsOfOutageAmongMany = 1
+	outageCallsAmongFew   = 2
+	outageCallsAmongMany  = 1
+	manySendersContention = 0.5
 )
 
-// observeRefusal counts a refused call of a route.
-func (s *Scheduler) observeRefusal(rt *route, call *call) {
-	refusals := refusalsOfOutageAmongFew
+// outageCalls returns the number of refused or lost calls that are an outage.
+func (s *Scheduler) outageCalls() int {
 	if s.contention > manySendersContention {
-		refusals = refusalsOfOutageAmongMany
+		return outageCallsAmongMany
+	}
+	return outageCallsAmongFew
+}
+
+// observeRefusal counts a refused call of a route. One that was refused for a used-up limit, as its response tells,
+// needs a second one behind it.
+func (s *Scheduler) observeRefusal(rt *route, call *call, event *Event) {
+	refusals := s.outageCalls()
+	if s.isLimitUsedUp(event) {
+		refusals++
 	}
 	rt.gate.ObserveRefusal(s.now, call.sentAt, refusals)
 	s.suspectOutage(rt)
@@ -81,11 +86,7 @@
 // recoverIfMissed begins the slow start of a route that had an outage and has responded since, as a call shows that has
 // failed or was given up.
 func (s *Scheduler) recoverIfMissed(rt *route, call *call) {
-	calls := lostCallsOfOutageAmongFew
-	if s.contention > manySendersContention {
-		calls = lostCallsOfOutageAmongMany
-	}
-	if rules := s.slowStartRules(); rt.gate.MissedReturn(s.now, call.sentAt, rules, calls) {
+	if rules := s.slowStartRules(); rt.gate.MissedReturn(s.now, call.sentAt, rules, s.outageCalls()) {
 		rt.gate.RecoverLate(s.now, rules, s.capacityEstimate(rt), s.rng.Float64())
 	}
 }
