A failed call is remembered over restarts and hot restarts

Callers saw: a process that was killed or upgraded within a second of a failed call, or whose only call to a destination had failed, came back without it and sent to the recovering destination at the ordinary pace, though its predecessor had been told of the outage. Cause: the state had only "suspected", which is decided at the next call; the failure itself was not stored, and a route without a success was left out of the learned state. Change: optional key "Failed"; a restart on the folder begins with the suspicion (for 30 s, as for an outage), a hot restart goes on with the failure as it stands. The fingerprint of the learned state changes when there is evidence, not only once it has been acted on. Measured: TestFailureIsForgottenInARestart failed in all four cases before and passes. Golden files of restarts and of the state are new: they contain the key.

--- a/internal/hotrestart/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -150,7 +150,7 @@
 		Counts: []int{int(from) + 4}, Flags: []bool{true, false}, AdvertisedLimit: [3]float64{1, 2.5, 3},
 		FirstCallAt: from + 5,
 		SlowStart: &scheduler.SlowStartState{
-			Suspected: true, Capacity: 1.25, SustainedRate: float64(from) + 0.75, SustainedAt: from + 6,
+			Failed: true, Suspected: true, Capacity: 1.25, SustainedRate: float64(from) + 0.75, SustainedAt: from + 6,
 		},
 	}
 }
--- a/internal/slowstart/evidence.go
+++ b/internal/slowstart/evidence.go
@@ -17,7 +17,6 @@
 
 // evidence is what the outcomes of a route's calls say of an outage.
 type evidence struct {
-	failed       bool  // since the last success
 	refusals     int   // since the last success
 	refusedAt    int64 // the last refusal that was counted
 	observedAt   int64
@@ -72,13 +71,13 @@
 		e.gapFrom, e.gapTo, e.gapCalls = previousAt, now, 0
 	}
 	e.observe(now, 0, 1)
-	e.failed, e.refusals = false, 0
+	g.Failed, e.refusals = false, 0
 }
 
 // ObserveFailure counts a failure.
 func (g *Gate) ObserveFailure(now int64) {
 	g.evidence.observe(now, 1, 0)
-	g.evidence.failed = true
+	g.Failed = true
 }
 
 // ObserveRefusal counts a refusal of a call that was sent at sentAt; calls sent before the last refusal that was
@@ -117,13 +116,13 @@
 // HasEvidence reports whether the outcomes until now are evidence of an outage. succeededAt is the time of the last
 // success, or of the first call if there was none.
 func (g *Gate) HasEvidence(now, succeededAt int64) bool {
-	e := &g.evidence
-	if !e.failed {
+	if !g.Failed {
 		return false
 	}
 	if now-succeededAt > suspicionGapUs {
 		return true
 	}
+	e := &g.evidence
 	enough := e.recent.failures+e.recent.successes >= minOutcomes
 	return enough && e.recent.failureShare()-min(lastingShareMax, e.lastingShare) > suspicionRise
 }
--- a/internal/slowstart/gate.go
+++ b/internal/slowstart/gate.go
@@ -38,6 +38,7 @@
 
 // State is the part of a gate that a later process needs.
 type State struct {
+	Failed     bool // a call has failed since the last success
 	Suspected  bool
 	Until      int64 // end of the slow start
 	NextCallAt int64
--- a/internal/snapshot/golden_test.go
+++ b/internal/snapshot/golden_test.go
@@ -53,7 +53,9 @@
 	route := scheduler.RouteState{
 		Floats: []float64{2.5, -0.125}, Integers: []int64{900_000, -1}, Counts: []int{1, 2},
 		Flags: []bool{true, false}, AdvertisedLimit: [3]float64{0.25, 0.5, 0.75}, FirstCallAt: 17,
-		SlowStart: &scheduler.SlowStartState{Suspected: true, Capacity: 1.25, SustainedRate: 0.75, SustainedAt: 800_000},
+		SlowStart: &scheduler.SlowStartState{
+			Failed: true, Suspected: true, Capacity: 1.25, SustainedRate: 0.75, SustainedAt: 800_000,
+		},
 	}
 	endpoint := scheduler.EndpointState{
 		Endpoint: scheduler.Endpoint{
--- a/scheduler/learned.go
+++ b/scheduler/learned.go
@@ -62,7 +62,7 @@
 
 // learnedPriority returns the priority with which a route is included in the learned state.
 func (s *Scheduler) learnedPriority(rt *route) int64 {
-	if rt.health.unavailable || rt.retryAfterUntil > s.now || rt.gate.Paced(s.now) {
+	if rt.health.unavailable || rt.retryAfterUntil > s.now || rt.gate.Failed || rt.gate.Paced(s.now) {
 		return never
 	}
 	return rt.lastSendAt
@@ -70,7 +70,8 @@
 
 // hasLearnedState reports whether a route has any state that is useful to the next incarnation.
 func (s *Scheduler) hasLearnedState(rt *route) bool {
-	return rt.latency.samples > 0 || rt.advertisedLimit.Known() || rt.health.unavailable || rt.retryAfterUntil > s.now
+	return rt.latency.samples > 0 || rt.advertisedLimit.Known() || rt.health.unavailable ||
+		rt.retryAfterUntil > s.now || rt.gate.Failed || rt.gate.Paced(s.now)
 }
 
 // learnedState returns a destination's learned state without that of its routes.
@@ -149,10 +150,10 @@
 // that has doubled or halved.
 func (s *Scheduler) Fingerprint() (sum uint64) {
 	for id, dest := range s.destinationByID { // a sum does not depend on the iteration order
-		sum += dest.route.fingerprint(id)
+		sum += dest.route.fingerprint(id, s.now)
 		for i, ep := range dest.endpoints {
 			if ep.ownLimit {
-				sum += ep.route.fingerprint(id + int64(i+1)<<32)
+				sum += ep.route.fingerprint(id+int64(i+1)<<32, s.now)
 			}
 		}
 	}
@@ -167,10 +168,10 @@
 	fingerprintFactor      = 0xff51afd7ed558ccd
 )
 
-func (rt *route) fingerprint(id int64) uint64 {
+func (rt *route) fingerprint(id, now int64) uint64 {
 	limit := rt.advertisedLimit.State()
 	bits := uint64(id)*fingerprintID ^ math.Float64bits(limit[1])
-	if rt.gate.Suspected {
+	if rt.gate.Suspected || rt.gate.HasEvidence(now, rt.lastSuccessAt) {
 		bits ^= fingerprintSuspected
 	}
 	bits ^= uint64(rt.gate.Until)<<1 ^ uint64(rt.retryAfterUntil)<<2
--- a/scheduler/restorelearned.go
+++ b/scheduler/restorelearned.go
@@ -165,7 +165,8 @@
 
 // restoreOutage restores an outage or a slow start that had not ended.
 func (s *Scheduler) restoreOutage(rt, learned *route, ageUs int64) {
-	learned.gate.Suspected = (learned.gate.Suspected || learned.health.unavailable) && ageUs < learnedUnavailableUs
+	failed := learned.gate.Failed || learned.gate.Suspected || learned.health.unavailable
+	learned.gate.Suspected = failed && ageUs < learnedUnavailableUs
 	if learned.gate.Paced(s.now) {
 		s.restoreSlowStart(rt, learned)
 	}
--- a/scheduler/savestate.go
+++ b/scheduler/savestate.go
@@ -107,6 +107,7 @@
 // slowStartState returns nil if there is nothing to store.
 func (rt *route) slowStartState() *SlowStartState {
 	state := SlowStartState{
+		Failed:        rt.gate.Failed,
 		Suspected:     rt.gate.Suspected,
 		Capacity:      rt.gate.Capacity,
 		SustainedRate: rt.throughput.sustainedRate,
@@ -241,7 +242,7 @@
 func (rt *route) restore(state RouteState) bool {
 	rt.advertisedLimit, rt.firstCallAt = quota.FromState(state.AdvertisedLimit), state.FirstCallAt
 	if saved := state.SlowStart; saved != nil {
-		rt.gate.Suspected, rt.gate.Capacity = saved.Suspected, saved.Capacity
+		rt.gate.Failed, rt.gate.Suspected, rt.gate.Capacity = saved.Failed, saved.Suspected, saved.Capacity
 		rt.throughput.sustainedRate, rt.throughput.sustainedAt = saved.SustainedRate, saved.SustainedAt
 	}
 	return assign(rt.floats(), state.Floats) && assign(rt.integers(), state.Integers) &&
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -41,6 +41,7 @@
 
 // SlowStartState is what a route's state has of its recovery beside the times of its slow start.
 type SlowStartState struct {
+	Failed        bool    `json:"Failed,omitempty"` // a call has failed since the last success
 	Suspected     bool    `json:"Suspected,omitempty"`
 	Capacity      float64 `json:"Capacity,omitempty"`  // calls per second
 	SustainedRate float64 `json:"Sustained,omitempty"` // calls per second, as of SustainedAt
--- a/scheduler/suspicion_test.go
+++ b/scheduler/suspicion_test.go
@@ -139,3 +139,34 @@
 		t.Errorf("transitions %+v, want a violation", transitions)
 	}
 }
+
+// A sender whose only call to a destination had failed, or had failed shortly after a success, forgot this in a restart
+// and in a hot restart, and sent at the ordinary pace.
+func TestFailureIsForgottenInARestart(t *testing.T) {
+	for _, successes := range []int{0, 1} {
+		rig := newRig(t, settingsForSenders(49), liveEndpoint("a", "plain", "z", 1))
+		for range successes {
+			deliverOne(t, rig)
+		}
+		failOne(t, rig, OutcomeFailed)
+		for name, restore := range map[string]func(*Scheduler) error{
+			"restart": func(sched *Scheduler) error {
+				return sched.RestoreLearnedState(rig.sched.LearnedState(100), rig.now+2000*ms)
+			},
+			"hot restart": func(sched *Scheduler) error { return sched.RestoreState(rig.sched.State(), rig.now) },
+		} {
+			restarted, err := New(settingsForSenders(49), 9)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := restore(restarted); err != nil {
+				t.Fatal(err)
+			}
+			rt := restarted.destination(1).route
+			restarted.now = rig.now + 2000*ms
+			if restarted.slowStartAvailableAt(rt); !rt.gate.Suspected {
+				t.Errorf("%s after %d successes and a failure: the route is not suspected", name, successes)
+			}
+		}
+	}
+}
