AMQP: the memory of unfinished frames is bounded by the memory limit

Cause: only contents were bounded (4 MB); an unfinished frame of up to 128 kB was kept for each connection, from before the login on, and each first read was copied whole. Change: the frames of all clients share a budget, as commands do (partial.Budget, now used by both fronts; halved where both listen). Beyond it the client whose frame has been unfinished for longest gets connection.close, or is cut before its login and while it is being closed.

--- a/internal/app/limits.go
+++ b/internal/app/limits.go
@@ -18,10 +18,22 @@
 	runtimeMemoryShare = 0.7
 	// unsentMemoryShare is for output buffered for peers that read slowly or not at all.
 	unsentMemoryShare = 0.1
-	// partialMemoryShare is for commands of which a part has arrived.
+	// partialMemoryShare is for commands and frames of which a part has arrived.
 	partialMemoryShare = 0.1
 )
 
+// partialMemoryLimit returns the limit on the memory of unfinished commands or frames of one front, in bytes.
+func partialMemoryLimit(cfg config.Config) int {
+	fronts := 0
+	if cfg.Listen != "" || cfg.Resp.Listen != "" || cfg.AcceptFD > 0 {
+		fronts++
+	}
+	if cfg.AMQP.Serves() {
+		fronts++
+	}
+	return int(cfg.Limits.MemoryMB * partialMemoryShare * (1 << 20) / float64(max(1, fronts)))
+}
+
 // fitDescriptors checks the configured number of connections against the process's limit on open files. If it exceeds
 // the limit, an appliance does not start; under the platform the number is lowered.
 func fitDescriptors(cfg *config.Config, log zerolog.Logger) error {
--- a/internal/app/transport_start.go
+++ b/internal/app/transport_start.go
@@ -113,7 +113,7 @@
 	appliance := params.cfg.Resp.Listen != ""
 	table := t.newTable(platform.Front, params.cfg)
 	t.platformIngress = platform.NewIngress(params.core, params.reactor, finalsAddr(params.cfg), table, appliance)
-	t.platformIngress.LimitPartialMemory(int(params.cfg.Limits.MemoryMB * partialMemoryShare * (1 << 20)))
+	t.platformIngress.LimitPartialMemory(partialMemoryLimit(params.cfg))
 	t.platformIngress.SetNoticeRoom(t.endpointBudget)
 	params.core.AddIngress(platform.Front, t.platformIngress)
 	params.core.Metrics().AddMetrics(t.platformIngress.CollectMetrics)
@@ -145,6 +145,7 @@
 		Heartbeat: time.Duration(params.cfg.AMQP.HeartbeatS) * time.Second,
 		Channels:  params.cfg.AMQP.Channels,
 	}, t.newTable(amqpfront.FrontName, params.cfg))
+	t.amqpIngress.LimitPartialMemory(partialMemoryLimit(params.cfg))
 	if addr := params.cfg.AMQP.Listen; addr != "" {
 		if err := t.listenAt(params, addr, func(socket *reactor.Socket) *reactor.Listener {
 			return params.reactor.Serve(socket, amqpfront.OverLimitReply, t.amqpIngress.Accept)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -41,8 +41,12 @@
 	DiskMB   float64 `json:"disk_mb" toml:"disk_mb"`
 }
 
-// minMemoryMB is the least memory with which hundreds of clients with unfinished commands can be held.
-const minMemoryMB = 24
+// The least memory with which hundreds of clients with unfinished commands, or AMQP clients with unfinished frames, can
+// be held, in megabytes.
+const (
+	minMemoryMB     = 24
+	minAMQPMemoryMB = 28
+)
 
 // EndpointList is the registry's endpoint list, or an update of it.
 type EndpointList struct {
@@ -227,11 +231,15 @@
 // checkLimits checks the section [limits], and the limits of AMQP connections.
 func (c *Config) checkLimits() error {
 	limits := c.Limits
+	leastMemoryMB := minMemoryMB
+	if c.AMQP.Serves() {
+		leastMemoryMB = minAMQPMemoryMB
+	}
 	switch {
 	case !(limits.Cores > 0):
 		return keyErrorf("limits.cores", "%v is not above 0", limits.Cores)
-	case !(limits.MemoryMB >= minMemoryMB):
-		return keyErrorf("limits.memory_mb", "%v is under %d", limits.MemoryMB, minMemoryMB)
+	case !(limits.MemoryMB >= float64(leastMemoryMB)):
+		return keyErrorf("limits.memory_mb", "%v is under %d", limits.MemoryMB, leastMemoryMB)
 	case limits.Sockets < 32:
 		return keyErrorf("limits.sockets", "%d is under 32", limits.Sockets)
 	case !(limits.DiskMB >= 0.05):
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -118,6 +118,7 @@
 		{"", class + swap(route, "http", "ftp"), nil, "route[0].proto"},
 		{"", class + swap(route, `"127.0.0.1:1"`, `"x"`), nil, "route[0].dial"},
 		{"", class + swap(route, `"http"`, `"amqp"`), nil, "route[0].dial"},
+		{"", "[limits]\nmemory_mb=27\n" + class + route, nil, "limits.memory_mb"}, // with an AMQP listener
 		{"", class + swap(route, "dest", "kind=\"k\"\ndest"), nil, "route[0].kind"},
 		{"", "[sender]\nslots=0\n" + class + route, nil, "sender"},
 		{"", "[sender]\nsenders=0\n" + class + route, nil, "sender.senders"},
--- a/internal/net/amqpfront/ingress.go
+++ b/internal/net/amqpfront/ingress.go
@@ -7,6 +7,7 @@
 	"brackendale/internal/net/amqp"
 	"brackendale/internal/net/connlimit"
 	"brackendale/internal/net/conntable"
+	"brackendale/internal/net/partial"
 	"brackendale/internal/net/reactor"
 	"brackendale/sender"
 )
@@ -62,6 +63,7 @@
 	blockedReason    string // sent in connection.blocked; empty while there is no backpressure
 	uncommittedBytes int    // publishes of all uncommitted transactions
 	partialBytes     int    // incomplete contents of all clients
+	partialMemory    partial.Budget
 
 	submissions []*sender.Request // the messages of the read that is being handled, all of one client
 	answerProps amqp.Props        // reused by answerContent
--- a/internal/net/amqpfront/session.go
+++ b/internal/net/amqpfront/session.go
@@ -1,7 +1,6 @@
 package amqpfront
 
 import (
-	"bytes"
 	"slices"
 	"strings"
 	"time"
@@ -46,6 +45,7 @@
 	supportsCancelNotify bool // the client supports basic.cancel from the server
 	supportsBlocked      bool // the client supports connection.blocked
 	hasPartialFrame      bool // the last read ended with a partial frame
+	chargedCapacity      int  // memory of the partial frame that is charged to the ingress, in bytes
 	pending              int  // unconfirmed publishes, unacknowledged answers and commits of all channels
 }
 
@@ -135,8 +135,16 @@
 // Up does nothing, because the client sends first.
 func (s *session) Up(*reactor.Conn) {}
 
-// Data handles the complete frames among the received bytes and submits the messages among them as one batch.
+// Data handles received bytes.
 func (s *session) Data(_ *reactor.Conn, received []byte) {
+	s.handleReceived(received)
+	s.chargePartialMemory()
+	s.ingress.freePartialMemory(s)
+}
+
+// handleReceived handles the complete frames among the received bytes and submits the messages among them as one
+// batch.
+func (s *session) handleReceived(received []byte) {
 	if s.stage == stageHeader {
 		var ok bool
 		if received, ok = s.readHeader(received); !ok {
@@ -164,18 +172,19 @@
 // ok is false while the header is incomplete, and for the header of another protocol or version, to which the
 // specification requires the header of the supported version as the reply.
 func (s *session) readHeader(received []byte) (following []byte, ok bool) {
-	received = s.partialFrame.Append(received)
-	if len(received) < len(amqp.ProtocolHeader) && strings.HasPrefix(amqp.ProtocolHeader, string(received)) {
-		s.partialFrame.Store(received)
+	stored := s.partialFrame.Len()
+	beginning := s.partialFrame.Append(received[:min(len(received), len(amqp.ProtocolHeader)-stored)])
+	if len(beginning) < len(amqp.ProtocolHeader) && strings.HasPrefix(amqp.ProtocolHeader, string(beginning)) {
+		s.partialFrame.Store(beginning)
 		return nil, false
 	}
-	if !strings.HasPrefix(string(received), amqp.ProtocolHeader) {
+	if string(beginning) != amqp.ProtocolHeader {
 		s.write([]byte(amqp.ProtocolHeader))
 		s.conn.Close()
 		return nil, false
 	}
 	s.stage = stageStart
-	following = bytes.Clone(received[len(amqp.ProtocolHeader):])
+	following = received[len(amqp.ProtocolHeader)-stored:]
 	s.partialFrame.Reset()
 	caps := amqp.Table{
 		"publisher_confirms":           true,
@@ -193,6 +202,7 @@
 func (s *session) Down(*reactor.Conn, error) {
 	s.stopTimer()
 	s.partialFrame.Reset()
+	s.chargePartialMemory()
 	s.ingress.table.Remove(&s.Entry)
 	s.ingress.partialBytes -= s.assembly.Pending()
 	s.assembly = amqp.Assembly{}
--- a/internal/net/platform/ingress.go
+++ b/internal/net/platform/ingress.go
@@ -9,6 +9,7 @@
 	"brackendale/internal/clock"
 	"brackendale/internal/net/connlimit"
 	"brackendale/internal/net/conntable"
+	"brackendale/internal/net/partial"
 	"brackendale/internal/net/reactor"
 	"brackendale/scheduler"
 	"brackendale/sender"
@@ -57,7 +58,7 @@
 	notices        *notices
 	table          *conntable.Table
 	limiter        *connlimit.Limiter
-	partialMemory  partialMemory
+	partialMemory  partial.Budget
 	sendRetryAfter bool // rejected connections get OverLimitReply, and notices may have the field again
 
 	// The state of the read that is being handled, which belongs to one client.
--- a/internal/net/platform/partialmemory.go
+++ b/internal/net/platform/partialmemory.go
@@ -8,21 +8,15 @@
 
 var errPartialMemory = errors.New("ERR too many unfinished commands")
 
-// partialMemory bounds the memory of all clients' unfinished commands together.
-type partialMemory struct {
-	limit int // bytes; 0: none
-	used  int
-}
-
 // LimitPartialMemory bounds the memory of all clients' unfinished commands together, in bytes. Beyond it the clients
 // whose commands have been unfinished for longest get an error, and their connections are closed.
-func (in *Ingress) LimitPartialMemory(bytes int) { in.partialMemory.limit = bytes }
+func (in *Ingress) LimitPartialMemory(bytes int) { in.partialMemory.Limit = bytes }
 
 // appendToBuffer appends received bytes to the unfinished command. The result is valid until the buffer changes.
 func (cl *client) appendToBuffer(received []byte) []byte {
 	before := cl.buffer.Capacity()
 	unparsed := cl.buffer.Append(received)
-	cl.ingress.partialMemory.used += cl.buffer.Capacity() - before
+	cl.ingress.partialMemory.Charge(cl.buffer.Capacity() - before)
 	return unparsed
 }
 
@@ -30,13 +24,12 @@
 func (cl *client) storeInBuffer(tail []byte) {
 	before := cl.buffer.Capacity()
 	cl.buffer.Store(tail)
-	cl.ingress.partialMemory.used += cl.buffer.Capacity() - before
+	cl.ingress.partialMemory.Charge(cl.buffer.Capacity() - before)
 }
 
 // freePartialMemory rejects unfinished commands until the others are within their limit.
 func (in *Ingress) freePartialMemory() {
-	memory := &in.partialMemory
-	for memory.limit > 0 && memory.used > memory.limit {
+	for in.partialMemory.Exceeded() {
 		victim := in.longestUnfinished()
 		if victim == nil {
 			return
