Soak of shared recoveries: upgrades, and destinations that return at other addresses

A third of the senders is now upgraded in half of the runs without kills (a successor beside the process, SIGTERM to the old one 1.5 s later), and in a third of the runs destinations return at other addresses, by a new list. What a seed drew before is unchanged.

--- a/internal/testing/slowstartsoak/destination.go
+++ b/internal/testing/slowstartsoak/destination.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"brackendale/internal/config"
 	"brackendale/internal/testing/fleet"
 )
 
@@ -58,6 +59,7 @@
 	falls      bool // it falls under too many calls, and so has further outages
 	refuses    bool // it refuses calls above its capacity
 	listeners  []net.Listener
+	moves      int // changes of its addresses
 
 	mu         sync.Mutex
 	out        bool
@@ -82,15 +84,39 @@
 	d := &destination{
 		id: id, capacity: capacity, tokens: capacity * burst.Seconds(), tokensAt: time.Now(), failures: map[string]int{},
 	}
+	return d, d.listen(endpoints, ports)
+}
+
+func (d *destination) listen(endpoints int, ports *fleet.Ports) error {
 	for range endpoints {
 		listener, err := ports.Listen()
 		if err != nil {
-			return nil, err
+			return err
 		}
 		d.listeners = append(d.listeners, listener)
 		go func() { _ = (&http.Server{Handler: d, ReadHeaderTimeout: time.Minute}).Serve(listener) }()
 	}
-	return d, nil
+	return nil
+}
+
+// move closes the destination's addresses and opens as many others.
+func (d *destination) move(ports *fleet.Ports) error {
+	d.close()
+	endpoints := len(d.listeners)
+	d.listeners = nil
+	d.moves++
+	return d.listen(endpoints, ports)
+}
+
+// hosts returns the entries of the destination's endpoints in the endpoint list.
+func (d *destination) hosts() (hosts []config.Host) {
+	for i, listener := range d.listeners {
+		hosts = append(hosts, config.Host{
+			Host: fmt.Sprintf("e%d-%d-%d", d.id, d.moves, i), Dial: listener.Addr().String(), Site: "a", Class: "k",
+			Block: d.id, Health: "active", Share: 1,
+		})
+	}
+	return hosts
 }
 
 func (d *destination) close() {
--- a/internal/testing/slowstartsoak/scenario.go
+++ b/internal/testing/slowstartsoak/scenario.go
@@ -46,12 +46,15 @@
 	Endpoints    int     // of each destination
 	Load         float64 // demand over the capacity of each destination
 	Outages      []Outage
-	Advertises   bool          // answers tell the destination's limit
-	Falls        bool          // a destination falls under too many calls, and so has further outages
-	Refuses      bool          // destinations refuse calls above their capacity
-	KilledShare  float64       // share of the senders that are killed and started again
-	KillAfter    time.Duration // the warm-up
-	Observation  time.Duration // after the last return
+	Advertises   bool    // answers tell the destination's limit
+	Falls        bool    // a destination falls under too many calls, and so has further outages
+	Refuses      bool    // destinations refuse calls above their capacity
+	KilledShare  float64 // share of the senders that are killed and started again
+	// UpgradedShare is the share of the senders that are upgraded: a successor starts beside the process.
+	UpgradedShare float64
+	RestartAfter  time.Duration // of the kills or upgrades, after the warm-up
+	Moves         bool          // destinations return at other addresses
+	Observation   time.Duration // after the last return
 }
 
 // The times of a run.
@@ -92,8 +95,12 @@
 	}
 	if rng.Intn(3) == 0 {
 		s.KilledShare = 1.0 / 3
-		s.KillAfter = time.Duration(rng.Int63n(int64(outageStartSpan + outageLengthSpan)))
+		s.RestartAfter = time.Duration(rng.Int63n(int64(outageStartSpan + outageLengthSpan)))
+	} else if rng.Intn(2) == 0 {
+		s.UpgradedShare = 1.0 / 3
+		s.RestartAfter = time.Duration(rng.Int63n(int64(outageStartSpan + outageLengthSpan)))
 	}
+	s.Moves = rng.Intn(3) == 0
 	return s
 }
 
@@ -131,9 +138,9 @@
 // String returns a report in one line.
 func (r Report) String() string {
 	s := r.Scenario
-	return fmt.Sprintf("seed %d: %d senders at %.0f/s, load %.1f, advertised %v, falls %v, refuses %v, killed %.2f, %v: "+
-		"worst %.2f, falls %d, broken %d, delivered %.3f; %v", s.Seed, s.Senders, s.MessageRate, s.Load, s.Advertises,
-		s.Falls, s.Refuses, s.KilledShare, s.Outages, r.Worst, r.Falls, r.Broken,
+	return fmt.Sprintf("seed %d: %d senders at %.0f/s, load %.1f, advertised %v, falls %v, refuses %v, killed %.2f, "+
+		"upgraded %.2f, moves %v, %v: worst %.2f, falls %d, broken %d, delivered %.3f; %v", s.Seed, s.Senders, s.MessageRate, s.Load, s.Advertises,
+		s.Falls, s.Refuses, s.KilledShare, s.UpgradedShare, s.Moves, s.Outages, r.Worst, r.Falls, r.Broken,
 		float64(r.Delivered)/float64(max(1, r.Submitted)), r.Recovery)
 }
 
@@ -187,12 +194,7 @@
 		}
 		added.advertises, added.falls, added.refuses = r.Advertises, r.Falls, r.Refuses
 		r.destinations = append(r.destinations, added)
-		for j, listener := range added.listeners {
-			list.Hosts = append(list.Hosts, config.Host{
-				Host: fmt.Sprintf("e%d-%d", added.id, j), Dial: listener.Addr().String(), Site: "a", Class: "k",
-				Block: added.id, Health: "active", Share: 1,
-			})
-		}
+		list.Hosts = append(list.Hosts, added.hosts()...)
 	}
 	var err error
 	r.agent, err = newAgent(list, &r.ports)
@@ -250,24 +252,25 @@
 	start := time.Now()
 	var pending sync.WaitGroup
 	lastEnd := time.Duration(0)
+	moveErrs := make([]error, len(r.Outages))
 	for i, outage := range r.Outages {
 		lastEnd = max(lastEnd, outage.end())
-		pending.Go(func() { r.playOutage(start, i) })
+		pending.Go(func() { moveErrs[i] = r.playOutage(start, i) })
 	}
-	var killErr error
-	if r.KilledShare > 0 {
+	var restartErr error
+	if r.KilledShare+r.UpgradedShare > 0 {
 		pending.Go(func() {
-			time.Sleep(r.KillAfter)
-			killErr = r.killSome()
+			time.Sleep(r.RestartAfter)
+			restartErr = errors.Join(r.killSome(), r.upgradeSome())
 		})
 	}
 	pending.Wait()
 	time.Sleep(time.Until(start.Add(lastEnd + r.Observation)))
-	return killErr
+	return errors.Join(append(moveErrs, restartErr)...)
 }
 
 // playOutage plays an outage and the clump around its end.
-func (r *run) playOutage(start time.Time, number int) {
+func (r *run) playOutage(start time.Time, number int) (err error) {
 	outage := r.Outages[number]
 	dest := r.destinations[outage.Destination]
 	time.Sleep(time.Until(start.Add(outage.Start)))
@@ -276,7 +279,12 @@
 	r.clumps[number].Store(true)
 	time.AfterFunc(clumpLength, func() { r.clumps[number].Store(false) })
 	time.Sleep(time.Until(start.Add(outage.end())))
+	if r.Moves {
+		err = dest.move(&r.ports)
+		r.agent.replace(dest.id, dest.hosts())
+	}
 	dest.endOutage()
+	return err
 }
 
 // killSome kills senders at once and starts them again on their folders.
@@ -291,6 +299,18 @@
 	return err
 }
 
+// upgradeSome upgrades senders at once.
+func (r *run) upgradeSome() error {
+	upgraded := r.senders[:int(r.UpgradedShare*float64(r.Senders))]
+	errs := make([]error, len(upgraded))
+	var pending sync.WaitGroup
+	for i, sender := range upgraded {
+		pending.Go(func() { errs[i] = sender.upgrade() })
+	}
+	pending.Wait()
+	return errors.Join(errs...)
+}
+
 // report sums up the records of the destinations.
 func (r *run) report() Report {
 	report := Report{Scenario: r.Scenario, Submitted: r.submitted.Load()}
--- a/internal/testing/slowstartsoak/senders.go
+++ b/internal/testing/slowstartsoak/senders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand"
@@ -10,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -54,10 +56,13 @@
 	proc    *fleet.Proc
 }
 
-// agent is the stand-in registry: it serves a fixed list and takes notices of final answers.
+// agent is the stand-in registry: it serves the endpoint list and takes notices of final answers.
 type agent struct {
-	list     config.EndpointList
 	listener net.Listener
+
+	mu      sync.Mutex
+	list    config.EndpointList
+	changed chan struct{} // closed when the list changes
 }
 
 func newAgent(list config.EndpointList, ports *fleet.Ports) (*agent, error) {
@@ -65,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &agent{list: list, listener: listener}
+	a := &agent{list: list, listener: listener, changed: make(chan struct{})}
 	go func() { _ = (&http.Server{Handler: a, ReadHeaderTimeout: time.Minute}).Serve(listener) }()
 	return a, nil
 }
@@ -77,24 +82,44 @@
 		writer.WriteHeader(http.StatusNoContent)
 		return
 	}
-	list := a.list
+	list, changed := a.current()
 	if index, err := strconv.ParseInt(request.URL.Query().Get("index"), 10, 64); err == nil && index >= list.Seq {
 		waitMs, _ := strconv.Atoi(request.URL.Query().Get("wait"))
 		select {
 		case <-request.Context().Done():
 			return
+		case <-changed:
+			list, _ = a.current()
 		case <-time.After(time.Duration(waitMs) * time.Millisecond):
+			list = config.EndpointList{Seq: list.Seq, Hosts: []config.Host{}}
 		}
-		list = config.EndpointList{Seq: list.Seq, Hosts: []config.Host{}}
 	}
 	_ = json.NewEncoder(writer).Encode(list)
 }
 
+// current returns the list and the channel that is closed when it changes.
+func (a *agent) current() (list config.EndpointList, changed <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.list, a.changed
+}
+
+// replace replaces the endpoints of a destination.
+func (a *agent) replace(destination int64, hosts []config.Host) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	kept := slices.DeleteFunc(slices.Clone(a.list.Hosts), func(host config.Host) bool { return host.Block == destination })
+	a.list = config.EndpointList{Seq: a.list.Seq + 1, Whole: true, Hosts: append(kept, hosts...)}
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
 // configure writes the sender's configuration file.
 func (s *sender) configure(agent *agent, seed int64, wire settings.Settings) error {
+	list, _ := agent.current()
 	raw, err := json.Marshal(map[string]any{
 		"name": s.name, "listen": s.listen, "discovery": agent.listener.Addr().String(), "seed": fmt.Sprintf("%x", seed),
-		"limits": config.Limits{Cores: 1, MemoryMB: 64, Sockets: 256, DiskMB: 4}, "known": agent.list, "settings": wire,
+		"limits": config.Limits{Cores: 1, MemoryMB: 64, Sockets: 256, DiskMB: 4}, "known": list, "settings": wire,
 	})
 	if err != nil {
 		return err
@@ -110,6 +135,28 @@
 	return err
 }
 
+// upgradeOverlap is how long both processes of an upgrade run before the old one is told to end.
+const (
+	upgradeOverlap = 1500 * time.Millisecond
+	endTimeout     = 8 * time.Second
+)
+
+// upgrade starts a successor beside the process and ends the old one as a platform does.
+func (s *sender) upgrade() error {
+	old := s.proc
+	if err := s.start(); err != nil {
+		return err
+	}
+	time.Sleep(upgradeOverlap)
+	if ended, err := s.proc.Ended(); ended {
+		return fmt.Errorf("slowstartsoak: the successor of %s ended: %w", s.name, err)
+	}
+	if err := old.Terminate(endTimeout); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return fmt.Errorf("slowstartsoak: the old process of %s: %w", s.name, err)
+	}
+	return nil
+}
+
 // awaitReady waits until the sender accepts connections.
 func (s *sender) awaitReady(timeout time.Duration) error {
 	for deadline := time.Now().Add(timeout); ; {
