A restored folder is known as an older one, also of an incarnation that nobody saw

Cause, forced: a member runs an incarnation that the others do not see, loses its folder and comes again with the number after the one that they know; a copy of the folder from before then starts with that same number, and neither the numbers nor the positions of the logs (compared for earlier incarnations alone) tell the two apart. The copy would go on as the member: its old messages and votes counted. Change: a member that comes again without its folder skips 1000 numbers.

--- a/internal/group/first_start.go
+++ b/internal/group/first_start.go
@@ -176,6 +176,10 @@
 	return configuration
 }
 
+// unseenIncarnations is more than the incarnations that a member can have had while the others did not see it. A member
+// that has lost its folder does not know them, and a copy of the folder may be of one of them.
+const unseenIncarnations = 1000
+
 // rejoin lets a member whose log is lost, or is not its latest one, start again with an empty log. The
 // leader removes it from the voters first, so that votes of which this member has lost the record
 // do not count any more.
@@ -195,7 +199,7 @@
 	for _, welcome := range replies {
 		known = max(known, welcome.KnownIncarnation)
 	}
-	if err := g.raiseIncarnation(stored, known+1); err != nil {
+	if err := g.raiseIncarnation(stored, known+unseenIncarnations); err != nil {
 		return nil, err
 	}
 	reply, err := g.sendOnce(ctx, leader, heartbeat{Command: &command{Op: opAdmit}})
--- a/internal/group/folders_test.go
+++ b/internal/group/folders_test.go
@@ -62,14 +62,7 @@
 			t.Fatal(err)
 		}
 		cluster.start(affected)
-		cluster.waitFor("the member votes again", func() bool {
-			for _, member := range cluster.running[affected].Members() {
-				if member.Name == affected && member.Voter && member.Present && member.Incarnation > 1 {
-					return true
-				}
-			}
-			return false
-		})
+		cluster.waitFor("the member votes again", func() bool { return cluster.votes(affected) })
 	}
 	if superseded.Load() == 0 {
 		t.Error("a folder that was replaced by an older copy was not reported to OnSuperseded")
@@ -147,6 +140,45 @@
 	cluster.requireOneHolder()
 }
 
+// A copy of a folder is put back whose incarnation no other member saw, since the member was isolated and then lost its
+// folder: the copy had the incarnation of the emptied folder, and was not reported to OnSuperseded.
+func TestRestoredFolderOfAnUnseenIncarnation(t *testing.T) {
+	cluster := newTestGroup(t, threeMembers, "x")
+	cluster.start(threeMembers...)
+	cluster.awaitExecutions()
+	affected := otherThan(cluster.leader())
+	dir, backup := cluster.memberOptions[affected].Dir, filepath.Join(cluster.dir, "back")
+	cluster.stop(affected)
+	if err := fleet.Backup(dir, backup); err != nil {
+		t.Fatal(err)
+	}
+	superseded := make(chan uint64, 16)
+	cluster.memberOptions[affected].OnSuperseded = func(incarnation uint64, recorded func()) {
+		go recorded()
+		superseded <- incarnation
+	}
+	cluster.setIsolated(affected, true)
+	cluster.start(affected)
+	cluster.awaitExecutions()
+	cluster.stop(affected)
+	cluster.setIsolated(affected, false)
+	if err := fleet.Empty(dir); err != nil {
+		t.Fatal(err)
+	}
+	cluster.start(affected)
+	cluster.waitFor("the emptied member votes", func() bool { return cluster.votes(affected) })
+	cluster.stop(affected)
+	if err := fleet.Restore(backup, dir); err != nil {
+		t.Fatal(err)
+	}
+	cluster.start(affected)
+	select {
+	case <-superseded:
+	case <-time.After(hangTimeout):
+		t.Error("a folder that was replaced by an older copy was not reported to OnSuperseded")
+	}
+}
+
 // The disk of the leader fails, then that of a follower, then the leader's again. The process of the
 // member must not end, and no vote or entry that was not written may count. The other members
 // continue, the affected one shows the reason, and votes again once its disk accepts writes.
--- a/internal/group/testgroup_test.go
+++ b/internal/group/testgroup_test.go
@@ -125,6 +125,16 @@
 	}
 }
 
+// votes reports whether a member is a voter of the group again, by its own view.
+func (c *testGroup) votes(name string) bool {
+	for _, member := range c.running[name].Members() {
+		if member.Name == name && member.Voter && member.Present && member.Incarnation > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // setIsolated cuts all links to and from a member, or restores them.
 func (c *testGroup) setIsolated(name string, isolated bool) {
 	for ends, link := range c.links {
