--- a/internal/testing/slowstartsoak/scenario.go
+++ b/internal/testing/slowstartsoak/scenario.go
@@ -140,7 +140,8 @@
 	s := r.Scenario
 	return fmt.Sprintf("seed %d: %d senders at %.0f/s, load %.1f, advertised %v, falls %v, refuses %v, killed %.2f, "+
 		"upgraded %.2f, moves %v, %v: worst %.2f, falls %d, broken %d, delivered %.3f; %v",
-		s.Seed, s.Senders, s.MessageRate, s.Load, s.Advertises, s.Falls, s.Refuses, s.KilledShare, s.UpgradedShare, s.Moves, s.Outages, r.Worst, r.Falls, r.Broken,
+		s.Seed, s.Senders, s.MessageRate, s.Load, s.Advertises, s.Falls, s.Refuses, s.KilledShare, s.UpgradedShare,
+		s.Moves, s.Outages, r.Worst, r.Falls, r.Broken,
 		float64(r.Delivered)/float64(max(1, r.Submitted)), r.Recovery)
 }
 
