Another endpoint at the address of an earlier one is not taken for it

Callers saw: the new endpoint got the bundles and the shared limit of the earlier one; a call that was out counted as run in the new zone, so that a message whose repeat is allowed in its first zone alone could run twice; a failure of the old one counted for the new one. Cause: an endpoint was known by its address, and only another destination made it a new one. Change: an entry with another destination, machine type or zone is another endpoint; the earlier one gets no more calls and stays until its calls have ended, also over a hot restart.

--- a/scheduler/endpointlist.go
+++ b/scheduler/endpointlist.go
@@ -62,7 +62,7 @@
 // updateEndpoint applies one entry of the endpoint list.
 func (s *Scheduler) updateEndpoint(listed Endpoint) {
 	ep := s.endpoints[listed.Addr]
-	if ep != nil && ep.Destination != listed.Destination { // the address has another destination now
+	if ep != nil && !ep.sameServer(listed) { // another server has the address now
 		ep.live, ep.superseded = false, true
 		ep = nil
 	}
@@ -81,6 +81,11 @@
 	}
 }
 
+// sameServer reports whether two entries of the endpoint list, of one address, can be of the same server.
+func (listed Endpoint) sameServer(other Endpoint) bool {
+	return listed.Destination == other.Destination && listed.MachineType == other.MachineType && listed.Zone == other.Zone
+}
+
 // newEndpoint adds an endpoint to its destination. It has its own route if endpoints of its machine type have their own
 // limits.
 func (s *Scheduler) newEndpoint(listed Endpoint) *endpoint {
--- a/scheduler/endpointlist_test.go
+++ b/scheduler/endpointlist_test.go
@@ -150,3 +150,27 @@
 		}
 	}
 }
+
+// An endpoint of another machine type or zone came up at the address of an earlier one and was taken for it: it got the
+// bundles and the limit of the earlier one, and an attempt that the earlier one may have run counted for its zone.
+func TestAnotherEndpointAtTheAddress(t *testing.T) {
+	rig := newRig(t, stateSettings(5), liveEndpoint("a", "one", "z", 1))
+	message := rig.request("key", 1)
+	if rig.step(message); rig.sentTo[message.ID] != "a" {
+		t.Fatal("the message is not sent")
+	}
+	rig.advance(10*ms, Event{
+		Kind: EndpointsUpdated, Update: UpdateFull, Endpoints: []Endpoint{liveEndpoint("a", "apart", "y", 1)},
+	})
+	ep := rig.sched.endpoints["a"]
+	if !ep.ownLimit || ep.messagesPerCall != 1 || ep.route == ep.route.destination.route {
+		t.Errorf("own limit %v, %d messages per call, want those of the new endpoint", ep.ownLimit, ep.messagesPerCall)
+	}
+	rig.advance(50*ms, rig.outcome(message.ID, OutcomeTimedOut))
+	if zone := rig.sched.messages[message.ID].firstRunZone; zone != "z" {
+		t.Errorf("the attempt counts for zone %q, want the one of the earlier endpoint", zone)
+	}
+	if failures := ep.route.health.consecutiveFailures; failures > 0 {
+		t.Errorf("%d failures of the new endpoint, which got no call", failures)
+	}
+}
--- a/scheduler/restorelearned.go
+++ b/scheduler/restorelearned.go
@@ -81,9 +81,7 @@
 func (s *Scheduler) adoptLearnedEndpoint(ep *endpoint, listed Endpoint) {
 	learned, ok := s.learnedEndpoints[listed.Addr]
 	delete(s.learnedEndpoints, listed.Addr)
-	unchanged := learned.Zone == listed.Zone && learned.MachineType == listed.MachineType &&
-		learned.Destination == listed.Destination
-	if ok && ep.ownLimit && unchanged {
+	if ok && ep.ownLimit && learned.sameServer(listed) {
 		s.restoreRoute(ep.route, learned.route, learned.arrivalRate)
 	}
 }
