AMQP model: the next connection waits until the front has noticed that the last is closed

TCP orders nothing between two connections. The test is wrong there: it counted as ambiguous only what was outstanding at the loss. It now waits, on the front's loop, until the closed connection is gone, and fails if that does not happen; which answers may be ambiguous is as it was. Stricter than before: an end that the front never notices was no failure.

--- a/internal/net/amqpfront/conformance_test.go
+++ b/internal/net/amqpfront/conformance_test.go
@@ -51,6 +51,11 @@
 
 // addInstantFront adds an AMQP ingress and an instantEgress to the core, and returns the ingress's accept function.
 func addInstantFront(core *sender.Sender, react *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
+	return newInstantIngress(core, react).Accept
+}
+
+// newInstantIngress adds an AMQP ingress and an instantEgress to the core.
+func newInstantIngress(core *sender.Sender, react *reactor.Reactor) *Ingress {
 	ingress := NewIngress(core, react,
 		Options{Policy: access.OpenPolicy("messages"), Heartbeat: time.Minute, Channels: 64},
 		conntable.NewSharedLimit(1000).NewTable(Limits(1000)))
@@ -63,5 +68,5 @@
 		}, Protocol: "now"})
 	}
 	core.UpdateRoutes("whole", routes)
-	return ingress.Accept
+	return ingress
 }
--- a/internal/net/amqpfront/model_test.go
+++ b/internal/net/amqpfront/model_test.go
@@ -5,9 +5,13 @@
 	"net"
 	"slices"
 	"testing"
+	"time"
 
 	"brackendale/internal/net/amqp"
+	"brackendale/internal/net/reactor"
+	"brackendale/internal/testing/standin"
 	"brackendale/internal/testing/testkit"
+	"brackendale/sender"
 
 	"pgregory.net/rapid"
 )
@@ -16,7 +20,7 @@
 // one final answer, which is queued, unacknowledged on a channel, or acknowledged.
 type modelClient struct {
 	t            *rapid.T
-	addr         string
+	front        *testFront
 	queue        string
 	conn         *frameConn
 	channels     [3]modelChannel // 1 and 2
@@ -42,7 +46,7 @@
 
 // connect opens a connection with channel 1 in confirm mode and channel 2 with transactions.
 func (m *modelClient) connect() {
-	netConn, err := net.Dial("tcp", m.addr)
+	netConn, err := net.Dial("tcp", m.front.addr)
 	if err != nil {
 		m.t.Fatal(err)
 	}
@@ -137,12 +141,18 @@
 // most one channel at a time, is marked as redelivered if and only if it was delivered before, is never delivered again
 // after its acknowledgement, and is delivered to a consumer in the end.
 func TestSessionAgainstModel(t *testing.T) {
-	addr, _ := startInstantSender(t)
+	settings, front := standin.Settings(), &testFront{t: t}
+	settings.Limits.MaxMessages = 100_000
+	front.addr, front.kill = standin.StartWith(t, t.TempDir(), settings, 256<<20, nil,
+		func(core *sender.Sender, react *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
+			front.react, front.ingress = react, newInstantIngress(core, react)
+			return front.ingress.Accept
+		})
 	run := 0
 	rapid.Check(t, func(t *rapid.T) {
 		run++
 		m := &modelClient{
-			t: t, addr: addr, queue: fmt.Sprintf("q%d", run), outstanding: map[string]bool{},
+			t: t, front: front, queue: fmt.Sprintf("q%d", run), outstanding: map[string]bool{},
 			delivered: map[string]bool{}, acknowledged: map[string]bool{}, ambiguous: map[string]bool{},
 		}
 		m.connect()
@@ -274,9 +284,25 @@
 		m.ambiguous[id] = m.ambiguous[id] || consumes
 	}
 	m.channels = [3]modelChannel{}
+	m.awaitClosed()
 	return true
 }
 
+// awaitClosed waits until the front has noticed that the connection is closed: until then its consumers may get answers
+// of messages that are published on the next connection.
+func (m *modelClient) awaitClosed() {
+	for deadline := time.Now().Add(standin.Long); ; time.Sleep(100 * time.Microsecond) {
+		connections := 0
+		m.front.onLoop(func() { connections = m.front.ingress.table.Len() })
+		if connections == 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			m.t.Fatalf("the front does not notice that the connection is closed")
+		}
+	}
+}
+
 // drain consumes and acknowledges all outstanding answers on a new connection.
 func (m *modelClient) drain() {
 	for ch := range m.channels {
