--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -180,16 +180,16 @@
 // stepInstance steps one instance's scheduler and appends its actions to out. A panic in it is reported as that
 // instance's failure, in place of its actions, and does not affect the other instances.
 func stepInstance(
-	out []byte, instance int64, s *scheduler.Scheduler, timeUs int64, events []scheduler.Event,
+	out []byte, instance int64, sched *scheduler.Scheduler, timeUs int64, events []scheduler.Event,
 ) (result []byte) {
 	start := len(out)
 	defer func() {
-		if p := recover(); p != nil {
-			result = simulator.AppendInstanceFailed(out[:start], instance, fmt.Sprint(p))
+		if reason := recover(); reason != nil {
+			result = simulator.AppendInstanceFailed(out[:start], instance, fmt.Sprint(reason))
 		}
 	}()
-	for _, a := range s.Step(timeUs, events) {
-		out = simulator.Append(out, instance, a)
+	for _, action := range sched.Step(timeUs, events) {
+		out = simulator.Append(out, instance, action)
 	}
 	return out
 }
--- a/internal/net/platform/egress.go
+++ b/internal/net/platform/egress.go
@@ -191,20 +191,20 @@
 
 // armBackup opens a further connection if none is established after a while, up to maxBackups. connectBy is when the
 // connects time out, in the loop's time.
-func (e *Egress) armBackup(x *exchange, route sender.Route, connectBy time.Duration) {
+func (e *Egress) armBackup(call *exchange, route sender.Route, connectBy time.Duration) {
 	delay := e.connectTime.backupDelay()
-	if len(x.dials) > maxBackups || e.reactor.Now()+delay >= connectBy {
+	if len(call.dials) > maxBackups || e.reactor.Now()+delay >= connectBy {
 		return
 	}
-	e.reactor.Arm(&x.backupTimer, delay, 0, timers.Func(func() {
-		if x.connected || x.isEnded() || !e.table.HasRoom() {
+	e.reactor.Arm(&call.backupTimer, delay, 0, timers.Func(func() {
+		if call.connected || call.isEnded() || !e.table.HasRoom() {
 			return
 		}
 		opened := &dialedConnection{}
 		e.table.Admit(&opened.Entry, opened, netip.Addr{}, e.reactor.Now())
 		opened.Move(conntable.Busy, e.reactor.Now())
-		x.dial(opened, e.reactor, route.Dial, connectBy-e.reactor.Now())
-		e.armBackup(x, route, connectBy)
+		call.dial(opened, e.reactor, route.Dial, connectBy-e.reactor.Now())
+		e.armBackup(call, route, connectBy)
 	}))
 }
 
--- a/internal/net/reactor/listen.go
+++ b/internal/net/reactor/listen.go
@@ -100,16 +100,16 @@
 }
 
 // start completes a listener and starts its accept loop.
-func (r *Reactor) start(socket *Socket, l *Listener) *Listener {
-	l.Listener, l.inherited = socket.listener, socket.inherited
-	l.reactor = r
-	l.pauses = make(chan chan struct{}, 1)
-	l.reserveSpare()
+func (r *Reactor) start(socket *Socket, started *Listener) *Listener {
+	started.Listener, started.inherited = socket.listener, socket.inherited
+	started.reactor = r
+	started.pauses = make(chan chan struct{}, 1)
+	started.reserveSpare()
 	if socket.startPaused {
-		l.Pause()
+		started.Pause()
 	}
-	go l.serve()
-	return l
+	go started.serve()
+	return started
 }
 
 // deadlineSetter is a listener whose Accept can be interrupted.
--- a/internal/net/reactor/read.go
+++ b/internal/net/reactor/read.go
@@ -26,9 +26,9 @@
 }
 
 // readConn reads what has arrived on a connection.
-func (r *Reactor) readConn(c *Conn, socket *nbio.Conn) {
+func (r *Reactor) readConn(conn *Conn, socket *nbio.Conn) {
 	for reads := 1; ; reads++ {
-		size, err := r.readOnce(c, socket)
+		size, err := r.readOnce(conn, socket)
 		switch {
 		case errors.Is(err, unix.EINTR):
 		case errors.Is(err, unix.EAGAIN):
@@ -37,9 +37,9 @@
 			_ = socket.CloseWithError(err)
 			return
 		case size == 0:
-			r.endInput(c, socket)
+			r.endInput(conn, socket)
 			return
-		case size < readBufferSize && !c.canHalfClose: // nothing more has arrived
+		case size < readBufferSize && !conn.canHalfClose: // nothing more has arrived
 			return
 		case reads >= maxReadsPerEvent && !hasEnded(socket):
 			return
@@ -48,15 +48,15 @@
 }
 
 // readOnce reads once and passes the input to the loop.
-func (r *Reactor) readOnce(c *Conn, socket *nbio.Conn) (size int, err error) {
-	c.pendingReads.Add(1)
-	c.flags.set(flagReading)
+func (r *Reactor) readOnce(conn *Conn, socket *nbio.Conn) (size int, err error) {
+	conn.pendingReads.Add(1)
+	conn.flags.set(flagReading)
 	buffer := *r.engine.PollerBufferPtr(socket)
 	if size, err = socket.Read(buffer); size > 0 {
 		r.onData(socket, buffer[:size])
 	}
-	c.flags.clear(flagReading)
-	c.pendingReads.Add(-1)
+	conn.flags.clear(flagReading)
+	conn.pendingReads.Add(-1)
 	return size, err
 }
 
--- a/internal/simulator/append.go
+++ b/internal/simulator/append.go
@@ -7,28 +7,28 @@
 )
 
 // Append appends one action of an instance to out, as a line of JSON.
-func Append(out []byte, instance int64, a scheduler.Action) []byte {
-	r := reply{Instance: instance}
+func Append(out []byte, instance int64, action scheduler.Action) []byte {
+	line := reply{Instance: instance}
 	var name MessageName
-	switch a.Kind {
+	switch action.Kind {
 	case scheduler.StartAttempt:
-		name, r.ID, r.Endpoint, r.TimeoutUs = startAttempt, a.ID, a.Endpoint, a.TimeoutUs
+		name, line.ID, line.Endpoint, line.TimeoutUs = startAttempt, action.ID, action.Endpoint, action.TimeoutUs
 	case scheduler.Reject:
-		name, r.ID, r.RetryAfterUs = reject, a.ID, a.RetryAfterUs
+		name, line.ID, line.RetryAfterUs = reject, action.ID, action.RetryAfterUs
 	case scheduler.Fail:
-		name, r.ID = fail, a.ID
+		name, line.ID = fail, action.ID
 	case scheduler.SetTimer:
-		name, r.DelayUs, r.TimerID = setTimer, &a.DelayUs, &a.TimerID
+		name, line.DelayUs, line.TimerID = setTimer, &action.DelayUs, &action.TimerID
 	case scheduler.WriteLog:
-		name, r.Text = writeLog, a.Text
+		name, line.Text = writeLog, action.Text
 	case scheduler.CancelAttempt:
-		name, r.ID, r.Attempt = cancelAttempt, a.ID, &a.Attempt
+		name, line.ID, line.Attempt = cancelAttempt, action.ID, &action.Attempt
 	case scheduler.CloseIdleConnections:
-		name, r.Endpoint = closeIdleConnections, a.Endpoint
+		name, line.Endpoint = closeIdleConnections, action.Endpoint
 	case scheduler.WatchEndpoints:
-		name, r.On = watchEndpoints, &a.On
+		name, line.On = watchEndpoints, &action.On
 	}
-	return appendLine(out, name, r)
+	return appendLine(out, name, line)
 }
 
 // AppendInstanceFailed appends the line that reports that an instance's scheduler could not be started or has panicked.
@@ -36,8 +36,8 @@
 	return appendLine(out, instanceFailed, reply{Instance: instance, Text: reason})
 }
 
-func appendLine(out []byte, name MessageName, r reply) []byte {
-	inner, err := json.Marshal(r)
+func appendLine(out []byte, name MessageName, line reply) []byte {
+	inner, err := json.Marshal(line)
 	if err != nil { // cannot happen: a reply holds only strings, numbers and booleans
 		panic(err)
 	}
--- a/internal/simulator/parse.go
+++ b/internal/simulator/parse.go
@@ -59,35 +59,35 @@
 }
 
 // fill sets the fields of the line from its message.
-func (l *Line) fill(m *message) error {
-	l.Instance, l.TimeUs, l.ListNumber = value(m.Instance), value(m.TimeUs), value(m.ListNumber)
+func (l *Line) fill(msg *message) error {
+	l.Instance, l.TimeUs, l.ListNumber = value(msg.Instance), value(msg.TimeUs), value(msg.ListNumber)
 	switch l.Name {
 	case BatchStarted:
-		return l.require(field{"timeUs", m.TimeUs != nil})
+		return l.require(field{"timeUs", msg.TimeUs != nil})
 	case BatchEnded:
 		return nil
 	case EndpointListDefined:
-		return l.fillEndpointList(m)
+		return l.fillEndpointList(msg)
 	}
-	if err := l.require(field{"who", m.Instance != nil}); err != nil {
+	if err := l.require(field{"who", msg.Instance != nil}); err != nil {
 		return err
 	}
 	l.IsEvent = l.Name != InstanceStarted && l.Name != InstanceStopped
-	l.fillSharedFields(m)
+	l.fillSharedFields(msg)
 	switch l.Name {
 	case InstanceStarted:
-		return l.fillStart(m)
+		return l.fillStart(msg)
 	case InstanceStopped:
 		return nil
 	}
-	return l.fillEvent(m)
+	return l.fillEvent(msg)
 }
 
-func (l *Line) fillEndpointList(m *message) error {
-	if err := l.require(field{"sheet", m.ListNumber != nil}, field{"elements", m.Endpoints != nil}); err != nil {
+func (l *Line) fillEndpointList(msg *message) error {
+	if err := l.require(field{"sheet", msg.ListNumber != nil}, field{"elements", msg.Endpoints != nil}); err != nil {
 		return err
 	}
-	for _, entry := range *m.Endpoints {
+	for _, entry := range *msg.Endpoints {
 		err := require("Catalog entry", field{"endpoint", entry.Endpoint != nil},
 			field{"belongsTo", entry.Destination != nil}, field{"stageState", entry.Status != nil})
 		if err != nil {
@@ -106,43 +106,43 @@
 }
 
 // fillSharedFields sets the fields of the event that several kinds of events share.
-func (l *Line) fillSharedFields(m *message) {
+func (l *Line) fillSharedFields(msg *message) {
 	event := &l.Event
-	event.ID = value(m.ID)
-	event.Attempt = value(m.Attempt)
-	event.Endpoint = value(m.Endpoint)
-	event.Outcome = scheduler.Outcome(value(m.Outcome))
-	event.RttUs = value(m.RttUs)
-	event.RetryAfterMs = value(m.RetryAfterMs)
-	event.Update = scheduler.UpdateKind(value(m.Update))
-	for _, reported := range m.LoadReport {
+	event.ID = value(msg.ID)
+	event.Attempt = value(msg.Attempt)
+	event.Endpoint = value(msg.Endpoint)
+	event.Outcome = scheduler.Outcome(value(msg.Outcome))
+	event.RttUs = value(msg.RttUs)
+	event.RetryAfterMs = value(msg.RetryAfterMs)
+	event.Update = scheduler.UpdateKind(value(msg.Update))
+	for _, reported := range msg.LoadReport {
 		event.LoadReport = append(event.LoadReport, value(reported))
 	}
 }
 
-func (l *Line) fillStart(m *message) error {
-	if len(m.Settings) == 0 || string(m.Settings) == "null" || m.Seed == nil {
+func (l *Line) fillStart(msg *message) error {
+	if len(msg.Settings) == 0 || string(msg.Settings) == "null" || msg.Seed == nil {
 		return &MissingFieldError{string(l.Name), `"setup" or "initSeed"`}
 	}
-	l.Seed = *m.Seed
+	l.Seed = *msg.Seed
 	var wire settings.Settings
-	if err := json.Unmarshal(m.Settings, &wire); err != nil {
+	if err := json.Unmarshal(msg.Settings, &wire); err != nil {
 		return fmt.Errorf("%s: setup: %w", l.Name, err)
 	}
 	l.Settings = wire.Scheduler()
 	return nil
 }
 
-func (l *Line) fillEvent(m *message) error {
-	id, endpoint, outcome := field{"opId", m.ID != nil}, field{"endpoint", m.Endpoint != nil},
-		field{"reason", m.Outcome != nil}
-	attempt := field{"n", m.Attempt != nil}
+func (l *Line) fillEvent(msg *message) error {
+	id, endpoint, outcome := field{"opId", msg.ID != nil}, field{"endpoint", msg.Endpoint != nil},
+		field{"reason", msg.Outcome != nil}
+	attempt := field{"n", msg.Attempt != nil}
 	switch l.Name {
 	case requestAccepted:
-		return l.fillRequest(m)
+		return l.fillRequest(msg)
 	case attemptFinished:
-		l.Event.Kind, l.Event.Final = scheduler.AttemptFinished, value(m.Final)
-		return l.require(id, attempt, endpoint, outcome, field{"finished", m.Final != nil})
+		l.Event.Kind, l.Event.Final = scheduler.AttemptFinished, value(msg.Final)
+		return l.require(id, attempt, endpoint, outcome, field{"finished", msg.Final != nil})
 	case responseStarted:
 		l.Event.Kind = scheduler.ResponseStarted
 		return l.require(id, attempt)
@@ -153,8 +153,8 @@
 		l.Event.Kind = scheduler.TimerFired
 	case EndpointsUpdated:
 		l.Event.Kind = scheduler.EndpointsUpdated
-		hasSheet := m.ListNumber != nil || l.Event.Update == scheduler.UpdateBroken
-		return l.require(field{"how", m.Update != nil}, field{"sheet", hasSheet})
+		hasSheet := msg.ListNumber != nil || l.Event.Update == scheduler.UpdateBroken
+		return l.require(field{"how", msg.Update != nil}, field{"sheet", hasSheet})
 	case healthChecked:
 		l.Event.Kind = scheduler.HealthChecked
 		return l.require(endpoint, outcome)
@@ -166,21 +166,21 @@
 	return nil
 }
 
-func (l *Line) fillRequest(m *message) error {
+func (l *Line) fillRequest(msg *message) error {
 	event := &l.Event
 	event.Kind = scheduler.RequestAccepted
-	event.Class = value(m.Class)
-	event.Destination = value(m.Destination)
-	event.Deadline = value(m.DeadlineUs)
-	event.Key, event.HasKey = value(m.Key), m.Key != nil
-	event.WorkUs = value(m.WorkUs)
-	if len(m.Tenant) > 0 && m.Tenant[0] == '"' {
-		if err := json.Unmarshal(m.Tenant, &event.Tenant); err != nil {
+	event.Class = value(msg.Class)
+	event.Destination = value(msg.Destination)
+	event.Deadline = value(msg.DeadlineUs)
+	event.Key, event.HasKey = value(msg.Key), msg.Key != nil
+	event.WorkUs = value(msg.WorkUs)
+	if len(msg.Tenant) > 0 && msg.Tenant[0] == '"' {
+		if err := json.Unmarshal(msg.Tenant, &event.Tenant); err != nil {
 			return fmt.Errorf("%s: team: %w", l.Name, err)
 		}
 	}
-	return l.require(field{"opId", m.ID != nil}, field{"class", m.Class != nil},
-		field{"terminatesAt", m.Destination != nil}, field{"dropDeadUs", m.DeadlineUs != nil})
+	return l.require(field{"opId", msg.ID != nil}, field{"class", msg.Class != nil},
+		field{"terminatesAt", msg.Destination != nil}, field{"dropDeadUs", msg.DeadlineUs != nil})
 }
 
 // field names a required field, as on the wire, and records whether a message has it.
--- a/internal/testing/amqptest/play.go
+++ b/internal/testing/amqptest/play.go
@@ -152,20 +152,20 @@
 
 func isReset(err error) bool { return strings.Contains(err.Error(), "reset") }
 
-func (p *player) send(b []byte) error {
+func (p *player) send(raw []byte) error {
 	if p.cut > 0 {
-		b = b[:min(p.cut, len(b))]
+		raw = raw[:min(p.cut, len(raw))]
 	}
-	piece := len(b)
+	piece := len(raw)
 	if p.slow {
 		piece = 1
 	}
-	for len(b) > 0 {
-		n := min(piece, len(b))
-		if _, err := p.conn.Write(b[:n]); err != nil {
+	for len(raw) > 0 {
+		n := min(piece, len(raw))
+		if _, err := p.conn.Write(raw[:n]); err != nil {
 			return err
 		}
-		b = b[n:]
+		raw = raw[n:]
 	}
 	if p.slow = false; p.cut > 0 {
 		p.cut = 0
--- a/internal/testing/amqptest/report.go
+++ b/internal/testing/amqptest/report.go
@@ -98,25 +98,25 @@
 }
 
 // writeSections writes a row for each section, and one for all, without its line end.
-func (r Report) writeSections(p *printer, sum summary) {
+func (r Report) writeSections(printed *printer, sum summary) {
 	total := map[string]tally{}
 	for _, section := range sum.sections {
-		p.f("| %s |", section)
+		printed.f("| %s |", section)
 		for _, kind := range r.Kinds {
 			count := sum.bySection[section][kind]
 			if count == nil {
-				p.f(" |")
+				printed.f(" |")
 				continue
 			}
 			before := total[kind]
 			total[kind] = tally{before.good + count.good, before.all + count.all}
-			p.f(" %d of %d |", count.good, count.all)
+			printed.f(" %d of %d |", count.good, count.all)
 		}
-		p.f("\n")
+		printed.f("\n")
 	}
-	p.f("| **all** |")
+	printed.f("| **all** |")
 	for _, kind := range r.Kinds {
-		p.f(" **%d of %d** |", total[kind].good, total[kind].all)
+		printed.f(" **%d of %d** |", total[kind].good, total[kind].all)
 	}
 }
 
--- a/internal/testing/golden/commands/commands.go
+++ b/internal/testing/golden/commands/commands.go
@@ -16,38 +16,39 @@
 	return out.String()
 }
 
-func list(out *strings.Builder, c *cli.Command, path string) {
-	path = strings.TrimSpace(path + " " + c.Name)
-	fmt.Fprintf(out, "%s\n  usage: %q\n  arguments: %q\n", path, c.Usage, c.ArgsUsage)
-	if c.Description != "" {
-		fmt.Fprintf(out, "  description: %q\n", c.Description)
+func list(out *strings.Builder, command *cli.Command, path string) {
+	path = strings.TrimSpace(path + " " + command.Name)
+	fmt.Fprintf(out, "%s\n  usage: %q\n  arguments: %q\n", path, command.Usage, command.ArgsUsage)
+	if command.Description != "" {
+		fmt.Fprintf(out, "  description: %q\n", command.Description)
 	}
-	if len(c.Aliases) > 0 {
-		fmt.Fprintf(out, "  aliases: %v\n", c.Aliases)
+	if len(command.Aliases) > 0 {
+		fmt.Fprintf(out, "  aliases: %v\n", command.Aliases)
 	}
-	if c.Hidden || c.SkipFlagParsing || c.HideHelp {
-		fmt.Fprintf(out, "  hidden %v, flags skipped %v, help hidden %v\n", c.Hidden, c.SkipFlagParsing, c.HideHelp)
+	if command.Hidden || command.SkipFlagParsing || command.HideHelp {
+		fmt.Fprintf(out, "  hidden %v, flags skipped %v, help hidden %v\n",
+			command.Hidden, command.SkipFlagParsing, command.HideHelp)
 	}
-	for _, f := range c.Flags {
+	for _, f := range command.Flags {
 		flag(out, f)
 	}
-	for _, sub := range c.Commands {
+	for _, sub := range command.Commands {
 		list(out, sub, path)
 	}
 }
 
-func flag(out *strings.Builder, f cli.Flag) {
-	fmt.Fprintf(out, "  --%s", strings.Join(f.Names(), ", --"))
-	if d, ok := f.(cli.DocGenerationFlag); ok {
+func flag(out *strings.Builder, option cli.Flag) {
+	fmt.Fprintf(out, "  --%s", strings.Join(option.Names(), ", --"))
+	if d, ok := option.(cli.DocGenerationFlag); ok {
 		fmt.Fprintf(out, " %s, default %q, value %q, usage %q", d.TypeName(), d.GetDefaultText(), d.GetValue(), d.GetUsage())
 		if vars := d.GetEnvVars(); len(vars) > 0 {
 			fmt.Fprintf(out, ", variables %v", vars)
 		}
 	}
-	if r, ok := f.(cli.RequiredFlag); ok && r.IsRequired() {
+	if r, ok := option.(cli.RequiredFlag); ok && r.IsRequired() {
 		fmt.Fprint(out, ", required")
 	}
-	if v, ok := f.(cli.VisibleFlag); ok && !v.IsVisible() {
+	if v, ok := option.(cli.VisibleFlag); ok && !v.IsVisible() {
 		fmt.Fprint(out, ", hidden")
 	}
 	fmt.Fprintln(out)
