A new endpoint with its own limit is paced while another of its destination may be recovering

Found by the shared soak with endpoints that have limits of their own (new in it, with this commit): a destination that came back at other addresses got up to 6 times what it can take, all by senders that knew of the outage. Cause: the evidence belongs to a route, and an endpoint with its own limit has its own route: the one at the new address knew nothing. Change: a new endpoint's route is suspected, with the mean estimate of the others, if another endpoint of its destination is suspected, unavailable or recovering. One that the list marks as recovering is started as before. TestSuspicionOfAMovedEndpoint failed before.

--- a/internal/testing/slowstartsoak/destination.go
+++ b/internal/testing/slowstartsoak/destination.go
@@ -53,6 +53,7 @@
 // destination is a stand-in destination with endpoints that share its capacity. It is safe for concurrent use.
 type destination struct {
 	id         int64
+	number     int     // of the route among those of its destination
 	capacity   float64 // calls per second
 	kind       OutageKind
 	advertises bool // its answers tell its limit
@@ -112,7 +113,7 @@
 func (d *destination) hosts() (hosts []config.Host) {
 	for i, listener := range d.listeners {
 		hosts = append(hosts, config.Host{
-			Host: fmt.Sprintf("e%d-%d-%d", d.id, d.moves, i), Dial: listener.Addr().String(), Site: "a", Class: "k",
+			Host: fmt.Sprintf("e%d-%d-%d", d.id, d.moves, d.number+i), Dial: listener.Addr().String(), Site: "a", Class: "k",
 			Block: d.id, Health: "active", Share: 1,
 		})
 	}
--- a/internal/testing/slowstartsoak/scenario.go
+++ b/internal/testing/slowstartsoak/scenario.go
@@ -8,6 +8,7 @@
 	"math/rand"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,7 +55,9 @@
 	UpgradedShare float64
 	RestartAfter  time.Duration // of the kills or upgrades, after the warm-up
 	Moves         bool          // destinations return at other addresses
-	Observation   time.Duration // after the last return
+	// OwnLimits means that each endpoint has a capacity of its own, which is judged by itself.
+	OwnLimits   bool
+	Observation time.Duration // after the last return
 }
 
 // The times of a run.
@@ -101,6 +104,7 @@
 		s.RestartAfter = time.Duration(rng.Int63n(int64(outageStartSpan + outageLengthSpan)))
 	}
 	s.Moves = rng.Intn(3) == 0
+	s.OwnLimits = rng.Intn(3) == 0
 	return s
 }
 
@@ -139,23 +143,23 @@
 func (r Report) String() string {
 	s := r.Scenario
 	return fmt.Sprintf("seed %d: %d senders at %.0f/s, load %.1f, advertised %v, falls %v, refuses %v, killed %.2f, "+
-		"upgraded %.2f, moves %v, %v: worst %.2f, falls %d, broken %d, delivered %.3f; %v",
+		"upgraded %.2f, moves %v, own limits %v, %v: worst %.2f, falls %d, broken %d, delivered %.3f; %v",
 		s.Seed, s.Senders, s.MessageRate, s.Load, s.Advertises, s.Falls, s.Refuses, s.KilledShare, s.UpgradedShare,
-		s.Moves, s.Outages, r.Worst, r.Falls, r.Broken,
+		s.Moves, s.OwnLimits, s.Outages, r.Worst, r.Falls, r.Broken,
 		float64(r.Delivered)/float64(max(1, r.Submitted)), r.Recovery)
 }
 
 // run is a scenario in progress.
 type run struct {
 	Scenario
-	rng          *rand.Rand
-	ports        fleet.Ports
-	destinations []*destination
-	shares       []float64 // of the messages, by destination
-	agent        *agent
-	senders      []*sender
-	clumps       []atomic.Bool // by outage
-	submitted    atomic.Int64
+	rng       *rand.Rand
+	ports     fleet.Ports
+	routes    [][]*destination // by destination: all of its endpoints, or each endpoint that has its own limit
+	shares    []float64        // of the messages, by destination
+	agent     *agent
+	senders   []*sender
+	clumps    []atomic.Bool // by outage
+	submitted atomic.Int64
 }
 
 // Run runs a scenario. An error means that it could not be run.
@@ -189,13 +193,20 @@
 	for i := range r.Destinations {
 		r.shares[i] /= total
 		demand := r.shares[i] * r.MessageRate * float64(r.Senders)
-		added, err := newDestination(int64(i+1), demand/r.Load, r.Endpoints, &r.ports)
-		if err != nil {
-			return err
+		routes, endpoints := 1, r.Endpoints
+		if r.OwnLimits {
+			routes, endpoints = r.Endpoints, 1
+		}
+		r.routes = append(r.routes, nil)
+		for number := range routes {
+			added, err := newDestination(int64(i+1), demand/r.Load/float64(routes), endpoints, &r.ports)
+			if err != nil {
+				return err
+			}
+			added.number, added.advertises, added.falls, added.refuses = number, r.Advertises, r.Falls, r.Refuses
+			r.routes[i] = append(r.routes[i], added)
+			list.Hosts = append(list.Hosts, added.hosts()...)
 		}
-		added.advertises, added.falls, added.refuses = r.Advertises, r.Falls, r.Refuses
-		r.destinations = append(r.destinations, added)
-		list.Hosts = append(list.Hosts, added.hosts()...)
 	}
 	var err error
 	r.agent, err = newAgent(list, &r.ports)
@@ -216,7 +227,7 @@
 		if added.listen, err = r.ports.Reserve(); err != nil {
 			return err
 		}
-		if err := added.configure(r.agent, r.rng.Int63(), senderSettings(r.Senders, r.Advertises)); err != nil {
+		if err := added.configure(r.agent, r.rng.Int63(), senderSettings(r.Senders, r.Advertises, r.OwnLimits)); err != nil {
 			return err
 		}
 		if err := added.start(); err != nil {
@@ -273,18 +284,26 @@
 // playOutage plays an outage and the clump around its end.
 func (r *run) playOutage(start time.Time, number int) (err error) {
 	outage := r.Outages[number]
-	dest := r.destinations[outage.Destination]
+	routes := r.routes[outage.Destination]
 	time.Sleep(time.Until(start.Add(outage.Start)))
-	dest.beginOutage(outage.Kind)
+	for _, route := range routes {
+		route.beginOutage(outage.Kind)
+	}
 	time.Sleep(time.Until(start.Add(outage.end() - min(clumpLead, outage.Length))))
 	r.clumps[number].Store(true)
 	time.AfterFunc(clumpLength, func() { r.clumps[number].Store(false) })
 	time.Sleep(time.Until(start.Add(outage.end())))
 	if r.Moves {
-		err = dest.move(&r.ports)
-		r.agent.replace(dest.id, dest.hosts())
+		var hosts []config.Host
+		for _, route := range routes {
+			err = errors.Join(err, route.move(&r.ports))
+			hosts = append(hosts, route.hosts()...)
+		}
+		r.agent.replace(routes[0].id, hosts)
+	}
+	for _, route := range routes {
+		route.endOutage()
 	}
-	dest.endOutage()
 	return err
 }
 
@@ -315,7 +334,7 @@
 // report sums up the records of the destinations.
 func (r *run) report() Report {
 	report := Report{Scenario: r.Scenario, Submitted: r.submitted.Load()}
-	for _, dest := range r.destinations {
+	for _, dest := range slices.Concat(r.routes...) {
 		dest.mu.Lock()
 		report.Delivered += int64(dest.delivered)
 		for _, recovered := range dest.returns {
@@ -340,7 +359,7 @@
 		}
 		_ = sender.log.Close()
 	}
-	for _, dest := range r.destinations {
+	for _, dest := range slices.Concat(r.routes...) {
 		dest.close()
 	}
 	if r.agent != nil {
--- a/internal/testing/slowstartsoak/senders.go
+++ b/internal/testing/slowstartsoak/senders.go
@@ -24,13 +24,13 @@
 )
 
 // senderSettings returns the settings of each sender.
-func senderSettings(senders int, advertised bool) settings.Settings {
+func senderSettings(senders int, advertised, ownLimits bool) settings.Settings {
 	var s scheduler.Settings
 	s.Senders, s.TickUs, s.Discovery, s.CapacityHints, s.MachineTypes = senders, 5000, "pushed", "silent", []string{"k"}
 	s.Classes = []scheduler.Class{{
 		Name: "safe", Idempotency: "repeatable", LatencyObjectiveUs: 3e6, DeadlineUs: 9e6, LateValue: 0.5, PriorityWeight: 1,
 	}}
-	s.Calls.EndpointLimits, s.Calls.MessagesPerCall = []bool{false}, []int{1}
+	s.Calls.EndpointLimits, s.Calls.MessagesPerCall = []bool{ownLimits}, []int{1}
 	s.Calls.ConcurrentCalls, s.Calls.ValueDecay = 12, "halves"
 	s.Limits.CanCancel, s.Limits.CanSendRetryAfter = true, true
 	s.Limits.MaxMessages, s.Limits.MaxAttempts, s.Limits.MaxRetryAfterUs = 175, 8, 3e6
--- a/scheduler/endpointlist.go
+++ b/scheduler/endpointlist.go
@@ -24,7 +24,11 @@
 		s.unlistEndpoints()
 	}
 	for _, listed := range event.Endpoints {
+		known := s.endpoints[listed.Addr]
 		s.updateEndpoint(listed)
+		if added := s.endpoints[listed.Addr]; added != known {
+			s.inheritSuspicion(added)
+		}
 		s.startListedSlowStart(listed)
 		if event.Update == UpdatePatch {
 			changed = append(changed, s.destination(listed.Destination))
--- a/scheduler/slowstart.go
+++ b/scheduler/slowstart.go
@@ -41,6 +41,29 @@
 	}
 }
 
+// inheritSuspicion begins the pacing of a new endpoint's own route if another endpoint of its destination has or had an
+// outage: the same server may come back at the new address.
+func (s *Scheduler) inheritSuspicion(ep *endpoint) {
+	if !ep.ownLimit || ep.route.gate.Paced(s.now) {
+		return
+	}
+	capacity, paced := 0.0, 0
+	for _, other := range ep.route.destination.endpoints {
+		if other == ep || !other.ownLimit {
+			continue
+		}
+		s.suspectOutage(other.route)
+		if other.route.gate.Paced(s.now) {
+			capacity += other.route.gate.Capacity
+			paced++
+		}
+	}
+	if paced > 0 {
+		ep.route.gate.Suspect(s.now, s.slowStartRules(), capacity/float64(paced), s.rng.Float64())
+		s.retrySuspectedSoon(ep.route)
+	}
+}
+
 // retrySuspectedSoon lets one of few senders try a suspected route soon, whatever the estimate of its capacity: so few
 // calls harm no route, and the estimate may be missing.
 func (s *Scheduler) retrySuspectedSoon(rt *route) {
--- a/scheduler/suspicion_test.go
+++ b/scheduler/suspicion_test.go
@@ -170,3 +170,28 @@
 		}
 	}
 }
+
+// A destination whose endpoints have their own limits came back at another address, and was overloaded by senders that
+// knew of the outage at the earlier one.
+func TestSuspicionOfAMovedEndpoint(t *testing.T) {
+	for _, outcome := range []Outcome{OutcomeSuccess, OutcomeFailed} {
+		rig := newRig(t, stateSettings(49), liveEndpoint("a", "apart", "z", 1))
+		for range 10 {
+			deliverOne(t, rig)
+			rig.advance(1950 * ms)
+		}
+		failOne(t, rig, outcome)
+		rig.advance(1000*ms, Event{
+			Kind: EndpointsUpdated, Update: UpdateFull, Endpoints: []Endpoint{liveEndpoint("b", "apart", "z", 1)},
+		})
+		event := rig.request("safe", 1)
+		rig.step(event)
+		if sent := rig.sentTo[event.ID] == "b"; sent != (outcome == OutcomeSuccess) {
+			t.Errorf("after a call that was %s, a message is sent to the new endpoint at once: %v", outcome, sent)
+		}
+		if _, ok := rig.runUntil(20_000*ms, startsAttempt(event.ID)); !ok && outcome != OutcomeSuccess &&
+			rig.sched.messages[event.ID] != nil {
+			t.Error("the new endpoint gets no call")
+		}
+	}
+}
