Only an endpoint that the list removes passes its suspicion on to a new one

Now the other endpoint must leave the list, or be down in it, by that same change: what comes back is then likely at the new address. TestSuspicionOfAMovedEndpoint and the scheduler's suite pass.

--- a/scheduler/endpointlist.go
+++ b/scheduler/endpointlist.go
@@ -23,17 +23,21 @@
 	} else {
 		s.unlistEndpoints()
 	}
+	var added []*endpoint
 	for _, listed := range event.Endpoints {
 		known := s.endpoints[listed.Addr]
 		s.updateEndpoint(listed)
-		if added := s.endpoints[listed.Addr]; added != known {
-			s.inheritSuspicion(added)
+		if ep := s.endpoints[listed.Addr]; ep != known {
+			added = append(added, ep)
 		}
 		s.startListedSlowStart(listed)
 		if event.Update == UpdatePatch {
 			changed = append(changed, s.destination(listed.Destination))
 		}
 	}
+	for _, ep := range added {
+		s.inheritSuspicion(ep)
+	}
 	for _, dest := range changed {
 		s.dropUnlisted(dest)
 	}
--- a/scheduler/slowstart.go
+++ b/scheduler/slowstart.go
@@ -41,15 +41,15 @@
 	}
 }
 
-// inheritSuspicion begins the pacing of a new endpoint's own route if another endpoint of its destination has or had an
-// outage: the same server may come back at the new address.
+// inheritSuspicion begins the pacing of a new endpoint's own route if an endpoint of its destination that the list
+// removes has or had an outage: the same server may come back at the new address.
 func (s *Scheduler) inheritSuspicion(ep *endpoint) {
 	if !ep.ownLimit || ep.route.gate.Paced(s.now) {
 		return
 	}
 	capacity, paced := 0.0, 0
 	for _, other := range ep.route.destination.endpoints {
-		if other == ep || !other.ownLimit {
+		if !other.ownLimit || other.live && other.listed {
 			continue
 		}
 		s.suspectOutage(other.route)
