A member of a group does not hang in its end behind a stopped pipeline

Callers saw: a member that led, was isolated and came back could not be stopped but by SIGKILL. Change: one request in flight to a member, with which the library uses no pipeline. The log has few entries, so that the delay counts little. The hang itself was not forced.

--- a/internal/group/raft_node.go
+++ b/internal/group/raft_node.go
@@ -78,12 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	node.transport = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
-		Logger:  g.raftLogger(),
-		Stream:  node.stream,
-		MaxPool: maxPooledConns,
-		Timeout: max(g.entryTimeout(), minTransportTimeout),
-	})
+	node.transport = g.newTransport(node.stream)
 	node.raft, err = g.newRaft(guarded, snapshots, node.transport)
 	if err == nil {
 		return node, nil
@@ -129,6 +124,18 @@
 	return created.raft, created.err
 }
 
+// newTransport returns the raft library's transport. It has one request in flight to each member: with more the library
+// uses a pipeline, and its shutdown waits forever for a pipeline whose responses nobody reads any more.
+func (g *Group) newTransport(stream *streamLayer) *raft.NetworkTransport {
+	return raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
+		Logger:          g.raftLogger(),
+		Stream:          stream,
+		MaxPool:         maxPooledConns,
+		MaxRPCsInFlight: 1,
+		Timeout:         max(g.entryTimeout(), minTransportTimeout),
+	})
+}
+
 // stop stops the log and closes its files.
 func (n *raftNode) stop() {
 	done := n.raft.Shutdown()
