Review case 7 is a charge that runs twice by a changed class; the others move

Change: review/7 is the charge that runs twice when its class has another effect in the next file; the cases that were 7, 8 and 9 are 8, 9 and 10; the answers that never left the process (review/10 until now) leave, and stand in the report.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -11,7 +11,7 @@
 		fmt.Println("usage: standin2 CASE RECORD")
 		os.Exit(unable)
 	}
-	play := map[string]func(*env){"direct": directReply, "noack": noAck, "channels": channels, "gone": gone, "duty": duty}[os.Args[1]]
+	play := map[string]func(*env){"direct": directReply, "channels": channels, "gone": gone, "duty": duty, "effect": effect}[os.Args[1]]
 	if play == nil {
 		fmt.Println("no such case")
 		os.Exit(unable)
