An older list is corrected by what was live, not by what is gone

Cause: the folder kept the names of the last 256 gone endpoints, 8 KiB at most; a name that was dropped made its endpoint of an older list live again. An endpoint with another address or destination under its old name was never in that memory. A successor's checkpoint overwrote a report of the registry that came before it was restored.

Change: the folder and the checkpoint keep fingerprints of the endpoints that were live in the registry's last report (an optional key; earlier releases ignore it, and what they wrote is read). Of an older list only these are used until the registry responds, and then the whole list is requested. At its limit of 1,024 the memory costs service while discovery is silent.

--- a/internal/hotrestart/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -48,7 +48,9 @@
 			{Kind: "refused", Version: 1, Reason: "quotes \" \\ <&> \u2028, tab\t, newline\n, ümläut"},
 		}},
 		{"prepared", []Message{{Kind: "prepared"}}},
-		{"state", []Message{{Kind: "state", State: fullState()}, {Kind: "state", State: emptyState()}}},
+		{"state", []Message{
+			{Kind: "state", State: fullState()}, {Kind: "state", State: emptyState()}, {Kind: "state", State: liveState()},
+		}},
 		{"taken", []Message{{Kind: "taken"}}},
 		{"yours", []Message{{Kind: "yours"}}},
 		{"serving", []Message{{Kind: "serving"}}},
@@ -155,6 +157,13 @@
 	}
 }
 
+// liveState returns a state of a release that hands over which endpoints were live.
+func liveState() *State {
+	state := fullState()
+	state.Core.LiveEndpoints = []byte{1, 2, 3, 4, 5, 6, 7, 8}
+	return state
+}
+
 // emptyState returns the smallest state: nil lists and maps are sent as null.
 func emptyState() *State { return &State{ListVersion: -1} }
 
--- a/internal/net/platform/registry.go
+++ b/internal/net/platform/registry.go
@@ -89,6 +89,10 @@
 	// unresponsive, then nil. While it is suspended, no new attempts are sent to its endpoints.
 	unconfirmed []sender.Route
 	suspended   bool
+
+	// wholeListDue: the list of an earlier incarnation may have been corrected, so that the changes since it are
+	// not enough: the whole list is requested once the agent has responded.
+	wholeListDue bool
 }
 
 // WatchOptions describe the watching sender.
@@ -128,7 +132,7 @@
 		eventLoop.Post(g.resume)
 		return g
 	}
-	g.unconfirmed = Routes(lastList)
+	g.unconfirmed, g.wholeListDue = Routes(lastList), core.HasEarlierReport()
 	firstPoll := g.firstPollDelay(options)
 	trustedFor := options.DrainGrace - options.ListAge - maxProcessPause
 	if trustedFor > 0 {
@@ -180,8 +184,13 @@
 	g.unconfirmed = nil
 }
 
-// Version returns the version of the list. It is negative if there is none.
-func (g *Registry) Version() int64 { return g.version }
+// Version returns the version of the list. It is negative if there is none, or if the list may have been corrected.
+func (g *Registry) Version() int64 {
+	if g.wholeListDue {
+		return noVersion
+	}
+	return g.version
+}
 
 // Stop ends the watch.
 func (g *Registry) Stop() {
@@ -298,6 +307,10 @@
 		return errors.New("registry: endpoint list has no version")
 	}
 	g.version = *list.Seq
+	if g.wholeListDue && !list.Whole {
+		g.version = noVersion
+	}
+	g.wholeListDue = false
 	return nil
 }
 
--- a/internal/net/platform/watch_test.go
+++ b/internal/net/platform/watch_test.go
@@ -209,6 +209,41 @@
 	}
 }
 
+// After a restart the sender uses only those endpoints of its older list that were live in the registry's last report.
+// Changes since the older list do not name the others, so that the whole list must be requested: else an endpoint that
+// is live again would get nothing for as long as the process runs.
+func TestCorrectedListIsRequestedWhole(t *testing.T) {
+	env := newTestEnv(t)
+	env.respond = respondOK
+	_, kill := env.startSender()
+	list := func(seq int, whole bool, health string) string {
+		return fmt.Sprintf(`{"seq":%d,"whole":%v,"hosts":[{"host":"e1","block":7,"class":"k","health":%q,"dial":%q}]}`,
+			seq, whole, health, env.endpointAddr)
+	}
+	env.updates <- list(2, false, "left")
+	for version := receive(t, env.polledVersions); version != "2"; {
+		version = receive(t, env.polledVersions)
+	}
+	time.Sleep(50 * time.Millisecond) // the change is stored asynchronously to the steps
+	kill()
+	for len(env.polledVersions) > 0 {
+		<-env.polledVersions
+	}
+	env.listAge = time.Hour
+	addr, _ := env.startSender()
+	env.submit(addr, "m", "safe", "50000")
+	env.updates <- `{"seq":1,"whole":false,"hosts":[]}`
+	env.updates <- list(3, true, "active")
+	polled := []string{receive(t, env.polledVersions)}
+	for len(env.updates) > 0 || polled[len(polled)-1] != "3" {
+		polled = append(polled, receive(t, env.polledVersions))
+	}
+	if !slices.Contains(polled, "") {
+		t.Errorf("the whole list was never requested: polls from versions %q", polled)
+	}
+	receive(t, env.calls)
+}
+
 // With a list younger than the drain grace, calls are made at once. With an older list, none is made until
 // the agent has responded or is considered unresponsive.
 func TestOldListTrustedForDrainGrace(t *testing.T) {
--- a/internal/snapshot/golden_test.go
+++ b/internal/snapshot/golden_test.go
@@ -50,6 +50,13 @@
 
 // fullSnapshot returns a snapshot with every field set, including those of nested types.
 func fullSnapshot() Snapshot {
+	full := earlierSnapshot()
+	full.LiveEndpoints = []byte{1, 2, 3, 4, 5, 6, 7, 8}
+	return full
+}
+
+// earlierSnapshot returns a snapshot with every field set that releases without LiveEndpoints write.
+func earlierSnapshot() Snapshot {
 	route := scheduler.RouteState{
 		Floats: []float64{2.5, -0.125}, Integers: []int64{900_000, -1}, Counts: []int{1, 2},
 		Flags: []bool{true, false}, AdvertisedLimit: [3]float64{0.25, 0.5, 0.75}, FirstCallAt: 17,
@@ -95,10 +102,17 @@
 	}}
 }
 
+// goldenSnapshots returns the snapshots in the golden files, by file name.
+func goldenSnapshots() map[string]Snapshot {
+	return map[string]Snapshot{
+		"full.memory": earlierSnapshot(), "full-live.memory": fullSnapshot(), "bare.memory": bareSnapshot(),
+	}
+}
+
 // A snapshot must be encoded to the bytes of the golden file, decoded from them with every field
 // unchanged, and encoded to the same bytes again.
 func TestGoldenSnapshot(t *testing.T) {
-	for name, want := range map[string]Snapshot{"full.memory": fullSnapshot(), "bare.memory": bareSnapshot()} {
+	for name, want := range goldenSnapshots() {
 		raw, err := Encode(want)
 		if err != nil {
 			t.Fatal(err)
@@ -148,7 +162,7 @@
 // The stored JSON must have no field that Snapshot lacks. This detects a renamed field without a tag
 // that keeps its stored name.
 func TestGoldenStrict(t *testing.T) {
-	for name, want := range map[string]Snapshot{"full.memory": fullSnapshot(), "bare.memory": bareSnapshot()} {
+	for name, want := range goldenSnapshots() {
 		dec := json.NewDecoder(bytes.NewReader(readGolden(t, name)[len("brackendale memory 2\n")+8:]))
 		dec.DisallowUnknownFields()
 		var got Snapshot
@@ -158,22 +172,24 @@
 	}
 }
 
-// The file must be written and read under the name that earlier versions use.
+// The files must be written and read under the name that earlier versions use.
 func TestGoldenFile(t *testing.T) {
-	dir := t.TempDir()
-	if err := os.WriteFile(filepath.Join(dir, "memory"), readGolden(t, "full.memory"), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	got, found, err := Read(dir, "n1")
-	if err != nil || !found || !reflect.DeepEqual(got, fullSnapshot()) {
-		t.Fatalf("%v %v\ngot  %+v", found, err, got)
-	}
-	other := t.TempDir()
-	if err := Write(other, fullSnapshot()); err != nil {
-		t.Fatal(err)
-	}
-	raw, err := os.ReadFile(filepath.Join(other, "memory"))
-	if err != nil || !bytes.Equal(raw, readGolden(t, "full.memory")) {
-		t.Errorf("%v\n%s", err, raw)
+	for name, want := range map[string]Snapshot{"full.memory": earlierSnapshot(), "full-live.memory": fullSnapshot()} {
+		dir := t.TempDir()
+		if err := os.WriteFile(filepath.Join(dir, "memory"), readGolden(t, name), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		got, found, err := Read(dir, "n1")
+		if err != nil || !found || !reflect.DeepEqual(got, want) {
+			t.Fatalf("%s: %v %v\ngot  %+v", name, found, err, got)
+		}
+		other := t.TempDir()
+		if err := Write(other, want); err != nil {
+			t.Fatal(err)
+		}
+		raw, err := os.ReadFile(filepath.Join(other, "memory"))
+		if err != nil || !bytes.Equal(raw, readGolden(t, name)) {
+			t.Errorf("%s: %v\n%s", name, err, raw)
+		}
 	}
 }
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -45,10 +45,14 @@
 	TakenAt   clock.Reading   `json:"At"`
 	Scheduler scheduler.State `json:"Module"`
 	Draining  []string        `json:"Gone"` // endpoints that were draining or no longer listed, the latest last
+
+	// LiveEndpoints are fingerprints of the endpoints that were live in the registry's last report; nil:
+	// there is no report, or an earlier release wrote the file.
+	LiveEndpoints []byte `json:"Live,omitzero"`
 }
 
-// Encode returns the content of a file. If it would exceed MaxBytes, the last destinations are left
-// out.
+// Encode returns the content of a file. If it would exceed MaxBytes, the names of draining endpoints are
+// left out where the live endpoints tell the same, and then the last destinations.
 func Encode(snapshot Snapshot) ([]byte, error) {
 	var out bytes.Buffer
 	for {
@@ -61,6 +65,10 @@
 		if out.Len() <= MaxBytes {
 			break
 		}
+		if snapshot.LiveEndpoints != nil && len(snapshot.Draining) > 0 {
+			snapshot.Draining = nil
+			continue
+		}
 		count := len(snapshot.Scheduler.Destinations)
 		if count == 0 {
 			return nil, fmt.Errorf("snapshot: %d bytes exceed the limit of %d", out.Len(), MaxBytes)
--- a/sender/golden_folder_test.go
+++ b/sender/golden_folder_test.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	core.draining.names = []string{"gone-target"}
+	core.reported.removed = []string{"gone-target"}
 	err = errors.Join(snapshot.Write(dir, core.newSnapshot()), core.journal.Close(),
 		os.Remove(filepath.Join(dir, "spool")))
 	if err != nil {
--- a/sender/golden_restore_test.go
+++ b/sender/golden_restore_test.go
@@ -146,8 +146,8 @@
 				t.Fatal(err)
 			}
 			t.Cleanup(func() { _ = core.journal.Close() })
-			if core.recovery.folderProblem != test.problem || !slices.Equal(core.draining.names, []string{"gone-target"}) {
-				t.Errorf("problem %q, draining %v", core.recovery.folderProblem, core.draining.names)
+			if core.recovery.folderProblem != test.problem || !slices.Equal(core.reported.removed, []string{"gone-target"}) {
+				t.Errorf("problem %q, draining %v", core.recovery.folderProblem, core.reported.removed)
 			}
 			checkDeadlines(t, core)
 			front := restoreGolden(t, core, len(test.continued))
--- a/sender/golden_test.go
+++ b/sender/golden_test.go
@@ -82,9 +82,10 @@
 	}
 }
 
-// The checkpoint keeps its field names: the successor of a hot restart may be of another version.
+// The checkpoint keeps its field names: the successor of a hot restart may be of another version, such as one without
+// the live endpoints.
 func TestGoldenCheckpoint(t *testing.T) {
-	checkpoint := Checkpoint{
+	earlier := Checkpoint{
 		Scheduler: scheduler.State{Format: 1}, Ended: []string{"over"}, KnownEndpoints: []string{"a"},
 		Draining: []string{"b"},
 		Routes: []Route{{Endpoint: scheduler.Endpoint{
@@ -92,15 +93,19 @@
 			SlowStart: true,
 		}, Dial: "127.0.0.1:1", Protocol: "p"}},
 	}
-	raw, err := json.MarshalIndent(checkpoint, "", "  ")
-	if err != nil {
-		t.Fatal(err)
-	}
-	dec := json.NewDecoder(bytes.NewReader(checkGolden(t, "checkpoint.json", raw)))
-	dec.DisallowUnknownFields()
-	var got Checkpoint
-	if err := dec.Decode(&got); err != nil || !reflect.DeepEqual(got, checkpoint) {
-		t.Errorf("%v: got %+v, want %+v", err, got, checkpoint)
+	live := earlier
+	live.LiveEndpoints = []byte{1, 2, 3, 4, 5, 6, 7, 8}
+	for name, checkpoint := range map[string]Checkpoint{"checkpoint.json": earlier, "checkpoint-live.json": live} {
+		raw, err := json.MarshalIndent(checkpoint, "", "  ")
+		if err != nil {
+			t.Fatal(err)
+		}
+		dec := json.NewDecoder(bytes.NewReader(checkGolden(t, name, raw)))
+		dec.DisallowUnknownFields()
+		var got Checkpoint
+		if err := dec.Decode(&got); err != nil || !reflect.DeepEqual(got, checkpoint) {
+			t.Errorf("%s: %v: got %+v, want %+v", name, err, got, checkpoint)
+		}
 	}
 }
 
--- a/sender/hot_restart.go
+++ b/sender/hot_restart.go
@@ -22,6 +22,9 @@
 	Ended          []string        `json:"Over"`   // ids of removed messages
 	KnownEndpoints []string        `json:"Listed"` // names of all endpoints that were ever listed
 	Draining       []string        `json:"Gone"`   // endpoints that were draining or removed
+	// LiveEndpoints are fingerprints of the endpoints that were live in the registry's last report; nil:
+	// there is no report.
+	LiveEndpoints []byte `json:"Live,omitzero"`
 }
 
 // Successor is the process that replaces this one in a hot restart. Its methods are called on Run's
@@ -158,7 +161,8 @@
 		Scheduler:      s.scheduler.State(),
 		Ended:          s.endedIDs.all(),
 		KnownEndpoints: s.knownEndpoints.all(),
-		Draining:       s.draining.names,
+		Draining:       s.reported.removed,
+		LiveEndpoints:  s.reported.live.encode(len(s.reported.live)),
 	}
 	for _, route := range s.routes {
 		checkpoint.Routes = append(checkpoint.Routes, route)
@@ -176,7 +180,6 @@
 	for _, name := range checkpoint.KnownEndpoints {
 		s.knownEndpoints.add(name)
 	}
-	s.draining.names = checkpoint.Draining
 	s.hotRestart.remoteAttempts = map[string]Action{}
 	for _, attempt := range s.scheduler.InFlight() {
 		if entry := s.journal.Get(attempt.ID); entry == nil || entry.FinalAnswer != "" || entry.InFlightSince == 0 {
--- a/sender/restore.go
+++ b/sender/restore.go
@@ -102,3 +102,15 @@
 		Zone:        entry.Zone,
 	}
 }
+
+// Downtime returns an upper bound of the time for which no process of this sender received updates of
+// the endpoint list before this one started; ok is false if it is unknown. A process that writes its
+// journal is taken to receive the updates. If no process has written a journal before, the endpoint
+// list is as old as this process and the downtime is 0.
+func (s *Sender) Downtime() (downtime time.Duration, ok bool) {
+	if s.journal.IsNew() {
+		return 0, true
+	}
+	lastWrite, ok := s.journal.LastWriteAt()
+	return s.startInstant.Sub(lastWrite), ok
+}
--- a/sender/routes.go
+++ b/sender/routes.go
@@ -31,19 +31,26 @@
 		return
 	}
 	event := scheduler.Event{Kind: scheduler.EndpointsUpdated, Update: kind}
-	changed := map[string][]Route{} // by protocol
 	before := s.routes
+	var removed []Route
 	if kind != scheduler.UpdatePatch {
-		s.removeMissingRoutes(list, changed)
+		removed = s.removeMissingRoutes(list)
 	}
+	if kind == scheduler.UpdateStale {
+		list = s.correctOlderList(list)
+	}
+	changed := routesByProtocol(removed)
 	for _, route := range list {
 		stateBefore := before[route.Addr].State
-		if route = s.applyRoute(kind, route); route.State != stateBefore {
+		if route = s.applyRoute(route); route.State != stateBefore {
 			s.recordRouteState(route)
 		}
 		event.Endpoints = append(event.Endpoints, route.Endpoint)
 		changed[route.Protocol] = append(changed[route.Protocol], route)
 	}
+	if kind != scheduler.UpdateStale {
+		s.reported.update(s.routes, slices.Concat(removed, list))
+	}
 	s.syncRouteStats()
 	for protocol, egress := range s.egresses {
 		if routes := changed[protocol]; len(routes) > 0 {
@@ -58,18 +65,44 @@
 	}
 }
 
-// removeMissingRoutes clears the route table for a full list. It adds the routes that are not in the
-// list to changed, as dead.
-func (s *Sender) removeMissingRoutes(list []Route, changed map[string][]Route) {
+// removeMissingRoutes clears the route table for a whole list. It returns the routes that are not in the
+// list, as dead.
+func (s *Sender) removeMissingRoutes(list []Route) (removed []Route) {
 	for name, route := range s.routes {
 		if !slices.ContainsFunc(list, func(listed Route) bool { return listed.Addr == name }) {
 			route.State = scheduler.StatusDead
-			s.draining.update(route)
 			s.recordRouteState(route)
-			changed[route.Protocol] = append(changed[route.Protocol], route)
+			removed = append(removed, route)
 		}
 	}
 	s.routes = map[string]Route{}
+	return removed
+}
+
+func routesByProtocol(routes []Route) map[string][]Route {
+	byProtocol := map[string][]Route{}
+	for _, route := range routes {
+		byProtocol[route.Protocol] = append(byProtocol[route.Protocol], route)
+	}
+	return byProtocol
+}
+
+// correctOlderList returns an older list without the endpoints that must not be used before the registry
+// responds: they are draining.
+func (s *Sender) correctOlderList(list []Route) []Route {
+	corrected := slices.Clone(list)
+	count := 0
+	for i, route := range list {
+		corrected[i] = s.reported.correct(route)
+		if corrected[i].State != route.State {
+			count++
+		}
+	}
+	if count > 0 {
+		s.log.Info().Int("targets", count).Int("listed", len(list)).
+			Msg("targets of an older list that were not live in the registry's last report get nothing until it responds")
+	}
+	return corrected
 }
 
 // recordRouteState records that an endpoint has another state than before.
@@ -79,12 +112,7 @@
 
 // applyRoute applies the update of one route and returns the route to pass to the scheduler and the
 // egress.
-func (s *Sender) applyRoute(kind scheduler.UpdateKind, route Route) Route {
-	if kind == scheduler.UpdateStale {
-		route = s.draining.correct(route)
-	} else {
-		s.draining.update(route)
-	}
+func (s *Sender) applyRoute(route Route) Route {
 	if route.State == scheduler.StatusDead {
 		delete(s.routes, route.Addr)
 	} else {
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -98,7 +98,9 @@
 	routeStats     map[string]*RouteState
 	destinations   sync.Map   // keys of type int64: destinations that ever had a route; any goroutine reads it
 	knownEndpoints knownNames // names of all endpoints that were ever listed
-	draining       drainingEndpoints
+	reported       reportedEndpoints
+
+	hasEarlierReport bool // see HasEarlierReport; it does not change after New
 
 	// Messages.
 	nextInput     stepInput
@@ -167,7 +169,11 @@
 	journalReadTime := time.Since(readStarted)
 	s := newSender(options, sched, opened)
 	s.recovery.journalReadTime = journalReadTime
+	if options.Checkpoint != nil {
+		s.reported.resume(options.Checkpoint)
+	}
 	s.restoreFolder()
+	s.hasEarlierReport = s.reported.live != nil
 	s.metrics.AddMetrics(s.RecoveryMetrics)
 	return s, nil
 }
--- a/sender/snapshots.go
+++ b/sender/snapshots.go
@@ -45,6 +45,7 @@
 // applySnapshot restores the learned state in a snapshot, with its times shifted to the clock of this
 // boot.
 func (s *Sender) applySnapshot(stored snapshot.Snapshot) error {
+	s.reported.restore(stored.LiveEndpoints, stored.Draining) // also if the scheduler's part is not usable
 	now := clock.Now()
 	elapsed, shift := snapshot.Elapsed(stored.TakenAt, now)
 	stored.Scheduler.ShiftTimes(shift)
@@ -52,7 +53,6 @@
 	if err := s.scheduler.RestoreLearnedState(stored.Scheduler, int64(now.SinceBoot)); err != nil {
 		return err
 	}
-	s.draining.names = stored.Draining
 	// Until messages get their final answers in this incarnation, the rate of final answers is taken
 	// to be the arrival rate.
 	s.finalAnswerRate.perSecond = s.scheduler.ArrivalRate(int64(now.SinceBoot))
@@ -85,7 +85,7 @@
 		return
 	}
 	now := time.Now()
-	force = force || s.draining.unsaved
+	force = force || s.reported.unsaved
 	// The fingerprint iterates over all destinations, so it is not computed in each iteration of Run.
 	if !force && now.Sub(writer.checkedAt) < minSnapshotInterval {
 		return
@@ -97,17 +97,18 @@
 	}
 	select {
 	case writer.queue <- s.newSnapshot():
-		writer.queuedAt, writer.fingerprint, s.draining.unsaved = now, fingerprint, false
+		writer.queuedAt, writer.fingerprint, s.reported.unsaved = now, fingerprint, false
 	default:
 	}
 }
 
 func (s *Sender) newSnapshot() snapshot.Snapshot {
 	return snapshot.Snapshot{
-		Name:      s.options.Name,
-		TakenAt:   clock.Now(),
-		Scheduler: s.scheduler.LearnedState(maxSnapshotDestinations),
-		Draining:  slices.Clone(s.draining.names),
+		Name:          s.options.Name,
+		TakenAt:       clock.Now(),
+		Scheduler:     s.scheduler.LearnedState(maxSnapshotDestinations),
+		Draining:      slices.Clone(s.reported.removed),
+		LiveEndpoints: s.reported.live.encode(maxStoredEndpoints),
 	}
 }
 
