--- a/sender/reported_endpoints_test.go
+++ b/sender/reported_endpoints_test.go
@@ -8,11 +8,14 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"brackendale/internal/clock"
 	"brackendale/internal/snapshot"
+	"brackendale/internal/statefs"
 	"brackendale/scheduler"
 
 	"github.com/rs/zerolog"
@@ -106,7 +109,7 @@
 // plannedStop ends the sender in order, and returns its folder.
 func (r *runningSender) plannedStop(t *testing.T) string {
 	t.Helper()
-	r.awaitSnapshot(t)
+	waitPosted(t, r.Sender)
 	r.stop()
 	return r.dir
 }
@@ -312,3 +315,66 @@
 		t.Errorf("the report is forgotten: live %v, removed %v", core.reported.live, core.reported.removed)
 	}
 }
+
+// The last snapshot of a planned restart must not be left out because the one before is still being written.
+func TestLastSnapshotBehindASlowOne(t *testing.T) {
+	writing, proceed := make(chan bool, 100), make(chan bool)
+	defer statefs.SetHook(func(call statefs.Call, name string) *statefs.Fault {
+		if call == statefs.CallWrite && name == "memory.new" {
+			writing <- true
+			<-proceed
+		}
+		return nil
+	})()
+	core := runSender(t, t.TempDir(), nil)
+	gone := listedRoute("gone", "127.0.0.1:1", 1)
+	core.UpdateRoutes(scheduler.UpdateFull, []Route{gone})
+	<-writing
+	waitPosted(t, core.Sender)
+	core.Post(func() { core.writeSnapshotIfDue(true) }) // fills the queue of the writer
+	core.UpdateRoutes(scheduler.UpdateFull, nil)
+	waitPosted(t, core.Sender)
+	time.AfterFunc(50*time.Millisecond, func() { close(proceed) })
+	core.stop()
+	next := runSender(t, core.dir, nil)
+	next.UpdateRoutes(scheduler.UpdateStale, []Route{gone})
+	if state := next.endpointStates(t)["gone"]; state == string(scheduler.StatusLive) {
+		t.Error("the last report is forgotten")
+	}
+}
+
+// A report whose snapshot could not be written is stored with the next check, not only when the last one is too old.
+func TestReportAfterAFailedWrite(t *testing.T) {
+	failed := make(chan bool, 100)
+	var broken atomic.Bool
+	defer statefs.SetHook(func(call statefs.Call, name string) *statefs.Fault {
+		if call == statefs.CallWrite && name == "memory.new" && broken.Load() {
+			failed <- true
+			return &statefs.Fault{Err: syscall.ENOSPC}
+		}
+		return nil
+	})()
+	core := runSender(t, t.TempDir(), nil)
+	awaitStored := func(endpoints int) {
+		t.Helper()
+		for start := time.Now(); ; time.Sleep(time.Millisecond) {
+			waitPosted(t, core.Sender)
+			raw, err := os.ReadFile(filepath.Join(core.dir, "memory"))
+			last, decodeErr := snapshot.Decode(raw)
+			if err == nil && decodeErr == nil && len(last.LiveEndpoints) == endpoints*fingerprintBytes {
+				return
+			}
+			if time.Since(start) > maxSnapshotAge/2 {
+				t.Fatalf("no snapshot with %d endpoints is stored", endpoints)
+			}
+		}
+	}
+	gone := listedRoute("gone", "127.0.0.1:1", 1)
+	core.UpdateRoutes(scheduler.UpdateFull, []Route{gone})
+	awaitStored(1)
+	broken.Store(true)
+	core.UpdateRoutes(scheduler.UpdateFull, nil)
+	<-failed
+	broken.Store(false)
+	awaitStored(0)
+}
--- a/sender/snapshots.go
+++ b/sender/snapshots.go
@@ -69,7 +69,12 @@
 		defer close(s.snapshots.done)
 		logged := false
 		for taken := range s.snapshots.queue {
-			if err := snapshot.Write(s.options.StateDir, taken); err != nil && !logged {
+			err := snapshot.Write(s.options.StateDir, taken)
+			if err == nil {
+				continue
+			}
+			s.Post(func() { s.snapshots.queuedAt = time.Time{} }) // the next check tries again
+			if !logged {
 				logged = true
 				s.log.Warn().Err(err).Msg("the snapshot cannot be written: the next incarnation may lack the learned state")
 			}
@@ -112,13 +117,15 @@
 	}
 }
 
-// stopSnapshotWriter queues a last snapshot, unless the writer is busy, and waits until the goroutine
-// has ended.
+// stopSnapshotWriter queues a last snapshot, behind one that still waits for the writer, and waits until
+// the goroutine has ended.
 func (s *Sender) stopSnapshotWriter() {
 	if s.snapshots.queue == nil {
 		return
 	}
-	s.writeSnapshotIfDue(true)
+	if !s.handedOver() {
+		s.snapshots.queue <- s.newSnapshot()
+	}
 	close(s.snapshots.queue)
 	<-s.snapshots.done
 }
