Every Retry-After holds across a restart, at the limit of the learned state too

The learned state keeps 100 routes, and fewer if the file has no room; a wait that it left out was gone, one of over 60 s was cut to 60 s, and one of an endpoint that drains was not stored although the endpoint may be live again within it.

Change: with more than 100 routes those with the longest waits are stored first, and the longest wait that is left out holds for all routes that the state lacks (an optional key, "Waits").

Measured: TestEveryRetryAfterIsLearned fails in all of its four cases and TestRetryAfterOfADrainingEndpointIsLearned fails on the code before.

--- a/internal/hotrestart/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -157,10 +157,12 @@
 	}
 }
 
-// liveState returns a state of a release that hands over which endpoints were live.
+// liveState returns a state of a release that hands over which endpoints were live, and a Retry-After
+// for routes that an earlier snapshot lacked.
 func liveState() *State {
 	state := fullState()
 	state.Core.LiveEndpoints = []byte{1, 2, 3, 4, 5, 6, 7, 8}
+	state.Core.Scheduler.OtherRetryAfterUntil = 123_456_789
 	return state
 }
 
--- a/internal/snapshot/golden_test.go
+++ b/internal/snapshot/golden_test.go
@@ -52,10 +52,12 @@
 func fullSnapshot() Snapshot {
 	full := earlierSnapshot()
 	full.LiveEndpoints = []byte{1, 2, 3, 4, 5, 6, 7, 8}
+	full.Scheduler.OtherRetryAfterUntil = 123_456_789
 	return full
 }
 
-// earlierSnapshot returns a snapshot with every field set that releases without LiveEndpoints write.
+// earlierSnapshot returns a snapshot with every field set that releases without LiveEndpoints and
+// OtherRetryAfterUntil write.
 func earlierSnapshot() Snapshot {
 	route := scheduler.RouteState{
 		Floats: []float64{2.5, -0.125}, Integers: []int64{900_000, -1}, Counts: []int{1, 2},
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -73,7 +73,7 @@
 		if count == 0 {
 			return nil, fmt.Errorf("snapshot: %d bytes exceed the limit of %d", out.Len(), MaxBytes)
 		}
-		snapshot.Scheduler.Destinations = snapshot.Scheduler.Destinations[:count*MaxBytes/out.Len()]
+		snapshot.Scheduler.KeepDestinations(count * MaxBytes / out.Len())
 	}
 	raw := out.Bytes()
 	binary.LittleEndian.PutUint32(raw[checksumOffset:], crc32.Checksum(raw[headerSize:], crcTable))
--- a/scheduler/endpointlist.go
+++ b/scheduler/endpointlist.go
@@ -110,6 +110,7 @@
 	if ep.ownLimit {
 		ep.route = newRoute("route "+listed.Addr, dest)
 		ep.route.endpointAddr = listed.Addr
+		ep.route.retryAfterUntil = s.pendingOtherRetryAfter()
 		ep.zoneFee = elementOrZero(calls.ZoneFees, slices.Index(s.settings.Zones, listed.Zone))
 	}
 	s.adoptLearnedEndpoint(ep, listed)
--- a/scheduler/learned.go
+++ b/scheduler/learned.go
@@ -16,8 +16,10 @@
 }
 
 // LearnedState returns the learned state for the next incarnation, of at most maxRoutes routes: first
-// those that are unavailable, in slow start or in a Retry-After, then those most recently sent to. It
-// has no side effects. docs/design/coming-back.md gives the reasons.
+// those that are unavailable, in slow start or in a Retry-After, then those most recently sent to. If
+// there are more, those with the longest Retry-After go first, and the longest one that is left out
+// applies to all routes that are left out. It has no side effects. docs/design/coming-back.md gives the
+// reasons.
 func (s *Scheduler) LearnedState(maxRoutes int) State {
 	list := s.learnedRoutes()
 	slices.SortFunc(list, func(a, b learnedRoute) int {
@@ -27,9 +29,20 @@
 			cmp.Compare(a.route.name, b.route.name),
 		)
 	})
-	state := State{Format: StateFormat}
+	if len(list) > maxRoutes {
+		slices.SortStableFunc(list, func(a, b learnedRoute) int {
+			return cmp.Compare(s.remainingRetryAfter(b.route), s.remainingRetryAfter(a.route))
+		})
+	}
+	count := min(maxRoutes, len(list))
+	state := State{Format: StateFormat, OtherRetryAfterUntil: s.pendingOtherRetryAfter()}
+	for _, learned := range list[count:] {
+		if s.remainingRetryAfter(learned.route) > 0 {
+			state.OtherRetryAfterUntil = max(state.OtherRetryAfterUntil, learned.route.retryAfterUntil)
+		}
+	}
 	index := map[int64]int{} // in state.Destinations
-	for _, learned := range list[:min(maxRoutes, len(list))] {
+	for _, learned := range list[:count] {
 		i, ok := index[learned.destination]
 		if !ok {
 			i = len(state.Destinations)
@@ -41,6 +54,17 @@
 	return state
 }
 
+// remainingRetryAfter returns the remaining time of a route's Retry-After.
+func (s *Scheduler) remainingRetryAfter(rt *route) int64 { return max(0, rt.retryAfterUntil-s.now) }
+
+// pendingOtherRetryAfter returns s.otherRetryAfterUntil until it has passed, then 0.
+func (s *Scheduler) pendingOtherRetryAfter() int64 {
+	if s.otherRetryAfterUntil <= s.now {
+		return 0
+	}
+	return s.otherRetryAfterUntil
+}
+
 // learnedRoutes returns the routes that have learned state.
 func (s *Scheduler) learnedRoutes() []learnedRoute {
 	var list []learnedRoute
@@ -49,7 +73,8 @@
 			list = append(list, learnedRoute{destination: id, route: dest.route})
 		}
 		for _, ep := range dest.endpoints {
-			if ep.ownLimit && ep.live && s.hasLearnedState(ep.route) {
+			usable := ep.live || !ep.superseded && s.remainingRetryAfter(ep.route) > 0 // it may be live again in time
+			if ep.ownLimit && usable && s.hasLearnedState(ep.route) {
 				list = append(list, learnedRoute{destination: id, route: ep.route, endpoint: &ep.Endpoint})
 			}
 		}
@@ -62,7 +87,7 @@
 
 // learnedPriority returns the priority with which a route is included in the learned state.
 func (s *Scheduler) learnedPriority(rt *route) int64 {
-	if rt.health.unavailable || rt.retryAfterUntil > s.now || rt.gate.Failed || rt.gate.Paced(s.now) {
+	if rt.health.unavailable || s.remainingRetryAfter(rt) > 0 || rt.gate.Failed || rt.gate.Paced(s.now) {
 		return never
 	}
 	return rt.lastSendAt
@@ -71,7 +96,7 @@
 // hasLearnedState reports whether a route has any state that is useful to the next incarnation.
 func (s *Scheduler) hasLearnedState(rt *route) bool {
 	return rt.latency.samples > 0 || rt.advertisedLimit.Known() || rt.health.unavailable ||
-		rt.retryAfterUntil > s.now || rt.gate.Failed || rt.gate.Paced(s.now)
+		s.remainingRetryAfter(rt) > 0 || rt.gate.Failed || rt.gate.Paced(s.now)
 }
 
 // learnedState returns a destination's learned state without that of its routes.
@@ -99,6 +124,29 @@
 	})
 }
 
+// KeepDestinations leaves out all but the first count destinations of a learned state.
+func (state *State) KeepDestinations(count int) {
+	for i := range state.Destinations[count:] {
+		dropped := &state.Destinations[count+i]
+		state.OtherRetryAfterUntil = max(state.OtherRetryAfterUntil, dropped.Route.retryAfterUntil())
+		for _, ep := range dropped.Endpoints {
+			if ep.OwnRoute != nil {
+				state.OtherRetryAfterUntil = max(state.OtherRetryAfterUntil, ep.OwnRoute.retryAfterUntil())
+			}
+		}
+	}
+	state.Destinations = state.Destinations[:count]
+}
+
+// retryAfterUntil returns 0 for a state of another version.
+func (state *RouteState) retryAfterUntil() int64 {
+	rt := newRoute("", nil)
+	if !rt.restore(*state) {
+		return 0
+	}
+	return rt.retryAfterUntil
+}
+
 // learnedRouteState returns a route's learned state. Values that are not used after a restart are zero,
 // which keeps the snapshot small.
 func (s *Scheduler) learnedRouteState(source *route) RouteState {
@@ -189,6 +237,9 @@
 	if deltaUs == 0 {
 		return
 	}
+	if state.OtherRetryAfterUntil != 0 {
+		state.OtherRetryAfterUntil += deltaUs
+	}
 	for i := range state.Destinations {
 		dest := &state.Destinations[i]
 		for j := range dest.Integers {
--- a/scheduler/learned_test.go
+++ b/scheduler/learned_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math"
 	"testing"
 )
@@ -272,3 +273,84 @@
 		t.Errorf("rate %v, initially %v, and %v tokens", rt.bucket.rate, before, rt.bucket.tokens)
 	}
 }
+
+// A Retry-After must hold across a restart also if there are more than the learned state or its file has room for, and
+// if it is longer than what another sender may tell. It was lost then, and the next incarnation sent within it.
+func TestEveryRetryAfterIsLearned(t *testing.T) {
+	const destinations = 120
+	waitUs := func(destination int64) int64 { return (5 + destination) * 1000 * ms }
+	restarts := map[string]func(State) State{
+		"one":       func(state State) State { return state },
+		"less room": func(state State) State { state.KeepDestinations(30); return state },
+	}
+	for name, store := range restarts {
+		for _, ownRoutes := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, own routes %v", name, ownRoutes), func(t *testing.T) {
+				machineType := "plain"
+				if ownRoutes {
+					machineType = "apart"
+				}
+				var list []Endpoint
+				for id := range int64(destinations) {
+					list = append(list, liveEndpoint(fmt.Sprint("e", id), machineType, "z", id))
+				}
+				sched := newRig(t, testSettings(), list...).sched
+				for _, ep := range sched.endpoints {
+					ep.route.retryAfterUntil = sched.now + waitUs(ep.Destination)
+				}
+				now := sched.now
+				for range 3 { // the later ones end before they get the list
+					now += 1000 * ms
+					sched = restoredFrom(t, store(sched.LearnedState(100)), now)
+				}
+				sched.Step(now, []Event{{Kind: EndpointsUpdated, Update: UpdateFull, Endpoints: list}})
+				for addr, ep := range sched.endpoints {
+					until, want := ep.route.retryAfterUntil, 1e9+waitUs(ep.Destination)
+					if until < want {
+						t.Errorf("the Retry-After of %s ends %d ms early", addr, (want-until)/1000)
+					}
+					if longest := 1e9 + waitUs(destinations); until > longest {
+						t.Errorf("the Retry-After of %s ends %d ms behind the longest one", addr, (until-longest)/1000)
+					}
+				}
+			})
+		}
+	}
+}
+
+// An endpoint that drains keeps its Retry-After across a restart, and one of ten minutes is not shortened.
+func TestRetryAfterOfADrainingEndpointIsLearned(t *testing.T) {
+	draining := liveEndpoint("a", "apart", "z", 1)
+	rig := newRig(t, testSettings(), draining)
+	until := rig.now + 600_000*ms
+	rig.sched.endpoints["a"].route.retryAfterUntil = until
+	draining.State = StatusDraining
+	rig.step(Event{Kind: EndpointsUpdated, Update: UpdatePatch, Endpoints: []Endpoint{draining}})
+	sched := restoredFrom(t, rig.sched.LearnedState(100), rig.now+1000*ms)
+	draining.State = StatusLive
+	sched.Step(rig.now+1000*ms, []Event{{Kind: EndpointsUpdated, Update: UpdateFull, Endpoints: []Endpoint{draining}}})
+	if got := sched.endpoints["a"].route.retryAfterUntil; got != until {
+		t.Errorf("the Retry-After ends at %d, want %d", got, until)
+	}
+}
+
+// restoredFrom returns the scheduler of an incarnation that starts at now with a learned state in its stored form.
+func restoredFrom(t *testing.T, learned State, now int64) *Scheduler {
+	t.Helper()
+	raw, err := json.Marshal(learned)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var state State
+	if err := json.Unmarshal(raw, &state); err != nil {
+		t.Fatal(err)
+	}
+	sched, err := New(testSettings(), 11)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := sched.RestoreLearnedState(state, now); err != nil {
+		t.Fatal(err)
+	}
+	return sched
+}
--- a/scheduler/restorelearned.go
+++ b/scheduler/restorelearned.go
@@ -10,10 +10,11 @@
 )
 
 const (
-	learnedHalfLifeUs       = 60_000_000  // half-life of the weight of learned latencies and failure shares
-	learnedMaxAgeUs         = 600_000_000 // older learned state is not used
-	learnedUnavailableUs    = 30_000_000  // maximum age at which an outage is restored
-	learnedRateMarkMultiple = 10.0        // the restored rate mark, as a multiple of the learned rate
+	learnedHalfLifeUs       = 60_000_000     // half-life of the weight of learned latencies and failure shares
+	learnedMaxAgeUs         = 600_000_000    // older learned state is not used
+	learnedUnavailableUs    = 30_000_000     // maximum age at which an outage is restored
+	learnedRetryAfterMaxUs  = 86_400_000_000 // longest Retry-After that is restored
+	learnedRateMarkMultiple = 10.0           // the restored rate mark, as a multiple of the learned rate
 )
 
 // learnedEndpoint is the learned state of an endpoint with its own route, from the previous incarnation.
@@ -32,6 +33,7 @@
 	}
 	s.now = now
 	s.recovery.SetRestarted()
+	s.otherRetryAfterUntil = min(state.OtherRetryAfterUntil, now+learnedRetryAfterMaxUs)
 	for i := range state.Destinations {
 		s.restoreLearnedDestination(&state.Destinations[i])
 	}
@@ -89,7 +91,8 @@
 // restoreRoute restores the learned state of a route according to its age. arrivalRate is the route's
 // arrival rate, in messages per second.
 func (s *Scheduler) restoreRoute(rt, learned *route, arrivalRate float64) {
-	rt.retryAfterUntil = min(learned.retryAfterUntil, s.now+peerHintMaxUs)
+	retryAfterUntil := min(learned.retryAfterUntil, s.now+learnedRetryAfterMaxUs)
+	rt.retryAfterUntil = max(retryAfterUntil, s.pendingOtherRetryAfter())
 	ageUs := s.now - max(learned.lastSendAt, learned.lastOutcomeAt, learned.health.lastFailureAt)
 	if ageUs < 0 || ageUs > learnedMaxAgeUs {
 		return
--- a/scheduler/route.go
+++ b/scheduler/route.go
@@ -92,6 +92,7 @@
 	if dest == nil {
 		dest = &destination{id: id, index: len(s.destinations)}
 		dest.route = newRoute(fmt.Sprint("destination ", id), dest)
+		dest.route.retryAfterUntil = s.pendingOtherRetryAfter()
 		s.destinationByID[id] = dest
 		s.destinations = append(s.destinations, dest)
 	}
--- a/scheduler/savestate.go
+++ b/scheduler/savestate.go
@@ -23,6 +23,8 @@
 		ConnectFailureShare: s.connectFailureShare,
 		RetrySpread:         s.retrySpread,
 		Tenants:             map[string][2]float64{},
+
+		OtherRetryAfterUntil: s.pendingOtherRetryAfter(),
 	}
 	for name, tenant := range s.tenants {
 		state.Tenants[name] = [2]float64{tenant.tokens, tenant.refilledAt}
@@ -158,6 +160,7 @@
 		return errStateFormat
 	}
 	s.now = now
+	s.otherRetryAfterUntil = state.OtherRetryAfterUntil
 	s.shutdownAt = 0 // of the process that saved the state: this one has not been told to end
 	maps.Copy(s.connectFailureShare, state.ConnectFailureShare)
 	maps.Copy(s.retrySpread, state.RetrySpread)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,9 +55,11 @@
 	destinationByID  map[int64]*destination
 	endpoints        map[string]*endpoint
 	learnedEndpoints map[string]learnedEndpoint // of the previous incarnation, by address; not in the list yet
-	watching         bool                       // updates of the endpoint list arrive without a request
-	nextWatchAt      int64
-	watchIntervalUs  int64
+	// otherRetryAfterUntil is the end of a Retry-After that may apply to routes which the learned state lacks.
+	otherRetryAfterUntil int64
+	watching             bool // updates of the endpoint list arrive without a request
+	nextWatchAt          int64
+	watchIntervalUs      int64
 
 	// Concurrency.
 	callsInFlight          int
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -13,6 +13,9 @@
 	Destinations        []DestinationState    `json:"Dests"`
 	Messages            []MessageState        `json:"Msgs"`
 	Calls               []CallState           `json:"Calls"`
+	// OtherRetryAfterUntil is the end of the longest Retry-After that may apply to a route which a learned state
+	// leaves out; 0: there is none.
+	OtherRetryAfterUntil int64 `json:"Waits,omitempty"`
 }
 
 // StateFormat is the version of the stored form. It changes with the contents of the lists.
