A leaving member keeps a duty until its execution has ended

Cause: recordGrant released every lease that a heartbeat's reply renewed for a leaving member, also that of a duty in execution, which leave and releaseAll leave out on purpose. Evidence: of seven ways to give a duty up within an execution only the two that stop the member overlapped.

Change: such a renewal is recorded; the lease goes behind the execution, as releaseAfterExecution does.

--- /dev/null
+++ b/internal/group/leave_test.go
@@ -0,0 +1,149 @@
+package group_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"brackendale/internal/group"
+)
+
+// Executions of the duty of executionLog.
+const (
+	executionTime    = leaseLength / 2
+	maxExecutionTime = leaseLength * 5 / 8
+	executionEvery   = leaseLength / 8
+)
+
+// executionLog records the executions of one duty that take executionTime, and those that overlap.
+type executionLog struct {
+	mu       sync.Mutex
+	open     map[string]uint64 // the epochs of the executions in progress, by member
+	began    chan group.Execution
+	done     map[string]int // executions that ended, by member
+	overlaps []string
+}
+
+func newExecutionLog() *executionLog {
+	return &executionLog{open: map[string]uint64{}, began: make(chan group.Execution, 1), done: map[string]int{}}
+}
+
+// execute is a Duty.Execute. It ends early if the execution is given up.
+func (l *executionLog) execute(ctx context.Context, execution group.Execution) error {
+	l.begin(execution)
+	defer l.end(execution)
+	select {
+	case <-time.After(executionTime):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *executionLog) begin(execution group.Execution) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for member, epoch := range l.open {
+		l.overlaps = append(l.overlaps, fmt.Sprintf("%s began under epoch %d beside %s under epoch %d", execution.Member,
+			execution.Epoch, member, epoch))
+	}
+	l.open[execution.Member] = execution.Epoch
+	select {
+	case l.began <- execution:
+	default:
+	}
+}
+
+func (l *executionLog) end(execution group.Execution) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, execution.Member)
+	l.done[execution.Member]++
+}
+
+// awaitBegin waits for the begin of a further execution of a member that accept accepts.
+func (l *executionLog) awaitBegin(t *testing.T, accept func(member string) bool) group.Execution {
+	t.Helper()
+	for len(l.began) > 0 {
+		<-l.began
+	}
+	for hang := time.After(hangTimeout); ; {
+		select {
+		case execution := <-l.began:
+			if accept(execution.Member) {
+				return execution
+			}
+		case <-hang:
+			t.Fatal("the duty is not executed")
+		}
+	}
+}
+
+func anyMember(string) bool { return true }
+
+// requireNoOverlap fails the test if two executions overlapped.
+func (l *executionLog) requireNoOverlap(t *testing.T) {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, overlap := range l.overlaps {
+		t.Error(overlap)
+	}
+}
+
+// However a member gives a duty up within an execution of its own, no other member may execute the duty before that
+// execution has ended (review/6): the member stops, as for SIGTERM, drain and the end of an upgrade; it leads and
+// stops; another member is to have the duty; the lease is revoked; the member gives its vote up; another one leads.
+func TestDutyIsGivenUpBehindItsExecution(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 4*hangTimeout)
+	defer cancel()
+	restart := func(cluster *testGroup, holder string) {
+		cluster.stop(holder)
+		cluster.start(holder)
+	}
+	ways := map[string]func(cluster *testGroup, holder string){
+		"stops": restart,
+		"stops as the leader": func(cluster *testGroup, holder string) {
+			if cluster.leader() == holder {
+				restart(cluster, holder)
+			}
+		},
+		"hands over": func(cluster *testGroup, holder string) {
+			_ = cluster.running[holder].HandOver(ctx, "d", otherThan(holder))
+		},
+		"revoked":         func(cluster *testGroup, holder string) { _ = cluster.running[holder].Revoke(ctx, "d") },
+		"gives a vote up": func(cluster *testGroup, holder string) { _ = cluster.running[holder].Leave(ctx) },
+		"the leader stops": func(cluster *testGroup, holder string) {
+			if leader := cluster.leader(); leader != holder {
+				restart(cluster, leader)
+			}
+		},
+		"cut off": func(cluster *testGroup, holder string) {
+			cluster.setIsolated(holder, true)
+			time.Sleep(2 * leaseLength)
+			cluster.setIsolated(holder, false)
+		},
+	}
+	for name, giveUp := range ways {
+		for _, roundRobin := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, round robin %v", name, roundRobin), func(t *testing.T) {
+				t.Parallel()
+				log := newExecutionLog()
+				cluster := newTestGroup(t, threeMembers)
+				for _, options := range cluster.memberOptions {
+					options.Duties = []group.Duty{{
+						Name: "d", Every: executionEvery, MaxDuration: maxExecutionTime, RoundRobin: roundRobin, Execute: log.execute,
+					}}
+				}
+				cluster.start(threeMembers...)
+				for range 4 {
+					giveUp(cluster, log.awaitBegin(t, anyMember).Member)
+				}
+				log.awaitBegin(t, anyMember)
+				log.requireNoOverlap(t)
+			})
+		}
+	}
+}
--- a/internal/group/reply.go
+++ b/internal/group/reply.go
@@ -57,10 +57,11 @@
 }
 
 // recordGrant records a duty that was granted or renewed. A duty that this member no longer wants is
-// released at once. The caller must hold g.mu.
+// released at once, unless it is being executed: then the lease must outlast the execution. The caller
+// must hold g.mu.
 func (g *Group) recordGrant(ref lease.Ref, sentAt, now time.Duration) {
 	runner := g.runners[ref.Name]
-	if runner == nil || g.leaving {
+	if runner == nil || g.leaving && !runner.executing {
 		g.released[ref.Name] = lease.Ref{Name: ref.Name, Epoch: ref.Epoch}
 		return
 	}
