A lease claimed before a member takes part is nothing to execute

What callers would see: a process that ends with a nil pointer after an upgrade, with a destination out and a duty of the kind return.

Cause: Run started an executing goroutine for each runner that was there when the folder opened, and read the map without the lock. In a hot restart the folder belongs to the predecessor for some time; a lease on probing that was claimed until then was taken for a duty of the settings, and its function to execute is nil.

Change: only the duties of the settings are executed.

Measured: TestClaimBeforeTheStart ended with the panic on the code before, and passes.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -144,7 +144,7 @@
 	run(func(ctx context.Context) { g.accept(ctx, listener) })
 	run(func(ctx context.Context) { g.maintainLog(ctx, stored) })
 	run(g.runHeartbeats)
-	for _, duty := range g.runners {
+	for _, duty := range g.dutyRunners() {
 		run(func(ctx context.Context) { g.runDuty(ctx, duty) })
 	}
 	<-ctx.Done()
@@ -154,6 +154,18 @@
 	running.Wait()
 }
 
+// dutyRunners returns the runners of the duties of the settings. What is claimed is not executed here.
+func (g *Group) dutyRunners() (runners []*runner) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, runner := range g.runners {
+		if !runner.claimed {
+			runners = append(runners, runner)
+		}
+	}
+	return runners
+}
+
 func (g *Group) currentIncarnation() uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/group/leave_test.go
+++ b/internal/group/leave_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -147,3 +148,24 @@
 		}
 	}
 }
+
+// A lease that is claimed before the member takes part, as in a hot restart with a destination that is out, is nothing
+// to execute: the process ended with a nil pointer when it was granted.
+func TestClaimBeforeTheStart(t *testing.T) {
+	cluster := newTestGroup(t, threeMembers)
+	var held atomic.Bool
+	options := *cluster.memberOptions["a"]
+	options.OnHints = func(_ []group.Hint, claimHolders map[string]string, _ time.Duration) {
+		held.Store(claimHolders["return@7"] == "a")
+	}
+	member := group.New(options)
+	member.Claim([]string{"return@7"})
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); member.Run(ctx) }()
+	cluster.start("b", "c")
+	cluster.waitFor("the claimed lease is held", held.Load)
+	time.Sleep(leaseLength) // an execution would have begun
+	stop()
+	<-done
+}
