A member that ends keeps its part of a limit until its end

What callers would see: a partner with a limit that a group shares gets more than the limit while a member ends.

Cause: SIGTERM ended the member's part in the group at once, and the process sends for up to 3.5 s more. Its quota ran out after a lease and the even part of the limit took its place, while the others already divided the whole limit. In an upgrade the new process had no part at all, and so no limit, until its predecessor had left the group's folder.

Change: SIGTERM begins to leave (executions end, duties are released, the leadership goes), and heartbeats renew the quotas until the core has ended. The even part applies from the creation of a member on.

--- a/internal/app/incarnation.go
+++ b/internal/app/incarnation.go
@@ -152,9 +152,8 @@
 		go inc.openConsole(ctx)
 	}
 	go inc.reloadOnSignal(ctx)
-	leaveGroup := inc.peers.start()
-	inc.onClose(leaveGroup)
-	go inc.shutDownOnSignal(ctx, leaveGroup)
+	inc.onClose(inc.peers.start())
+	go inc.shutDownOnSignal(ctx)
 	warnOfExpiry(inc.log, inc.cfg)
 	inc.log.Info().Str("listen", inc.cfg.Listen).Str("amqp", inc.cfg.AMQP.Listen).
 		Str("amqps", inc.cfg.AMQP.TLS.Listen).Int("endpoints", len(inc.cfg.Endpoints.Hosts)).Msg("serving")
--- a/internal/app/peers.go
+++ b/internal/app/peers.go
@@ -245,8 +245,17 @@
 // probeLease returns the name of the lease on probing an unavailable destination.
 func (p *peers) probeLease(dest int64) string { return p.probeDuty + "@" + strconv.FormatInt(dest, 10) }
 
-// start joins the group; p may be nil. leave releases all leases and returns once that is done; it may be called more
-// than once, on any goroutine.
+// release has the member release its leases, so that other members can take them over while this sender finishes
+// its messages. It still heeds the group, and keeps its part of the limits, until it leaves. p may be nil.
+func (p *peers) release() {
+	if p == nil {
+		return
+	}
+	p.group.Leaving()
+}
+
+// start joins the group; p may be nil. leave is called when the core has ended: it releases all leases, leaves the
+// group, and returns once that is done.
 func (p *peers) start() (leave func()) {
 	if p == nil {
 		return func() {}
--- a/internal/app/shutdown.go
+++ b/internal/app/shutdown.go
@@ -17,14 +17,14 @@
 )
 
 // shutDownOnSignal waits for a signal that ends the process, then shuts down.
-func (inc *incarnation) shutDownOnSignal(ctx context.Context, leaveGroup func()) {
+func (inc *incarnation) shutDownOnSignal(ctx context.Context) {
 	select {
 	case <-inc.signals.terminate:
 	case <-ctx.Done():
 		return
 	}
 	inc.signals.shuttingDown.Store(true)
-	go leaveGroup() // other members can take over the leases while this sender finishes its messages
+	go inc.peers.release()
 	inc.shutDown()
 }
 
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -32,6 +32,7 @@
 	process      uint64 // a random number that identifies this process
 	clock        func() time.Duration
 	heartbeatNow chan struct{} // requests an immediate heartbeat; its buffer is 1
+	leaveOnce    sync.Once     // of Leaving
 
 	mu sync.Mutex // guards all fields below
 	folderState
@@ -115,6 +116,8 @@
 		}
 	}
 	g.resetMembers()
+	g.quotaMembers = max(g.quotaMembers, readQuotaMembers(opt.Dir))
+	g.applyEvenQuotas() // another process of this sender may have the folder for some time yet
 	return g
 }
 
@@ -148,7 +151,7 @@
 		run(func(ctx context.Context) { g.runDuty(ctx, duty) })
 	}
 	<-ctx.Done()
-	g.leave()
+	g.Leaving()
 	stop()
 	_ = listener.Close()
 	running.Wait()
--- a/internal/group/leave.go
+++ b/internal/group/leave.go
@@ -18,8 +18,12 @@
 	pollInterval = 5 * time.Millisecond
 )
 
-// leave waits for executions in progress, releases all duties and transfers the leadership, all for a
-// limited time.
+// Leaving begins to leave ahead of the end of Run's context: it waits for executions in progress,
+// releases all duties and transfers the leadership, all for a limited time. The member takes no duty from
+// then on, but still sends heartbeats, which renew its quotas and what it has not released yet. Repeated
+// calls wait for the first one. Any goroutine may call it.
+func (g *Group) Leaving() { g.leaveOnce.Do(g.leave) }
+
 func (g *Group) leave() {
 	g.mu.Lock()
 	g.leaving = true
--- a/internal/group/leave_test.go
+++ b/internal/group/leave_test.go
@@ -149,6 +149,82 @@
 	}
 }
 
+// quotaInForce is what a member may use of a limit, as its user applies it.
+type quotaInForce struct {
+	mu        sync.Mutex
+	amount    int64
+	until     time.Duration
+	evenShare int64
+}
+
+func (q *quotaInForce) apply(amount int64, until time.Duration, evenShare int64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.amount, q.until, q.evenShare = amount, until, evenShare
+}
+
+func (q *quotaInForce) now() int64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if group.Boottime() < q.until {
+		return q.amount
+	}
+	return q.evenShare
+}
+
+// assigned reports whether the leader has assigned a quota that is valid now.
+func (q *quotaInForce) assigned() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.amount > 0 && group.Boottime() < q.until
+}
+
+// A member that is told to end still sends for some seconds: it must keep its part of a limit for so long. Once it
+// heard no more of the group, it took the even part, while the others already had the whole limit.
+func TestQuotaIsKeptWhileLeaving(t *testing.T) {
+	const limit = 60_000
+	cluster := newTestGroup(t, threeMembers)
+	quotas := map[string]*quotaInForce{}
+	for name, options := range cluster.memberOptions {
+		quota := &quotaInForce{}
+		quotas[name] = quota
+		options.Limits = []group.Limit{{
+			Name: "l", Rate: limit, Demand: func() int64 { return limit }, Apply: quota.apply,
+		}}
+	}
+	sum := func() (total int64) {
+		for _, quota := range quotas {
+			total += quota.now()
+		}
+		return total
+	}
+	cluster.start(threeMembers...)
+	cluster.waitFor("the limit is divided", func() bool {
+		return quotas["a"].assigned() && quotas["b"].assigned() && quotas["c"].assigned() && sum() > limit*9/10
+	})
+	left := make(chan struct{})
+	go func() { defer close(left); cluster.running["a"].Leaving() }()
+	for start := time.Now(); time.Since(start) < 5*leaseLength; time.Sleep(time.Millisecond) {
+		if total := sum(); total > limit {
+			t.Fatalf("after %v the members use %d of %d", time.Since(start), total, limit)
+		}
+	}
+	<-left
+}
+
+// A member uses no more than the even part of a limit from its creation on: in a hot restart its predecessor has the
+// folder for some time yet.
+func TestEvenShareFromTheStart(t *testing.T) {
+	cluster := newTestGroup(t, threeMembers)
+	share := &quotaInForce{}
+	options := *cluster.memberOptions["a"]
+	options.Limits = []group.Limit{{Name: "l", Rate: 60_000, Demand: func() int64 { return 0 }, Apply: share.apply}}
+	group.New(options)
+	if share.now() != 20_000 {
+		t.Errorf("a new member may use %d of the limit of 60000 of three members", share.now())
+	}
+}
+
 // A lease that is claimed before the member takes part, as in a hot restart with a destination that is out, is nothing
 // to execute: the process ended with a nil pointer when it was granted.
 func TestClaimBeforeTheStart(t *testing.T) {
