A destination that is out is tried by its holder alone while a member leaves

The lease on trial calls went when no message was pending, though one was out, and at once when its holder left; a member without word of the group tried on its own, for 3.5 s after SIGTERM and in an upgrade until the old process had left.

Change: a lease is claimed while a call is out. A holder that has to give one up is asked to (OnWithdraw): it stops its core, and claims the lease no more when a report requested behind that shows no call. A member that leaves, or cannot know yet who tries a destination, tries none.

--- a/internal/app/peers.go
+++ b/internal/app/peers.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +27,9 @@
 	healthReportsPerLease   = 8
 	minHealthReportInterval = 10 * time.Millisecond
 
+	// noProbeLeases is for how many leases the core is told not to probe a destination.
+	noProbeLeases = 2
+
 	milliPerUnit = 1000 // the group's unit of rates is a thousandth of a call per second
 )
 
@@ -39,9 +45,21 @@
 	limited   []int64        // destinations that have a shared limit
 	demand    []atomic.Int64 // demand for each of the limited destinations, as last reported by the core
 
-	health chan []scheduler.Health // the last report of the core
+	health chan healthReport // the last report of the core
 	// probing has the destinations that only this member probes. It is used by the goroutine that calls OnHints.
 	probing map[int64]bool
+	leaving atomic.Bool // this member leaves the group: it probes no more
+
+	mu sync.Mutex
+	// withdrawn has the destinations that this member has to stop probing.
+	withdrawn map[int64]bool
+}
+
+// healthReport is a report of the core. What withdrawn has was withdrawn before the report was requested: the core
+// begins no probe of it any more, and the report shows those that are in flight.
+type healthReport struct {
+	destinations []scheduler.Health
+	withdrawn    map[int64]bool
 }
 
 // GroupDir returns the folder of the group's state.
@@ -49,22 +67,24 @@
 
 func newPeers(core *sender.Sender, cfg config.Config, log zerolog.Logger) *peers {
 	p := &peers{
-		core:    core,
-		log:     log,
-		name:    cfg.Group.Name,
-		health:  make(chan []scheduler.Health, 1),
-		probing: map[int64]bool{},
+		core:      core,
+		log:       log,
+		name:      cfg.Group.Name,
+		health:    make(chan healthReport, 1),
+		probing:   map[int64]bool{},
+		withdrawn: map[int64]bool{},
 	}
 	opt := group.Options{
-		Name:    cfg.Group.Name,
-		Listen:  cfg.Group.Listen,
-		Voters:  cfg.Group.Voters,
-		Dir:     GroupDir(cfg),
-		Weight:  cfg.Group.Weight,
-		Log:     log,
-		Terms:   lease.Terms{Length: milliseconds(cfg.Group.LeaseMs), Drift: cfg.Group.Drift},
-		Ready:   func() bool { ok, _ := core.Ready(); return ok },
-		OnHints: p.onHints,
+		Name:       cfg.Group.Name,
+		Listen:     cfg.Group.Listen,
+		Voters:     cfg.Group.Voters,
+		Dir:        GroupDir(cfg),
+		Weight:     cfg.Group.Weight,
+		Log:        log,
+		Terms:      lease.Terms{Length: milliseconds(cfg.Group.LeaseMs), Drift: cfg.Group.Drift},
+		Ready:      func() bool { ok, _ := core.Ready(); return ok },
+		OnHints:    p.onHints,
+		OnWithdraw: p.onWithdraw,
 		OnSuperseded: func(incarnation uint64, recorded func()) {
 			core.DistrustFolder(fmt.Sprintf("others have seen life %d of this member", incarnation), recorded)
 		},
@@ -156,13 +176,14 @@
 		return
 	}
 	events, recovering := p.hintEvents(hints)
+	withdrawn := p.withdrawnDestinations()
 	for lease, holder := range holders {
-		dest, err := strconv.ParseInt(strings.TrimPrefix(lease, p.probeDuty+"@"), 10, 64)
-		if err != nil || recovering[dest] {
+		dest, ok := p.probedDestination(lease)
+		if !ok || recovering[dest] {
 			continue
 		}
 		event := scheduler.Event{Kind: scheduler.ProbeDelegated, Destination: dest, Deadline: eventTime(expiresAt)}
-		own := holder == p.name
+		own := holder == p.name && !withdrawn[dest] && !p.leaving.Load()
 		if own {
 			event.Deadline = 0
 		}
@@ -176,6 +197,45 @@
 	p.core.Inject(events...)
 }
 
+// onWithdraw has the core stop probing destinations whose lease this member has to give up. Once none of its calls
+// to such a destination is in flight, the lease is claimed no more.
+func (p *peers) onWithdraw(leases []string) {
+	var events []scheduler.Event
+	for _, name := range leases {
+		if dest, ok := p.probedDestination(name); ok {
+			events = append(events, p.noProbe(dest))
+		}
+	}
+	p.core.Inject(events...)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, event := range events {
+		p.withdrawn[event.Destination] = true
+	}
+}
+
+// noProbe returns an event with which the core does not probe a destination for the next leases. It is repeated as long
+// as that is to last.
+func (p *peers) noProbe(destination int64) scheduler.Event {
+	return scheduler.Event{
+		Kind: scheduler.ProbeDelegated, Destination: destination,
+		Deadline: int64(p.core.Now().Add(noProbeLeases * p.group.LeaseLength())),
+	}
+}
+
+func (p *peers) withdrawnDestinations() map[int64]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.withdrawn)
+}
+
+// probedDestination returns the destination of a lease on probing.
+func (p *peers) probedDestination(lease string) (destination int64, ok bool) {
+	number, ok := strings.CutPrefix(lease, p.probeDuty+"@")
+	destination, err := strconv.ParseInt(number, 10, 64)
+	return destination, ok && err == nil
+}
+
 // hintEvents converts hints to events of the core. It also returns the recovering destinations, which each member
 // probes by itself.
 func (p *peers) hintEvents(hints []group.Hint) (events []scheduler.Event, recovering map[int64]bool) {
@@ -205,28 +265,49 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			p.core.Health(p.limited, func(health []scheduler.Health, demand []int64) {
-				for i, destDemand := range demand {
-					p.demand[i].Store(destDemand)
-				}
-				select {
-				case p.health <- health:
-				default:
-				}
-			})
-		case health := <-p.health:
-			p.publishHealth(health)
+			p.requestHealth()
+		case report := <-p.health:
+			p.publishHealth(report)
 		}
 	}
 }
 
-func (p *peers) publishHealth(health []scheduler.Health) {
+// requestHealth has the core report once. While this member cannot know who probes a destination, or leaves, its core
+// probes none.
+func (p *peers) requestHealth() {
+	withdrawn := p.withdrawnDestinations()
+	mustNotProbe := p.probeDuty != "" && (p.leaving.Load() || p.group.Joining())
+	p.core.Health(p.limited, func(health []scheduler.Health, demand []int64) {
+		if mustNotProbe {
+			p.stopProbes(health)
+		}
+		for i, destDemand := range demand {
+			p.demand[i].Store(destDemand)
+		}
+		select {
+		case p.health <- healthReport{health, withdrawn}:
+		default:
+		}
+	})
+}
+
+func (p *peers) stopProbes(health []scheduler.Health) {
+	var events []scheduler.Event
+	for _, h := range health {
+		if h.Unavailable {
+			events = append(events, p.noProbe(h.Destination))
+		}
+	}
+	p.core.Inject(events...)
+}
+
+func (p *peers) publishHealth(report healthReport) {
 	if p.probeDuty == "" {
 		return
 	}
 	var hints []group.Hint
 	var claims []string
-	for _, h := range health {
+	for _, h := range report.destinations {
 		hints = append(hints, group.Hint{
 			Destination:  h.Destination,
 			RetryAfterUs: h.RetryAfterUs,
@@ -234,12 +315,25 @@
 			Recovering:   h.Recovering,
 			RecoveringUs: h.RecoveringUs,
 		})
-		if h.Unavailable && h.HasPending { // without pending messages it cannot be probed
+		// Without messages it cannot be probed. A probe in flight still needs the lease.
+		if h.Unavailable && (h.HasCalls || h.HasPending && !report.withdrawn[h.Destination]) {
 			claims = append(claims, p.probeLease(h.Destination))
 		}
 	}
 	p.group.PublishHints(hints)
 	p.group.Claim(claims)
+	p.forgetWithdrawn(report.withdrawn, claims)
+}
+
+// forgetWithdrawn forgets the withdrawn leases that are claimed no more: from then on they may be claimed again.
+func (p *peers) forgetWithdrawn(withdrawn map[int64]bool, claims []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for dest := range withdrawn {
+		if !slices.Contains(claims, p.probeLease(dest)) {
+			delete(p.withdrawn, dest)
+		}
+	}
 }
 
 // probeLease returns the name of the lease on probing an unavailable destination.
@@ -251,6 +345,8 @@
 	if p == nil {
 		return
 	}
+	p.leaving.Store(true)
+	p.requestHealth()
 	p.group.Leaving()
 }
 
@@ -260,17 +356,19 @@
 	if p == nil {
 		return func() {}
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
+	p.requestHealth()
+	reportCtx, stopReports := context.WithCancel(context.Background())
+	groupCtx, stopGroup := context.WithCancel(context.Background())
+	var reports, member sync.WaitGroup
 	if p.probeDuty != "" || len(p.limited) > 0 {
-		go p.reportHealth(ctx)
+		reports.Go(func() { p.reportHealth(reportCtx) })
 	}
-	go func() {
-		defer close(done)
-		p.group.Run(ctx)
-	}()
+	member.Go(func() { p.group.Run(groupCtx) })
 	return func() {
-		cancel()
-		<-done
+		stopReports()
+		reports.Wait()
+		p.group.Claim(nil) // none of the core's calls is in flight any more
+		stopGroup()
+		member.Wait()
 	}
 }
--- a/internal/group/folder.go
+++ b/internal/group/folder.go
@@ -157,7 +157,7 @@
 		stored, err := openFolder(g.opt.Dir, g.opt.Name, g.opt.Voters)
 		if err == nil {
 			g.mu.Lock()
-			g.incarnation, g.folder = stored.Incarnation, stored
+			g.incarnation, g.folder, g.openedAt = stored.Incarnation, stored, g.clock()
 			g.storedQuotaMembers = readQuotaMembers(g.opt.Dir)
 			g.quotaMembers = max(g.quotaMembers, g.storedQuotaMembers)
 			g.mu.Unlock()
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -33,6 +33,7 @@
 	clock        func() time.Duration
 	heartbeatNow chan struct{} // requests an immediate heartbeat; its buffer is 1
 	leaveOnce    sync.Once     // of Leaving
+	createdAt    time.Duration
 
 	mu sync.Mutex // guards all fields below
 	folderState
@@ -46,6 +47,7 @@
 // folderState is the state of a member's folder and of its own participation.
 type folderState struct {
 	folder         *folder
+	openedAt       time.Duration // of the folder
 	incarnation    uint64
 	inactiveReason string // why this member does not participate; empty if it does
 	resigning      bool   // a call of Leave is in progress: heartbeats do not offer a vote
@@ -116,11 +118,29 @@
 		}
 	}
 	g.resetMembers()
+	g.createdAt = g.clock()
 	g.quotaMembers = max(g.quotaMembers, readQuotaMembers(opt.Dir))
 	g.applyEvenQuotas() // another process of this sender may have the folder for some time yet
 	return g
 }
 
+// Joining reports whether this member cannot know yet what other members hold: another process of this
+// sender still takes part in the group (hot restart), or no leader has replied yet. It ends after a
+// limited time.
+func (g *Group) Joining() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock()
+	if g.folder == nil {
+		return now-g.createdAt < maxPredecessorTime
+	}
+	return g.lastView.leaderRepliedAt == 0 && now-g.openedAt < g.leaseFraction(joinFraction)
+}
+
+// maxPredecessorTime is how long a member waits for its predecessor in a hot restart before it acts
+// without the group.
+const maxPredecessorTime = 30 * time.Second
+
 // LeaseLength returns the duration of the group's leases.
 func (g *Group) LeaseLength() time.Duration { return g.opt.Terms.Length }
 
--- a/internal/group/leave.go
+++ b/internal/group/leave.go
@@ -32,8 +32,10 @@
 		longest = max(longest, runner.MaxDuration)
 	}
 	g.releaseAll("leaving")
+	withdraw := g.withdrawClaims(g.clock())
 	node := g.node
 	g.mu.Unlock()
+	callAll(withdraw)
 	g.requestHeartbeat()
 	deadline := time.Now().Add(min(longest, maxExecutionWait) + g.leaseFraction(leaveTimeoutFraction))
 	for time.Now().Before(deadline) && !g.allReleased() {
@@ -50,11 +52,12 @@
 	}
 }
 
-// releaseAll releases all duties that are not being executed. Quotas and restart slots stay held. The
-// caller must hold g.mu.
+// releaseAll releases all duties that are neither being executed nor claimed. Quotas and restart slots
+// stay held. The caller must hold g.mu.
 func (g *Group) releaseAll(reason string) {
+	now := g.clock()
 	for _, ref := range g.holder.Refs() {
-		if runner := g.runners[ref.Name]; runner != nil && !runner.executing {
+		if runner := g.runners[ref.Name]; runner != nil && !runner.executing && !g.holdsClaim(ref.Name, now) {
 			g.release(ref, reason)
 		}
 	}
--- a/internal/group/leave_test.go
+++ b/internal/group/leave_test.go
@@ -225,6 +225,65 @@
 	}
 }
 
+// A claimed lease goes to another member only when its holder claims it no more, however it has to give it up.
+func TestClaimIsGivenUpByItsHolder(t *testing.T) {
+	for name, giveUp := range map[string]func(cluster *testGroup, holder string){
+		"leaving": func(cluster *testGroup, holder string) { cluster.running[holder].Leaving() },
+		"hands over": func(cluster *testGroup, holder string) {
+			ctx, cancel := context.WithTimeout(context.Background(), hangTimeout)
+			defer cancel()
+			_ = cluster.running[holder].HandOver(ctx, "return@7", otherThan(holder))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cluster := newTestGroup(t, threeMembers)
+			var mu sync.Mutex
+			holders, withdrawn := map[string]string{}, map[string]bool{}
+			for member, options := range cluster.memberOptions {
+				options.OnHints = func(_ []group.Hint, claimHolders map[string]string, _ time.Duration) {
+					mu.Lock()
+					defer mu.Unlock()
+					holders[member] = claimHolders["return@7"]
+				}
+				options.OnWithdraw = func([]string) {
+					mu.Lock()
+					defer mu.Unlock()
+					withdrawn[member] = true
+				}
+			}
+			holderOf := func(member string) string {
+				mu.Lock()
+				defer mu.Unlock()
+				return holders[member]
+			}
+			cluster.start(threeMembers...)
+			for _, member := range threeMembers {
+				cluster.running[member].Claim([]string{"return@7"})
+			}
+			cluster.waitFor("the lease is held", func() bool { return holderOf("a") != "" })
+			holder := holderOf("a")
+			next := otherThan(holder)
+			go giveUp(cluster, holder)
+			cluster.waitFor("the holder is asked to give it up", func() bool {
+				mu.Lock()
+				defer mu.Unlock()
+				return withdrawn[holder]
+			})
+			for start := time.Now(); time.Since(start) < 3*leaseLength; time.Sleep(5 * time.Millisecond) {
+				if got := holderOf(next); got != holder {
+					t.Fatalf("%q holds what %s has not given up", got, holder)
+				}
+			}
+			cluster.running[holder].Claim(nil)
+			cluster.waitFor("another member holds the lease", func() bool {
+				got := holderOf(next)
+				return got != "" && got != holder
+			})
+		})
+	}
+}
+
 // A lease that is claimed before the member takes part, as in a hot restart with a destination that is out, is nothing
 // to execute: the process ended with a nil pointer when it was granted.
 func TestClaimBeforeTheStart(t *testing.T) {
--- a/internal/group/member.go
+++ b/internal/group/member.go
@@ -194,8 +194,32 @@
 	}
 }
 
+// holdsClaim reports whether this member holds a claimed lease that it releases only when it claims it no
+// more. The caller must hold g.mu.
+func (g *Group) holdsClaim(name string, now time.Duration) bool {
+	runner := g.runners[name]
+	_, held := g.holder.Get(name, now)
+	return held && g.opt.OnWithdraw != nil && runner != nil && runner.claimed
+}
+
+// withdrawClaims returns the call of Options.OnWithdraw for the claimed leases that this member holds and
+// has to give up, if there are any. The caller must hold g.mu, and must release it before the call.
+func (g *Group) withdrawClaims(now time.Duration) (notify []func()) {
+	var names []string
+	for name := range g.runners {
+		if g.holdsClaim(name, now) && (g.leaving || g.successors[name] != "") {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return nil
+	}
+	return []func(){func() { g.opt.OnWithdraw(names) }}
+}
+
 // Claim sets the leases that this member requests in addition to the duties of its settings. Nothing
-// is executed under them; the member may hold them as long as it claims them.
+// is executed under them; the member may hold them as long as it claims them. With Options.OnWithdraw it
+// is asked to claim them no more, once all that it does under them has ended.
 func (g *Group) Claim(names []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/group/options.go
+++ b/internal/group/options.go
@@ -31,6 +31,11 @@
 	// the group's clock until which these holders are valid. It must not block.
 	OnHints func(hints []Hint, holders map[string]string, until time.Duration)
 
+	// OnWithdraw, if set, is called with the claimed leases that this member has to give up, again with each
+	// reply of the leader until it claims them no more: see Group.Claim. Without it they are released at
+	// once. It must not block.
+	OnWithdraw func(names []string)
+
 	// OnSuperseded, if set, is called when another member has recorded a later incarnation of this
 	// member than its folder has: the folder is an older state. It is called with the group's lock held
 	// and must not block. This member does not continue with a later incarnation until recorded has
--- a/internal/group/reply.go
+++ b/internal/group/reply.go
@@ -43,7 +43,7 @@
 	if g.leaving {
 		g.releaseAll("leaving")
 	}
-	return notify
+	return append(notify, g.withdrawClaims(now)...)
 }
 
 // confirmReleased drops the releases that the leader has received. The caller must hold g.mu.
@@ -61,7 +61,7 @@
 // must hold g.mu.
 func (g *Group) recordGrant(ref lease.Ref, sentAt, now time.Duration) {
 	runner := g.runners[ref.Name]
-	if runner == nil || g.leaving && !runner.executing {
+	if runner == nil || g.leaving && !runner.executing && !g.holdsClaim(ref.Name, now) {
 		g.released[ref.Name] = lease.Ref{Name: ref.Name, Epoch: ref.Epoch}
 		return
 	}
@@ -93,7 +93,7 @@
 }
 
 // handOverDuties releases the duties that other members should hold. A duty that is being executed is
-// released after the execution. The caller must hold g.mu.
+// released after the execution, and a claimed one when it is claimed no more. The caller must hold g.mu.
 func (g *Group) handOverDuties(recipients map[string]string, now time.Duration) {
 	for name, recipient := range recipients {
 		held, ok := g.holder.Get(name, now)
@@ -101,7 +101,7 @@
 			continue
 		}
 		g.successors[name] = recipient
-		if runner := g.runners[name]; runner != nil && !runner.executing {
+		if runner := g.runners[name]; runner != nil && !runner.executing && !g.holdsClaim(name, now) {
 			g.release(lease.Ref{Name: name, Epoch: held.Epoch}, "it goes to "+recipient)
 			g.requestHeartbeat()
 		}
--- a/internal/group/timing.go
+++ b/internal/group/timing.go
@@ -23,6 +23,7 @@
 	idleTimeoutFraction        = 10.0 // without a heartbeat until a connection is closed
 	retryDelayFraction         = 0.05 // after a failed heartbeat, and between two steps of a first start
 
+	joinFraction            = 4.0  // after its start, a member without a reply still waits to learn what others hold
 	unreachableFraction     = 1.0  // without a reply until the leader counts as unreachable
 	nameReservationFraction = 2.0  // after its last message, a process still reserves its member name
 	recoveringHintFraction  = 2.0  // after its last hint, a recovering destination still delays restarts
--- a/internal/testing/fleet/limitscenario.go
+++ b/internal/testing/fleet/limitscenario.go
@@ -194,7 +194,7 @@
 	var faultEnded chan error
 	wasLeader := false
 	if r.ProbeFault != "" && r.Group {
-		holder := r.cluster.holder(probeLease)
+		holder := r.cluster.Holder(probeLease)
 		if holder == "" {
 			return true, errors.Join(errors.New("fleet: no member probes the unavailable endpoint"), r.cluster.logTails())
 		}
--- a/internal/testing/fleet/scenario.go
+++ b/internal/testing/fleet/scenario.go
@@ -236,8 +236,8 @@
 	return ""
 }
 
-// holder returns the holder of a lease according to the first member that knows one; empty: none is known.
-func (c *Cluster) holder(lease string) string {
+// Holder returns the holder of a lease according to the first member that knows one; empty: none is known.
+func (c *Cluster) Holder(lease string) string {
 	for _, member := range c.Members {
 		var reply struct {
 			Duties []struct{ Name, Holder string }
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -19,6 +19,7 @@
 	Unavailable  bool
 	Recovering   bool  // in slow start
 	HasPending   bool  // messages are pending for it
+	HasCalls     bool  // calls to it are in flight
 	RetryAfterUs int64 // remaining time of its Retry-After
 	RecoveringUs int64 // time since the start of its slow start
 }
@@ -79,6 +80,7 @@
 			Unavailable:  rt.health.unavailable,
 			Recovering:   !rt.health.unavailable && now < rt.gate.Until,
 			HasPending:   len(dest.pending) > 0,
+			HasCalls:     len(rt.calls) > 0,
 			RetryAfterUs: max(0, rt.retryAfterUntil-now),
 		}
 		if health.Recovering {
