A message keeps the terms under which it was accepted

Change: they are recorded with the message (2 to 6 bytes behind its body, which earlier releases ignore), and scheduler, guard, recovery plan and egresses ask the message. Entries of earlier releases go by the present file, but never by a key that they lack.

TestStartBy gave a message by key no key, which no front accepts; it has one now, and asks for the same times.

--- a/internal/journal/entry.go
+++ b/internal/journal/entry.go
@@ -17,6 +17,7 @@
 	Destination int64
 	Deadline    clock.Instant
 	Body        []byte // empty once there is a final answer: the message is not sent again
+	Terms       Terms  // under which the message was accepted
 
 	Attempts      int
 	FirstRun      clock.Instant // when the first attempt that may have run was sent; 0: none
@@ -32,6 +33,13 @@
 	order uint64 // position in the order of acceptance
 }
 
+// Terms are how often a message may run, as of its acceptance. They are opaque to the journal. The zero
+// value is that of a message that an earlier release accepted: its terms were not recorded.
+type Terms struct {
+	Idempotency uint8 // 0: not recorded
+	KeyWindowUs int64 // idempotency window, in microseconds
+}
+
 // RecordSize returns the space that an entry takes in the file, in bytes, including the records that
 // may still follow for it.
 func RecordSize(entry *Entry) int {
@@ -60,7 +68,12 @@
 	out = appendInt(out, e.RetryAfterMs)
 	out = appendInt(out, boolInt(e.Acknowledged))
 	out = binary.AppendUvarint(out, uint64(len(e.Body)))
-	return finishRecord(append(out, e.Body...), start)
+	out = append(out, e.Body...)
+	if e.Terms.Idempotency != 0 { // earlier releases ignore what follows the body
+		out = append(out, e.Terms.Idempotency)
+		out = appendInt(out, e.Terms.KeyWindowUs)
+	}
+	return finishRecord(out, start)
 }
 
 // readEntry decodes what appendTo wrote after the kind. fields.malformed reports whether that failed.
@@ -84,5 +97,8 @@
 		Acknowledged:  fields.int() != 0,
 	}
 	entry.Body = []byte(fields.text())
+	if len(fields.unread) > 0 {
+		entry.Terms = Terms{Idempotency: fields.byte(), KeyWindowUs: fields.int()}
+	}
 	return entry
 }
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -288,3 +288,29 @@
 		t.Fatalf("got  %s\nwant %s", got, want)
 	}
 }
+
+// The terms of a message must be read back, also from a record that has more than this release writes, and a message
+// without them must be stored as by earlier releases.
+func TestTermsAreRecorded(t *testing.T) {
+	for _, terms := range []Terms{{}, {Idempotency: 1}, {Idempotency: 2, KeyWindowUs: 15_000_000}, {Idempotency: 200}} {
+		entry := &Entry{ID: "m", Class: "once", Body: []byte("body"), Terms: terms}
+		record := entry.appendTo(nil)
+		for _, later := range []string{"", "of a later release"} {
+			fields := &fieldReader{unread: append(record[headerSize:len(record):len(record)], later...)}
+			if kind := recordKind(fields.byte()); kind != recordAccepted {
+				t.Fatal(kind)
+			}
+			if terms.Idempotency == 0 && later != "" {
+				continue // what follows the body would be terms
+			}
+			got := readEntry(fields)
+			if fields.malformed || got.Terms != terms || string(got.Body) != "body" {
+				t.Errorf("%+v, then %q: %+v, malformed %v", terms, later, got, fields.malformed)
+			}
+		}
+		bare := (&Entry{ID: "m", Class: "once", Body: []byte("body")}).appendTo(nil)
+		if grown := len(record) - len(bare); (terms.Idempotency == 0) != (grown == 0) || grown > 6 {
+			t.Errorf("%+v takes %d bytes", terms, grown)
+		}
+	}
+}
--- a/internal/net/amqpfront/egress.go
+++ b/internal/net/amqpfront/egress.go
@@ -76,7 +76,7 @@
 			attempt:   attempt,
 			routeAddr: route.Addr,
 			target:    target,
-			shareable: e.core.Class(attempt.Class).Idempotency == scheduler.Idempotent,
+			shareable: attempt.Effect == scheduler.Idempotent,
 			admission: admission.Attempt{
 				Endpoint: route.Endpoint,
 				StartBy:  attempt.StartBy,
--- a/internal/net/platform/call.go
+++ b/internal/net/platform/call.go
@@ -147,7 +147,7 @@
 		event.Message, event.Attempt = attempt.ID, attempt.Number
 		if event.Class != "" {
 			event.Class, event.Destination = attempt.Class, c.route.Destination
-			event.Effect = string(c.egress.core.Class(attempt.Class).Idempotency)
+			event.Effect = string(attempt.Effect)
 		}
 		events.Record(event)
 	}
--- a/scheduler/arrival.go
+++ b/scheduler/arrival.go
@@ -9,7 +9,7 @@
 		s.finishWithoutClass(event)
 		return
 	}
-	msg := s.newMessage(event, class)
+	msg := s.newMessage(event, class.withTerms(s.takeExpectedTerms(event.ID)))
 	s.joinKeyQueue(msg, event)
 	s.messages[msg.id] = msg
 	s.acceptedCount++
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -94,7 +94,7 @@
 		}
 	}
 	for _, call := range rt.calls { // an overdue call is likely to fail
-		if call.endpoint == ep && call.messages[0].class == msg.class && s.isOverdue(rt, call.sentAt) {
+		if call.endpoint == ep && call.messages[0].class.index == msg.class.index && s.isOverdue(rt, call.sentAt) {
 			cost += failureCost
 		}
 	}
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -11,6 +11,59 @@
 	repeatRisk      int  // see Class.repeatRisk
 }
 
+// Terms are how often a message may run. They bind it from its acceptance on, whatever the settings of its
+// class become.
+type Terms struct {
+	Idempotency Idempotency
+	KeyScope    KeyScope
+	KeyWindowUs int64
+}
+
+func newRequestClass(class Class, index int) *requestClass {
+	return &requestClass{
+		Class:           class,
+		index:           index,
+		idempotentByKey: class.Idempotency == IdempotentByKey,
+		unsafe:          class.Idempotency == NotIdempotent,
+		repeatRisk:      class.repeatRisk(),
+	}
+}
+
+// withTerms returns the class with other terms; nil: with its own.
+func (class *requestClass) withTerms(terms *Terms) *requestClass {
+	if terms == nil || *terms == (Terms{class.Idempotency, class.KeyScope, class.KeyWindowUs}) {
+		return class
+	}
+	changed := class.Class
+	changed.Idempotency, changed.KeyScope, changed.KeyWindowUs = terms.Idempotency, terms.KeyScope, terms.KeyWindowUs
+	return newRequestClass(changed, class.index)
+}
+
+// ExpectTerms sets the terms of the message that the next RequestAccepted event with an id adds.
+func (s *Scheduler) ExpectTerms(id string, terms *Terms) { s.expectedTerms[id] = terms }
+
+// takeExpectedTerms returns nil if there are none.
+func (s *Scheduler) takeExpectedTerms(id string) *Terms {
+	terms := s.expectedTerms[id]
+	delete(s.expectedTerms, id)
+	return terms
+}
+
+// SetTerms sets the terms of a message of a restored state, whose settings may have changed; nil: those of
+// its class.
+func (s *Scheduler) SetTerms(id string, terms *Terms) {
+	msg := s.messages[id]
+	if msg == nil || msg.ended {
+		return
+	}
+	msg.class = msg.class.withTerms(terms)
+	if msg.call == nil {
+		s.setDeadline(msg, s.sendDeadline(msg))
+		return
+	}
+	s.setDeadline(msg, s.resendDeadline(msg))
+}
+
 // tenant is the token bucket of this sender's share of a tenant's quota.
 type tenant struct {
 	quotaPerSecond float64
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -42,8 +42,9 @@
 
 	// Messages.
 	messages          map[string]*message
-	acceptedCount     int        // messages without a final answer
-	deadlines         []*message // sorted by dueAt
+	expectedTerms     map[string]*Terms // see ExpectTerms
+	acceptedCount     int               // messages without a final answer
+	deadlines         []*message        // sorted by dueAt
 	keyQueues         map[int64]*keyQueue
 	keyQueueSweepSize int     // number of key queues at which unused ones are dropped
 	shedLevel         float64 // value of the most recently shed message, as of shedLevelAt
@@ -121,6 +122,7 @@
 		senderFactor:        plan.SenderFactor(),
 		contention:          plan.Contention(),
 		messages:            map[string]*message{},
+		expectedTerms:       map[string]*Terms{},
 		keyQueues:           map[int64]*keyQueue{},
 		destinationByID:     map[int64]*destination{},
 		endpoints:           map[string]*endpoint{},
@@ -134,13 +136,7 @@
 
 // addClass adds a class from validated settings.
 func (s *Scheduler) addClass(class Class) {
-	s.classes[class.Name] = &requestClass{
-		Class:           class,
-		index:           len(s.classes),
-		idempotentByKey: class.Idempotency == IdempotentByKey,
-		unsafe:          class.Idempotency == NotIdempotent,
-		repeatRisk:      class.repeatRisk(),
-	}
+	s.classes[class.Name] = newRequestClass(class, len(s.classes))
 }
 
 // Step processes the events since the last step and returns the actions to take now, in order. now is
--- a/sender/admission.go
+++ b/sender/admission.go
@@ -81,12 +81,12 @@
 	if limit > 0 && s.pending+len(s.nextInput.requests)+len(ahead) >= limit {
 		return false
 	}
-	return s.journal.HasSpace(aheadBytes+journal.RecordSize(newEntry(request)), s.nextInput.reservedBytes)
+	return s.journal.HasSpace(aheadBytes+journal.RecordSize(s.newEntry(request)), s.nextInput.reservedBytes)
 }
 
 // enqueue queues a request for the decision of the next step.
 func (s *Sender) enqueue(request *Request) {
-	s.nextInput.reservedBytes += journal.RecordSize(newEntry(request))
+	s.nextInput.reservedBytes += journal.RecordSize(s.newEntry(request))
 	s.nextInput.requests = append(s.nextInput.requests, request)
 	s.nextInput.requestIDs[request.ID] = true
 	s.addEvents(scheduler.Event{
@@ -176,7 +176,7 @@
 func (s *Sender) Class(class string) scheduler.Class { return s.classes[class] }
 
 // newEntry returns the journal entry of a request that is accepted.
-func newEntry(request *Request) *journal.Entry {
+func (s *Sender) newEntry(request *Request) *journal.Entry {
 	return &journal.Entry{
 		ID:          request.ID,
 		Class:       request.Class,
@@ -187,5 +187,6 @@
 		Destination: request.Destination,
 		Deadline:    request.Deadline,
 		Body:        request.Body,
+		Terms:       termsOf(s.classes[request.Class]),
 	}
 }
--- a/sender/calls.go
+++ b/sender/calls.go
@@ -51,8 +51,10 @@
 }
 
 func (s *Sender) newAttempt(entry *journal.Entry, timeoutUs int64) Attempt {
+	class, _ := s.classOf(entry)
 	return Attempt{
 		ID:        entry.ID,
+		Effect:    class.Idempotency,
 		Key:       entry.Key,
 		Class:     entry.Class,
 		Body:      entry.Body,
@@ -68,7 +70,7 @@
 // limit. The scheduler starts an attempt within the idempotency window of its message, but the
 // connection may be established long after that.
 func (s *Sender) startBy(entry *journal.Entry) clock.Instant {
-	class := s.classes[entry.Class]
+	class, _ := s.classOf(entry)
 	if entry.FirstRun == 0 || class.Idempotency != scheduler.IdempotentByKey {
 		return 0
 	}
--- a/sender/egress.go
+++ b/sender/egress.go
@@ -11,6 +11,7 @@
 	ID        string
 	Key       string
 	Class     string
+	Effect    scheduler.Idempotency // of the message, which may differ from that of its class in the settings
 	Body      []byte
 	Number    int           // of earlier attempts of the message
 	TimeoutUs int64         // from now; the egress cancels the attempt then
--- a/sender/lifecycle.go
+++ b/sender/lifecycle.go
@@ -25,27 +25,28 @@
 // Violations returns the number of violations that the guard has found. Any goroutine may call it.
 func (s *Sender) Violations() int64 { return s.violations.Load() }
 
-// isUnsafe reports whether the messages of a class must not be repeated once they may have run. Those of a class that
-// the settings do not have any more are.
-func (s *Sender) isUnsafe(class string) bool {
-	known, ok := s.classes[class]
-	return !ok || known.Idempotency == scheduler.NotIdempotent
+// isUnsafe reports whether a message must not be repeated once it may have run. One of a class that the settings do
+// not have any more is.
+func (s *Sender) isUnsafe(entry *journal.Entry) bool {
+	class, ok := s.classOf(entry)
+	return !ok || class.Idempotency == scheduler.NotIdempotent
 }
 
 // accept records that a message is taken on.
 func (s *Sender) accept(request *Request) {
 	s.pending++
-	s.journal.Accept(newEntry(request))
-	s.guard.Accept(request.ID, s.isUnsafe(request.Class), false)
+	entry := s.newEntry(request)
+	s.journal.Accept(entry)
+	s.guard.Accept(request.ID, s.isUnsafe(entry), false)
 }
 
 // takeRestored records a message that an earlier process has taken on, or that the predecessor has an attempt of out.
 func (s *Sender) takeRestored(entry *journal.Entry) {
 	if attempt, ok := s.hotRestart.remoteAttempts[entry.ID]; ok {
-		s.guard.AcceptInFlight(entry.ID, s.isUnsafe(entry.Class), attempt.Attempt)
+		s.guard.AcceptInFlight(entry.ID, s.isUnsafe(entry), attempt.Attempt)
 		return
 	}
-	s.guard.Accept(entry.ID, s.isUnsafe(entry.Class), entry.FirstRun != 0)
+	s.guard.Accept(entry.ID, s.isUnsafe(entry), entry.FirstRun != 0)
 }
 
 // abandonAttempt makes sure that no byte of a message leaves once its final answer is told.
--- a/sender/provenance.go
+++ b/sender/provenance.go
@@ -93,7 +93,8 @@
 // distrustEntry restores a message again, as one that may have run, unless an attempt of it is in
 // flight or it is idempotent.
 func (s *Sender) distrustEntry(entry *journal.Entry) {
-	if entry.InFlightSince != 0 || s.classes[entry.Class].Idempotency == scheduler.Idempotent {
+	class, _ := s.classOf(entry)
+	if entry.InFlightSince != 0 || class.Idempotency == scheduler.Idempotent {
 		return
 	}
 	s.markAmbiguous(entry)
@@ -104,7 +105,7 @@
 // idempotent or has its final answer. Without the record the next incarnation would not know: for it,
 // the folder is as this one left it.
 func (s *Sender) markAmbiguous(entry *journal.Entry) {
-	class := s.classes[entry.Class]
+	class, _ := s.classOf(entry)
 	if entry.FinalAnswer != "" || entry.Acknowledged || class.Idempotency == scheduler.Idempotent {
 		return
 	}
@@ -145,7 +146,7 @@
 	return nil
 }
 
-// provenanceMessage returns what package provenance needs of a message.
+// provenanceMessage returns what package provenance needs of a message of a class; see acceptedClass.
 func provenanceMessage(entry *journal.Entry, class scheduler.Class) provenance.Message {
 	return provenance.Message{
 		Idempotency:       class.Idempotency,
--- a/sender/recovery_plan.go
+++ b/sender/recovery_plan.go
@@ -44,7 +44,8 @@
 		Messages: []PendingMessage{},
 	}
 	for _, entry := range entries {
-		disposition := provenanceMessage(entry, classes[entry.Class]).Disposition(now, plan.Problem != "")
+		class := acceptedClass(classes[entry.Class], entry)
+		disposition := provenanceMessage(entry, class).Disposition(now, plan.Problem != "")
 		plan.Counts[disposition]++
 		if disposition != provenance.DispositionAcknowledged {
 			plan.Messages = append(plan.Messages, PendingMessage{
--- a/sender/restore.go
+++ b/sender/restore.go
@@ -71,6 +71,7 @@
 	s.pending++
 	defer s.takeRestored(entry)
 	if s.options.Checkpoint != nil && s.scheduler.HasMessage(entry.ID) {
+		s.scheduler.SetTerms(entry.ID, s.schedulerTerms(entry))
 		return
 	}
 	if entry.InFlightSince != 0 {
@@ -84,11 +85,13 @@
 // counts it if its outcome is ambiguous.
 func (s *Sender) restoredEvent(entry *journal.Entry) scheduler.Event {
 	distrusted := s.recovery.folderProblem != ""
-	message := provenanceMessage(entry, s.classes[entry.Class])
+	class, _ := s.classOf(entry)
+	message := provenanceMessage(entry, class)
 	attempts, firstRun := message.AssumedAttempts(distrusted)
 	if message.Disposition(s.Now(), distrusted) == provenance.DispositionAmbiguous {
 		s.recovery.ambiguousCount++
 	}
+	s.scheduler.ExpectTerms(entry.ID, s.schedulerTerms(entry))
 	return scheduler.Event{
 		Kind:        scheduler.RequestAccepted,
 		Restored:    true,
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -227,7 +227,7 @@
 		first clock.Instant
 		want  clock.Instant
 	}{{"key", 0, 0}, {"key", 500, 1500}, {"once", 500, 0}} {
-		if got := core.startBy(&journal.Entry{Class: test.class, FirstRun: test.first}); got != test.want {
+		if got := core.startBy(&journal.Entry{Class: test.class, Key: "k", FirstRun: test.first}); got != test.want {
 			t.Errorf("%+v: got %d", test, got)
 		}
 	}
--- a/sender/transactions.go
+++ b/sender/transactions.go
@@ -44,7 +44,7 @@
 		}
 		if !decided {
 			transaction.newRequests = append(transaction.newRequests, request)
-			size += journal.RecordSize(newEntry(request))
+			size += journal.RecordSize(s.newEntry(request))
 		}
 	}
 	if size > journal.MaxTransactionBytes { // the ingress exceeds its own limit
