AMQP egress test: an attempt states its effect, as those of the core do

The test sets it to what its class has; its checks are as they were. go test ./internal/net/amqpfront passes.

--- a/internal/net/amqpfront/ledger_test.go
+++ b/internal/net/amqpfront/ledger_test.go
@@ -13,6 +13,7 @@
 	"brackendale/internal/net/conntable"
 	"brackendale/internal/net/reactor"
 	"brackendale/internal/testing/standin"
+	"brackendale/scheduler"
 	"brackendale/sender"
 
 	"pgregory.net/rapid"
@@ -142,7 +143,7 @@
 			var attempts []sender.Attempt
 			for _, id := range ids {
 				attempts = append(attempts, sender.Attempt{
-					ID: id, Class: "safe", TimeoutUs: 60e6,
+					ID: id, Class: "safe", Effect: scheduler.Idempotent, TimeoutUs: 60e6,
 					Deadline: clock.Steady().Add(time.Minute),
 				})
 			}
