--- a/internal/cli/golden_test.go
+++ b/internal/cli/golden_test.go
@@ -188,7 +188,7 @@
 		for _, state := range []string{"new", "out", "ended", "heard"} {
 			id := class + "-" + state
 			file.Accept(&journal.Entry{
-				ID: id, Class: class, Tenant: "t", Front: "f", Destination: 1,
+				ID: id, Class: class, Tenant: "t", Front: "f", Destination: 1, Key: map[string]string{"key": "k"}[class],
 				Deadline: now.Add(clock.Microseconds(50e6)), Body: []byte("b"),
 			})
 			if state == "out" {
