A message keeps its deadline when its class gets a shorter one

What callers would see: messages that fail or are returned before their time after a restart with a shorter deadline_ms.

Cause: each start limited all deadlines to the class's present one. That is meant for deadlines converted from another boot's clock.

Change: only such deadlines are limited.

Measured: TestDeadlineOutlivesASettingsChange failed on the code before (8.0 s cut off) and passes.

--- a/internal/journal/other_boot.go
+++ b/internal/journal/other_boot.go
@@ -47,6 +47,9 @@
 	j.needsRewrite, j.timesRebased = true, true
 }
 
+// TimesRebased reports whether the times of the file were of another clock and have been converted.
+func (j *Journal) TimesRebased() bool { return j.timesRebased }
+
 // LimitDeadline lowers the deadline of a message to the given one. A message with an earlier deadline
 // keeps it.
 func (j *Journal) LimitDeadline(id string, deadline clock.Instant) {
--- a/sender/restore.go
+++ b/sender/restore.go
@@ -17,10 +17,8 @@
 	s.recovery.snapshotReadTime = time.Since(s.startedAt)
 	s.recovery.start.Store(startCaseOf(hotRestart, len(s.journal.Entries()) > 0, hasSnapshot))
 	s.journal.SetClock(s.Now)
-	for _, entry := range s.journal.Entries() { // a deadline of an earlier boot was converted and may be too late
-		if class, ok := s.classes[entry.Class]; ok {
-			s.journal.LimitDeadline(entry.ID, s.Now().Add(clock.Microseconds(class.DeadlineUs)))
-		}
+	if s.journal.TimesRebased() {
+		s.limitRebasedDeadlines()
 	}
 	if lost := s.journal.LostBytes(); lost > 0 {
 		s.log.Warn().Int64("bytes", lost).
@@ -35,6 +33,16 @@
 	}
 }
 
+// limitRebasedDeadlines limits deadlines that were converted from another clock and may be too late. All
+// others bind, whatever the settings of their class have become.
+func (s *Sender) limitRebasedDeadlines() {
+	for _, entry := range s.journal.Entries() {
+		if class, ok := s.classes[entry.Class]; ok {
+			s.journal.LimitDeadline(entry.ID, s.Now().Add(clock.Microseconds(class.DeadlineUs)))
+		}
+	}
+}
+
 // restoreJournal passes the messages of earlier incarnations to the scheduler. An attempt that was in
 // flight may have run.
 func (s *Sender) restoreJournal() {
--- a/sender/terms_test.go
+++ b/sender/terms_test.go
@@ -105,6 +105,19 @@
 	return front
 }
 
+// A message keeps its deadline although its class has a shorter one since.
+func TestDeadlineOutlivesASettingsChange(t *testing.T) {
+	dir, settings := t.TempDir(), termsSettings(scheduler.Idempotent, 0)
+	old, oldFront := newTestSenderWith(t, dir, 1<<20, settings)
+	oldFront.step(t, request(old, "m", 9e6))
+	want := old.journal.Get("m").Deadline
+	settings.Classes[0].DeadlineUs = 1e6
+	next := restartWith(t, old, dir, settings, false)
+	if got := next.sender.journal.Get("m").Deadline; got != want {
+		t.Errorf("the deadline has moved by %v", got.Sub(want))
+	}
+}
+
 // What an entry of an earlier release lacks is read strictly: without a key it does not go by one.
 func TestTermsOfAnEarlierRelease(t *testing.T) {
 	class := scheduler.Class{Idempotency: scheduler.IdempotentByKey, KeyWindowUs: 1000}
