Two virtual hosts of a broker never share a connection

Cause: the key of a connection was address, virtual host and user written one behind the other: user 12 at lab and user 2 at lab1 were one.

Change: the key is a struct, with the password too, which is fixed when a connection is opened.

--- a/internal/net/amqpfront/brokerlink.go
+++ b/internal/net/amqpfront/brokerlink.go
@@ -41,7 +41,7 @@
 	amqpConn
 
 	egress *Egress
-	key    string // key in Egress.links
+	key    linkKey // key in Egress.links
 	target amqp.Target
 
 	connected bool // the transport is connected
--- a/internal/net/amqpfront/egress.go
+++ b/internal/net/amqpfront/egress.go
@@ -33,7 +33,7 @@
 	connectTimeout time.Duration
 	connections    *conntable.Table
 
-	links      map[string]*brokerLink     // by linkKey
+	links      map[linkKey]*brokerLink
 	attempts   map[string]*publishAttempt // without an outcome, by message ID
 	tlsByRoute map[string]*tls.Config
 
@@ -55,7 +55,7 @@
 		reactor:        react,
 		connectTimeout: connectTimeout,
 		connections:    room.NewDialedTable(),
-		links:          map[string]*brokerLink{},
+		links:          map[linkKey]*brokerLink{},
 		attempts:       map[string]*publishAttempt{},
 		Gate:           admission.New(scheduler.Settings{}),
 	}
@@ -118,7 +118,7 @@
 	if err != nil {
 		return
 	}
-	if link := e.links[linkKey(route.Addr, target)]; link != nil && link.idle() {
+	if link := e.links[newLinkKey(route.Addr, target)]; link != nil && link.idle() {
 		link.closeIdle()
 	}
 }
@@ -145,12 +145,20 @@
 	}
 }
 
-// linkKey returns the key of a connection: everything that is fixed when it is opened. Targets that differ only in
+// linkKey is the key of a connection: everything that is fixed when it is opened. Targets that differ only in
 // exchange and routing key share a connection.
-func linkKey(route string, target amqp.Target) string {
-	key := target.Addr + target.VHost + target.User
-	if target.TLS { // the TLS configuration belongs to the route
-		key += "\x00" + route
+type linkKey struct {
+	addr     string
+	vhost    string
+	user     string
+	password string
+	tlsRoute string // the route whose TLS configuration it uses; empty without TLS
+}
+
+func newLinkKey(route string, target amqp.Target) linkKey {
+	key := linkKey{addr: target.Addr, vhost: target.VHost, user: target.User, password: target.Password}
+	if target.TLS {
+		key.tlsRoute = route
 	}
 	return key
 }
@@ -158,7 +166,7 @@
 // linkTo returns the connection to a target, and dials one if there is none. It returns nil if no descriptor is
 // available.
 func (e *Egress) linkTo(route string, target amqp.Target) *brokerLink {
-	key := linkKey(route, target)
+	key := newLinkKey(route, target)
 	if link := e.links[key]; link != nil {
 		return link
 	}
--- a/internal/net/amqpfront/ledger_test.go
+++ b/internal/net/amqpfront/ledger_test.go
@@ -205,3 +205,34 @@
 		t.Fatal("the confirm of another channel was taken for that of this publish")
 	}
 }
+
+// Two virtual hosts of a broker whose names and users are the same when written one behind the other must not share a
+// connection: a message for one was published to the other.
+func TestVirtualHostsDoNotShareAConnection(t *testing.T) {
+	broker := newBroker(t)
+	conns := make(chan *frameConn, 9)
+	broker.publish = func(conn *frameConn, _ uint16, _ *amqp.Message, _ uint64) { conns <- conn }
+	var egress *Egress
+	var loopReactor *reactor.Reactor
+	standin.Start(t, t.TempDir(), func(core *sender.Sender, react *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
+		loopReactor, egress = react, NewEgress(core, react, standin.Long, conntable.NewSharedLimit(100))
+		return func(*reactor.Conn) reactor.Handler { return nil }
+	})
+	send := func(id, user, vhost string) *frameConn {
+		loopReactor.Post(func() {
+			route := addToGate(egress, broker)
+			route.Dial = "amqp://" + user + ":p@" + broker.listener.Addr().String() + "/" + vhost + "?key=in"
+			egress.Send(route, []sender.Attempt{{
+				ID: id, Class: "safe", Effect: scheduler.Idempotent, TimeoutUs: 60e6, Deadline: clock.Steady().Add(time.Minute),
+			}})
+		})
+		return <-conns
+	}
+	first := send("a", "12", "lab")
+	if second := send("b", "2", "lab1"); second == first {
+		t.Error("a message for lab1 is published on a connection to lab")
+	}
+	if third := send("c", "12", "lab"); third != first {
+		t.Error("two messages for one virtual host do not share a connection")
+	}
+}
