An answer given back by a connection that ends stays in its queue

Cause: the channels of a connection ended one after another. What the first gave back went to the next one's consumer and counted as heard there.

Change: the consumers of all its channels are detached first; a connection that is being closed gets no answer.

--- a/internal/net/amqpfront/channel.go
+++ b/internal/net/amqpfront/channel.go
@@ -107,9 +107,7 @@
 		}
 		ch.session.ingress.core.Withdraw(request)
 	}
-	for _, c := range ch.consumers {
-		c.queue.consumers = slices.DeleteFunc(c.queue.consumers, func(other *consumer) bool { return other == c })
-	}
+	ch.detachConsumers()
 	ch.session.host.requeue(ch.unacked)
 	for _, c := range ch.consumers {
 		if c.queue.directReply {
@@ -120,6 +118,13 @@
 	ch.unacked, ch.consumers, ch.pending = nil, nil, nil
 }
 
+// detachConsumers stops the delivery of answers to the channel's consumers.
+func (ch *channel) detachConsumers() {
+	for _, c := range ch.consumers {
+		c.queue.consumers = slices.DeleteFunc(c.queue.consumers, func(other *consumer) bool { return other == c })
+	}
+}
+
 // settle handles basic.ack, basic.nack or basic.reject of answers by tag; tag 0 with multiple means all.
 func (ch *channel) settle(key amqp.Key, tag uint64, multiple, requeue bool) error {
 	first, found := slices.BinarySearchFunc(ch.unacked, tag,
--- a/internal/net/amqpfront/front_test.go
+++ b/internal/net/amqpfront/front_test.go
@@ -516,6 +516,39 @@
 	}
 }
 
+// A connection that has two consumers of one queue ends: the answer that one of them has not acknowledged must not go
+// to the other one, which needs no acknowledgement (review/10), but to the client's next connection.
+func TestConnectionLostWithTwoConsumers(t *testing.T) {
+	for name, end := range map[string]func(client *testClient){
+		"dropped":       func(client *testClient) { _ = client.Close() },
+		"malformed":     func(client *testClient) { _, _ = client.Write(make([]byte, amqp.FrameMin)) },
+		"closed by it":  func(client *testClient) { client.writeMethod(0, amqp.ConnClose, 200, "", 0, 0) },
+		"wrong channel": func(client *testClient) { client.writeMethod(7, amqp.Qos, 0, 0, false) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, _ := start(t, t.TempDir(), newBroker(t))
+			client := dial(t, addr)
+			client.consume()
+			client.writeMethod(2, amqp.ChanOpen, "")
+			client.want(amqp.ChanOpenOk)
+			client.writeMethod(2, amqp.Consume, 0, "answers", "display", false, true, false, false, amqp.Table{})
+			client.want(amqp.ConsumeOk)
+			client.publish("m", "once")
+			client.want(amqp.Ack)
+			client.wantAnswer("m", false)
+			end(client)
+			for _, _, err := client.next(); err == nil; _, _, err = client.next() { // until the connection has ended
+				client.writeMethod(0, amqp.ConnCloseOk)
+			}
+			client = dial(t, addr)
+			client.consume()
+			if client.wantAnswer("m", true) != "delivered" {
+				t.Error("another answer")
+			}
+		})
+	}
+}
+
 // The sender is killed while publishes are unconfirmed. After the restart the unsafe message, which may have run,
 // fails, and the message with an idempotency key is sent again.
 func TestSenderKilled(t *testing.T) {
--- a/internal/net/amqpfront/queue.go
+++ b/internal/net/amqpfront/queue.go
@@ -74,6 +74,9 @@
 
 // ready reports whether the consumer may get another answer now.
 func (c *consumer) ready() bool {
+	if c.channel.session.conn.IsClosing() { // the answer would count as received by a consumer without acknowledgements
+		return false
+	}
 	limit := maxUnacked
 	if c.channel.prefetch > 0 {
 		limit = min(limit, int(c.channel.prefetch))
--- a/internal/net/amqpfront/session.go
+++ b/internal/net/amqpfront/session.go
@@ -206,8 +206,8 @@
 	s.ingress.table.Remove(&s.Entry)
 	s.ingress.partialBytes -= s.assembly.Pending()
 	s.assembly = amqp.Assembly{}
+	s.endChannels()
 	for _, ch := range s.channels {
-		ch.end()
 		s.ingress.partialBytes -= ch.assembly.Pending() // of a content that began while the channel was being closed
 		ch.assembly = amqp.Assembly{}
 	}
@@ -218,6 +218,16 @@
 	s.exclusiveQueues = nil
 }
 
+// endChannels ends all channels at once: none gets the answers that another one gives back.
+func (s *session) endChannels() {
+	for _, ch := range s.channels {
+		ch.detachConsumers()
+	}
+	for _, ch := range s.channels {
+		ch.end()
+	}
+}
+
 // closeWith closes the channel if the fault is soft, otherwise the connection.
 func (s *session) closeWith(id uint16, err error) {
 	f := asFault(err)
@@ -231,9 +241,7 @@
 		return
 	}
 	s.stage = stageClosing
-	for _, ch := range s.channels {
-		ch.end()
-	}
+	s.endChannels()
 	s.writeMethod(0, amqp.ConnClose, closeArgs(f)...)
 	s.ingress.table.Remove(&s.Entry)
 	s.loop.Arm(&s.timer, closeTimeout, timers.CoarseSlack, s)
