An operator's exclusion is no report of the registry

Cause: since any change of the route table that is not an older list counted as the registry's report, also an exclusion. Within the 150 ms in which an older list is suspended, it made all other endpoints of the list unusable until the registry responds.

Change: only what the registry's side passes to UpdateRoutes is a report. The terms expected of a message are taken also if its class is gone, so that none are left behind.

--- a/scheduler/arrival.go
+++ b/scheduler/arrival.go
@@ -4,12 +4,12 @@
 
 // acceptRequest adds an accepted message: a new one, or one that was accepted before a restart.
 func (s *Scheduler) acceptRequest(event *Event) {
-	class := s.classes[event.Class]
+	class, terms := s.classes[event.Class], s.takeExpectedTerms(event.ID)
 	if class == nil {
 		s.finishWithoutClass(event)
 		return
 	}
-	msg := s.newMessage(event, class.withTerms(s.takeExpectedTerms(event.ID)))
+	msg := s.newMessage(event, class.withTerms(terms))
 	s.joinKeyQueue(msg, event)
 	s.messages[msg.id] = msg
 	s.acceptedCount++
--- a/sender/reported_endpoints_test.go
+++ b/sender/reported_endpoints_test.go
@@ -290,6 +290,29 @@
 	}
 }
 
+// What an operator excludes is no report of the registry: within an older list that is suspended it must not make all
+// other endpoints of the list unusable until the registry responds.
+func TestExclusionIsNoReport(t *testing.T) {
+	a, b := listedRoute("a", "127.0.0.1:1", 1), listedRoute("b", "127.0.0.1:2", 1)
+	for _, reported := range []bool{false, true} {
+		core := runSender(t, t.TempDir(), nil)
+		if reported {
+			core.UpdateRoutes(scheduler.UpdateFull, []Route{a, b})
+		}
+		next := runSender(t, core.plannedStop(t), nil)
+		next.UpdateRoutes(scheduler.UpdateStale, []Route{draining(a), draining(b)})
+		done := make(chan error, 1)
+		next.Exclude("a", true, func(err error) { done <- err })
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+		next.UpdateRoutes(scheduler.UpdateStale, []Route{a, b})
+		if states := next.endpointStates(t); states["b"] != string(scheduler.StatusLive) {
+			t.Errorf("with a report %v: the other endpoint is %q", reported, states["b"])
+		}
+	}
+}
+
 // A report of the registry that arrives before the checkpoint of a hot restart is restored must not be overwritten.
 func TestReportBeforeTheCheckpointIsRestored(t *testing.T) {
 	dir := t.TempDir()
--- a/sender/routes.go
+++ b/sender/routes.go
@@ -22,17 +22,22 @@
 	for _, route := range list { // at once: a request for a new destination may arrive before the next step
 		s.destinations.Store(route.Destination, true)
 	}
-	s.Post(func() { s.applyRoutes(kind, list) })
+	s.Post(func() {
+		if s.handedOver() {
+			return
+		}
+		removed := s.applyRoutes(kind, list)
+		if kind != scheduler.UpdateStale {
+			s.reported.update(s.routes, slices.Concat(removed, list))
+		}
+	})
 }
 
-// applyRoutes applies an update to the route table and passes it on to the egresses and the scheduler.
-func (s *Sender) applyRoutes(kind scheduler.UpdateKind, list []Route) {
-	if s.handedOver() {
-		return
-	}
+// applyRoutes applies an update to the route table and passes it on to the egresses and the scheduler. It
+// returns the routes that a whole list has removed, as dead.
+func (s *Sender) applyRoutes(kind scheduler.UpdateKind, list []Route) (removed []Route) {
 	event := scheduler.Event{Kind: scheduler.EndpointsUpdated, Update: kind}
 	before := s.routes
-	var removed []Route
 	if kind != scheduler.UpdatePatch {
 		removed = s.removeMissingRoutes(list)
 	}
@@ -48,9 +53,6 @@
 		event.Endpoints = append(event.Endpoints, route.Endpoint)
 		changed[route.Protocol] = append(changed[route.Protocol], route)
 	}
-	if kind != scheduler.UpdateStale {
-		s.reported.update(s.routes, slices.Concat(removed, list))
-	}
 	s.syncRouteStats()
 	for protocol, egress := range s.egresses {
 		if routes := changed[protocol]; len(routes) > 0 {
@@ -63,6 +65,7 @@
 		s.readiness.hasEndpointList = true
 		s.recordMilestone(&s.recovery.firstListUs)
 	}
+	return removed
 }
 
 // removeMissingRoutes clears the route table for a whole list. It returns the routes that are not in the
