The body of a removed message does not count as used space after a restart

Messages are removed with their bodies where a step is undone, or where an endpoint calls an attempt void. The disk budget then seems fuller than it is, and messages are refused too early; nothing is lost.

Change: the size is subtracted first.

--- a/internal/journal/replay.go
+++ b/internal/journal/replay.go
@@ -86,12 +86,12 @@
 		entry.Acknowledged = true
 		j.liveBytes += int64(RecordSize(entry))
 	case recordRemoved:
+		j.liveBytes -= int64(RecordSize(entry))
+		delete(j.entries, entry.ID)
 		if !j.opened {
 			j.removed = append(j.removed, entry)
 			entry.Body = nil
 		}
-		j.liveBytes -= int64(RecordSize(entry))
-		delete(j.entries, entry.ID)
 	}
 }
 
