--- a/internal/journal/entry.go
+++ b/internal/journal/entry.go
@@ -29,6 +29,9 @@
 	RetryAfterMs int64  // sent with the final answer
 	Acknowledged bool   // the client has confirmed the final answer; the entry is kept to recognize its ID
 	Notified     bool   // the client may have received the final answer; set by the caller, not recorded
+	// LaterCorrelations are those of later submissions whose reply address ends with this process, in their order; set
+	// by the caller, not recorded.
+	LaterCorrelations []string
 
 	order uint64 // position in the order of acceptance
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -172,9 +172,10 @@
 func (j *Journal) IsNew() bool { return j.isNew }
 
 // RemovedEntries returns the messages that were in the file together with the record of their removal
-// when it was opened, without their bodies. A second call returns none.
+// when it was opened, without their bodies. A message that was accepted again after its removal, as by Redirect,
+// is not among them. A second call returns none.
 func (j *Journal) RemovedEntries() []*Entry {
-	removed := j.removed
+	removed := slices.DeleteFunc(j.removed, func(entry *Entry) bool { return j.entries[entry.ID] != nil })
 	j.removed = nil
 	return removed
 }
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -61,6 +61,38 @@
 	}
 }
 
+// A message whose reply address changed is read back with the new one and all else as it was, also if it has ended.
+func TestRedirect(t *testing.T) {
+	dir := t.TempDir()
+	j := openTest(t, dir, budget)
+	terms := Terms{Idempotency: 2, KeyWindowUs: 500}
+	j.Accept(&Entry{ID: "a", Correlation: "one", Body: []byte("body a"), Terms: terms})
+	j.Accept(&Entry{ID: "b", Correlation: "one", Body: []byte("body b"), Terms: terms})
+	j.StartAttempt("a", "z1", 11)
+	j.EndAttempt("a", true)
+	j.SetFinalAnswer("b", "returned", 250)
+	j.Acknowledge("b")
+	flush(t, j)
+	j.Redirect("a", "a longer one")
+	j.Redirect("b", "two")
+	j.Redirect("unknown", "two")
+	flush(t, j)
+	liveBytes := j.liveBytes
+	_ = j.Close()
+	j = openTest(t, dir, budget)
+	if got, want := describe(j), "a/body a/1/11/z1/0//0;b//0/0//0/returned/250;"; got != want {
+		t.Fatalf("got  %s\nwant %s", got, want)
+	}
+	a, b := j.Get("a"), j.Get("b")
+	if a.Correlation != "a longer one" || b.Correlation != "two" || b.Acknowledged ||
+		a.Terms != terms || b.Terms != terms {
+		t.Fatalf("%+v %+v", a, b)
+	}
+	if removed := j.RemovedEntries(); len(removed) > 0 || j.liveBytes != liveBytes {
+		t.Fatal(removed, j.liveBytes, liveBytes)
+	}
+}
+
 // SIGKILL may end the last write after any byte. All complete records before it must be read, and
 // records written after the restart must be readable too.
 func TestTornTail(t *testing.T) {
--- a/internal/journal/operations.go
+++ b/internal/journal/operations.go
@@ -41,6 +41,21 @@
 // that has to recognize the ID if it is submitted again.
 func (j *Journal) Acknowledge(id string) { j.record(changeRecord{kind: recordAcknowledged, id: id}) }
 
+// Redirect records the correlation of a later submission in place of the present one, and that its client has
+// not acknowledged the final answer. The records are a removal and an acceptance, which earlier releases read too;
+// after a restart the message is the last one in the order of acceptance.
+func (j *Journal) Redirect(id, correlation string) {
+	entry := j.entries[id]
+	if entry == nil {
+		return
+	}
+	j.buffer = changeRecord{kind: recordRemoved, id: id}.appendTo(j.openBatch())
+	j.liveBytes -= int64(RecordSize(entry))
+	entry.Correlation, entry.Acknowledged = correlation, false
+	j.liveBytes += int64(RecordSize(entry))
+	j.buffer = entry.appendTo(j.buffer)
+}
+
 // Remove removes a message and records the removal.
 func (j *Journal) Remove(id string) { j.record(changeRecord{kind: recordRemoved, id: id}) }
 
--- a/internal/net/amqpfront/channel.go
+++ b/internal/net/amqpfront/channel.go
@@ -63,7 +63,7 @@
 	ch.delivered++
 	outgoing.redelivered = true
 	if noAck {
-		ch.session.host.settle(outgoing.id)
+		ch.session.host.settle(outgoing)
 	} else {
 		ch.unacked = append(ch.unacked, delivery{ch.delivered, source, outgoing})
 		ch.session.addPending(1)
@@ -110,9 +110,6 @@
 	ch.detachConsumers()
 	ch.session.host.requeue(ch.unacked)
 	for _, c := range ch.consumers {
-		if c.queue.directReply {
-			c.queue.discard()
-		}
 		c.release()
 	}
 	ch.unacked, ch.consumers, ch.pending = nil, nil, nil
@@ -158,12 +155,12 @@
 		ch.unacked = slices.Delete(ch.unacked, first, end)
 		ch.session.host.requeue(covered)
 	} else {
-		messageIDs := make([]string, len(covered))
+		answers := make([]*answer, len(covered))
 		for i, d := range covered {
-			messageIDs[i] = d.answer.id
+			answers[i] = d.answer
 		}
 		ch.unacked = slices.Delete(ch.unacked, first, end)
-		ch.session.host.settle(messageIDs...)
+		ch.session.host.settle(answers...)
 	}
 	for _, c := range ch.consumers { // there may be room for more unacknowledged answers now
 		c.queue.dispatch()
--- a/internal/net/amqpfront/host.go
+++ b/internal/net/amqpfront/host.go
@@ -1,6 +1,7 @@
 package amqpfront
 
 import (
+	"slices"
 	"strings"
 
 	"brackendale/internal/access"
@@ -16,8 +17,8 @@
 	name           string
 	front          string
 	queues         map[string]*queue
-	unsettledIDs   map[string]struct{} // IDs of messages whose answers are queued or unacknowledged
-	generatedNames int                 // number of queue names generated
+	unsettled      map[string]*answer // the queued or unacknowledged answers, by the ID of the message
+	generatedNames int                // number of queue names generated
 }
 
 // frontName returns the name of a host's front in the journal. The root host keeps the name that was used by earlier
@@ -37,11 +38,11 @@
 	for _, h := range policy.Hosts() {
 		if in.hosts[h.Name] == nil {
 			added := &host{
-				ingress:      in,
-				name:         h.Name,
-				front:        frontName(h.Name),
-				queues:       map[string]*queue{},
-				unsettledIDs: map[string]struct{}{},
+				ingress:   in,
+				name:      h.Name,
+				front:     frontName(h.Name),
+				queues:    map[string]*queue{},
+				unsettled: map[string]*answer{},
 			}
 			in.hosts[h.Name] = added
 			in.core.Post(func() { in.core.AddIngress(added.front, added) })
@@ -99,42 +100,95 @@
 	incoming.channel.session.writeMethod(incoming.channel.id, amqp.Nack, incoming.tag, false, false)
 }
 
-// Notify queues a final answer on the queue that its reply-to names. An answer that is queued or unacknowledged already
-// is ignored. redelivered means that a client may have received it before.
-func (h *host) Notify(id, correlation, outcome string, waitMs int64, redelivered bool) {
-	replyTo, _, _ := strings.Cut(correlation, "\x00")
-	if strings.HasPrefix(replyTo, directReplyTo+".") && h.queues[replyTo] == nil {
-		h.ingress.core.Acknowledge(id) // the channel that may consume it has been closed
+// IsTransient reports whether a correlation names a queue of direct reply-to, which ends with its channel.
+func (h *host) IsTransient(correlation string) bool {
+	return strings.HasPrefix(correlation, directReplyTo+".")
+}
+
+// Notify queues a final answer on the queue that its reply-to names. If the same answer is queued or unacknowledged
+// for an earlier publish of the message, it is only for the later one from now on.
+func (h *host) Notify(notice sender.Notice) {
+	correlation, ok := h.reachable(notice)
+	if !ok {
+		h.ingress.core.Acknowledge(notice.ID) // the channels that may consume it have been closed
 		return
 	}
-	if _, known := h.unsettledIDs[id]; known {
-		return
+	redelivered := notice.Repeated
+	if unsettled := h.unsettled[notice.ID]; unsettled != nil {
+		if unsettled.correlation == correlation {
+			return
+		}
+		redelivered = unsettled.redelivered
+		h.supersede(unsettled)
 	}
-	h.unsettledIDs[id] = struct{}{}
-	q := h.queue(replyTo)
-	q.answers = append(q.answers, &answer{
-		id:          id,
+	next := &answer{
+		id:          notice.ID,
 		correlation: correlation,
-		outcome:     outcome,
-		waitMs:      waitMs,
+		outcome:     notice.Answer,
+		waitMs:      notice.RetryAfterMs,
 		redelivered: redelivered,
 		queuedAt:    h.ingress.reactor.Now(),
-	})
+	}
+	h.unsettled[next.id] = next
+	q := h.queue(next.replyTo())
+	q.answers = append(q.answers, next)
 	q.dispatch()
 	q.enforceLimits()
 }
 
+// reachable returns the correlation of the latest publish of a message whose reply-to exists.
+func (h *host) reachable(notice sender.Notice) (correlation string, ok bool) {
+	exists := func(correlation string) bool {
+		return !h.IsTransient(correlation) || h.queues[replyTo(correlation)] != nil
+	}
+	if exists(notice.Correlation) {
+		return notice.Correlation, true
+	}
+	i := slices.IndexFunc(notice.Earlier, exists)
+	if i < 0 {
+		return "", false
+	}
+	return notice.Earlier[i], true
+}
+
+// supersede withdraws an answer that another one takes the place of. If it is unacknowledged, its acknowledgement
+// has no effect any more.
+func (h *host) supersede(old *answer) {
+	delete(h.unsettled, old.id)
+	q := h.queues[old.replyTo()]
+	if q == nil {
+		return
+	}
+	if i := slices.Index(q.answers, old); i >= 0 {
+		q.answers = slices.Delete(q.answers, i, i+1)
+		h.removeIfUnused(q)
+	}
+}
+
 // settle acknowledges answers to the core, which then drops them.
-func (h *host) settle(ids ...string) {
-	h.release(ids...)
-	h.ingress.core.Acknowledge(ids...)
+func (h *host) settle(answers ...*answer) {
+	if ids := h.release(answers...); len(ids) > 0 {
+		h.ingress.core.Acknowledge(ids...)
+	}
 }
 
-// release drops the IDs of answers that are no longer queued or unacknowledged.
-func (h *host) release(ids ...string) {
-	for _, id := range ids {
-		delete(h.unsettledIDs, id)
+// giveBack returns answers to the core that can't be delivered where they are.
+func (h *host) giveBack(answers []*answer) {
+	if ids := h.release(answers...); len(ids) > 0 {
+		h.ingress.core.ReportUnheard(ids...)
+	}
+}
+
+// release drops answers that are no longer queued or unacknowledged, and returns the IDs of their messages, without
+// those of superseded answers.
+func (h *host) release(answers ...*answer) (ids []string) {
+	for _, a := range answers {
+		if h.unsettled[a.id] == a {
+			delete(h.unsettled, a.id)
+			ids = append(ids, a.id)
+		}
 	}
+	return ids
 }
 
 // queue returns the queue with this name, and creates it if there is none.
@@ -170,8 +224,10 @@
 	}
 }
 
-// requeue returns answers to the heads of their queues, in their original order.
+// requeue returns answers to the heads of their queues, in their original order, except for superseded ones.
 func (h *host) requeue(deliveries []delivery) {
+	superseded := func(d delivery) bool { return h.unsettled[d.answer.id] != d.answer }
+	deliveries = slices.DeleteFunc(slices.Clone(deliveries), superseded)
 	for i := len(deliveries) - 1; i >= 0; i-- {
 		q := h.queue(deliveries[i].queue.name) // the queue may have been deleted and created again
 		q.answers = append([]*answer{deliveries[i].answer}, q.answers...)
--- a/internal/net/amqpfront/queue.go
+++ b/internal/net/amqpfront/queue.go
@@ -39,6 +39,15 @@
 	queuedAt    time.Duration
 }
 
+// replyTo returns the reply-to in a correlation.
+func replyTo(correlation string) string {
+	name, _, _ := strings.Cut(correlation, "\x00")
+	return name
+}
+
+// replyTo returns the name of the queue that the answer is for.
+func (a *answer) replyTo() string { return replyTo(a.correlation) }
+
 // dispatch delivers answers to the consumers in rotation, as far as their limits allow.
 func (q *queue) dispatch() {
 	for len(q.answers) > 0 {
@@ -66,6 +75,11 @@
 func (c *consumer) release() {
 	c.queue.lastUsed = c.queue.ingress.reactor.Now()
 	c.queue.enforceLimits()
+	if c.queue.directReply && len(c.queue.consumers) == 0 {
+		undelivered := c.queue.answers
+		c.queue.answers = nil
+		defer c.queue.host.giveBack(undelivered) // nobody else may consume it
+	}
 	if c.queue.autoDelete && len(c.queue.consumers) == 0 {
 		c.queue.declared = false // a queue with answers still stays
 	}
--- a/internal/net/amqpfront/queuelimits.go
+++ b/internal/net/amqpfront/queuelimits.go
@@ -83,11 +83,7 @@
 	if excess > 0 {
 		dropped := q.answers[:excess]
 		q.answers = q.answers[excess:]
-		ids := make([]string, excess)
-		for i, a := range dropped {
-			ids[i] = a.id
-		}
-		q.host.settle(ids...)
+		q.host.settle(dropped...)
 	}
 	var next time.Duration
 	if q.ttl > 0 && len(q.answers) > 0 {
--- a/internal/net/amqpfront/topology.go
+++ b/internal/net/amqpfront/topology.go
@@ -9,8 +9,8 @@
 )
 
 // directReplyTo is the pseudo-queue of RabbitMQ's "Direct reply-to". Its consumer gets, without acknowledgements,
-// the answers to the messages that the same channel publishes with this name as reply-to. They are dropped when
-// the channel ends.
+// the answers to the messages that the same channel publishes with this name as reply-to. When the channel ends, they
+// are dropped, unless the message was published by another client too.
 const directReplyTo = "amq.rabbitmq.reply-to"
 
 // exchangeDirect is the type of the only exchange.
@@ -164,15 +164,10 @@
 
 // discard drops all answers of a queue, which then count as acknowledged, and returns their number.
 func (q *queue) discard() int {
-	ids := make([]string, len(q.answers))
-	for i, a := range q.answers {
-		ids[i] = a.id
-	}
+	discarded := q.answers
 	q.answers = nil
-	if len(ids) > 0 {
-		q.host.settle(ids...)
-	}
-	return len(ids)
+	q.host.settle(discarded...)
+	return len(discarded)
 }
 
 // removeQueue deletes a queue. Its consumers are canceled, and notified if their clients support it.
--- a/internal/net/amqpfront/tx.go
+++ b/internal/net/amqpfront/tx.go
@@ -93,7 +93,7 @@
 		IngressData: pendingCommit,
 	}
 	for _, a := range pendingCommit.acks {
-		if !a.requeue {
+		if superseded := ch.session.host.unsettled[a.answer.id] != a.answer; !a.requeue && !superseded {
 			transaction.Acknowledged = append(transaction.Acknowledged, a.answer.id)
 		}
 	}
@@ -116,7 +116,7 @@
 		if verdict != sender.Accepted || a.requeue {
 			redeliver = append(redeliver, a.delivery)
 		} else {
-			h.release(a.answer.id)
+			h.release(a.answer)
 		}
 	}
 	if !ch.closed {
--- a/internal/net/platform/ingress.go
+++ b/internal/net/platform/ingress.go
@@ -198,9 +198,12 @@
 // may call it.
 func (in *Ingress) Deduplicates() bool { return false }
 
+// IsTransient reports false: the notices of all messages go to one reader. Any goroutine may call it.
+func (in *Ingress) IsTransient(string) bool { return false }
+
 // Notify queues the notice of a final answer.
-func (in *Ingress) Notify(id, _, answer string, retryAfterMs int64, repeated bool) {
-	in.notices.add(id, answer, retryAfterMs, repeated && in.sendRetryAfter)
+func (in *Ingress) Notify(notice sender.Notice) {
+	in.notices.add(notice.ID, notice.Answer, notice.RetryAfterMs, notice.Repeated && in.sendRetryAfter)
 }
 
 // CloseIdle closes the connections without pending replies, and the others after their replies.
--- a/sender/admission.go
+++ b/sender/admission.go
@@ -32,10 +32,11 @@
 		s.enqueue(request)
 		return
 	}
-	s.answer(request, early)
 	if early.verdict == Accepted {
-		s.notifyAgain(request)
+		s.acceptRepeat(request, early)
+		return
 	}
+	s.answer(request, early)
 }
 
 // admit decides on a request without the scheduler if it can. decided reports whether it did, and
@@ -50,7 +51,7 @@
 		return true, reply{verdict: Accepted, reason: "known already"}
 	}
 	if s.endedIDs.has(request.ID) {
-		return true, reply{verdict: Accepted, reason: "ended already"}
+		return true, s.endedReply(request)
 	}
 	if reason := s.refusalReason(request, ahead, aheadBytes); reason != "" {
 		return true, reply{verdict: Rejected, retryAfterMs: s.retryAfterMs(), reason: reason}
--- a/sender/disk_stall.go
+++ b/sender/disk_stall.go
@@ -19,6 +19,17 @@
 	withheld       []withheldReply // for requests of that step: sent once no part of its record can be read back
 }
 
+// unrecorded returns the ids of messages that are accepted but not recorded.
+func (d *diskStall) unrecorded() map[string]bool {
+	ids := map[string]bool{}
+	for _, transaction := range d.transactions {
+		for _, request := range transaction.newRequests {
+			ids[request.ID] = true
+		}
+	}
+	return ids
+}
+
 // withheldReply is a request and the reply that is withheld from it.
 type withheldReply struct {
 	request *Request
@@ -156,12 +167,7 @@
 // not sent any more, and the next incarnation would give the same final answer.
 func (s *Sender) finishOverdue() {
 	now := s.Now()
-	unrecorded := map[string]bool{}
-	for _, transaction := range s.diskStall.transactions {
-		for _, request := range transaction.newRequests {
-			unrecorded[request.ID] = true
-		}
-	}
+	unrecorded := s.diskStall.unrecorded()
 	for _, entry := range s.journal.Entries() {
 		if entry.FinalAnswer == "" && entry.InFlightSince == 0 && now >= entry.Deadline && !unrecorded[entry.ID] {
 			s.finish(entry.ID, DeliveryFailed, 0)
--- a/sender/expiry.go
+++ b/sender/expiry.go
@@ -43,7 +43,9 @@
 		return
 	}
 	for _, id := range s.expiring.queue.popDue(s.Now()) {
-		s.removeMessage(id)
+		if entry := s.journal.Get(id); entry != nil && entry.Acknowledged { // otherwise another client has asked since
+			s.removeMessage(id)
+		}
 	}
 	if len(s.expiring.queue) > 0 {
 		s.armExpiryTimer(s.expiring.queue[0].expiresAt)
--- a/sender/final_answers.go
+++ b/sender/final_answers.go
@@ -1,6 +1,7 @@
 package sender
 
 import (
+	"slices"
 	"time"
 
 	"brackendale/internal/eventlog"
@@ -69,23 +70,40 @@
 		return
 	}
 	s.abandonAttempt(entry.ID)
-	s.outbox = append(s.outbox, outboxItem{
-		ingress:      in,
-		guard:        s.guard,
-		id:           entry.ID,
-		correlation:  entry.Correlation,
-		answer:       entry.FinalAnswer,
-		retryAfterMs: entry.RetryAfterMs,
-		repeated:     entry.Notified,
-	})
+	s.outbox = append(s.outbox, outboxItem{ingress: in, guard: s.guard, notice: newNotice(entry)})
 	entry.Notified = true
 }
 
-// notifyAgain repeats the final answer of a message that was submitted again, if it has one.
-func (s *Sender) notifyAgain(request *Request) {
-	if entry := s.journal.Get(request.ID); entry != nil && entry.FinalAnswer != "" {
-		s.unsentAnswers = append(s.unsentAnswers, entry)
+// newNotice returns the final answer of an entry.
+func newNotice(entry *journal.Entry) Notice {
+	notice := Notice{
+		ID:           entry.ID,
+		Correlation:  entry.Correlation,
+		Answer:       entry.FinalAnswer,
+		RetryAfterMs: entry.RetryAfterMs,
+		Repeated:     entry.Notified,
+	}
+	if n := len(entry.LaterCorrelations); n > 0 {
+		notice.Correlation = entry.LaterCorrelations[n-1]
+		notice.Earlier = append([]string{entry.Correlation}, entry.LaterCorrelations[:n-1]...)
+		slices.Reverse(notice.Earlier)
 	}
+	return notice
+}
+
+// ReportUnheard reports that the reply address of final answers has ended before their client received them. They go
+// to clients that submitted the messages earlier, as far as there are any. Any goroutine may call it.
+func (s *Sender) ReportUnheard(ids ...string) {
+	s.Post(func() {
+		if s.handedOver() {
+			return // the successor repeats the final answers
+		}
+		for _, id := range ids {
+			if entry := s.journal.Get(id); entry != nil && entry.FinalAnswer != "" && !entry.Acknowledged {
+				s.unsentAnswers = append(s.unsentAnswers, entry)
+			}
+		}
+	})
 }
 
 // Acknowledge records that clients have received the final answers of these messages. Any goroutine
--- a/sender/ingress.go
+++ b/sender/ingress.go
@@ -1,8 +1,8 @@
 package sender
 
 // Ingress is the part of a front that receives requests from clients and replies to them. Its methods
-// are called on the fronts' goroutine, except for MustNotify and Deduplicates: their results never
-// change, and any goroutine may call them.
+// are called on the fronts' goroutine, except for MustNotify, Deduplicates and IsTransient: their
+// results never change, and any goroutine may call them.
 type Ingress interface {
 	// Answer sends the verdict on a request to its client.
 	Answer(request *Request, verdict Verdict, retryAfterMs int64)
@@ -32,9 +32,22 @@
 	// acknowledged must not run again. If so, its id is kept after its deadline for as long as its
 	// class allows a message to be pending, and the final answer is repeated.
 	Deduplicates() bool
+	// IsTransient reports whether a correlation names a reply address that ends with the process, or
+	// earlier with its client's connection.
+	IsTransient(correlation string) bool
 	// Notify sends a final answer to the client of a message. It is called once in each incarnation
-	// of the sender until Sender.Acknowledge reports that the client has received the answer, and
-	// each time that the message is submitted again. repeated reports whether the client may have
-	// received it before.
-	Notify(id, correlation, answer string, retryAfterMs int64, repeated bool)
+	// of the sender until Sender.Acknowledge reports that the client has received the answer, each
+	// time that the message is submitted again, and after Sender.ReportUnheard.
+	Notify(notice Notice)
+}
+
+// Notice is the final answer of a message. It is for the client that submitted the message last, among those whose
+// reply address still exists.
+type Notice struct {
+	ID           string
+	Correlation  string   // of the latest submission
+	Earlier      []string // correlations of earlier submissions, the latest first
+	Answer       string
+	RetryAfterMs int64
+	Repeated     bool // a client may have received it before
 }
--- a/sender/outbox.go
+++ b/sender/outbox.go
@@ -7,18 +7,16 @@
 type outboxItem struct {
 	call func() // any other call; the other fields are unused if it is set
 
-	ingress      Ingress
-	retryAfterMs int64
+	ingress Ingress
 
-	request *Request // of a verdict; nil: a final answer
-	verdict Verdict
+	// Of a verdict.
+	request      *Request // nil: a final answer
+	verdict      Verdict
+	retryAfterMs int64
 
 	// Of a final answer.
-	guard       *lifecycle.Guard
-	id          string
-	correlation string
-	answer      string
-	repeated    bool // the client may have received it before
+	guard  *lifecycle.Guard
+	notice Notice
 }
 
 // deliver makes the call. It runs on the fronts' goroutine.
@@ -29,8 +27,8 @@
 	case item.request != nil:
 		item.ingress.Answer(item.request, item.verdict, item.retryAfterMs)
 	default:
-		item.guard.Notify(item.id)
-		item.ingress.Notify(item.id, item.correlation, item.answer, item.retryAfterMs, item.repeated)
+		item.guard.Notify(item.notice.ID)
+		item.ingress.Notify(item.notice)
 	}
 }
 
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -110,6 +110,7 @@
 	endedIDs      recentIDs        // of accepted messages that were removed from the journal
 	expiring      expiringIDs      // acknowledged messages whose ids are kept until they expire
 	onFlushed     []func(error)    // called once the next record of the journal is durable
+	redirected    map[string]bool  // messages with a repeat that is not durable yet, by id
 	diskStall     diskStall        // state while the journal cannot be written
 	outbox        []outboxItem     // calls to the fronts, made at the end of the step
 	violations    atomic.Int64
@@ -203,6 +204,7 @@
 		minStepInterval: time.Duration(options.Settings.TickUs) * time.Microsecond,
 		wake:            make(chan struct{}, 1),
 		ingresses:       map[string]Ingress{},
+		redirected:      map[string]bool{},
 		egresses:        map[string]Egress{},
 		classes:         classesByName(options.Settings),
 		messagesPerCall: map[string]int{},
--- a/sender/step.go
+++ b/sender/step.go
@@ -143,6 +143,7 @@
 		done(nil)
 	}
 	s.onFlushed = nil
+	clear(s.redirected)
 }
 
 // notifyAll passes the recorded final answers to their ingresses.
--- a/sender/transactions.go
+++ b/sender/transactions.go
@@ -1,6 +1,8 @@
 package sender
 
 import (
+	"slices"
+
 	"brackendale/internal/journal"
 	"brackendale/scheduler"
 )
@@ -149,6 +151,8 @@
 		s.acknowledge(id)
 	}
 	for _, request := range transaction.Requests {
-		s.notifyAgain(request)
+		if !slices.Contains(transaction.newRequests, request) {
+			s.recordRepeat(request)
+		}
 	}
 }
