Final answers wait for a front that the settings lack, and follow when it is added

Cause: notify dropped a final answer whose front was not added.

Change: such answers are kept by the name of the front; AddIngress sends them.

--- a/internal/console/tables.go
+++ b/internal/console/tables.go
@@ -109,7 +109,11 @@
 		return fmt.Sprintf("%.1f/s", float64(now-before)/seconds)
 	}
 	mode := choose(state.Paused, "PAUSED", "taking on")
-	fmt.Fprintf(out, "%s\t%s\topen %d\tends owed %d\n\n", state.Name, mode, state.Pending, state.Unacknowledged)
+	fmt.Fprintf(out, "%s\t%s\topen %d\tends owed %d\n", state.Name, mode, state.Pending, state.Unacknowledged)
+	for _, front := range slices.Sorted(maps.Keys(state.WithoutFront)) {
+		fmt.Fprintf(out, "%d ends owed to %s, which the file lacks\n", state.WithoutFront[front], front)
+	}
+	fmt.Fprintln(out)
 	fmt.Fprintln(out, "\ttaken\trefused\tsent\tdelivered\treturned\tfailed")
 	fmt.Fprintf(out, "all\t%d\t%d\t%d\t%d\t%d\t%d\n", state.Accepted, state.Rejected, state.Sent, state.Delivered,
 		state.Returned, state.Failed)
--- a/sender/final_answers.go
+++ b/sender/final_answers.go
@@ -66,7 +66,8 @@
 // notify queues a final answer for the ingress of its message.
 func (s *Sender) notify(entry *journal.Entry) {
 	in := s.ingresses[entry.Front]
-	if in == nil {
+	if in == nil { // the settings lack it, now
+		s.withoutFront[entry.Front] = append(s.withoutFront[entry.Front], entry)
 		return
 	}
 	s.abandonAttempt(entry.ID)
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -105,14 +105,15 @@
 	// Messages.
 	nextInput     stepInput
 	lastStep      time.Time
-	pending       int              // messages that were accepted and have no final answer
-	unsentAnswers []*journal.Entry // messages whose final answers go to the ingresses once they are recorded
-	endedIDs      recentIDs        // of accepted messages that were removed from the journal
-	expiring      expiringIDs      // acknowledged messages whose ids are kept until they expire
-	onFlushed     []func(error)    // called once the next record of the journal is durable
-	redirected    map[string]bool  // messages with a repeat that is not durable yet, by id
-	diskStall     diskStall        // state while the journal cannot be written
-	outbox        []outboxItem     // calls to the fronts, made at the end of the step
+	pending       int                         // messages that were accepted and have no final answer
+	unsentAnswers []*journal.Entry            // messages whose final answers go to the ingresses once they are recorded
+	withoutFront  map[string][]*journal.Entry // messages whose final answers wait for a front, by its name
+	endedIDs      recentIDs                   // of accepted messages that were removed from the journal
+	expiring      expiringIDs                 // acknowledged messages whose ids are kept until they expire
+	onFlushed     []func(error)               // called once the next record of the journal is durable
+	redirected    map[string]bool             // messages with a repeat that is not durable yet, by id
+	diskStall     diskStall                   // state while the journal cannot be written
+	outbox        []outboxItem                // calls to the fronts, made at the end of the step
 	violations    atomic.Int64
 	stats         State              // the counters that State returns
 	avoidedRoutes avoidedRoutesGauge // for the metrics
@@ -204,6 +205,7 @@
 		minStepInterval: time.Duration(options.Settings.TickUs) * time.Microsecond,
 		wake:            make(chan struct{}, 1),
 		ingresses:       map[string]Ingress{},
+		withoutFront:    map[string][]*journal.Entry{},
 		redirected:      map[string]bool{},
 		egresses:        map[string]Egress{},
 		classes:         classesByName(options.Settings),
@@ -236,8 +238,13 @@
 }
 
 // AddIngress adds the ingress of a front. The name must stay the same across restarts, since the
-// journal stores it with each message. AddIngress is called before Run or through Post.
-func (s *Sender) AddIngress(name string, ingress Ingress) { s.ingresses[name] = ingress }
+// journal stores it with each message. The final answers that waited for it follow. AddIngress is called
+// before Run or through Post.
+func (s *Sender) AddIngress(name string, ingress Ingress) {
+	s.ingresses[name] = ingress
+	s.unsentAnswers = append(s.unsentAnswers, s.withoutFront[name]...)
+	delete(s.withoutFront, name)
+}
 
 // AddEgress adds the egress for the routes of a protocol. It is called before Run or through Post.
 func (s *Sender) AddEgress(protocol string, egress Egress) { s.egresses[protocol] = egress }
--- a/sender/state.go
+++ b/sender/state.go
@@ -28,6 +28,8 @@
 	Failed         uint64        `json:"Failed"`
 	Routes         []RouteState  `json:"Routes"`
 	RecentAnswers  []FinalAnswer `json:"Ends"` // the latest ones, oldest first
+	// WithoutFront counts the final answers that wait for a front that the settings lack, by its name.
+	WithoutFront map[string]int `json:"OwedTo,omitempty"`
 }
 
 // RouteState is a row of the route table as the operator's console shows it.
@@ -61,6 +63,12 @@
 	state.Pending = s.pending
 	state.RecentAnswers = slices.Clone(state.RecentAnswers)
 	state.Unacknowledged = s.journal.Unacknowledged()
+	if len(s.withoutFront) > 0 {
+		state.WithoutFront = map[string]int{}
+	}
+	for name, entries := range s.withoutFront {
+		state.WithoutFront[name] = len(entries)
+	}
 	for name, route := range s.routes {
 		row := *s.routeStats[name]
 		row.Name = name
