An attempt out at a predecessor decides the end of a message whose class is gone

Cause: a scheduler that restored a checkpoint dropped all messages of a class that its settings lack, with their calls. The core ended them at once, with "failed", while their bytes could still leave from the predecessor, which was not told to cancel them; a success that followed was dropped, and the call did not count for the limits.

Change: a message whose attempt is in flight is restored with a class of its own that allows no other attempt. Its result decides the end, or its deadline, before which the attempt is canceled.

--- a/scheduler/breaker.go
+++ b/scheduler/breaker.go
@@ -58,9 +58,13 @@
 	streak.lastAt = now
 }
 
-// classFailures returns the failure streak of the call's endpoint and class.
+// classFailures returns the failure streak of the call's endpoint and class. Of a removed class none is kept.
 func (c *call) classFailures() *failureStreak {
-	return &c.endpoint.failures[classFailures+c.messages[0].class.index]
+	class := c.messages[0].class
+	if class.removed {
+		return &failureStreak{}
+	}
+	return &c.endpoint.failures[classFailures+class.index]
 }
 
 // recordFailure records a failure other than a rejection. It does not change the route's rate.
--- a/scheduler/golden_state_test.go
+++ b/scheduler/golden_state_test.go
@@ -91,7 +91,8 @@
 	checkGolden(t, "saved.txt", fmt.Appendf(nil, "%d %s\n", sim.actions, sum))
 }
 
-// A state that is restored with settings that lack one of its classes must leave out the requests of that class.
+// A state that is restored with settings that lack one of its classes must leave out the requests of that class, except
+// for those with an attempt in flight.
 func TestGoldenStateWithFewerClasses(t *testing.T) {
 	sim := stateSimulation(t)
 	state := sim.sched.State()
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -9,6 +9,15 @@
 	unsafe          bool // a message must not be sent again once it may have run
 	index           int  // among the classes of the settings
 	repeatRisk      int  // see Class.repeatRisk
+	removed         bool // the settings do not have it any more
+}
+
+// newRemovedClass returns a class that the settings do not have any more, for a message whose attempt is in
+// flight: the attempt may still succeed, but no other one follows.
+func newRemovedClass(name string) *requestClass {
+	class := newRequestClass(Class{Name: name, Idempotency: NotIdempotent}, -1)
+	class.removed = true
+	return class
 }
 
 // Terms are how often a message may run. They bind it from its acceptance on, whatever the settings of its
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -27,7 +27,7 @@
 		delete(s.messages, msg.id)
 	case event.Final:
 		s.removeMessage(msg)
-	case msg.responseStarted || s.attemptsExhausted(msg) || s.retryAfterTooLong(msg):
+	case msg.responseStarted || msg.class.removed || s.attemptsExhausted(msg) || s.retryAfterTooLong(msg):
 		s.finishUndelivered(msg)
 	default:
 		s.scheduleRetry(msg, event.Outcome)
--- a/scheduler/savestate.go
+++ b/scheduler/savestate.go
@@ -154,7 +154,7 @@
 
 // RestoreState gives a scheduler that has taken no step the complete state of another one, apart from
 // what concerns the process of that one. The settings may be newer: messages of a class that they do not
-// contain are dropped. After an error the scheduler must not be used.
+// contain are dropped, unless their attempt is in flight. After an error the scheduler must not be used.
 func (s *Scheduler) RestoreState(state State, now int64) error {
 	if state.Format != StateFormat || !assign(s.floats(), state.Floats) || !assign(s.integers(), state.Integers) {
 		return errStateFormat
@@ -171,8 +171,14 @@
 		}
 	}
 	s.watching = true
+	inFlight := map[string]bool{}
+	for i := range state.Calls {
+		for _, id := range state.Calls[i].Messages {
+			inFlight[id] = true
+		}
+	}
 	for i := range state.Messages {
-		if !s.restoreMessage(&state.Messages[i]) {
+		if !s.restoreMessage(&state.Messages[i], inFlight[state.Messages[i].ID]) {
 			return errStateFormat
 		}
 	}
@@ -252,13 +258,16 @@
 		assign(rt.counts(), state.Counts) && assign(rt.flags(), state.Flags)
 }
 
-// restoreMessage reports false if the state is of another version. Messages of unknown classes are
-// dropped.
-func (s *Scheduler) restoreMessage(state *MessageState) bool {
+// restoreMessage reports false if the state is of another version. A message of an unknown class is dropped,
+// unless its attempt is in flight: the caller learns the result, and the call counts until then.
+func (s *Scheduler) restoreMessage(state *MessageState, inFlight bool) bool {
 	class := s.classes[state.Class]
-	if class == nil {
+	if class == nil && !inFlight {
 		return true
 	}
+	if class == nil {
+		class = newRemovedClass(state.Class)
+	}
 	msg := &message{
 		id:             state.ID,
 		class:          class,
