--- /dev/null
+++ b/internal/testing/settingschange/world.go
@@ -0,0 +1,271 @@
+// Package settingschange plays a sender whose processes follow one another with random settings: classes, fronts and
+// endpoints are changed, removed and put back, by a planned restart, a kill, an upgrade or a reload, while clients
+// submit messages, also again. It checks that no message runs more often than the terms under which it was accepted
+// allow, and that each has one final answer, which is true.
+package settingschange
+
+import (
+	"fmt"
+	"math/rand"
+	"sync"
+	"time"
+
+	"brackendale/internal/clock"
+	"brackendale/scheduler"
+	"brackendale/sender"
+)
+
+// The length of a play.
+const (
+	changes      = 8                // changes of settings
+	betweenTicks = time.Millisecond // between two draws of what the clients do
+	endTimeout   = 5 * time.Second  // for the final answers behind the last change
+)
+
+// world is one play.
+type world struct {
+	dir string
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	messages map[string]*message
+	order    []*message
+	process  *process // the present one
+	started  int      // processes
+	history  []string
+	broken   []string
+}
+
+// Report is what a play did, and the rules that were broken in it.
+type Report struct {
+	History  []string // the changes
+	Accepted int      // messages
+	Repeated int      // messages that ran more than once
+	Broken   []string
+}
+
+// Play plays a seed with the state folder dir.
+func Play(seed int64, dir string) (*Report, error) {
+	w := &world{dir: dir, rng: rand.New(rand.NewSource(seed)), messages: map[string]*message{}}
+	first, err := w.startAndRun(replacement{"start", drawSettings(w.rng), frontNames, fullRoutes()})
+	if err != nil {
+		return nil, err
+	}
+	w.process = first
+	for range changes {
+		w.serve(w.drawLength())
+		if err := w.change(); err != nil {
+			return nil, err
+		}
+	}
+	if err := w.settle(); err != nil {
+		return nil, err
+	}
+	return w.judge(), nil
+}
+
+// report records a broken rule.
+func (w *world) report(format string, args ...any) {
+	w.broken = append(w.broken, fmt.Sprintf(format, args...))
+}
+
+// drawLength returns the time until the next change.
+func (w *world) drawLength() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return between(w.rng, 20*time.Millisecond, 250*time.Millisecond)
+}
+
+// serve lets clients submit messages for a time.
+func (w *world) serve(length time.Duration) {
+	for started := time.Now(); time.Since(started) < length; time.Sleep(betweenTicks) {
+		w.mu.Lock()
+		if percent(w.rng, 30) {
+			w.submitNew()
+		}
+		if percent(w.rng, 10) {
+			w.submitAgain()
+		}
+		w.mu.Unlock()
+	}
+}
+
+// submitNew submits a message under the present terms of its class.
+func (w *world) submitNew() {
+	p := w.process
+	name := classNames[w.rng.Intn(len(classNames))]
+	class, known := p.classes[name]
+	f := p.fronts[frontNames[w.rng.Intn(len(frontNames))]]
+	if !known || f == nil { // no front accepts it
+		return
+	}
+	m := &message{id: fmt.Sprintf("m%d", len(w.order)), front: f.name, class: class}
+	m.request = sender.Request{
+		ID: m.id, Class: name, Destination: int64(1 + w.rng.Intn(2)), Front: f.name, Body: []byte("body"),
+		Deadline: p.core.Now().Add(clock.Microseconds(class.DeadlineUs)), Correlation: "q1",
+	}
+	if class.Idempotency == scheduler.IdempotentByKey {
+		m.request.Key = keyedID + m.id
+	}
+	w.messages[m.id] = m
+	w.order = append(w.order, m)
+	first := m.request
+	p.core.Submit(&first)
+}
+
+// submitAgain submits one of the latest messages again, with another reply address.
+func (w *world) submitAgain() {
+	const latest = 10
+	if len(w.order) == 0 {
+		return
+	}
+	m := w.order[max(0, len(w.order)-1-w.rng.Intn(latest))]
+	class, known := w.process.classes[m.request.Class]
+	if w.process.fronts[m.front] == nil || !known || !m.resolved || !m.accepted {
+		return
+	}
+	again := m.request
+	again.Correlation = fmt.Sprintf("q%d", w.rng.Intn(3))
+	again.Deadline = w.process.core.Now().Add(clock.Microseconds(class.DeadlineUs))
+	if time.Duration(m.request.Deadline-w.process.core.Now()) < 0 {
+		return // its id may be forgotten: it would be a new message
+	}
+	w.process.core.Submit(&again)
+}
+
+// verdict records what a client was told about a request.
+func (w *world) verdict(id string, verdict sender.Verdict) {
+	m := w.messages[id]
+	m.resolved = true
+	m.accepted = m.accepted || verdict == sender.Accepted
+}
+
+// replacement is a change of the settings, and the way in which it comes.
+type replacement struct {
+	way      string
+	settings scheduler.Settings
+	fronts   []string
+	routes   []sender.Route
+}
+
+// change draws a change and makes it.
+func (w *world) change() error {
+	drawn := w.drawChange()
+	w.history = append(w.history, fmt.Sprintf("%s: classes %v, fronts %v, %d endpoints", drawn.way,
+		drawn.settings.Classes, drawn.fronts, len(drawn.routes)))
+	return w.replace(drawn)
+}
+
+func (w *world) drawChange() replacement {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	fronts := frontNames[:1]
+	if percent(w.rng, 60) {
+		fronts = frontNames
+	}
+	ways := []string{"reload", "reload", "kill", "stop", "upgrade"}
+	return replacement{ways[w.rng.Intn(len(ways))], drawSettings(w.rng), fronts, drawRoutes(w.rng)}
+}
+
+// drawEnd draws how everything is put back.
+func (w *world) drawEnd() replacement {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ways := []string{"reload", "kill", "stop", "upgrade"}
+	return replacement{ways[w.rng.Intn(len(ways))], fullSettings(w.rng), frontNames, fullRoutes()}
+}
+
+// replace changes the fronts and endpoints, and with another process the classes too.
+func (w *world) replace(change replacement) (err error) {
+	var next *process
+	switch change.way {
+	case "reload":
+		w.reload(change)
+		return nil
+	case "upgrade":
+		next, err = w.process.upgrade(change)
+	case "stop":
+		w.process.stop()
+		next, err = w.startAndRun(change)
+	default:
+		w.process.kill()
+		next, err = w.startAndRun(change)
+	}
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.checkGuard()
+	w.process = next
+	return nil
+}
+
+// reload changes the fronts and endpoints of the running process. Its classes stay, and so do its fronts.
+func (w *world) reload(change replacement) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, name := range change.fronts {
+		w.process.addFrontLater(name)
+	}
+	w.process.core.UpdateRoutes(scheduler.UpdateFull, change.routes)
+}
+
+func (w *world) startAndRun(change replacement) (*process, error) {
+	next, err := w.start(change, nil)
+	if err == nil {
+		next.run()
+	}
+	return next, err
+}
+
+// checkGuard reports violations that the process has found itself.
+func (w *world) checkGuard() {
+	if count := w.process.core.Violations(); count > 0 {
+		w.report("the guard has found %d violations", count)
+	}
+}
+
+// settle puts everything back and waits for the final answers.
+func (w *world) settle() error {
+	end := w.drawEnd()
+	w.history = append(w.history, end.way+": all put back")
+	if err := w.replace(end); err != nil {
+		return err
+	}
+	for started := time.Now(); time.Since(started) < endTimeout && !w.allAnswered(); time.Sleep(betweenTicks) {
+	}
+	w.process.kill()
+	return nil
+}
+
+// allAnswered reports whether each accepted message has a final answer.
+func (w *world) allAnswered() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range w.order {
+		if m.accepted && len(m.answers) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// judge returns the report of the play.
+func (w *world) judge() *Report {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.checkGuard()
+	report := &Report{History: w.history}
+	for _, m := range w.order {
+		if m.accepted {
+			report.Accepted++
+		}
+		if len(m.runs) > 1 {
+			report.Repeated++
+		}
+		w.broken = append(w.broken, m.violations()...)
+	}
+	report.Broken = w.broken
+	return report
+}
