An id is remembered for as long as its class said when its message was accepted

Cause: how long the id of a message is kept behind its deadline was read from the present settings. With a shorter deadline of the class, or without the class, an id was forgotten early, and a charge that its client published again in the time that docs/amqp.md promises ran a second time.

Change: the time is recorded with the terms of a message, in milliseconds. For a message of an earlier release its class counts, and the longest of all classes if that is gone.

--- a/internal/journal/entry.go
+++ b/internal/journal/entry.go
@@ -41,6 +41,7 @@
 type Terms struct {
 	Idempotency uint8 // 0: not recorded
 	KeyWindowUs int64 // idempotency window, in microseconds
+	RetentionMs int64 // for how long after its deadline its ID must be recognized, in milliseconds; 0: not recorded
 }
 
 // RecordSize returns the space that an entry takes in the file, in bytes, including the records that
@@ -75,6 +76,7 @@
 	if e.Terms.Idempotency != 0 { // earlier releases ignore what follows the body
 		out = append(out, e.Terms.Idempotency)
 		out = appendInt(out, e.Terms.KeyWindowUs)
+		out = appendInt(out, e.Terms.RetentionMs)
 	}
 	return finishRecord(out, start)
 }
@@ -103,5 +105,8 @@
 	if len(fields.unread) > 0 {
 		entry.Terms = Terms{Idempotency: fields.byte(), KeyWindowUs: fields.int()}
 	}
+	if len(fields.unread) > 0 {
+		entry.Terms.RetentionMs = fields.int()
+	}
 	return entry
 }
--- a/internal/testing/settingschange/message.go
+++ b/internal/testing/settingschange/message.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"brackendale/internal/clock"
 	"brackendale/scheduler"
 	"brackendale/sender"
 )
@@ -32,6 +33,13 @@
 	process  int // that sent it
 }
 
+// rememberedUntil returns the time until which its id must be recognized; a request that is on its way then may still
+// be late.
+func (m *message) rememberedUntil() clock.Instant {
+	const late = 100 * time.Millisecond
+	return m.request.Deadline.Add(clock.Microseconds(m.class.DeadlineUs) - late)
+}
+
 // answered records a final answer.
 func (m *message) answered(answer string, process int) {
 	if m.toldAt.IsZero() {
--- a/sender/expiry.go
+++ b/sender/expiry.go
@@ -19,9 +19,9 @@
 }
 
 // scheduleExpiry schedules the removal of an acknowledged message: after its deadline it is kept for
-// as long as its class allows a message to be pending, so that a late repeat is detected.
+// as long as its class allowed a message to be pending, so that a late repeat is detected.
 func (s *Sender) scheduleExpiry(entry *journal.Entry) {
-	expiresAt := entry.Deadline.Add(clock.Microseconds(s.classes[entry.Class].DeadlineUs))
+	expiresAt := entry.Deadline.Add(s.retention(entry))
 	if s.expiring.queue.add(expiresAt, entry.ID) {
 		s.armExpiryTimer(expiresAt)
 	}
--- a/sender/terms.go
+++ b/sender/terms.go
@@ -1,6 +1,9 @@
 package sender
 
 import (
+	"time"
+
+	"brackendale/internal/clock"
 	"brackendale/internal/journal"
 	"brackendale/scheduler"
 )
@@ -13,6 +16,9 @@
 	storedNotIdempotent
 )
 
+// usPerMs is the number of microseconds in a millisecond.
+const usPerMs = 1000
+
 // termsOf returns the terms of a class in their stored form.
 func termsOf(class scheduler.Class) journal.Terms {
 	terms := journal.Terms{Idempotency: storedNotIdempotent}
@@ -24,9 +30,26 @@
 	case class.Idempotency == scheduler.IdempotentByKey:
 		terms = journal.Terms{Idempotency: storedIdempotentByKey, KeyWindowUs: class.KeyWindowUs}
 	}
+	terms.RetentionMs = (class.DeadlineUs + usPerMs - 1) / usPerMs
 	return terms
 }
 
+// retention returns for how long after its deadline the id of a message must be recognized. For a message whose
+// class is gone and that an earlier release accepted, it is the longest time of any class.
+func (s *Sender) retention(entry *journal.Entry) time.Duration {
+	if entry.Terms.RetentionMs != 0 {
+		return time.Duration(entry.Terms.RetentionMs) * time.Millisecond
+	}
+	if class, ok := s.classes[entry.Class]; ok {
+		return clock.Microseconds(class.DeadlineUs)
+	}
+	longest := int64(0)
+	for _, class := range s.classes {
+		longest = max(longest, class.DeadlineUs)
+	}
+	return clock.Microseconds(longest)
+}
+
 // acceptedClass returns the class of a message with the terms under which the message was accepted: the
 // settings may have changed since. Of a message whose terms were not recorded, those of the present
 // settings apply; but one without a key is not idempotent by its key.
