An answer without acknowledgement is owed until the system has taken its bytes over

Cause: a delivery to a consumer without acknowledgements was settled when it was put into the connection's buffer.

Change: the session keeps such deliveries with their offset in the output and settles them once the socket has taken it; what is left at the end of the connection goes back to its queue, or, by direct reply-to, to whoever asked before. The answers of one turn of the loop are acknowledged to the core in one call.

--- a/internal/net/amqpfront/channel.go
+++ b/internal/net/amqpfront/channel.go
@@ -57,15 +57,16 @@
 	return n
 }
 
-// recordDelivery records that an answer is sent on the channel, and returns its delivery tag. With noAck the answer
-// counts as acknowledged at once.
+// recordDelivery records that an answer is being written on the channel, and returns its delivery tag. With noAck the
+// answer counts as acknowledged once the system has taken its bytes over.
 func (ch *channel) recordDelivery(source *queue, outgoing *answer, noAck bool) (tag uint64) {
 	ch.delivered++
 	outgoing.redelivered = true
+	d := delivery{ch.delivered, source, outgoing}
 	if noAck {
-		ch.session.host.settle(outgoing)
+		ch.session.trackUnsent(d)
 	} else {
-		ch.unacked = append(ch.unacked, delivery{ch.delivered, source, outgoing})
+		ch.unacked = append(ch.unacked, d)
 		ch.session.addPending(1)
 	}
 	return ch.delivered
--- a/internal/net/amqpfront/front_test.go
+++ b/internal/net/amqpfront/front_test.go
@@ -209,7 +209,14 @@
 // startFor is like start, with an access policy for the clients.
 func startFor(t *testing.T, dir string, broker *testBroker, policy *access.Policy) (addr string, kill func()) {
 	t.Helper()
-	return standin.Start(t, dir, func(core *sender.Sender, react *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
+	return standin.Start(t, dir, joinFor(broker, policy))
+}
+
+// joinFor returns a function that adds the front and the egress to a sender, with one route, to the broker.
+func joinFor(
+	broker *testBroker, policy *access.Policy,
+) func(*sender.Sender, *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
+	return func(core *sender.Sender, react *reactor.Reactor) func(*reactor.Conn) reactor.Handler {
 		ingress := NewIngress(core, react, Options{Policy: policy, Heartbeat: time.Minute, Channels: 16},
 			conntable.NewSharedLimit(maxTestClients).NewTable(Limits(maxTestClients)))
 		core.AddEgress(Proto, NewEgress(core, react, 1500*time.Millisecond, conntable.NewSharedLimit(100)))
@@ -218,7 +225,7 @@
 			Dial: "amqp://u:p@" + broker.listener.Addr().String() + "/?exchange=records&key=in",
 		}})
 		return ingress.Accept
-	})
+	}
 }
 
 // dialRaw opens a client that has sent the protocol header.
--- a/internal/net/amqpfront/session.go
+++ b/internal/net/amqpfront/session.go
@@ -38,9 +38,10 @@
 	host    *host         // nil until it is opened
 	grant   *access.Grant // the user's permissions in the host; before a host is open, only the user's identity
 
-	assembly        amqp.Assembly // of channel 0
-	channels        []*channel    // ordered by ID
-	exclusiveQueues []*queue      // the exclusive queues of this connection
+	assembly        amqp.Assembly     // of channel 0
+	channels        []*channel        // ordered by ID
+	exclusiveQueues []*queue          // the exclusive queues of this connection
+	unsent          *unsentDeliveries // nil: there were none yet
 
 	supportsCancelNotify bool // the client supports basic.cancel from the server
 	supportsBlocked      bool // the client supports connection.blocked
@@ -101,8 +102,9 @@
 // MarkHandled reports whether all bytes before the mark were handled.
 func (s *session) MarkHandled() bool { return s.conn.MarkHandled() }
 
-// Drained delivers the answers that were queued while the client read too slowly.
+// Drained settles the answers that were sent, and delivers those that were queued while the client read too slowly.
 func (s *session) Drained(*reactor.Conn) {
+	s.unsent.settleSent()
 	for _, ch := range s.channels {
 		for _, c := range slices.Clone(ch.consumers) {
 			c.queue.dispatch()
@@ -207,6 +209,7 @@
 	s.ingress.partialBytes -= s.assembly.Pending()
 	s.assembly = amqp.Assembly{}
 	s.endChannels()
+	s.unsent.end()
 	for _, ch := range s.channels {
 		s.ingress.partialBytes -= ch.assembly.Pending() // of a content that began while the channel was being closed
 		ch.assembly = amqp.Assembly{}
--- a/internal/net/reactor/write.go
+++ b/internal/net/reactor/write.go
@@ -68,6 +68,16 @@
 // Sent reports whether all bytes before an offset that StreamOffset returned were written to the socket.
 func (c *Conn) Sent(offset int64) bool { return c.written.Load() >= offset }
 
+// SentOrNotify is like Sent, and if it returns false, Drained is called when some of the unsent bytes were written to
+// the socket.
+func (c *Conn) SentOrNotify(offset int64) bool {
+	if c.Sent(offset) {
+		return true
+	}
+	c.flags.set(flagAwaitsDrain)
+	return c.Sent(offset) // they may have been sent in the meantime
+}
+
 // UnsentBytes returns the number of bytes that were not sent to the peer's machine: those that were not written to the
 // socket, and those that the socket holds because the peer does not read.
 func (c *Conn) UnsentBytes() int {
