A message in flight when its folder proves to be an older state may have run before

Cause: DistrustFolder marked the restored messages that were pending, not those whose attempt was in flight.

Measured: TestDistrustedFolderWithAnAttemptInFlight failed before for a message that may not repeat, and passes for all three kinds.

--- a/internal/journal/operations.go
+++ b/internal/journal/operations.go
@@ -32,6 +32,15 @@
 	}
 }
 
+// MarkMayHaveRun records that a message whose attempt is in flight may have run before, at firstRun. The next Flush
+// rewrites the file for it, as for MarkAmbiguous.
+func (j *Journal) MarkMayHaveRun(id string, firstRun clock.Instant) {
+	if entry := j.entries[id]; entry != nil {
+		entry.FirstRun = firstRun
+		j.needsRewrite = true
+	}
+}
+
 // SetFinalAnswer records the final answer of a message, which is kept until Remove.
 func (j *Journal) SetFinalAnswer(id, answer string, retryAfterMs int64) {
 	j.record(changeRecord{kind: recordFinalAnswer, id: id, number: retryAfterMs, text: answer})
--- a/internal/lifecycle/guard.go
+++ b/internal/lifecycle/guard.go
@@ -122,6 +122,15 @@
 	return ""
 }
 
+// MarkMayHaveRun records that a message may have run although no attempt that was recorded has.
+func (g *Guard) MarkMayHaveRun(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if held := g.messages[id]; held != nil {
+		held.mayHaveRun = true
+	}
+}
+
 // Finish records the end of the attempt in flight.
 func (g *Guard) Finish(id string, mayHaveRun bool) {
 	g.mu.Lock()
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -73,6 +73,17 @@
 	s.setDeadline(msg, s.resendDeadline(msg))
 }
 
+// MarkMayHaveRun records that a message whose attempt is in flight may have run before, at a time, in
+// microseconds.
+func (s *Scheduler) MarkMayHaveRun(id string, firstRunAt int64) {
+	msg := s.messages[id]
+	if msg == nil || msg.ended {
+		return
+	}
+	msg.firstRunAt = firstRunAt
+	s.setDeadline(msg, s.resendDeadline(msg))
+}
+
 // tenant is the token bucket of this sender's share of a tenant's quota.
 type tenant struct {
 	quotaPerSecond float64
--- a/sender/provenance.go
+++ b/sender/provenance.go
@@ -90,11 +90,18 @@
 	})
 }
 
-// distrustEntry restores a message again, as one that may have run, unless an attempt of it is in
-// flight or it is idempotent.
+// distrustEntry restores a message again, as one that may have run, unless it is idempotent. The attempt of one
+// that is in flight goes on, but whatever its result is, the message may have run before it.
 func (s *Sender) distrustEntry(entry *journal.Entry) {
 	class, _ := s.classOf(entry)
-	if entry.InFlightSince != 0 || class.Idempotency == scheduler.Idempotent {
+	if class.Idempotency == scheduler.Idempotent {
+		return
+	}
+	s.guard.MarkMayHaveRun(entry.ID)
+	if entry.InFlightSince != 0 {
+		_, firstRun := provenanceMessage(entry, class).AssumedAttempts(true)
+		s.journal.MarkMayHaveRun(entry.ID, firstRun)
+		s.scheduler.MarkMayHaveRun(entry.ID, int64(firstRun))
 		return
 	}
 	s.markAmbiguous(entry)
--- a/sender/recovery_test.go
+++ b/sender/recovery_test.go
@@ -109,6 +109,48 @@
 	}
 }
 
+// A message whose attempt is in flight when the folder turns out to be an older state may have run before it: a refusal
+// does not let an unsafe one go out again, nor is it returned. One with a key goes on within its window.
+func TestDistrustedFolderWithAnAttemptInFlight(t *testing.T) {
+	for idempotency, want := range map[scheduler.Idempotency]string{
+		scheduler.NotIdempotent: "m failed", scheduler.IdempotentByKey: "", scheduler.Idempotent: "",
+	} {
+		t.Run(string(idempotency), func(t *testing.T) {
+			dir, settings := t.TempDir(), termsSettings(idempotency, time.Hour)
+			core, _ := newTestSenderWith(t, dir, 1<<20, settings)
+			message := request(core, "m", 9e6)
+			message.Key = "k"
+			core.journal.Accept(core.newEntry(message))
+			if err := core.journal.Flush(); err != nil {
+				t.Fatal(err)
+			}
+			_ = core.journal.Close()
+			core, front := newTestSenderWith(t, dir, 1<<20, settings)
+			core.restoreJournal()
+			if front.step(t); len(front.attempts) != 1 {
+				t.Fatal("attempts:", len(front.attempts))
+			}
+			core.DistrustFolder("by a word", func() {})
+			front.step(t)
+			core.ReportAttempts(AttemptResult{
+				ID: "m", Attempt: front.attempts[0].Number, Endpoint: "a", Outcome: OutcomeRejected,
+			})
+			for range maxTestSteps {
+				if front.step(t); len(front.answers) > 0 || len(front.attempts) > 1 {
+					break
+				}
+				time.Sleep(time.Millisecond)
+			}
+			if want != "" {
+				front.expect(t, want)
+			}
+			if repeated := len(front.attempts) > 1; repeated != (want == "") || core.Violations() > 0 {
+				t.Errorf("%d attempts, %d violations", len(front.attempts), core.Violations())
+			}
+		})
+	}
+}
+
 // Incarnations that start on an older folder are killed before their first step. Messages that may have
 // been sent since stay ambiguous in every following incarnation. This includes a message whose first
 // attempt may have been earlier than the one that the journal records.
