The model of changed settings has clients that ask again from new connections

Change: half of the submissions of the model name a reply address that ends with its connection or process, and a message is submitted again to any address. Clients read late, or end with answers unread, which are given back. Who asked last, was accepted and can still be reached has to have the answer.

--- a/internal/testing/settingschange/message.go
+++ b/internal/testing/settingschange/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"brackendale/internal/clock"
@@ -12,16 +13,69 @@
 // message is what the clients and endpoints know of one message. Its terms are those of its class when the process that
 // it was first submitted to accepted it.
 type message struct {
-	id       string
-	front    string
-	class    scheduler.Class
-	request  sender.Request // as it was first submitted
-	accepted bool           // a client has received the verdict
-	resolved bool           // a client has received any verdict
-	runs     []run
-	answers  []string  // distinct final answers that clients received
-	toldAt   time.Time // a client has received the final answer, so that nothing may run any more; zero: none has
-	toldBy   int       // the process that gave it first
+	id      string
+	front   string
+	class   scheduler.Class
+	request sender.Request // as it was first submitted
+	asks    []*ask         // its submissions, in their order
+	runs    []run
+	answers []string  // distinct final answers that clients received
+	toldAt  time.Time // a client has received the final answer, so that nothing may run any more; zero: none has
+	toldBy  int       // the process that gave it first
+}
+
+// ask is one submission of a message.
+type ask struct {
+	message  *message
+	front    *front
+	address  string // where the answer is to go
+	accepted bool   // its client has received the verdict
+	heard    bool   // its client has received the final answer
+}
+
+// exists reports whether the answer can reach the client.
+func (asked *ask) exists(present *process) bool {
+	if !asked.front.IsTransient(asked.address) {
+		return true
+	}
+	return asked.front.process == present && asked.front.open[asked.address]
+}
+
+// accepted reports whether a client knows that the message was accepted.
+func (m *message) accepted() bool {
+	return slices.ContainsFunc(m.asks, func(asked *ask) bool { return asked.accepted })
+}
+
+// verdict records the verdict on a submission.
+func (m *message) verdict(asked *ask, verdict sender.Verdict) {
+	asked.accepted = verdict == sender.Accepted
+}
+
+// heard records that the client at an address has received the final answer.
+func (m *message) heard(address, answer string, process int) {
+	if m.toldAt.IsZero() {
+		m.toldAt, m.toldBy = time.Now(), process
+	}
+	for _, asked := range m.asks {
+		asked.heard = asked.heard || asked.address == address
+	}
+	if !slices.Contains(m.answers, answer) {
+		m.answers = append(m.answers, answer)
+	}
+}
+
+// waiting returns the submission whose client waits for the final answer: the latest one that was accepted and whose
+// address exists, unless a later one was answered. A permanent address exists always, others in the present process.
+func (m *message) waiting(present *process) *ask {
+	for _, asked := range slices.Backward(m.asks) {
+		switch {
+		case asked.heard:
+			return nil
+		case asked.accepted && asked.exists(present):
+			return asked
+		}
+	}
+	return nil
 }
 
 // run is one execution of a message at an endpoint.
@@ -40,29 +94,16 @@
 	return m.request.Deadline.Add(clock.Microseconds(m.class.DeadlineUs) - late)
 }
 
-// answered records a final answer.
-func (m *message) answered(answer string, process int) {
-	if m.toldAt.IsZero() {
-		m.toldAt, m.toldBy = time.Now(), process
-	}
-	for _, known := range m.answers {
-		if known == answer {
-			return
-		}
-	}
-	m.answers = append(m.answers, answer)
-}
-
 // violations returns the rules that were broken for the message.
-func (m *message) violations() (broken []string) {
+func (m *message) violations(present *process) (broken []string) {
 	report := func(format string, args ...any) {
 		broken = append(broken, fmt.Sprintf("%s (%s, front %s): ", m.id, m.class.Idempotency, m.front)+
 			fmt.Sprintf(format, args...))
 	}
-	switch {
-	case m.accepted && len(m.answers) == 0:
-		report("no final answer")
-	case len(m.answers) > 1:
+	if asked := m.waiting(present); asked != nil {
+		report("no final answer for %q, the last of %d submissions that can get it", asked.address, len(m.asks))
+	}
+	if len(m.answers) > 1 {
 		report("final answers %q", m.answers)
 	}
 	unsafe := m.class.Idempotency == scheduler.NotIdempotent
--- a/internal/testing/settingschange/process.go
+++ b/internal/testing/settingschange/process.go
@@ -68,14 +68,14 @@
 
 // addFront adds a front before Run.
 func (p *process) addFront(name string) {
-	p.fronts[name] = &front{process: p, name: name}
+	p.fronts[name] = newFront(p, name)
 	p.core.AddIngress(name, p.fronts[name])
 }
 
 // addFrontLater adds a front while the core runs, as a reload does.
 func (p *process) addFrontLater(name string) {
 	if p.fronts[name] == nil {
-		added := &front{process: p, name: name}
+		added := newFront(p, name)
 		p.fronts[name] = added
 		p.core.Post(func() { p.core.AddIngress(name, added) })
 	}
@@ -171,36 +171,3 @@
 	defer p.process.world.mu.Unlock()
 	p.process.Cancel(id, attempt)
 }
-
-// front is the front of some clients.
-type front struct {
-	process *process
-	name    string
-}
-
-// Answer records the verdict on a request.
-func (f *front) Answer(request *sender.Request, verdict sender.Verdict, _ int64) {
-	f.process.world.verdict(request.ID, verdict)
-}
-
-// MustNotify reports that every final answer must be delivered.
-func (f *front) MustNotify(string) bool { return true }
-
-// Deduplicates reports that a message whose ID was accepted before must not run again.
-func (f *front) Deduplicates() bool { return true }
-
-// IsTransient reports that all reply addresses are permanent.
-func (f *front) IsTransient(string) bool { return false }
-
-// Notify records a final answer and acknowledges it, now or never.
-func (f *front) Notify(notice sender.Notice) {
-	w := f.process.world
-	m := w.messages[notice.ID]
-	if m == nil {
-		w.report("an answer to %s, which nobody has submitted", notice.ID)
-		return
-	}
-	if m.answered(notice.Answer, f.process.number); percent(w.rng, 70) {
-		f.process.core.Acknowledge(notice.ID)
-	}
-}
--- a/internal/testing/settingschange/settingschange_test.go
+++ b/internal/testing/settingschange/settingschange_test.go
@@ -27,7 +27,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			t.Logf("%d messages accepted, %d of them ran more than once", report.Accepted, report.Repeated)
+			t.Logf("%d messages accepted, %d of them submitted again, %d ran more than once", report.Accepted, report.Again,
+				report.Repeated)
 			if len(report.Broken) > 0 {
 				t.Errorf("%s\n%s", strings.Join(report.Broken, "\n"), strings.Join(report.History, "\n"))
 			}
--- a/internal/testing/settingschange/world.go
+++ b/internal/testing/settingschange/world.go
@@ -6,7 +6,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,9 +19,10 @@
 
 // The length of a play.
 const (
-	changes      = 8                // changes of settings
-	betweenTicks = time.Millisecond // between two draws of what the clients do
-	endTimeout   = 5 * time.Second  // for the final answers behind the last change
+	changes      = 8                     // changes of settings
+	betweenTicks = time.Millisecond      // between two draws of what the clients do
+	endTimeout   = 5 * time.Second       // for the final answers behind the last change
+	lateAnswers  = 50 * time.Millisecond // for another answer to show that should not come
 )
 
 // world is one play.
@@ -32,6 +35,7 @@
 	order    []*message
 	process  *process // the present one
 	started  int      // processes
+	names    int      // that nextName has returned
 	history  []string
 	broken   []string
 }
@@ -40,6 +44,7 @@
 type Report struct {
 	History  []string // the changes
 	Accepted int      // messages
+	Again    int      // messages that were submitted more than once
 	Repeated int      // messages that ran more than once
 	Broken   []string
 }
@@ -86,6 +91,9 @@
 		if percent(w.rng, 10) {
 			w.submitAgain()
 		}
+		for _, name := range sortedKeys(w.process.fronts) {
+			w.process.fronts[name].tick()
+		}
 		w.mu.Unlock()
 	}
 }
@@ -102,17 +110,37 @@
 	m := &message{id: fmt.Sprintf("m%d", len(w.order)), front: f.name, class: class}
 	m.request = sender.Request{
 		ID: m.id, Class: name, Destination: int64(1 + w.rng.Intn(2)), Front: f.name, Body: []byte("body"),
-		Deadline: p.core.Now().Add(clock.Microseconds(class.DeadlineUs)), Correlation: "q1",
+		Deadline: p.core.Now().Add(clock.Microseconds(class.DeadlineUs)),
 	}
 	if class.Idempotency == scheduler.IdempotentByKey {
 		m.request.Key = keyedID + m.id
 	}
 	w.messages[m.id] = m
 	w.order = append(w.order, m)
-	first := m.request
-	p.core.Submit(&first)
+	w.submit(m, m.request, f)
+}
+
+// submit submits a message with a permanent or a transient reply address.
+func (w *world) submit(m *message, request sender.Request, f *front) {
+	request.Correlation = fmt.Sprintf("queue %d", w.rng.Intn(3))
+	if percent(w.rng, 50) {
+		request.Correlation = f.newAddress()
+	}
+	asked := &ask{message: m, front: f, address: request.Correlation}
+	request.IngressData = asked
+	m.asks = append(m.asks, asked)
+	f.process.core.Submit(&request)
 }
 
+// nextName returns a new name.
+func (w *world) nextName() string {
+	w.names++
+	return fmt.Sprint(w.names)
+}
+
+// sortedKeys returns the keys of a map in an order that does not vary.
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
 // submitAgain submits one of the latest messages again, with another reply address.
 func (w *world) submitAgain() {
 	const latest = 10
@@ -121,22 +149,13 @@
 	}
 	m := w.order[max(0, len(w.order)-1-w.rng.Intn(latest))]
 	class, known := w.process.classes[m.request.Class]
-	if w.process.fronts[m.front] == nil || !known || !m.resolved || !m.accepted {
-		return
+	f := w.process.fronts[m.front]
+	if f == nil || !known || !m.accepted() || w.process.core.Now() >= m.rememberedUntil() {
+		return // or its id may be forgotten: it would be a new message
 	}
 	again := m.request
-	again.Correlation = fmt.Sprintf("q%d", w.rng.Intn(3))
 	again.Deadline = w.process.core.Now().Add(clock.Microseconds(class.DeadlineUs))
-	if w.process.core.Now() < m.rememberedUntil() {
-		w.process.core.Submit(&again)
-	}
-}
-
-// verdict records what a client was told about a request.
-func (w *world) verdict(id string, verdict sender.Verdict) {
-	m := w.messages[id]
-	m.resolved = true
-	m.accepted = m.accepted || verdict == sender.Accepted
+	w.submit(m, again, f)
 }
 
 // replacement is a change of the settings, and the way in which it comes.
@@ -234,20 +253,19 @@
 	}
 	for started := time.Now(); time.Since(started) < endTimeout && !w.allAnswered(); time.Sleep(betweenTicks) {
 	}
+	time.Sleep(lateAnswers)
 	w.process.kill()
 	return nil
 }
 
-// allAnswered reports whether each accepted message has a final answer.
+// allAnswered lets all clients read, and reports whether none waits for a final answer.
 func (w *world) allAnswered() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, m := range w.order {
-		if m.accepted && len(m.answers) == 0 {
-			return false
-		}
+	for _, f := range w.process.fronts {
+		f.readAll()
 	}
-	return true
+	return !slices.ContainsFunc(w.order, func(m *message) bool { return m.waiting(w.process) != nil })
 }
 
 // judge returns the report of the play.
@@ -257,13 +275,16 @@
 	w.checkGuard()
 	report := &Report{History: w.history}
 	for _, m := range w.order {
-		if m.accepted {
+		if m.accepted() {
 			report.Accepted++
 		}
+		if len(m.asks) > 1 {
+			report.Again++
+		}
 		if len(m.runs) > 1 {
 			report.Repeated++
 		}
-		w.broken = append(w.broken, m.violations()...)
+		w.broken = append(w.broken, m.violations(w.process)...)
 	}
 	report.Broken = w.broken
 	return report
