The model of changed settings replaces endpoints, and its registry does not always respond

Change: a registry of 3 to 300 endpoints replaces and drains them between two changes; a new process has its list or an older copy of it. No attempt may begin at an endpoint that an earlier list, applied and saved, had as gone.

--- a/internal/testing/settingschange/draw.go
+++ b/internal/testing/settingschange/draw.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"brackendale/scheduler"
-	"brackendale/sender"
 )
 
 // The names that settings may have or lack.
@@ -14,13 +13,6 @@
 	frontNames = []string{"first", "second"}
 )
 
-// The endpoints that a list may have or lack; all are of one machine type.
-var endpoints = []scheduler.Endpoint{
-	{Addr: "a", Zone: "z1", MachineType: machineType, Destination: 1},
-	{Addr: "b", Zone: "z2", MachineType: machineType, Destination: 1},
-	{Addr: "c", Zone: "z1", MachineType: machineType, Destination: 2},
-}
-
 const (
 	machineType = "machine"
 	protocol    = "test"
@@ -70,22 +62,7 @@
 	}
 }
 
-// drawRoutes returns an endpoint list in which endpoints may be missing or draining.
-func drawRoutes(rng *rand.Rand) (list []sender.Route) {
-	for _, endpoint := range endpoints {
-		endpoint.State = scheduler.StatusLive
-		switch {
-		case percent(rng, 15):
-			continue
-		case percent(rng, 15):
-			endpoint.State = scheduler.StatusDraining
-		}
-		list = append(list, sender.Route{Endpoint: endpoint, Protocol: protocol})
-	}
-	return list
-}
-
-// fullSettings returns settings that have every class, and fullRoutes a list that has every endpoint.
+// fullSettings returns settings that have every class.
 func fullSettings(rng *rand.Rand) scheduler.Settings {
 	for {
 		if settings := drawSettings(rng); len(settings.Classes) == len(classNames) {
@@ -93,11 +70,3 @@
 		}
 	}
 }
-
-func fullRoutes() (list []sender.Route) {
-	for _, endpoint := range endpoints {
-		endpoint.State = scheduler.StatusLive
-		list = append(list, sender.Route{Endpoint: endpoint, Protocol: protocol})
-	}
-	return list
-}
--- a/internal/testing/settingschange/endpoint.go
+++ b/internal/testing/settingschange/endpoint.go
@@ -19,6 +19,9 @@
 
 // Send implements sender.Egress.
 func (p *process) Send(route sender.Route, attempts []sender.Attempt) {
+	if !p.world.registry.mayUse(route) {
+		p.world.report("an attempt at %+v, which the registry has reported as gone", idOf(route))
+	}
 	for _, attempt := range attempts {
 		c := &call{process: p, attempt: attempt, route: route}
 		p.calls[c] = true
--- a/internal/testing/settingschange/process.go
+++ b/internal/testing/settingschange/process.go
@@ -28,7 +28,7 @@
 	ended  sync.WaitGroup
 }
 
-// start makes a process with the settings, fronts and routes of a change.
+// start makes a process with the settings and fronts of a change.
 func (w *world) start(change replacement, checkpoint *sender.Checkpoint) (*process, error) {
 	w.started++
 	p := &process{
@@ -39,8 +39,8 @@
 		calls:   map[*call]bool{},
 	}
 	core, err := sender.New(sender.Options{
-		Settings: change.settings, StateDir: w.dir, DiskBytes: diskBytes, Log: zerolog.Nop(), Checkpoint: checkpoint,
-		RunOnFronts: p.runOnFronts,
+		Name: "model", Settings: change.settings, StateDir: w.dir, DiskBytes: diskBytes, Log: zerolog.Nop(),
+		Checkpoint: checkpoint, RunOnFronts: p.runOnFronts, KeepSnapshot: true,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("starting a process: %w", err)
@@ -53,7 +53,9 @@
 		p.addFront(name)
 	}
 	core.AddEgress(protocol, p)
-	core.UpdateRoutes(scheduler.UpdateFull, change.routes)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tell(p, change)
 	return p, nil
 }
 
@@ -120,7 +122,7 @@
 	return len(p.calls) > 0
 }
 
-// upgrade replaces the process by one with the settings, fronts and routes of a change. It ends once its calls have.
+// upgrade replaces the process by one with the settings and fronts of a change. It ends once its calls have.
 func (p *process) upgrade(change replacement) (*process, error) {
 	pause := <-p.core.Quiesce()
 	pause.ReleaseJournal()
--- a/internal/testing/settingschange/world.go
+++ b/internal/testing/settingschange/world.go
@@ -1,7 +1,8 @@
 // Package settingschange plays a sender whose processes follow one another with random settings: classes, fronts and
 // endpoints are changed, removed and put back, by a planned restart, a kill, an upgrade or a reload, while clients
-// submit messages, also again. It checks that no message runs more often than the terms under which it was accepted
-// allow, and that each has one final answer, which is true.
+// submit messages, also again, and the registry does not always respond. It checks that no message runs more often than
+// the terms under which it was accepted allow, that each has one final answer, which is true and reaches the client
+// that asked last, and that no endpoint is used that the registry has reported as gone.
 package settingschange
 
 import (
@@ -33,6 +34,7 @@
 	rng      *rand.Rand
 	messages map[string]*message
 	order    []*message
+	registry *registry
 	process  *process // the present one
 	started  int      // processes
 	names    int      // that nextName has returned
@@ -51,8 +53,9 @@
 
 // Play plays a seed with the state folder dir.
 func Play(seed int64, dir string) (*Report, error) {
-	w := &world{dir: dir, rng: rand.New(rand.NewSource(seed)), messages: map[string]*message{}}
-	first, err := w.startAndRun(replacement{"start", drawSettings(w.rng), frontNames, fullRoutes()})
+	rng := rand.New(rand.NewSource(seed))
+	w := &world{dir: dir, rng: rng, registry: newRegistry(rng), messages: map[string]*message{}}
+	first, err := w.startAndRun(replacement{way: "start", settings: drawSettings(w.rng), fronts: frontNames})
 	if err != nil {
 		return nil, err
 	}
@@ -158,19 +161,22 @@
 	w.submit(m, again, f)
 }
 
+// reload is the way of a change that keeps the process.
+const reload = "reload"
+
 // replacement is a change of the settings, and the way in which it comes.
 type replacement struct {
 	way      string
 	settings scheduler.Settings
 	fronts   []string
-	routes   []sender.Route
+	offline  bool // the registry does not respond: a new process has an older list
 }
 
 // change draws a change and makes it.
 func (w *world) change() error {
 	drawn := w.drawChange()
-	w.history = append(w.history, fmt.Sprintf("%s: classes %v, fronts %v, %d endpoints", drawn.way,
-		drawn.settings.Classes, drawn.fronts, len(drawn.routes)))
+	w.history = append(w.history, fmt.Sprintf("%s: classes %v, fronts %v, %d endpoints, registry offline %v", drawn.way,
+		drawn.settings.Classes, drawn.fronts, len(w.registry.current), drawn.offline))
 	return w.replace(drawn)
 }
 
@@ -181,23 +187,25 @@
 	if percent(w.rng, 60) {
 		fronts = frontNames
 	}
-	ways := []string{"reload", "reload", "kill", "stop", "upgrade"}
-	return replacement{ways[w.rng.Intn(len(ways))], drawSettings(w.rng), fronts, drawRoutes(w.rng)}
+	ways := []string{reload, reload, "kill", "stop", "upgrade"}
+	w.registry.change()
+	return replacement{ways[w.rng.Intn(len(ways))], drawSettings(w.rng), fronts, percent(w.rng, 40)}
 }
 
 // drawEnd draws how everything is put back.
 func (w *world) drawEnd() replacement {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	ways := []string{"reload", "kill", "stop", "upgrade"}
-	return replacement{ways[w.rng.Intn(len(ways))], fullSettings(w.rng), frontNames, fullRoutes()}
+	ways := []string{reload, "kill", "stop", "upgrade"}
+	w.registry.putBack()
+	return replacement{ways[w.rng.Intn(len(ways))], fullSettings(w.rng), frontNames, false}
 }
 
 // replace changes the fronts and endpoints, and with another process the classes too.
 func (w *world) replace(change replacement) (err error) {
 	var next *process
 	switch change.way {
-	case "reload":
+	case reload:
 		w.reload(change)
 		return nil
 	case "upgrade":
@@ -207,6 +215,7 @@
 		next, err = w.startAndRun(change)
 	default:
 		w.process.kill()
+		w.forgetUnsaved()
 		next, err = w.startAndRun(change)
 	}
 	if err != nil {
@@ -219,6 +228,13 @@
 	return nil
 }
 
+// forgetUnsaved drops what the killed process may not have saved of the registry's reports.
+func (w *world) forgetUnsaved() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.registry.forgetUnsaved()
+}
+
 // reload changes the fronts and endpoints of the running process. Its classes stay, and so do its fronts.
 func (w *world) reload(change replacement) {
 	w.mu.Lock()
@@ -226,7 +242,24 @@
 	for _, name := range change.fronts {
 		w.process.addFrontLater(name)
 	}
-	w.process.core.UpdateRoutes(scheduler.UpdateFull, change.routes)
+	w.tell(w.process, change)
+}
+
+// tell gives a process the list of the registry or, while that does not respond, an older one. A running process keeps
+// what it has then.
+func (w *world) tell(p *process, change replacement) {
+	switch {
+	case !change.offline:
+		list := w.registry.report()
+		p.core.UpdateRoutes(scheduler.UpdateFull, list)
+		p.core.Post(func() { // what was decided before has been sent
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.registry.applied(list)
+		})
+	case change.way != reload:
+		p.core.UpdateRoutes(scheduler.UpdateStale, w.registry.copyOf())
+	}
 }
 
 func (w *world) startAndRun(change replacement) (*process, error) {
