A reply-to with a zero byte is refused

Cause: the reply-to and the correlation-id of a message are kept as one text with a zero byte between them. A reply-to that has one was cut there: the permissions were asked for the whole name, and the answer went to the queue of its first part, which may be another user's or a channel's of direct reply-to.

Change: such a publish is refused with 406; a correlation-id may have any bytes.

--- a/internal/net/amqpfront/queue.go
+++ b/internal/net/amqpfront/queue.go
@@ -39,9 +39,12 @@
 	queuedAt    time.Duration
 }
 
+// correlationSeparator stands between the reply-to and the correlation-id of a message; a reply-to has none.
+const correlationSeparator = "\x00"
+
 // replyTo returns the reply-to in a correlation.
 func replyTo(correlation string) string {
-	name, _, _ := strings.Cut(correlation, "\x00")
+	name, _, _ := strings.Cut(correlation, correlationSeparator)
 	return name
 }
 
@@ -121,7 +124,7 @@
 
 // answerContent returns the properties and body of an answer. The properties are valid until the next call.
 func (h *host) answerContent(a *answer) (*amqp.Props, []byte) {
-	_, correlation, _ := strings.Cut(a.correlation, "\x00")
+	_, correlation, _ := strings.Cut(a.correlation, correlationSeparator)
 	h.ingress.answerProps = amqp.Props{CorrelationID: correlation, MessageID: a.id, Type: outcomeNames[a.outcome]}
 	if a.outcome == sender.Returned {
 		h.ingress.answerProps.Headers = amqp.Table{"retry-after-ms": a.waitMs}
--- a/internal/net/amqpfront/submit.go
+++ b/internal/net/amqpfront/submit.go
@@ -52,7 +52,7 @@
 		Deadline:    s.ingress.core.Now().Add(clock.Microseconds(limitUs)),
 		Body:        msg.Body,
 		Front:       s.host.front,
-		Correlation: props.ReplyTo + "\x00" + props.CorrelationID,
+		Correlation: props.ReplyTo + correlationSeparator + props.CorrelationID,
 		IngressData: incoming,
 	}
 	return s.submit(ch, &incoming.Request, fault)
@@ -86,6 +86,8 @@
 		return fault(amqp.PreconditionFailed, "message-id is missing or no plain word")
 	case props.ReplyTo == "" || len(props.ReplyTo) > maxNameLength:
 		return fault(amqp.PreconditionFailed, "reply-to is missing or too long")
+	case strings.Contains(props.ReplyTo, correlationSeparator):
+		return fault(amqp.PreconditionFailed, "reply-to contains a zero byte")
 	case props.ReplyTo != ch.directQueue && !s.grant.MayRead(props.ReplyTo):
 		return fault(amqp.AccessRefused, "user %q may not read the answers' queue %q", s.grant.User(), props.ReplyTo)
 	case needsKey && key == "":
