A folder that proves to be an older state before its messages are restored is recorded so

Cause: DistrustFolder marks the restored messages. Called before Run has restored any, it marked none: this process treated them as messages that may have run, but a kill before their end left the next one a folder that it trusts.

Measured: TestDistrustBeforeTheMessagesAreRestored failed before and passes.

--- a/sender/provenance.go
+++ b/sender/provenance.go
@@ -41,9 +41,7 @@
 	folder := readFolderState(s.options.StateDir, s.journal.Incarnation(), len(s.journal.Entries()))
 	problem = folderProblem(s.options.Name, s.options.FolderTrust, folder)
 	if problem != "" {
-		for _, entry := range s.journal.Entries() {
-			s.markAmbiguous(entry)
-		}
+		s.markAllAmbiguous()
 	}
 	s.journal.SetIncarnation(max(folder.Note.Incarnation, folder.JournalIncarnation) + 1)
 	err := s.journal.Flush()
@@ -84,6 +82,9 @@
 		s.recovery.start.Store(startDistrusted)
 		s.log.Error().Str("why", reason).Int("messages", len(s.recovery.restored)).
 			Msg("the state folder is an older state: messages that may have been sent since and must not be repeated fail")
+		if !s.recovery.isRestored { // restoreJournal follows
+			s.markAllAmbiguous()
+		}
 		for id := range s.recovery.restored {
 			s.distrustEntry(s.journal.Get(id))
 		}
@@ -120,6 +121,13 @@
 	s.journal.MarkAmbiguous(entry.ID, attempts, firstRun)
 }
 
+// markAllAmbiguous does that for all messages.
+func (s *Sender) markAllAmbiguous() {
+	for _, entry := range s.journal.Entries() {
+		s.markAmbiguous(entry)
+	}
+}
+
 // folderProblem returns the reason not to trust a folder, or "" if there is none.
 func folderProblem(name string, trust FolderTrust, folder provenance.FolderState) string {
 	switch trust {
--- a/sender/recovery.go
+++ b/sender/recovery.go
@@ -18,6 +18,7 @@
 	snapshotReadTime time.Duration
 
 	restored       map[string]bool // ids of messages of earlier incarnations that have no final answer yet
+	isRestored     bool            // the messages of earlier incarnations were passed to the scheduler
 	restoredCount  int             // number of them at the start
 	ambiguousCount int             // number of them that may have run and must not be repeated
 
--- a/sender/recovery_test.go
+++ b/sender/recovery_test.go
@@ -151,6 +151,26 @@
 	}
 }
 
+// A folder that proves to be an older state before its messages are restored is recorded as such for the next incarnation.
+func TestDistrustBeforeTheMessagesAreRestored(t *testing.T) {
+	dir := t.TempDir()
+	core, _ := newTestSender(t, dir, 1<<20)
+	core.journal.Accept(core.newEntry(request(core, "m", 9e6)))
+	if err := core.journal.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	_ = core.journal.Close()
+	core, front := newTestSender(t, dir, 1<<20)
+	core.DistrustFolder("by a word", func() {})
+	core.runPosted()
+	core.restoreJournal()
+	front.step(t)
+	front.expect(t, "m failed")
+	if entry := core.journal.Get("m"); entry.FirstRun == 0 {
+		t.Error("not recorded")
+	}
+}
+
 // Incarnations that start on an older folder are killed before their first step. Messages that may have
 // been sent since stay ambiguous in every following incarnation. This includes a message whose first
 // attempt may have been earlier than the one that the journal records.
--- a/sender/restore.go
+++ b/sender/restore.go
@@ -56,6 +56,7 @@
 		s.restoreEntry(entry)
 	}
 	s.runResumed()
+	s.recovery.isRestored = true
 	s.recovery.restoredCount = len(s.recovery.restored)
 	s.recovery.window.checkedAt = time.Now()
 	if s.pending > 0 || len(s.unsentAnswers) > 0 {
