--- a/internal/app/peers.go
+++ b/internal/app/peers.go
@@ -75,20 +75,19 @@
 		withdrawn: map[int64]bool{},
 	}
 	opt := group.Options{
-		Name:       cfg.Group.Name,
-		Listen:     cfg.Group.Listen,
-		Voters:     cfg.Group.Voters,
-		Dir:        GroupDir(cfg),
-		Weight:     cfg.Group.Weight,
-		Log:        log,
-		Terms:      lease.Terms{Length: milliseconds(cfg.Group.LeaseMs), Drift: cfg.Group.Drift},
-		Ready:      func() bool { ok, _ := core.Ready(); return ok },
-		OnHints:    p.onHints,
-		OnWithdraw: p.onWithdraw,
-		OnSuperseded: func(incarnation uint64, recorded func()) {
-			core.DistrustFolder(fmt.Sprintf("others have seen life %d of this member", incarnation), recorded)
-		},
-		Notes: map[string]string{},
+		Name:          cfg.Group.Name,
+		Listen:        cfg.Group.Listen,
+		Voters:        cfg.Group.Voters,
+		Dir:           GroupDir(cfg),
+		Weight:        cfg.Group.Weight,
+		Log:           log,
+		Terms:         lease.Terms{Length: milliseconds(cfg.Group.LeaseMs), Drift: cfg.Group.Drift},
+		Ready:         func() bool { ok, _ := core.Ready(); return ok },
+		OnHints:       p.onHints,
+		OnWithdraw:    p.onWithdraw,
+		OnSuperseded:  p.onSuperseded,
+		OnIncarnation: p.onIncarnation,
+		Notes:         map[string]string{},
 	}
 	for _, duty := range cfg.Group.Duties {
 		p.addDuty(&opt, duty, cfg)
@@ -98,6 +97,27 @@
 	return p
 }
 
+// onIncarnation records an incarnation of this member beside the journal: the group's folder may be lost alone.
+func (p *peers) onIncarnation(incarnation uint64) {
+	if err := p.core.RecordGroupIncarnation(incarnation); err != nil {
+		p.log.Warn().Err(err).Uint64("incarnation", incarnation).
+			Msg("group: recording this incarnation beside the journal failed: if the group's folder is lost, " +
+				"the whole state folder counts as an older state")
+	}
+}
+
+// onSuperseded distrusts the state folder if another member has seen a later incarnation than the group's folder has,
+// unless the journal is of that incarnation or a later one: then the group's folder alone is an older state, or empty.
+func (p *peers) onSuperseded(incarnation uint64, recorded func()) {
+	if p.core.EarlierGroupIncarnation() >= incarnation {
+		p.log.Info().Uint64("incarnation", incarnation).
+			Msg("group: the group's folder is an older state, the journal is not: its messages are trusted")
+		p.core.Post(recorded)
+		return
+	}
+	p.core.DistrustFolder(fmt.Sprintf("others have seen life %d of this member", incarnation), recorded)
+}
+
 // addDuty adds the options of one configured duty to the group's options.
 func (p *peers) addDuty(opt *group.Options, duty config.Duty, cfg config.Config) {
 	switch duty.Kind {
--- a/internal/group/folder.go
+++ b/internal/group/folder.go
@@ -150,12 +150,20 @@
 // voterNames returns the names of the voters of the settings, sorted.
 func voterNames(voters map[string]string) []string { return slices.Sorted(maps.Keys(voters)) }
 
+// reportIncarnation calls Options.OnIncarnation.
+func (g *Group) reportIncarnation(stored *folder) {
+	if g.opt.OnIncarnation != nil {
+		g.opt.OnIncarnation(stored.Incarnation)
+	}
+}
+
 // openOwnFolder opens this member's folder, and retries until that succeeds: another process of this
 // sender may still have it locked (hot restart).
 func (g *Group) openOwnFolder(ctx context.Context) (*folder, error) {
 	for {
 		stored, err := openFolder(g.opt.Dir, g.opt.Name, g.opt.Voters)
 		if err == nil {
+			g.reportIncarnation(stored)
 			g.mu.Lock()
 			g.incarnation, g.folder, g.openedAt = stored.Incarnation, stored, g.clock()
 			g.storedQuotaMembers = readQuotaMembers(g.opt.Dir)
--- a/internal/group/log_keeper.go
+++ b/internal/group/log_keeper.go
@@ -70,6 +70,7 @@
 	if err := stored.save(); err != nil {
 		return err
 	}
+	g.reportIncarnation(stored)
 	g.incarnation, g.superseded = stored.Incarnation, false
 	return nil
 }
--- a/internal/group/options.go
+++ b/internal/group/options.go
@@ -43,6 +43,10 @@
 	// first, its next incarnation would not detect that the folder was an older state.
 	OnSuperseded func(incarnation uint64, recorded func())
 
+	// OnIncarnation, if set, is called with each incarnation of this member before another member can see it. It
+	// may be called with the group's lock held.
+	OnIncarnation func(incarnation uint64)
+
 	Ready func() bool // reports whether this sender accepts messages; nil means that it always does
 	Log   zerolog.Logger
 	Clock func() time.Duration // monotonic, also while the machine is suspended; nil means Boottime
--- a/internal/provenance/golden_test.go
+++ b/internal/provenance/golden_test.go
@@ -40,6 +40,7 @@
 func TestGoldenNote(t *testing.T) {
 	for name, note := range map[string]Note{
 		"note.json":        {Name: "n1", Incarnation: 3, FileID: FileID{Inode: 7, CreatedNs: 1_700_000_000_000_000_001}},
+		"note-group.json":  {Name: "n1", Incarnation: 3, FileID: FileID{Inode: 7, CreatedNs: 5}, GroupIncarnation: 1009},
 		"note-unborn.json": {Name: "n1", Incarnation: 1, FileID: FileID{Inode: 7}},
 	} {
 		raw, err := json.Marshal(note)
--- a/internal/provenance/provenance.go
+++ b/internal/provenance/provenance.go
@@ -24,6 +24,8 @@
 	Name        string `json:"name"` // of the sender
 	Incarnation uint64 `json:"life"` // counted from 1
 	FileID      FileID `json:"at"`   // of the journal's lock file, which is never replaced
+	// GroupIncarnation is the latest incarnation that this sender had as a member of a group; 0: none is known.
+	GroupIncarnation uint64 `json:"group,omitempty"`
 }
 
 // FolderState is what was found in a folder.
--- a/sender/provenance.go
+++ b/sender/provenance.go
@@ -35,10 +35,14 @@
 // then the note is written. So the folder never looks older than it is, and once the note names this
 // incarnation, the next one finds those messages marked, however early this one is killed.
 func (s *Sender) checkProvenance() (problem string) {
-	if s.options.FolderTrust == FolderTrusted || s.options.Checkpoint != nil {
+	if s.options.FolderTrust == FolderTrusted {
 		return ""
 	}
 	folder := readFolderState(s.options.StateDir, s.journal.Incarnation(), len(s.journal.Entries()))
+	s.earlierGroupIncarnation = folder.Note.GroupIncarnation
+	if s.options.Checkpoint != nil {
+		return ""
+	}
 	problem = folderProblem(s.options.Name, s.options.FolderTrust, folder)
 	if problem != "" {
 		s.markAllAmbiguous()
@@ -47,9 +51,10 @@
 	err := s.journal.Flush()
 	if err == nil {
 		err = writeNote(s.options.StateDir, provenance.Note{
-			Name:        s.options.Name,
-			Incarnation: s.journal.Incarnation(),
-			FileID:      folder.FileID,
+			Name:             s.options.Name,
+			Incarnation:      s.journal.Incarnation(),
+			FileID:           folder.FileID,
+			GroupIncarnation: folder.Note.GroupIncarnation,
 		})
 	}
 	if err != nil { // the next incarnation finds a note of an earlier incarnation than the journal's
@@ -59,6 +64,22 @@
 	return problem
 }
 
+// EarlierGroupIncarnation returns the latest incarnation as a member of a group that earlier incarnations of this
+// sender have recorded in the folder; 0: none. Any goroutine may call it.
+func (s *Sender) EarlierGroupIncarnation() uint64 { return s.earlierGroupIncarnation }
+
+// RecordGroupIncarnation records in the folder's note that this sender has an incarnation as a member of a group. It
+// is called before another member can see that, on one goroutine at a time. Without checks of the folder there is
+// no note.
+func (s *Sender) RecordGroupIncarnation(incarnation uint64) error {
+	folder := readFolderState(s.options.StateDir, 0, 0)
+	if !folder.HasNote || folder.Note.GroupIncarnation >= incarnation {
+		return nil
+	}
+	folder.Note.GroupIncarnation = incarnation
+	return writeNote(s.options.StateDir, folder.Note)
+}
+
 // DistrustFolder records that the state folder turned out to be an older state while the sender runs,
 // with the reason. Messages of earlier incarnations that are unsafe to repeat fail, or are sent only
 // within their idempotency window. Attempts that were already sent cannot be undone. recorded is
--- a/sender/recovery_test.go
+++ b/sender/recovery_test.go
@@ -239,3 +239,31 @@
 		t.Errorf("Retry-After %d ms, the limit in the settings is 30000 ms", ms)
 	}
 }
+
+// The incarnation as a member of a group is kept in the folder's note, over restarts and never lowered.
+func TestGroupIncarnationIsRecorded(t *testing.T) {
+	dir := t.TempDir()
+	open := func(trust FolderTrust) *Sender {
+		core, err := New(Options{
+			Name: "s", Settings: testSettings(), StateDir: dir, DiskBytes: 1 << 20, Log: zerolog.Nop(), FolderTrust: trust,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = core.journal.Close() })
+		return core
+	}
+	for _, step := range []struct{ earlier, record uint64 }{{0, 7}, {7, 3}, {7, 0}, {7, 1009}, {1009, 0}} {
+		core := open(FolderVerified)
+		if got := core.EarlierGroupIncarnation(); got != step.earlier {
+			t.Errorf("%+v: %d", step, got)
+		}
+		if err := core.RecordGroupIncarnation(step.record); err != nil {
+			t.Error(err)
+		}
+		if got := core.EarlierGroupIncarnation(); got != step.earlier || core.recovery.folderProblem != "" {
+			t.Errorf("%+v: %d in the same process, problem %q", step, got, core.recovery.folderProblem)
+		}
+		_ = core.journal.Close()
+	}
+}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -100,7 +100,8 @@
 	knownEndpoints knownNames // names of all endpoints that were ever listed
 	reported       reportedEndpoints
 
-	hasEarlierReport bool // see HasEarlierReport; it does not change after New
+	hasEarlierReport        bool   // see HasEarlierReport; it does not change after New, as the next one
+	earlierGroupIncarnation uint64 // see EarlierGroupIncarnation
 
 	// Messages.
 	nextInput     stepInput
