--- a/internal/app/superseded_test.go
+++ b/internal/app/superseded_test.go
@@ -12,8 +12,8 @@
 	"github.com/rs/zerolog"
 )
 
-// A member whose group folder alone was emptied, as after group recover, keeps the charges that it holds: its journal is
-// of the incarnation that others have seen. One whose whole folder is an older state does not.
+// A member whose group folder alone was emptied, as after group recover, keeps the charges that it holds: its journal
+// is of the incarnation that others have seen. One whose whole folder is an older state does not.
 func TestGroupFolderLostAlone(t *testing.T) {
 	const seen = 5 // the incarnation that others have seen
 	for name, test := range map[string]struct {
--- a/sender/recovery_test.go
+++ b/sender/recovery_test.go
@@ -151,7 +151,8 @@
 	}
 }
 
-// A folder that proves to be an older state before its messages are restored is recorded as such for the next incarnation.
+// A folder that proves to be an older state before its messages are restored is recorded as such for the next
+// incarnation.
 func TestDistrustBeforeTheMessagesAreRestored(t *testing.T) {
 	dir := t.TempDir()
 	core, _ := newTestSender(t, dir, 1<<20)
