--- a/internal/testing/settingschange/endpoint.go
+++ b/internal/testing/settingschange/endpoint.go
@@ -101,16 +101,17 @@
 }
 
 // run records that an endpoint executes a message.
-func (w *world) run(c *call) {
-	m := w.messages[c.attempt.ID]
+func (w *world) run(sent *call) {
+	m := w.messages[sent.attempt.ID]
 	if m == nil {
-		w.report("%s has run, which nobody has submitted", c.attempt.ID)
+		w.report("%s has run, which nobody has submitted", sent.attempt.ID)
 		return
 	}
 	m.runs = append(m.runs, run{
-		at: time.Now(), zone: c.route.Zone, afterEnd: !m.toldAt.IsZero(), number: c.attempt.Number, process: c.process.number,
+		at: time.Now(), zone: sent.route.Zone, afterEnd: !m.answeredAt.IsZero(), number: sent.attempt.Number,
+		process: sent.process.number,
 	})
-	if c.route.State == scheduler.StatusDraining {
-		w.report("%s has left to %s, which was draining", c.attempt.ID, c.route.Addr)
+	if sent.route.State == scheduler.StatusDraining {
+		w.report("%s has left to %s, which was draining", sent.attempt.ID, sent.route.Addr)
 	}
 }
--- a/internal/testing/settingschange/message.go
+++ b/internal/testing/settingschange/message.go
@@ -13,15 +13,15 @@
 // message is what the clients and endpoints know of one message. Its terms are those of its class when the process that
 // it was first submitted to accepted it.
 type message struct {
-	id      string
-	front   string
-	class   scheduler.Class
-	request sender.Request // as it was first submitted
-	asks    []*ask         // its submissions, in their order
-	runs    []run
-	answers []string  // distinct final answers that clients received
-	toldAt  time.Time // a client has received the final answer, so that nothing may run any more; zero: none has
-	toldBy  int       // the process that gave it first
+	id         string
+	front      string
+	class      scheduler.Class
+	request    sender.Request // as it was first submitted
+	asks       []*ask         // its submissions, in their order
+	runs       []run
+	answers    []string  // distinct final answers that clients received
+	answeredAt time.Time // a client has received the final answer, so that nothing may run any more; zero: none has
+	answeredBy int       // the process that gave it first
 }
 
 // ask is one submission of a message.
@@ -53,8 +53,8 @@
 
 // heard records that the client at an address has received the final answer.
 func (m *message) heard(address, answer string, process int) {
-	if m.toldAt.IsZero() {
-		m.toldAt, m.toldBy = time.Now(), process
+	if m.answeredAt.IsZero() {
+		m.answeredAt, m.answeredBy = time.Now(), process
 	}
 	for _, asked := range m.asks {
 		asked.heard = asked.heard || asked.address == address
@@ -118,7 +118,7 @@
 	for i, r := range m.runs {
 		if r.afterEnd {
 			report("run by process %d, %d attempts before, %v behind its final answer %q of process %d", r.process, r.number,
-				r.at.Sub(m.toldAt), m.answers, m.toldBy)
+				r.at.Sub(m.answeredAt), m.answers, m.answeredBy)
 		}
 		if i > 0 {
 			m.checkRepeat(r, report)
--- a/internal/testing/settingschange/process.go
+++ b/internal/testing/settingschange/process.go
@@ -55,7 +55,7 @@
 	core.AddEgress(protocol, p)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.tell(p, change)
+	w.sendEndpointList(p, change)
 	return p, nil
 }
 
--- a/internal/testing/settingschange/registry.go
+++ b/internal/testing/settingschange/registry.go
@@ -27,7 +27,8 @@
 	names   int
 	current []sender.Route
 	earlier [][]sender.Route // lists that were reported
-	// notLive has when a sender was told that an endpoint is not live any more. It must not use it from then on.
+	// notLive has when a sender applied a list in which an endpoint was not live any more. It must not be used from then
+	// on.
 	notLive map[endpointID]time.Time
 }
 
@@ -51,9 +52,9 @@
 }
 
 // newEndpoint returns an endpoint; the first ones serve all destinations.
-func (r *registry) newEndpoint(name, address string, i int) sender.Route {
-	destination := int64(1 + i)
-	if i >= destinations {
+func (r *registry) newEndpoint(name, address string, index int) sender.Route {
+	destination := int64(1 + index)
+	if index >= destinations {
 		destination = int64(1 + r.rng.Intn(destinations))
 	}
 	return sender.Route{
@@ -95,7 +96,7 @@
 	}
 }
 
-// report returns the present list, which a sender is told now.
+// report returns the present list, which is sent to a sender now.
 func (r *registry) report() []sender.Route {
 	list := slices.Clone(r.current)
 	r.earlier = append(r.earlier, list)
@@ -113,7 +114,7 @@
 			id := idOf(route)
 			if live[id] {
 				delete(r.notLive, id)
-			} else if _, told := r.notLive[id]; !told {
+			} else if _, known := r.notLive[id]; !known {
 				r.notLive[id] = time.Now()
 			}
 		}
@@ -129,7 +130,7 @@
 	return list
 }
 
-// forgetUnsaved drops what a process that is killed was told too lately to have saved it.
+// forgetUnsaved drops what a killed process has learned too lately to have saved it.
 func (r *registry) forgetUnsaved() {
 	for id, at := range r.notLive {
 		if time.Since(at) < savedAfter {
@@ -140,8 +141,8 @@
 
 // mayUse reports whether a sender may begin an attempt at an endpoint.
 func (r *registry) mayUse(route sender.Route) bool {
-	_, told := r.notLive[idOf(route)]
-	return !told
+	_, gone := r.notLive[idOf(route)]
+	return !gone
 }
 
 // putBack makes all endpoints live.
--- a/internal/testing/settingschange/world.go
+++ b/internal/testing/settingschange/world.go
@@ -124,15 +124,15 @@
 }
 
 // submit submits a message with a permanent or a transient reply address.
-func (w *world) submit(m *message, request sender.Request, f *front) {
+func (w *world) submit(submitted *message, request sender.Request, through *front) {
 	request.Correlation = fmt.Sprintf("queue %d", w.rng.Intn(3))
 	if percent(w.rng, 50) {
-		request.Correlation = f.newAddress()
+		request.Correlation = through.newAddress()
 	}
-	asked := &ask{message: m, front: f, address: request.Correlation}
+	asked := &ask{message: submitted, front: through, address: request.Correlation}
 	request.IngressData = asked
-	m.asks = append(m.asks, asked)
-	f.process.core.Submit(&request)
+	submitted.asks = append(submitted.asks, asked)
+	through.process.core.Submit(&request)
 }
 
 // nextName returns a new name.
@@ -242,23 +242,23 @@
 	for _, name := range change.fronts {
 		w.process.addFrontLater(name)
 	}
-	w.tell(w.process, change)
+	w.sendEndpointList(w.process, change)
 }
 
-// tell gives a process the list of the registry or, while that does not respond, an older one. A running process keeps
-// what it has then.
-func (w *world) tell(p *process, change replacement) {
+// sendEndpointList gives a process the list of the registry or, while that does not respond, an older one. A running
+// process keeps what it has then.
+func (w *world) sendEndpointList(to *process, change replacement) {
 	switch {
 	case !change.offline:
 		list := w.registry.report()
-		p.core.UpdateRoutes(scheduler.UpdateFull, list)
-		p.core.Post(func() { // what was decided before has been sent
+		to.core.UpdateRoutes(scheduler.UpdateFull, list)
+		to.core.Post(func() { // what was decided before has been sent
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			w.registry.applied(list)
 		})
 	case change.way != reload:
-		p.core.UpdateRoutes(scheduler.UpdateStale, w.registry.copyOf())
+		to.core.UpdateRoutes(scheduler.UpdateStale, w.registry.copyOf())
 	}
 }
 
